Set the interfaces: messages, headers, callers' and backend servers' pages

The skeleton that everything later stands on: protobuf messages and records, public headers of each part, docs/API.md and docs/BACKEND.md, presets, format, lint and the one test command. Nothing serves a request yet.

--- /dev/null
+++ b/include/primrosehead/backend.h
@@ -0,0 +1,32 @@
+// The narrow interface towards one backend server. docs/BACKEND.md is its published protocol.
+#pragma once
+
+#include "primrosehead.pb.h"
+
+#include <primrosehead/clock.h>
+#include <primrosehead/error.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+namespace primrosehead {
+
+// One connection to a backend server. Requests on it run one after the other; a transaction stays
+// on the connection that began it. After an error with `ran::unknown` the connection is not used
+// again.
+template <class Connection>
+concept backend_connection = requires(Connection connection, const pb::backend_request& request,
+                                      clock::time_point deadline)
+{
+    {
+        connection.call(request, deadline)
+        } -> std::same_as<boost::asio::awaitable<result<pb::backend_reply>>>;
+    {
+        connection.is_usable()
+        } -> std::same_as<bool>;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/include/primrosehead/failover.h
@@ -0,0 +1,99 @@
+// Replaces the primary of a database group. Pure: reports and answers go in, orders come out.
+//
+// steady -> closing (term closed in the log) -> waiting (leases of the old term end) ->
+// fencing (a majority of the group promises the new term) -> promoting -> steady.
+#pragma once
+
+#include <primrosehead/clock.h>
+#include <primrosehead/names.h>
+#include <primrosehead/position.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace primrosehead::failover {
+
+// Commit `begin_promotion` for this term.
+struct close_term {
+    std::uint64_t new_term = 0;
+};
+// Ask a server to refuse every earlier term and to tell its position.
+struct fence_server {
+    server_name server;
+    std::string url;
+    std::uint64_t term = 0;
+};
+// Order a server to become primary of the term.
+struct promote_server {
+    server_name server;
+    std::string url;
+    std::uint64_t term = 0;
+};
+// Commit `finish_promotion`.
+struct open_term {
+    server_name server;
+    std::string url;
+    std::uint64_t term = 0;
+    std::uint64_t start_index = 0;
+};
+
+using order = std::variant<close_term, fence_server, promote_server, open_term>;
+
+// A server of the group as the reports of entry instances tell it.
+struct member_report {
+    server_name server;
+    std::string url;
+    clock::time_point heard_at;
+    log_position received;
+    std::uint32_t term = 0;
+    bool is_primary = false;
+    bool leaving = false;
+};
+
+// What the replicated state says of the group.
+struct group_view {
+    std::uint64_t term = 0;
+    std::optional<server_name> primary;
+    std::uint64_t version = 0; // state version that last changed the group
+};
+
+struct plan_settings {
+    clock::duration failure_after{400};
+    clock::duration retry_after{200}; // an order without an answer is given again
+    std::uint32_t group_size = 3;     // members known at most; a majority of these must fence
+};
+
+// The failover of one database group at the control leader.
+class plan {
+  public:
+    plan(database_name database, plan_settings settings, clock::time_point now);
+    ~plan();
+    plan(plan&&) noexcept;
+    plan& operator=(plan&&) noexcept;
+    plan(const plan&) = delete;
+    plan& operator=(const plan&) = delete;
+
+    void heard(const member_report& report);
+    void fenced(const server_name& server, std::uint64_t term, log_position received);
+    void promoted(const server_name& server, std::uint64_t term, std::uint64_t start_index);
+    void refused(const server_name& server, std::uint64_t seen_term);
+
+    // An operator's or a leaving primary's planned change.
+    void request_change();
+
+    // `leases_passed`: no instance may still acknowledge writes of an earlier term.
+    [[nodiscard]] std::vector<order> advance(const group_view& group, bool leases_passed,
+                                             clock::time_point now);
+
+    [[nodiscard]] std::string_view phase() const noexcept;
+
+  private:
+    struct implementation;
+    std::unique_ptr<implementation> body_;
+};
+
+} // namespace primrosehead::failover
--- /dev/null
+++ b/include/primrosehead/lease.h
@@ -0,0 +1,57 @@
+// Write leases: an entry instance acknowledges a write only while its lease holds, and the control
+// leader orders a promotion only after every lease on the old term is confirmed gone or expired.
+//
+// One lease an instance covers all groups at the state version that the instance confirmed; a
+// change of term is a new state version. Pure.
+#pragma once
+
+#include <primrosehead/clock.h>
+#include <primrosehead/names.h>
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace primrosehead {
+
+// An entry instance's side. Counted from the moment of asking, never from the answer.
+class lease_holder {
+  public:
+    void renewed(clock::time_point asked_at, clock::duration lease) noexcept;
+    [[nodiscard]] bool holds(clock::time_point now) const noexcept;
+    [[nodiscard]] clock::time_point expires_at() const noexcept { return expires_at_; }
+
+  private:
+    clock::time_point expires_at_{};
+};
+
+// The control leader's side.
+class lease_keeper {
+  public:
+    // Leases of an earlier leader may be out until `lease` after the election.
+    lease_keeper(clock::time_point elected_at, clock::duration lease);
+
+    // An instance asked at state `version`; it holds a lease from now on.
+    void granted(const instance_name& instance, std::uint64_t version, clock::time_point now);
+
+    // An instance confirmed `version` without renewing.
+    void confirmed(const instance_name& instance, std::uint64_t version);
+
+    // True when no instance may still act on a state before `version`.
+    [[nodiscard]] bool has_passed(std::uint64_t version, clock::time_point now) const;
+
+    // Instances that `has_passed` waits for.
+    [[nodiscard]] std::vector<instance_name> waiting_for(std::uint64_t version,
+                                                         clock::time_point now) const;
+
+  private:
+    struct holding {
+        std::uint64_t version = 0;
+        clock::time_point expires_at;
+    };
+    clock::time_point old_leases_end_;
+    clock::duration lease_;
+    std::map<instance_name, holding> holdings_;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/include/primrosehead/names.h
@@ -0,0 +1,47 @@
+// Strong types for the names that processes exchange.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace primrosehead {
+
+// A name of one kind; names of two kinds don't mix.
+template <class Tag>
+class name {
+  public:
+    name() = default;
+    explicit name(std::string_view text) : text_(text) {}
+    explicit name(std::string&& text) noexcept : text_(std::move(text)) {}
+    explicit name(const char* text) : text_(text) {}
+
+    [[nodiscard]] const std::string& text() const noexcept { return text_; }
+    [[nodiscard]] bool empty() const noexcept { return text_.empty(); }
+
+    friend auto operator<=>(const name&, const name&) = default;
+
+  private:
+    std::string text_;
+};
+
+using cell_name = name<struct cell_tag>;
+using instance_name = name<struct instance_tag>;
+using failure_domain_name = name<struct failure_domain_tag>;
+using organisation_name = name<struct organisation_tag>;
+using database_name = name<struct database_tag>;
+using server_name = name<struct server_tag>;
+using route_name = name<struct route_tag>;
+
+} // namespace primrosehead
+
+template <class Tag>
+struct std::hash<primrosehead::name<Tag>> {
+    std::size_t operator()(const primrosehead::name<Tag>& value) const noexcept
+    {
+        return std::hash<std::string>()(value.text());
+    }
+};
--- /dev/null
+++ b/include/primrosehead/position.h
@@ -0,0 +1,42 @@
+// Positions in a database group's log, and their comparison over changes of primary.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace primrosehead {
+
+// A place in a log. Indexes go on rising over terms, as in a consensus log.
+struct log_position {
+    std::uint64_t term = 0;
+    std::uint64_t index = 0;
+
+    friend constexpr auto operator<=>(const log_position&, const log_position&) = default;
+};
+
+// The first term that a primary served and the last index it kept from earlier terms.
+struct term_begin {
+    std::uint64_t term = 0;
+    std::uint64_t index = 0;
+};
+
+// Where a session's position stands in the history that survived.
+enum class standing {
+    kept,    // the entry is part of the present history
+    lost,    // a later term began before that index: the entry is gone
+    unknown, // of a term that this history has not heard of yet
+};
+
+// Tells where `seen` stands, given the terms of the group in rising order.
+[[nodiscard]] standing standing_of(log_position seen, std::span<const term_begin> terms) noexcept;
+
+// True when a server at `applied` shows everything up to `required`.
+// Both must be kept in the same history.
+[[nodiscard]] constexpr bool reaches(log_position applied, log_position required) noexcept
+{
+    return applied.index >= required.index;
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/include/primrosehead/replica.h
@@ -0,0 +1,62 @@
+// One control instance's copy of the replicated state: consensus core, journal and state machine
+// joined. All calls on one thread.
+#pragma once
+
+#include "primrosehead.pb.h"
+
+#include <primrosehead/clock.h>
+#include <primrosehead/error.h>
+#include <primrosehead/journal.h>
+#include <primrosehead/settings.h>
+#include <primrosehead/state.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace primrosehead {
+
+class replica {
+  public:
+    // Called once with the committed answer, or with an error: `not_leader`, `no_quorum` (the
+    // leader lost its quorum before the commit was known: the outcome is unknown).
+    using completion = std::function<void(const pb::operator_reply& reply)>;
+    using sender = std::function<void(const pb::consensus_message& message)>;
+
+    // `files`: the data folder; `disk_id`: used when the folder is new; `seed`: for election times.
+    [[nodiscard]] static result<std::unique_ptr<replica>>
+    open(const control_settings& settings, std::unique_ptr<disk> files, std::string disk_id,
+         std::uint64_t seed, clock::time_point now, sender send);
+    ~replica();
+    replica(const replica&) = delete;
+    replica& operator=(const replica&) = delete;
+
+    // A storage failure ends the process: an instance that can't write may not vote.
+    [[nodiscard]] status receive(const pb::consensus_message& message, clock::time_point now);
+    [[nodiscard]] status tick(clock::time_point now);
+
+    [[nodiscard]] status propose(const pb::command& command, clock::time_point now,
+                                 completion done);
+    [[nodiscard]] status add_member(const pb::member& member, clock::time_point now,
+                                    completion done);
+    [[nodiscard]] status remove_member(const instance_name& instance, clock::time_point now,
+                                       completion done);
+
+    [[nodiscard]] const state_machine& state() const noexcept;
+    [[nodiscard]] const pb::membership& members() const noexcept;
+
+    // May answer as the leader: see `consensus::core::is_current`.
+    [[nodiscard]] bool is_current(clock::time_point now) const noexcept;
+    [[nodiscard]] std::uint64_t term() const noexcept;
+    [[nodiscard]] clock::time_point elected_at() const noexcept; // when this instance became leader
+    [[nodiscard]] std::string leader_endpoint() const;           // empty when unknown
+    [[nodiscard]] std::string_view role_name() const noexcept;
+
+  private:
+    struct implementation;
+    explicit replica(std::unique_ptr<implementation> body);
+    std::unique_ptr<implementation> body_;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/include/primrosehead/retry.h
@@ -0,0 +1,45 @@
+// Whether a failed try is made again. Pure.
+#pragma once
+
+#include <primrosehead/clock.h>
+#include <primrosehead/error.h>
+
+#include <cstdint>
+
+namespace primrosehead {
+
+// Allows retries as a share of first tries, so that they can't multiply a failure's load.
+class retry_budget {
+  public:
+    retry_budget(double share, double reserve) noexcept;
+
+    void first_try() noexcept;
+    [[nodiscard]] bool take() noexcept;
+
+  private:
+    double share_;
+    double reserve_;
+    double tokens_;
+};
+
+struct attempt {
+    error_kind failure = error_kind::internal;
+    enum ran ran = ran::no;
+    bool repeatable = false;
+    std::uint32_t tries = 1;
+    clock::time_point now;
+    clock::time_point deadline;
+};
+
+enum class retry_decision {
+    again,
+    give_up_answer,
+    give_up_deadline,
+    give_up_budget,
+    give_up_unsafe
+};
+
+// Tries again only what certainly did not run or may be repeated, within deadline and budget.
+[[nodiscard]] retry_decision decide_retry(const attempt& last, retry_budget& budget) noexcept;
+
+} // namespace primrosehead
--- /dev/null
+++ b/tests/main_test.cpp
@@ -0,0 +1,3 @@
+// The test program's entry point.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
