--- a/include/primrosehead/rcu.h
+++ b/include/primrosehead/rcu.h
@@ -28,7 +28,7 @@
 template <class Value>
 class rcu_cell {
   public:
-    explicit rcu_cell(std::unique_ptr<const Value> first) : current_(first.release()) {}
+    explicit rcu_cell(std::unique_ptr<Value> first) : current_(first.release()) {}
     ~rcu_cell() { delete current_; }
     rcu_cell(const rcu_cell&) = delete;
     rcu_cell& operator=(const rcu_cell&) = delete;
@@ -39,14 +39,15 @@
     {
         rcu_thread::ensure();
         const read_section section;
-        return std::forward<Use>(use)(*rcu_dereference(current_));
+        const Value& current = *rcu_dereference(current_);
+        return std::forward<Use>(use)(current);
     }
 
     // Replaces the value and waits until no reader uses the old one. One publisher at a time.
-    void publish(std::unique_ptr<const Value> next)
+    void publish(std::unique_ptr<Value> next)
     {
         rcu_thread::ensure();
-        const Value* const old = rcu_xchg_pointer(&current_, next.release());
+        Value* const old = rcu_xchg_pointer(&current_, next.release());
         urcu_memb_synchronize_rcu();
         delete old;
     }
@@ -59,7 +60,7 @@
         read_section& operator=(const read_section&) = delete;
     };
 
-    const Value* current_;
+    Value* current_;
 };
 
 } // namespace primrosehead
