--- a/include/primrosehead/config.h
+++ b/include/primrosehead/config.h
@@ -6,17 +6,20 @@
 
 namespace primrosehead::config {
 
+inline constexpr std::size_t kibibyte = 1024;
+inline constexpr std::size_t mebibyte = 1024 * kibibyte;
+
 // Callers' requests.
-inline constexpr std::size_t max_header_bytes = 8 * 1024;
-inline constexpr std::size_t max_body_bytes = 256 * 1024;
-inline constexpr std::size_t max_token_bytes = 4 * 1024;
+inline constexpr std::size_t max_header_bytes = 8 * kibibyte;
+inline constexpr std::size_t max_body_bytes = 256 * kibibyte;
+inline constexpr std::size_t max_token_bytes = 4 * kibibyte;
 inline constexpr std::size_t max_key_bytes = 128;
 inline constexpr std::size_t max_idempotency_key_bytes = 128;
 inline constexpr std::size_t max_session_databases = 64;
 inline constexpr std::int64_t max_statement_timeout_ms = 60'000;
 
 // Backend servers.
-inline constexpr std::size_t max_answer_bytes = 4 * 1024 * 1024;
+inline constexpr std::size_t max_answer_bytes = 4 * mebibyte;
 inline constexpr std::size_t max_servers_per_instance = 256;
 
 // Queues.
@@ -24,9 +27,9 @@
 inline constexpr std::size_t max_bus_queue = 65'536;
 
 // Replicated state.
-inline constexpr std::size_t max_document_bytes = 1024 * 1024;
+inline constexpr std::size_t max_document_bytes = mebibyte;
 inline constexpr std::size_t max_remembered_requests = 4'096;
 inline constexpr std::size_t max_append_entries = 256;
-inline constexpr std::size_t snapshot_chunk_bytes = 256 * 1024;
+inline constexpr std::size_t snapshot_chunk_bytes = 256 * kibibyte;
 
 } // namespace primrosehead::config
--- a/include/primrosehead/http.h
+++ b/include/primrosehead/http.h
@@ -57,7 +57,8 @@
 // Answers requests, one at a time on each connection.
 class listener {
   public:
-    using handler = std::function<boost::asio::awaitable<response>(request)>;
+    // The request lives until the answer is there.
+    using handler = std::function<boost::asio::awaitable<response>(const request&)>;
     using closed_handler = std::function<void(std::uint64_t connection)>;
 
     [[nodiscard]] static result<std::shared_ptr<listener>>
@@ -96,9 +97,13 @@
     client& operator=(const client&) = delete;
 
     // Sends a request and reads its whole answer. A failure after the first byte was sent has
-    // `ran::unknown`; the connection can't be used after any failure.
-    [[nodiscard]] boost::asio::awaitable<result<response>> call(request sent,
+    // `ran::unknown`; the connection can't be used after any failure. `sent` is a named variable:
+    // g++ 12 copies an aggregate argument of an awaited call bit by bit, which breaks short
+    // strings.
+    [[nodiscard]] boost::asio::awaitable<result<response>> call(const request& sent,
                                                                 clock::time_point deadline);
+    boost::asio::awaitable<result<response>> call(request&& sent,
+                                                  clock::time_point deadline) = delete;
 
     [[nodiscard]] bool is_open() const noexcept;
 
--- /dev/null
+++ b/src/http_client.cpp
@@ -0,0 +1,130 @@
+#include "http_address.h"
+
+#include <primrosehead/config.h>
+#include <primrosehead/http.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace primrosehead::http {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+
+using beast_request = beast::http::request<beast::http::string_body>;
+
+std::chrono::steady_clock::time_point steady(clock::time_point time)
+{
+    return std::chrono::steady_clock::time_point(time.time_since_epoch());
+}
+
+error link_failure(const beast::error_code& cause, enum ran ran)
+{
+    if (cause == beast::error::timeout) {
+        return error{error_kind::timed_out, "The peer did not answer before the deadline.",
+                     "Look at the peer's load and at the timeout of the request.", ran};
+    }
+    return error{error_kind::connection_lost, "The connection failed: " + cause.message() + ".",
+                 "Check that the peer runs and can be reached.", ran};
+}
+
+beast_request to_beast(const request& sent)
+{
+    beast_request message;
+    message.method_string(sent.method);
+    message.target(sent.target);
+    message.set(beast::http::field::host, "primrosehead");
+    message.set(beast::http::field::content_type, "application/json");
+    for (const header& each : sent.headers) {
+        message.set(each.name, each.value);
+    }
+    message.body() = sent.body;
+    message.prepare_payload();
+    return message;
+}
+
+response from_beast(beast::http::response<beast::http::string_body>&& message)
+{
+    response answer;
+    answer.status = message.result_int();
+    answer.content_type = message[beast::http::field::content_type];
+    for (const auto& field : message) {
+        answer.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    answer.body = std::move(message.body());
+    answer.close = !message.keep_alive();
+    return answer;
+}
+
+} // namespace
+
+struct client::implementation {
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool open = true;
+};
+
+client::client(std::unique_ptr<implementation> body) : body_(std::move(body)) {}
+client::~client() = default;
+
+net::awaitable<result<std::unique_ptr<client>>> client::connect(std::string_view url,
+                                                                clock::time_point deadline)
+{
+    result<net::ip::tcp::endpoint> address = parse_url(url);
+    if (!ok(address)) {
+        co_return failure(address);
+    }
+    const net::any_io_executor executor = co_await net::this_coro::executor;
+    auto body = std::make_unique<implementation>(implementation{beast::tcp_stream(executor), {}});
+    body->stream.expires_at(steady(deadline));
+    const auto [failed] = co_await body->stream.async_connect(value(address), no_throw);
+    if (failed) {
+        co_return link_failure(failed, ran::no);
+    }
+    beast::error_code ignored;
+    body->stream.socket().set_option(net::ip::tcp::no_delay(true), ignored);
+    co_return std::unique_ptr<client>(new client(std::move(body)));
+}
+
+net::awaitable<result<response>> client::call(const request& sent, clock::time_point deadline)
+{
+    if (!body_->open) {
+        co_return error{error_kind::connection_lost, "The connection is closed.",
+                        "Open a new connection."};
+    }
+    body_->open = false; // until a whole answer is here
+    body_->stream.expires_at(steady(deadline));
+    const beast_request message = to_beast(sent);
+    const auto [not_sent, sent_bytes] =
+        co_await beast::http::async_write(body_->stream, message, no_throw);
+    if (not_sent) {
+        co_return link_failure(not_sent, sent_bytes == 0 ? ran::no : ran::unknown);
+    }
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(config::max_answer_bytes);
+    parser.header_limit(config::max_header_bytes);
+    const auto [not_read, read_bytes] =
+        co_await beast::http::async_read(body_->stream, body_->buffer, parser, no_throw);
+    (void)read_bytes;
+    if (not_read) {
+        co_return link_failure(not_read, ran::unknown);
+    }
+    response answer = from_beast(parser.release());
+    body_->open = !answer.close;
+    co_return answer;
+}
+
+bool client::is_open() const noexcept
+{
+    return body_->open;
+}
+
+} // namespace primrosehead::http
--- /dev/null
+++ b/src/http_listener.cpp
@@ -0,0 +1,507 @@
+#include "http_address.h"
+
+#include <primrosehead/config.h>
+#include <primrosehead/http.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl/ssl_stream.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <spdlog/spdlog.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+namespace primrosehead::http {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+constexpr std::chrono::milliseconds accept_retry{100};
+constexpr std::chrono::seconds write_timeout{10};
+constexpr std::chrono::minutes idle_timeout{10};
+constexpr std::chrono::milliseconds drain_grace{500};
+
+using beast_request = beast::http::request<beast::http::string_body>;
+using beast_response = beast::http::response<beast::http::string_body>;
+using request_parser = beast::http::request_parser<beast::http::string_body>;
+using plain_stream = beast::tcp_stream;
+using tls_stream = beast::ssl_stream<beast::tcp_stream>;
+
+request from_beast(beast_request&& message, std::uint64_t connection)
+{
+    request received;
+    received.method = message.method_string();
+    received.target = message.target();
+    received.headers.reserve(8);
+    for (const auto& field : message) {
+        received.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    received.body = std::move(message.body());
+    received.connection = connection;
+    return received;
+}
+
+beast_response to_beast(response&& answer, bool keep_alive)
+{
+    beast_response message;
+    message.result(answer.status);
+    message.set(beast::http::field::content_type, answer.content_type);
+    for (const header& each : answer.headers) {
+        message.set(each.name, each.value);
+    }
+    message.keep_alive(keep_alive);
+    message.body() = std::move(answer.body);
+    message.prepare_payload();
+    return message;
+}
+
+response problem(unsigned status, std::string_view text, std::string_view remedy)
+{
+    response answer;
+    answer.status = status;
+    answer.content_type = "application/problem+json";
+    answer.body = boost::json::serialize(boost::json::value{
+        {"kind", "bad_request"}, {"title", text}, {"remedy", remedy}, {"ran", "no"}});
+    answer.close = true;
+    return answer;
+}
+
+// The answer to a request that could not be read; nothing when the peer has just gone.
+std::optional<response> answer_to_unreadable(const beast::error_code& cause)
+{
+    if (cause == beast::http::error::body_limit) {
+        return problem(413, "The request's body is too large.", "Send a smaller statement.");
+    }
+    if (cause == beast::http::error::header_limit) {
+        return problem(431, "The request's headers are too large.",
+                       "Send fewer or shorter headers.");
+    }
+    if (cause == net::error::operation_aborted) {
+        return problem(408, "The request was not sent in time.",
+                       "Send each request whole and without pauses.");
+    }
+    const bool malformed =
+        cause.category() == beast::http::make_error_code(beast::http::error::bad_method).category();
+    if (malformed && cause != beast::http::error::end_of_stream &&
+        cause != beast::http::error::partial_message) {
+        return problem(400, "The request is not valid HTTP: " + cause.message() + ".",
+                       "Send HTTP/1.1.");
+    }
+    return std::nullopt;
+}
+
+beast::tcp_stream& lowest(plain_stream& stream)
+{
+    return stream;
+}
+
+beast::tcp_stream& lowest(tls_stream& stream)
+{
+    return stream.next_layer();
+}
+
+// Cancels what a stream waits for when the time is up, and leaves the connection open for an answer
+// (a stream's own expiry closes it). Ends with its scope.
+template <class Stream>
+class read_limit {
+  public:
+    read_limit(Stream& stream, clock::duration time)
+        : timer_(stream.get_executor(), std::chrono::milliseconds(time)),
+          ended_(std::make_shared<bool>(false))
+    {
+        timer_.async_wait([&stream, ended = ended_](const beast::error_code&) {
+            if (!*ended) {
+                lowest(stream).cancel();
+            }
+        });
+    }
+    ~read_limit() { *ended_ = true; }
+    read_limit(const read_limit&) = delete;
+    read_limit& operator=(const read_limit&) = delete;
+
+  private:
+    net::steady_timer timer_;
+    std::shared_ptr<bool> ended_; // timer and scope run on the stream's strand
+};
+
+// Cancels what a stream waits for, on the stream's own strand; does nothing once it is gone.
+template <class Stream>
+std::function<void()> canceller(const std::shared_ptr<Stream>& stream)
+{
+    return [weak = std::weak_ptr<Stream>(stream)] {
+        if (const std::shared_ptr<Stream> alive = weak.lock()) {
+            net::post(alive->get_executor(), [alive] { lowest(*alive).cancel(); });
+        }
+    };
+}
+
+error not_opened(std::string_view address, const beast::error_code& cause)
+{
+    return error{error_kind::bad_settings,
+                 "Can't listen on " + std::string(address) + ": " + cause.message() + ".",
+                 "Choose a free port and an address of this machine."};
+}
+
+result<std::shared_ptr<net::ssl::context>> load_tls(const tls_settings& settings)
+{
+    auto context = std::make_shared<net::ssl::context>(net::ssl::context::tls_server);
+    beast::error_code failed;
+    context->set_options(net::ssl::context::default_workarounds | net::ssl::context::no_tlsv1 |
+                             net::ssl::context::no_tlsv1_1,
+                         failed);
+    if (!failed) {
+        context->use_certificate_chain_file(settings.certificate_file, failed);
+    }
+    if (!failed) {
+        context->use_private_key_file(settings.key_file, net::ssl::context::pem, failed);
+    }
+    if (failed) {
+        return error{error_kind::bad_settings, "Can't use the TLS files: " + failed.message() + ".",
+                     "Give PEM files of a certificate chain and its key that this user may read."};
+    }
+    return context;
+}
+
+} // namespace
+
+struct listener::implementation : std::enable_shared_from_this<listener::implementation> {
+    // A connection that waits for its next request can be closed from outside.
+    struct connection_entry {
+        std::function<void()> cancel;
+        bool idle = true;
+    };
+
+    implementation(net::any_io_executor on, listener_settings with, handler to,
+                   closed_handler after)
+        : executor(net::make_strand(on)), pool(std::move(on)), settings(std::move(with)),
+          handle(std::move(to)), closed(std::move(after)), acceptor(executor)
+    {
+    }
+
+    net::any_io_executor executor;
+    net::any_io_executor pool;
+    listener_settings settings;
+    handler handle;
+    closed_handler closed;
+    net::ip::tcp::acceptor acceptor;
+    std::shared_ptr<net::ssl::context> tls;
+    std::uint16_t port = 0;
+    std::atomic<std::uint32_t> open = 0;
+    std::atomic<bool> draining = false;
+    std::atomic<bool> ended = false;
+    std::mutex guard;
+    std::uint64_t next_connection = 1;
+    std::map<std::uint64_t, connection_entry> connections;
+
+    status bind();
+    net::awaitable<void> accept();
+    net::awaitable<void> admit(net::ip::tcp::socket socket);
+    template <class Stream>
+    net::awaitable<void> serve(Stream& stream, std::uint64_t connection);
+    template <class Stream>
+    net::awaitable<bool> serve_one(Stream& stream, beast::flat_buffer& buffer,
+                                   std::uint64_t connection);
+    template <class Stream>
+    net::awaitable<beast::error_code> read_whole(Stream& stream, beast::flat_buffer& buffer,
+                                                 request_parser& parser);
+    template <class Stream>
+    net::awaitable<bool> answer(Stream& stream, response& text, bool keep_alive);
+    net::awaitable<response> run_handler(const request& received);
+    std::uint64_t enlist(std::function<void()> cancel);
+    void set_idle(std::uint64_t connection, bool idle);
+    void strike(std::uint64_t connection);
+    void cancel(bool only_idle);
+    net::awaitable<void> end_idle_connections();
+};
+
+status listener::implementation::bind()
+{
+    result<net::ip::tcp::endpoint> address = parse_address(settings.address);
+    if (!ok(address)) {
+        return failure(address);
+    }
+    if (settings.tls) {
+        result<std::shared_ptr<net::ssl::context>> loaded = load_tls(*settings.tls);
+        if (!ok(loaded)) {
+            return failure(loaded);
+        }
+        tls = value(loaded);
+    }
+    beast::error_code failed;
+    acceptor.open(value(address).protocol(), failed);
+    if (!failed) {
+        acceptor.set_option(net::socket_base::reuse_address(true), failed);
+    }
+    if (!failed) {
+        acceptor.bind(value(address), failed);
+    }
+    if (!failed) {
+        acceptor.listen(net::socket_base::max_listen_connections, failed);
+    }
+    if (failed) {
+        return not_opened(settings.address, failed);
+    }
+    port = acceptor.local_endpoint(failed).port();
+    return std::monostate{};
+}
+
+net::awaitable<void> listener::implementation::accept()
+{
+    const auto self = shared_from_this();
+    while (acceptor.is_open()) {
+        auto [failed, socket] = co_await acceptor.async_accept(net::make_strand(pool), no_throw);
+        if (failed == net::error::operation_aborted) {
+            co_return;
+        }
+        if (failed) {
+            net::steady_timer pause(executor, accept_retry);
+            co_await pause.async_wait(no_throw);
+            continue;
+        }
+        const net::any_io_executor strand = socket.get_executor();
+        net::co_spawn(strand, admit(std::move(socket)), net::detached);
+    }
+}
+
+net::awaitable<void> listener::implementation::admit(net::ip::tcp::socket socket)
+{
+    const auto self = shared_from_this();
+    beast::error_code ignored;
+    socket.set_option(net::ip::tcp::no_delay(true), ignored);
+    const bool too_many = open.fetch_add(1) >= settings.max_connections;
+    if (settings.accept_delay.count() > 0) {
+        net::steady_timer delay(socket.get_executor(),
+                                std::chrono::milliseconds(settings.accept_delay));
+        co_await delay.async_wait(no_throw);
+    }
+    if (too_many) {
+        plain_stream stream(std::move(socket));
+        response refusal = problem(503, "Too many connections.", "Connect to another instance.");
+        co_await answer(stream, refusal, false);
+    }
+    else if (tls) {
+        const auto stream = std::make_shared<tls_stream>(std::move(socket), *tls);
+        const std::uint64_t connection = enlist(canceller(stream));
+        lowest(*stream).expires_after(std::chrono::milliseconds(settings.header_timeout));
+        const auto [failed] =
+            co_await stream->async_handshake(net::ssl::stream_base::server, no_throw);
+        if (!failed) {
+            co_await serve(*stream, connection);
+        }
+        strike(connection);
+    }
+    else {
+        const auto stream = std::make_shared<plain_stream>(std::move(socket));
+        const std::uint64_t connection = enlist(canceller(stream));
+        co_await serve(*stream, connection);
+        strike(connection);
+    }
+    open.fetch_sub(1);
+}
+
+template <class Stream>
+net::awaitable<void> listener::implementation::serve(Stream& stream, std::uint64_t connection)
+{
+    beast::flat_buffer buffer;
+    bool more = true;
+    while (more) {
+        more = co_await serve_one(stream, buffer, connection);
+    }
+    beast::error_code ignored;
+    lowest(stream).socket().shutdown(net::ip::tcp::socket::shutdown_send, ignored);
+    if (closed) {
+        closed(connection);
+    }
+}
+
+template <class Stream>
+net::awaitable<beast::error_code> listener::implementation::read_whole(Stream& stream,
+                                                                       beast::flat_buffer& buffer,
+                                                                       request_parser& parser)
+{
+    const read_limit limit(stream, settings.header_timeout);
+    const auto [failed, bytes] = co_await beast::http::async_read(stream, buffer, parser, no_throw);
+    (void)bytes;
+    co_return failed;
+}
+
+template <class Stream>
+net::awaitable<bool> listener::implementation::serve_one(Stream& stream, beast::flat_buffer& buffer,
+                                                         std::uint64_t connection)
+{
+    request_parser parser;
+    parser.body_limit(config::max_body_bytes);
+    parser.header_limit(config::max_header_bytes);
+    set_idle(connection, true);
+    if (buffer.size() == 0) {
+        // Waits for the first byte of a request without a time limit on the sender's speed.
+        lowest(stream).expires_after(idle_timeout);
+        const auto [gone, count] =
+            co_await stream.async_read_some(buffer.prepare(config::max_header_bytes), no_throw);
+        if (gone) {
+            co_return false;
+        }
+        buffer.commit(count);
+    }
+    set_idle(connection, false);
+    lowest(stream).expires_never();
+    const beast::error_code failed = co_await read_whole(stream, buffer, parser);
+    if (failed) {
+        std::optional<response> refusal = answer_to_unreadable(failed);
+        if (refusal) {
+            co_await answer(stream, *refusal, false);
+        }
+        co_return false;
+    }
+    const bool keep_alive = parser.get().keep_alive();
+    const request received = from_beast(parser.release(), connection);
+    response text = co_await run_handler(received);
+    const bool stays = keep_alive && !text.close && !draining.load();
+    co_return co_await answer(stream, text, stays);
+}
+
+net::awaitable<response> listener::implementation::run_handler(const request& received)
+{
+    try {
+        co_return co_await handle(received);
+    }
+    catch (const std::exception& fault) {
+        spdlog::error("http: a handler failed: {}", fault.what());
+    }
+    response answer;
+    answer.status = 500;
+    answer.content_type = "application/problem+json";
+    answer.body = R"({"kind":"internal","title":"This instance failed to handle the request.",)"
+                  R"("remedy":"Report it with the request's id.","ran":"unknown"})";
+    answer.close = true;
+    co_return answer;
+}
+
+template <class Stream>
+net::awaitable<bool> listener::implementation::answer(Stream& stream, response& text,
+                                                      bool keep_alive)
+{
+    const beast_response message = to_beast(std::move(text), keep_alive);
+    lowest(stream).expires_after(write_timeout);
+    const auto [failed, bytes] = co_await beast::http::async_write(stream, message, no_throw);
+    (void)bytes;
+    co_return !failed && keep_alive;
+}
+
+std::uint64_t listener::implementation::enlist(std::function<void()> cancel)
+{
+    const std::lock_guard lock(guard);
+    const std::uint64_t connection = next_connection++;
+    connections.emplace(connection, connection_entry{std::move(cancel)});
+    return connection;
+}
+
+void listener::implementation::set_idle(std::uint64_t connection, bool idle)
+{
+    const std::lock_guard lock(guard);
+    connections[connection].idle = idle;
+}
+
+void listener::implementation::strike(std::uint64_t connection)
+{
+    const std::lock_guard lock(guard);
+    connections.erase(connection);
+}
+
+void listener::implementation::cancel(bool only_idle)
+{
+    const std::lock_guard lock(guard);
+    for (const auto& [number, entry] : connections) {
+        if (entry.idle || !only_idle) {
+            entry.cancel();
+        }
+    }
+}
+
+net::awaitable<void> listener::implementation::end_idle_connections()
+{
+    const auto self = shared_from_this();
+    net::steady_timer pause(executor);
+    while (open.load() > 0 && !ended.load()) {
+        pause.expires_after(drain_grace);
+        co_await pause.async_wait(no_throw);
+        cancel(true);
+    }
+}
+
+listener::listener(std::shared_ptr<implementation> body) : body_(std::move(body)) {}
+
+listener::~listener()
+{
+    close();
+}
+
+result<std::shared_ptr<listener>> listener::open(net::any_io_executor executor,
+                                                 const listener_settings& settings, handler handle,
+                                                 closed_handler closed)
+{
+    auto body = std::make_shared<implementation>(std::move(executor), settings, std::move(handle),
+                                                 std::move(closed));
+    const status bound = body->bind();
+    if (!ok(bound)) {
+        return failure(bound);
+    }
+    net::co_spawn(body->executor, body->accept(), net::detached);
+    return std::shared_ptr<listener>(new listener(std::move(body)));
+}
+
+std::uint16_t listener::port() const noexcept
+{
+    return body_->port;
+}
+
+std::uint32_t listener::connections() const noexcept
+{
+    return body_->open.load();
+}
+
+void listener::drain()
+{
+    if (body_->draining.exchange(true)) {
+        return;
+    }
+    net::post(body_->executor, [body = body_] {
+        beast::error_code ignored;
+        body->acceptor.close(ignored);
+    });
+    net::co_spawn(body_->executor, body_->end_idle_connections(), net::detached);
+}
+
+bool listener::is_idle() const noexcept
+{
+    return body_->draining.load() && body_->open.load() == 0;
+}
+
+void listener::close()
+{
+    body_->draining.store(true);
+    body_->ended.store(true);
+    net::post(body_->executor, [body = body_] {
+        beast::error_code ignored;
+        body->acceptor.close(ignored);
+    });
+    body_->cancel(false);
+}
+
+} // namespace primrosehead::http
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,134 @@
+// The listener and the client against each other over loopback.
+#include <primrosehead/http.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace net = boost::asio;
+using namespace primrosehead;
+
+namespace {
+
+constexpr clock::duration patience{5'000};
+
+net::awaitable<http::response> echo(const http::request& received)
+{
+    http::response answer;
+    answer.body = received.method + " " + received.target + " " + received.body;
+    co_return answer;
+}
+
+std::string url_of(const http::listener& server)
+{
+    return "http://127.0.0.1:" + std::to_string(server.port());
+}
+
+// Sends raw bytes and returns what comes back until the peer closes.
+std::string exchange(net::io_context& context, std::uint16_t port, const std::string& bytes)
+{
+    std::string received;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            net::ip::tcp::socket socket(context);
+            co_await socket.async_connect({net::ip::make_address("127.0.0.1"), port},
+                                          net::use_awaitable);
+            co_await net::async_write(socket, net::buffer(bytes), net::use_awaitable);
+            std::array<char, 4'096> part{};
+            boost::system::error_code ended;
+            while (!ended) {
+                const std::size_t count = co_await socket.async_read_some(
+                    net::buffer(part), net::redirect_error(net::use_awaitable, ended));
+                received.append(part.data(), count);
+            }
+            context.stop();
+        },
+        net::detached);
+    context.run_for(std::chrono::seconds(10));
+    context.restart();
+    return received;
+}
+
+} // namespace
+
+TEST_CASE("a client's requests on one connection get their own answers")
+{
+    net::io_context context;
+    auto opened = http::listener::open(context.get_executor(), {.address = "127.0.0.1:0"}, echo);
+    REQUIRE(ok(opened));
+    const auto server = value(opened);
+    std::vector<std::string> bodies;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            auto connected =
+                co_await http::client::connect(url_of(*server), clock::now() + patience);
+            REQUIRE(ok(connected));
+            for (int i = 0; i < 3; ++i) {
+                http::request sent{"POST", "/n", {}, std::to_string(i)};
+                auto answer = co_await value(connected)->call(sent, clock::now() + patience);
+                REQUIRE(ok(answer));
+                bodies.push_back(value(answer).body);
+            }
+            context.stop();
+        },
+        net::detached);
+    context.run_for(std::chrono::seconds(10));
+    CHECK(bodies == std::vector<std::string>{"POST /n 0", "POST /n 1", "POST /n 2"});
+}
+
+TEST_CASE("bad requests get a typed refusal and the listener goes on")
+{
+    net::io_context context;
+    http::listener_settings settings{.address = "127.0.0.1:0"};
+    settings.header_timeout = clock::duration(200);
+    auto opened = http::listener::open(context.get_executor(), settings, echo);
+    REQUIRE(ok(opened));
+    const std::uint16_t port = value(opened)->port();
+    const std::string long_header = "GET / HTTP/1.1\r\nX: " + std::string(10'000, 'x') + "\r\n\r\n";
+    CHECK(exchange(context, port, "nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+    CHECK(exchange(context, port, long_header).starts_with("HTTP/1.1 431"));
+    CHECK(exchange(context, port, "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n")
+              .starts_with("HTTP/1.1 413"));
+    CHECK(exchange(context, port, "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf")
+              .starts_with("HTTP/1.1 408"));
+    CHECK(exchange(context, port, "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+              .starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("a drained listener answers the request under way and then has no connection")
+{
+    net::io_context context;
+    std::shared_ptr<http::listener> server;
+    auto opened =
+        http::listener::open(context.get_executor(), {.address = "127.0.0.1:0"},
+                             [&](http::request received) -> net::awaitable<http::response> {
+                                 server->drain();
+                                 co_return co_await echo(std::move(received));
+                             });
+    REQUIRE(ok(opened));
+    server = value(opened);
+    bool answered = false;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            auto connected =
+                co_await http::client::connect(url_of(*server), clock::now() + patience);
+            REQUIRE(ok(connected));
+            const http::request sent{"GET", "/last"};
+            auto answer = co_await value(connected)->call(sent, clock::now() + patience);
+            answered = ok(answer) && value(answer).close;
+        },
+        net::detached);
+    context.run_for(std::chrono::seconds(3));
+    CHECK(answered);
+    CHECK(server->is_idle());
+}
