--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -112,7 +112,7 @@
         http::listener::open(context.get_executor(), {.address = "127.0.0.1:0"},
                              [&](http::request received) -> net::awaitable<http::response> {
                                  server->drain();
-                                 co_return co_await echo(std::move(received));
+                                 co_return co_await echo(received);
                              });
     REQUIRE(ok(opened));
     server = value(opened);
