--- a/include/primrosehead/config.h
+++ b/include/primrosehead/config.h
@@ -27,6 +27,11 @@
 inline constexpr std::size_t max_document_bytes = 1024 * 1024;
 inline constexpr std::size_t max_remembered_requests = 4'096;
 inline constexpr std::size_t max_append_entries = 256;
+inline constexpr std::size_t max_append_bytes = 1024 * 1024;
+inline constexpr std::size_t max_uncommitted_entries = 4'096;
+inline constexpr std::size_t kept_log_entries =
+    256; // behind a snapshot, for followers nearly there
 inline constexpr std::size_t snapshot_chunk_bytes = 256 * 1024;
+inline constexpr std::size_t journal_segment_bytes = 1024 * 1024; // a new file after this size
 
 } // namespace primrosehead::config
--- a/include/primrosehead/consensus.h
+++ b/include/primrosehead/consensus.h
@@ -20,25 +20,50 @@
 
 enum class role { learner, follower, pre_candidate, candidate, leader };
 
+// Turn one safety mechanism off each, so that a test can show that its checker catches the breach.
+// Never set outside tests.
+struct unsafe_switches {
+    bool no_pre_vote = false;        // campaign with a higher term at once
+    bool no_check_quorum = false;    // a leader without answers stays leader
+    bool always_current = false;     // a leader is current whether or not its lease holds
+    bool no_lease_check = false;     // vote although a leader was heard within election_min
+    bool no_disk_check = false;      // count votes and answers of any disk
+    bool no_learner_stage = false;   // a new member votes at once
+    bool count_own_unsynced = false; // a leader's own entries count before they are synced
+    bool commit_older_terms = false; // count copies of entries of earlier terms
+};
+
 struct core_settings {
     instance_name instance;
     std::string disk_id;
     clock::duration heartbeat{50};
     clock::duration election_min{300};
     clock::duration election_max{600};
+    // A member that answers from an unregistered disk becomes a learner under that disk once its
+    // registered disk has been silent for this long; zero: only by `core::add_member`.
+    clock::duration adopt_disk_after{2'000};
     std::uint64_t seed = 0;
+    unsafe_switches unsafe;
 };
 
 // What the data folder held at start.
+//
+// `first_members` are used when log and snapshot are empty. Their disk ids may be empty: then all
+// of them must take part in the first election, whose leader registers the disks that voted.
 struct persisted {
     pb::hard_state hard;
     std::optional<pb::snapshot_record> snapshot;
     std::vector<pb::log_entry> entries; // after the snapshot
-    pb::membership first_members;       // of a new cell; used when log and snapshot are empty
+    pb::membership first_members;       // of a new cell
 };
 
 // Work for the owner, to be done in the order of the fields. Messages leave only after everything
 // before them is synced.
+//
+// Durability: after writing and syncing `hard`, `snapshot`, `truncate_from` and `entries` the owner
+// calls `core::written`; only then does a leader count its own entries. A follower's
+// acknowledgement is one of `messages`, so it leaves after the sync as well. If a write or sync
+// fails, the owner stops: it neither sends nor calls the core again.
 struct output {
     std::optional<pb::hard_state> hard;
     std::optional<pb::snapshot_record> snapshot; // replace log and snapshot by this one
@@ -64,6 +89,9 @@
 
     [[nodiscard]] output receive(const pb::consensus_message& message, clock::time_point now);
 
+    // Everything that earlier outputs asked to write is written and synced. May commit entries.
+    [[nodiscard]] output written(clock::time_point now);
+
     // Appends a command; `error_kind::not_leader` elsewhere. `index` and `term` identify it in
     // `output::committed`.
     struct proposal {
@@ -73,8 +101,9 @@
     };
     [[nodiscard]] result<proposal> propose(std::string command, clock::time_point now);
 
-    // Adds a learner, makes it a voter once it holds everything, or removes a member: one change at
-    // a time.
+    // Adds a learner, which becomes a voter once it holds every committed entry durably. A member
+    // that is known under another disk id is replaced. One change at a time: meanwhile
+    // `error_kind::version_conflict`.
     [[nodiscard]] result<proposal> add_member(const pb::member& member, clock::time_point now);
     [[nodiscard]] result<proposal> remove_member(const instance_name& instance,
                                                  clock::time_point now);
@@ -90,8 +119,17 @@
     [[nodiscard]] std::string leader() const; // instance name, empty when unknown
     [[nodiscard]] const pb::membership& members() const noexcept;
 
-    // True while this leader's lease holds: a majority answered a message asked within
-    // election_min, and an entry of its own term is committed. Only then may it answer as current.
+    // What a leader knows of a member.
+    struct progress {
+        std::string instance;
+        std::uint64_t match_index = 0;             // durable there
+        std::optional<clock::duration> silent_for; // since the latest answered asking
+    };
+    [[nodiscard]] std::vector<progress> member_progress(clock::time_point now) const;
+
+    // True while this leader's lease holds: a majority answered a message asked within nine tenths
+    // of election_min (the rest allows for clocks of different speed), and an entry of its own term
+    // is committed. Only then may it answer as current.
     [[nodiscard]] bool is_current(clock::time_point now) const noexcept;
 
   private:
--- a/include/primrosehead/journal.h
+++ b/include/primrosehead/journal.h
@@ -1,8 +1,9 @@
 // The data folder of a control instance: checksummed log records, snapshots, hard state, identity.
 //
-// A torn tail (a record cut by a crash at the end of the last file) is cut off at start. A damaged
-// record before the end is refused with `error_kind::corrupt_storage`. Nothing counts as durable
-// before `sync` returned.
+// A torn tail (the last write, cut by a crash) is cut off at start. A damaged record before it is
+// refused with `error_kind::corrupt_storage`. Nothing counts as durable before `sync` returned.
+//
+// After a failed call the journal must not be used again: the process ends.
 #pragma once
 
 #include "primrosehead.pb.h"
@@ -41,6 +42,11 @@
 // Opens a folder, making it when it is missing, and locks it against a second process.
 [[nodiscard]] result<std::unique_ptr<disk>> open_posix_disk(std::string_view folder);
 
+// Turns a safety mechanism off, so that a test can show that its checker catches the breach.
+struct journal_switches {
+    bool unsafe_skip_sync = false; // claim that writes are durable without syncing them
+};
+
 class journal {
   public:
     struct contents {
@@ -51,18 +57,24 @@
         bool tail_was_cut = false;
     };
 
-    // Opens or initialises the folder. A new folder gets `fresh_disk_id`.
+    // Opens or initialises the folder. A new folder gets the identity `fresh`; one of another cell
+    // or instance is refused with `error_kind::bad_settings`.
     // `error_kind::corrupt_storage` names the file, the offset and the remedy.
-    [[nodiscard]] static result<journal> open(std::unique_ptr<disk> files,
-                                              const pb::disk_record& fresh);
+    [[nodiscard]] static result<journal>
+    open(std::unique_ptr<disk> files, const pb::disk_record& fresh, journal_switches switches = {});
 
     [[nodiscard]] contents take_contents(); // once, after open
 
     [[nodiscard]] status write_hard_state(const pb::hard_state& hard);
+
+    // Both take effect on the disk at the next `sync`.
     [[nodiscard]] status append(std::span<const pb::log_entry> entries);
     [[nodiscard]] status truncate_from(std::uint64_t index);
-    [[nodiscard]] status
-    write_snapshot(const pb::snapshot_record& snapshot); // drops covered entries
+
+    // Drops covered entries; all of them when the log does not hold the snapshot's last entry.
+    [[nodiscard]] status write_snapshot(const pb::snapshot_record& snapshot);
+
+    // Writes what was appended as one record and syncs it.
     [[nodiscard]] status sync();
 
     ~journal();
--- /dev/null
+++ b/src/consensus_core.cpp
@@ -0,0 +1,292 @@
+#include "consensus_core.h"
+
+#include <primrosehead/config.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace primrosehead::consensus {
+
+namespace {
+
+error bad_setting(std::string message, std::string remedy)
+{
+    return error{error_kind::bad_settings, std::move(message), std::move(remedy)};
+}
+
+status check(const core_settings& settings)
+{
+    if (settings.instance.empty() || settings.disk_id.empty()) {
+        return bad_setting("A control instance has no name or no disk id.",
+                           "Set `instance` in its settings and start it with its data folder.");
+    }
+    if (settings.heartbeat.count() <= 0 || settings.heartbeat * 2 > settings.election_min) {
+        return bad_setting("The heartbeat is not shorter than half of election_min.",
+                           "Set `heartbeat` to a fifth of `election_min` or less.");
+    }
+    if (settings.election_max <= settings.election_min) {
+        return bad_setting("election_max is not longer than election_min.",
+                           "Set `election_max` to twice `election_min`.");
+    }
+    return std::monostate{};
+}
+
+// Drops what the snapshot covers and refuses a gap.
+result<std::vector<pb::log_entry>> entries_after(const pb::snapshot_record* snapshot,
+                                                 std::vector<pb::log_entry> entries)
+{
+    const std::uint64_t covered = snapshot == nullptr ? 0 : snapshot->last_index();
+    std::erase_if(entries, [&](const pb::log_entry& entry) { return entry.index() <= covered; });
+    std::uint64_t expected = covered;
+    for (const pb::log_entry& entry : entries) {
+        if (entry.index() != ++expected) {
+            return error{error_kind::corrupt_storage,
+                         "The log jumps to entry " + std::to_string(entry.index()) + " where " +
+                             std::to_string(expected) + " should stand.",
+                         "Move the data folder away and let this instance join again."};
+        }
+    }
+    return entries;
+}
+
+} // namespace
+
+core::implementation::implementation(core_settings chosen, pb::hard_state durable,
+                                     entry_log entries, clock::time_point now)
+    : settings(std::move(chosen)), hard(std::move(durable)), log(std::move(entries)),
+      random(settings.seed), leader_heard_at(now), commit_index(log.snapshot_index()),
+      durable_index(log.last_index())
+{
+    restart_election_timer(now);
+    members_changed(now);
+}
+
+void core::implementation::save_hard_state()
+{
+    out.hard = hard;
+}
+
+output core::implementation::take_output()
+{
+    return std::exchange(out, output{});
+}
+
+// Adds the work that a proposal caused.
+result<core::proposal> core::implementation::finish(result<proposal> proposed)
+{
+    if (ok(proposed)) {
+        value(proposed).work = take_output();
+    }
+    return proposed;
+}
+
+pb::consensus_message core::implementation::message_to(std::string_view instance) const
+{
+    pb::consensus_message message;
+    message.set_from(self());
+    message.set_to(std::string(instance));
+    message.set_disk_id(settings.disk_id);
+    message.set_term(hard.term());
+    return message;
+}
+
+void core::implementation::tick(clock::time_point now)
+{
+    if (role() != role::leader) {
+        if (now >= election_due && may_campaign()) {
+            campaign(now);
+        }
+        return;
+    }
+    const clock::time_point answered = majority_asked_at(now, elected_at);
+    if (!settings.unsafe.no_check_quorum && now - answered > settings.election_min) {
+        step_down(now);
+        return;
+    }
+    if (now >= heartbeat_due) {
+        heartbeat_due = now + settings.heartbeat;
+        for (auto& [instance, to] : peers) {
+            send_heartbeat(instance, to, now);
+        }
+    }
+}
+
+void core::implementation::receive(const pb::consensus_message& message, clock::time_point now)
+{
+    if (message.to() != self() || message.from() == self()) {
+        return;
+    }
+    switch (message.body_case()) {
+    case pb::consensus_message::kVote:
+        handle_vote(message, now);
+        break;
+    case pb::consensus_message::kVoteAnswer:
+        handle_vote_answer(message, now);
+        break;
+    case pb::consensus_message::kAppend:
+        handle_append(message, now);
+        break;
+    case pb::consensus_message::kAppendAnswer:
+        handle_append_answer(message, now);
+        break;
+    case pb::consensus_message::kSnapshot:
+        handle_chunk(message, now);
+        break;
+    case pb::consensus_message::kSnapshotAnswer:
+        handle_chunk_answer(message, now);
+        break;
+    case pb::consensus_message::BODY_NOT_SET:
+        break;
+    }
+}
+
+void core::implementation::written(clock::time_point now)
+{
+    durable_index = log.last_index();
+    if (role() == role::leader) {
+        advance_commit(now);
+    }
+}
+
+result<core::proposal> core::implementation::propose(std::string command, clock::time_point now)
+{
+    if (role() != role::leader) {
+        return error{error_kind::not_leader, "This control instance is not the leader.",
+                     leader.empty() ? "Send again once a leader is elected."
+                                    : "Send to " + leader + ".",
+                     ran::no, settings.election_min};
+    }
+    if (log.last_index() - commit_index >= config::max_uncommitted_entries) {
+        return error{error_kind::overloaded, "Too many changes wait for a majority.",
+                     "Send again later.", ran::no, settings.election_min};
+    }
+    pb::log_entry entry;
+    entry.set_command(std::move(command));
+    const std::uint64_t index = append_own(std::move(entry));
+    send_to_all(now);
+    return proposal{index, hard.term(), {}};
+}
+
+pb::snapshot_record core::implementation::compact(std::uint64_t index, std::string state)
+{
+    auto record = std::make_shared<pb::snapshot_record>();
+    record->set_last_index(index);
+    record->set_last_term(log.term_at(index).value_or(0));
+    *record->mutable_members() = log.members_at(index);
+    record->set_state(std::move(state));
+    log.compact(record);
+    return *record;
+}
+
+result<core> core::create(core_settings settings, persisted stored, clock::time_point now)
+{
+    const status checked = check(settings);
+    if (!ok(checked)) {
+        return failure(checked);
+    }
+    const pb::snapshot_record* found = stored.snapshot ? &*stored.snapshot : nullptr;
+    result<std::vector<pb::log_entry>> entries = entries_after(found, std::move(stored.entries));
+    if (!ok(entries)) {
+        return failure(entries);
+    }
+    std::shared_ptr<const pb::snapshot_record> snapshot;
+    if (stored.snapshot) {
+        snapshot = std::make_shared<const pb::snapshot_record>(std::move(*stored.snapshot));
+    }
+    entry_log log(std::move(snapshot), std::move(stored.first_members), value(std::move(entries)));
+    return core(std::make_unique<implementation>(std::move(settings), std::move(stored.hard),
+                                                 std::move(log), now));
+}
+
+core::core(std::unique_ptr<implementation> body) : body_(std::move(body)) {}
+core::~core() = default;
+core::core(core&&) noexcept = default;
+core& core::operator=(core&&) noexcept = default;
+
+output core::tick(clock::time_point now)
+{
+    body_->tick(now);
+    return body_->take_output();
+}
+
+output core::receive(const pb::consensus_message& message, clock::time_point now)
+{
+    body_->receive(message, now);
+    return body_->take_output();
+}
+
+output core::written(clock::time_point now)
+{
+    body_->written(now);
+    return body_->take_output();
+}
+
+result<core::proposal> core::propose(std::string command, clock::time_point now)
+{
+    return body_->finish(body_->propose(std::move(command), now));
+}
+
+result<core::proposal> core::add_member(const pb::member& member, clock::time_point now)
+{
+    return body_->finish(body_->add_member(member, now));
+}
+
+result<core::proposal> core::remove_member(const instance_name& instance, clock::time_point now)
+{
+    return body_->finish(body_->remove_member(instance.text(), now));
+}
+
+pb::snapshot_record core::compact(std::uint64_t index, std::string state)
+{
+    return body_->compact(index, std::move(state));
+}
+
+role core::role() const noexcept
+{
+    return body_->role();
+}
+
+std::uint64_t core::term() const noexcept
+{
+    return body_->hard.term();
+}
+
+std::uint64_t core::commit_index() const noexcept
+{
+    return body_->commit_index;
+}
+
+std::uint64_t core::last_index() const noexcept
+{
+    return body_->log.last_index();
+}
+
+std::string core::leader() const
+{
+    return body_->leader;
+}
+
+const pb::membership& core::members() const noexcept
+{
+    return body_->log.members();
+}
+
+std::vector<core::progress> core::member_progress(clock::time_point now) const
+{
+    std::vector<progress> found;
+    for (const auto& [instance, to] : body_->peers) {
+        progress one{instance, to.match_index, std::nullopt};
+        if (to.asked_at) {
+            one.silent_for = now - *to.asked_at;
+        }
+        found.push_back(std::move(one));
+    }
+    return found;
+}
+
+bool core::is_current(clock::time_point now) const noexcept
+{
+    return body_->is_current(now);
+}
+
+} // namespace primrosehead::consensus
--- /dev/null
+++ b/src/consensus_core.h
@@ -0,0 +1,133 @@
+// The body of `consensus::core`. Its functions stand in the files of the family:
+// consensus_core.cpp (entry points), consensus_election.cpp, consensus_replication.cpp,
+// consensus_snapshot.cpp and consensus_members.cpp.
+#pragma once
+
+#include "consensus_log.h"
+#include "consensus_peer.h"
+#include "consensus_role.h"
+
+#include <primrosehead/consensus.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+
+namespace primrosehead::consensus {
+
+// A snapshot that arrives in chunks.
+struct incoming_snapshot {
+    std::string from;
+    std::uint64_t term = 0;
+    std::uint64_t last_index = 0;
+    std::uint64_t last_term = 0;
+    std::string state;
+};
+
+struct core::implementation {
+    implementation(core_settings chosen, pb::hard_state durable, entry_log entries,
+                   clock::time_point now);
+
+    // Entry points.
+    void tick(clock::time_point now);
+    void receive(const pb::consensus_message& message, clock::time_point now);
+    void written(clock::time_point now);
+    [[nodiscard]] result<proposal> propose(std::string command, clock::time_point now);
+    [[nodiscard]] pb::snapshot_record compact(std::uint64_t index, std::string state);
+    [[nodiscard]] output take_output();
+    [[nodiscard]] result<proposal> finish(result<proposal> proposed);
+
+    // Elections (consensus_election.cpp).
+    void campaign(clock::time_point now);
+    void request_votes(bool pre_vote, clock::time_point now);
+    void count_votes(clock::time_point now);
+    void become_candidate(clock::time_point now);
+    void become_leader(clock::time_point now);
+    void follow(std::uint64_t term, std::string_view leader, clock::time_point now);
+    void step_down(clock::time_point now);
+    void handle_vote(const pb::consensus_message& message, clock::time_point now);
+    void handle_vote_answer(const pb::consensus_message& message, clock::time_point now);
+    void answer_vote(const pb::consensus_message& message, bool granted);
+    [[nodiscard]] bool may_campaign() const;
+    [[nodiscard]] bool may_grant(const pb::consensus_message& message) const;
+    [[nodiscard]] bool leader_is_live(clock::time_point now) const;
+    void restart_election_timer(clock::time_point now);
+
+    // Replication (consensus_replication.cpp).
+    std::uint64_t append_own(pb::log_entry entry);
+    void send_to_all(clock::time_point now);
+    void send_to(const std::string& instance, peer& to, clock::time_point now);
+    void send_heartbeat(const std::string& instance, peer& to, clock::time_point now);
+    void send_append(const std::string& instance, std::uint64_t previous,
+                     std::vector<pb::log_entry> entries, clock::time_point now);
+    void handle_append(const pb::consensus_message& message, clock::time_point now);
+    void handle_append_answer(const pb::consensus_message& message, clock::time_point now);
+    void answer_append(const pb::consensus_message& message, bool accepted, std::uint64_t match);
+    [[nodiscard]] std::uint64_t take_entries(const pb::append_request& request);
+    [[nodiscard]] std::uint64_t rejection_hint(const pb::append_request& request) const;
+    void advance_commit(clock::time_point now);
+    void commit_through(std::uint64_t index);
+
+    // Snapshots (consensus_snapshot.cpp).
+    void send_chunk(const std::string& instance, peer& to, clock::time_point now);
+    void handle_chunk(const pb::consensus_message& message, clock::time_point now);
+    void handle_chunk_answer(const pb::consensus_message& message, clock::time_point now);
+    void install(const pb::snapshot_chunk& chunk);
+    void answer_chunk(const pb::consensus_message& message, bool installed, std::uint64_t received);
+
+    // Membership (consensus_members.cpp).
+    [[nodiscard]] result<proposal> add_member(const pb::member& added, clock::time_point now);
+    [[nodiscard]] result<proposal> remove_member(std::string_view instance, clock::time_point now);
+    [[nodiscard]] status change_allowed() const;
+    [[nodiscard]] status survives(const pb::membership& next, clock::time_point now) const;
+    proposal set_members(pb::membership next, clock::time_point now);
+    void members_changed(clock::time_point now);
+    void promote_learner(clock::time_point now);
+    void adopt_disk(const pb::consensus_message& message, clock::time_point now);
+    [[nodiscard]] const pb::member* find_member(std::string_view instance) const;
+    [[nodiscard]] bool from_registered_disk(const pb::consensus_message& message) const;
+    [[nodiscard]] bool own_disk_registered() const;
+    [[nodiscard]] bool disks_unregistered() const; // a new cell before its first leader
+    [[nodiscard]] pb::membership registered_by_votes() const;
+
+    // The largest value that a majority of the voters has reached.
+    [[nodiscard]] std::uint64_t majority_index() const;
+    [[nodiscard]] clock::time_point majority_asked_at(clock::time_point now,
+                                                      clock::time_point unheard) const;
+    [[nodiscard]] bool is_current(clock::time_point now) const;
+
+    [[nodiscard]] consensus::role role() const noexcept { return roles.current(); }
+    [[nodiscard]] const std::string& self() const noexcept { return settings.instance.text(); }
+    [[nodiscard]] pb::consensus_message message_to(std::string_view instance) const;
+    void save_hard_state();
+
+    core_settings settings;
+    pb::hard_state hard;
+    entry_log log;
+    role_machine roles;
+    std::mt19937_64 random;
+
+    std::string leader;                // of this term, empty when unknown
+    clock::time_point leader_heard_at; // or the start of this process
+    clock::time_point election_due;
+    std::map<std::string, std::string> votes; // instance and disk that granted this round
+
+    std::uint64_t commit_index = 0;
+    std::uint64_t durable_index = 0; // of the own log
+
+    // While leader.
+    std::map<std::string, peer> peers;
+    clock::time_point elected_at;
+    clock::time_point heartbeat_due;
+    std::uint64_t term_begin_index = 0; // first entry of the own term
+
+    std::optional<incoming_snapshot> incoming;
+    output out;
+};
+
+} // namespace primrosehead::consensus
--- /dev/null
+++ b/src/consensus_election.cpp
@@ -0,0 +1,207 @@
+// Elections: pre-vote, votes, terms.
+#include "consensus_core.h"
+
+#include <utility>
+
+namespace primrosehead::consensus {
+
+void core::implementation::restart_election_timer(clock::time_point now)
+{
+    const auto spread =
+        static_cast<std::uint64_t>((settings.election_max - settings.election_min).count());
+    const auto extra = static_cast<clock::rep>(random() % spread);
+    election_due = now + settings.election_min + clock::duration(extra);
+}
+
+// True for a voter on its registered disk, or a member of a new cell.
+bool core::implementation::may_campaign() const
+{
+    const pb::member* own = find_member(self());
+    return own != nullptr && own->voter() &&
+           (own_disk_registered() || settings.unsafe.no_disk_check);
+}
+
+// A leader heard within election_min may hold a lease that a vote would break.
+bool core::implementation::leader_is_live(clock::time_point now) const
+{
+    if (settings.unsafe.no_lease_check) {
+        return false;
+    }
+    return role() == role::leader || now - leader_heard_at < settings.election_min;
+}
+
+void core::implementation::campaign(clock::time_point now)
+{
+    roles.process(role_event::campaign);
+    leader.clear();
+    restart_election_timer(now);
+    if (settings.unsafe.no_pre_vote) {
+        become_candidate(now);
+        return;
+    }
+    request_votes(true, now);
+}
+
+void core::implementation::become_candidate(clock::time_point now)
+{
+    roles.process(role_event::pre_vote_won);
+    hard.set_term(hard.term() + 1);
+    hard.set_voted_for(self());
+    save_hard_state();
+    restart_election_timer(now);
+    request_votes(false, now);
+}
+
+void core::implementation::request_votes(bool pre_vote, clock::time_point now)
+{
+    votes.clear();
+    votes[self()] = settings.disk_id;
+    for (const pb::member& member : log.members().members()) {
+        if (member.instance() == self() || !member.voter()) {
+            continue;
+        }
+        pb::consensus_message message = message_to(member.instance());
+        message.set_term(pre_vote ? hard.term() + 1 : hard.term());
+        pb::vote_request* request = message.mutable_vote();
+        request->set_pre_vote(pre_vote);
+        request->set_last_index(log.last_index());
+        request->set_last_term(log.last_term());
+        out.messages.push_back(std::move(message));
+    }
+    count_votes(now);
+}
+
+void core::implementation::count_votes(clock::time_point now)
+{
+    std::size_t voters = 0;
+    std::size_t granted = 0;
+    for (const pb::member& member : log.members().members()) {
+        voters += member.voter() ? 1 : 0;
+        granted += member.voter() && votes.contains(member.instance()) ? 1 : 0;
+    }
+    const std::size_t needed = disks_unregistered() ? voters : voters / 2 + 1;
+    if (granted < needed) {
+        return;
+    }
+    if (role() == role::pre_candidate) {
+        become_candidate(now);
+    }
+    else if (role() == role::candidate) {
+        become_leader(now);
+    }
+}
+
+void core::implementation::become_leader(clock::time_point now)
+{
+    roles.process(role_event::vote_won);
+    leader = self();
+    elected_at = now;
+    heartbeat_due = now + settings.heartbeat;
+    pb::log_entry first;
+    if (disks_unregistered()) {
+        *first.mutable_members() = registered_by_votes();
+    }
+    else {
+        first.set_no_operation(true);
+    }
+    peers.clear();
+    term_begin_index = append_own(std::move(first));
+    members_changed(now);
+}
+
+void core::implementation::follow(std::uint64_t term, std::string_view new_leader,
+                                  clock::time_point now)
+{
+    if (term > hard.term()) {
+        hard.set_term(term);
+        hard.clear_voted_for();
+        save_hard_state();
+        incoming.reset();
+    }
+    step_down(now);
+    leader = new_leader;
+}
+
+void core::implementation::step_down(clock::time_point now)
+{
+    roles.process(role_event::follow);
+    leader.clear();
+    votes.clear();
+    peers.clear();
+    restart_election_timer(now);
+    members_changed(now);
+}
+
+bool core::implementation::may_grant(const pb::consensus_message& message) const
+{
+    const pb::vote_request& request = message.vote();
+    if (!own_disk_registered() && !settings.unsafe.no_disk_check) {
+        return false;
+    }
+    const bool newer_term = message.term() > hard.term();
+    const bool free_vote = hard.voted_for().empty() || hard.voted_for() == message.from();
+    if (request.pre_vote() ? !newer_term : !free_vote) {
+        return false;
+    }
+    if (request.last_term() != log.last_term()) {
+        return request.last_term() > log.last_term();
+    }
+    return request.last_index() >= log.last_index();
+}
+
+void core::implementation::handle_vote(const pb::consensus_message& message, clock::time_point now)
+{
+    if (!from_registered_disk(message) || leader_is_live(now)) {
+        return;
+    }
+    if (message.term() < hard.term()) {
+        answer_vote(message, false);
+        return;
+    }
+    const bool real_vote = !message.vote().pre_vote();
+    if (real_vote && message.term() > hard.term()) {
+        follow(message.term(), {}, now);
+    }
+    const bool granted = may_grant(message);
+    if (granted && real_vote) {
+        hard.set_voted_for(message.from());
+        save_hard_state();
+        restart_election_timer(now);
+    }
+    answer_vote(message, granted);
+}
+
+void core::implementation::answer_vote(const pb::consensus_message& message, bool granted)
+{
+    const bool pre_vote = message.vote().pre_vote();
+    pb::consensus_message answer = message_to(message.from());
+    if (granted && pre_vote) {
+        answer.set_term(message.term());
+    }
+    answer.mutable_vote_answer()->set_pre_vote(pre_vote);
+    answer.mutable_vote_answer()->set_granted(granted);
+    out.messages.push_back(std::move(answer));
+}
+
+void core::implementation::handle_vote_answer(const pb::consensus_message& message,
+                                              clock::time_point now)
+{
+    if (!from_registered_disk(message)) {
+        return;
+    }
+    const pb::vote_reply& reply = message.vote_answer();
+    const bool pre_vote_granted = reply.pre_vote() && reply.granted();
+    if (message.term() > hard.term() && !pre_vote_granted) {
+        follow(message.term(), {}, now);
+        return;
+    }
+    const std::uint64_t asked_term = reply.pre_vote() ? hard.term() + 1 : hard.term();
+    const consensus::role asking = reply.pre_vote() ? role::pre_candidate : role::candidate;
+    if (!reply.granted() || role() != asking || message.term() != asked_term) {
+        return;
+    }
+    votes[message.from()] = message.disk_id();
+    count_votes(now);
+}
+
+} // namespace primrosehead::consensus
--- /dev/null
+++ b/src/consensus_replication.cpp
@@ -0,0 +1,280 @@
+// Replication: appends, answers, commit, lease.
+#include "consensus_core.h"
+
+#include <primrosehead/config.h>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace primrosehead::consensus {
+
+namespace {
+
+// An unanswered message is sent again after this many heartbeat intervals.
+constexpr int resend_heartbeats = 3;
+
+// The largest value that a majority has reached or passed; `values` is not empty.
+template <class Value>
+Value reached_by_majority(std::vector<Value> values)
+{
+    std::sort(values.begin(), values.end(), std::greater<>());
+    return values[values.size() / 2];
+}
+
+} // namespace
+
+std::uint64_t core::implementation::append_own(pb::log_entry entry)
+{
+    entry.set_term(hard.term());
+    entry.set_index(log.last_index() + 1);
+    log.append(entry);
+    out.entries.push_back(std::move(entry));
+    if (settings.unsafe.count_own_unsynced) {
+        durable_index = log.last_index();
+    }
+    return log.last_index();
+}
+
+void core::implementation::send_to_all(clock::time_point now)
+{
+    for (auto& [instance, to] : peers) {
+        send_to(instance, to, now);
+    }
+}
+
+// Sends what the member lacks, unless an earlier message is unanswered.
+void core::implementation::send_to(const std::string& instance, peer& to, clock::time_point now)
+{
+    const bool waiting = to.sent_at && now - *to.sent_at < settings.heartbeat * resend_heartbeats;
+    if (waiting) {
+        return;
+    }
+    if (to.snapshot || log.term_at(to.next_index - 1) == std::nullopt) {
+        send_chunk(instance, to, now);
+        return;
+    }
+    std::vector<pb::log_entry> entries =
+        log.slice(to.next_index, config::max_append_entries, config::max_append_bytes);
+    if (entries.empty()) {
+        return;
+    }
+    to.sent_at = now;
+    send_append(instance, to.next_index - 1, std::move(entries), now);
+}
+
+// Renews the lease; carries what the member lacks when nothing else is under way.
+void core::implementation::send_heartbeat(const std::string& instance, peer& to,
+                                          clock::time_point now)
+{
+    const std::size_t before = out.messages.size();
+    send_to(instance, to, now);
+    const bool sent_append = out.messages.size() > before && !to.snapshot;
+    if (sent_append) {
+        return;
+    }
+    // Every log agrees at index 0, so a member that still lacks a snapshot can accept it.
+    const bool can_match = !to.snapshot && log.term_at(to.next_index - 1).has_value();
+    send_append(instance, can_match ? to.next_index - 1 : 0, {}, now);
+}
+
+void core::implementation::send_append(const std::string& instance, std::uint64_t previous,
+                                       std::vector<pb::log_entry> entries, clock::time_point now)
+{
+    pb::consensus_message message = message_to(instance);
+    pb::append_request* request = message.mutable_append();
+    request->set_previous_index(previous);
+    request->set_previous_term(previous == 0 ? 0 : log.term_at(previous).value_or(0));
+    request->set_commit_index(commit_index);
+    request->set_asked_at_ms(to_ms(now));
+    for (pb::log_entry& entry : entries) {
+        *request->add_entries() = std::move(entry);
+    }
+    out.messages.push_back(std::move(message));
+}
+
+void core::implementation::handle_append(const pb::consensus_message& message,
+                                         clock::time_point now)
+{
+    if (message.term() < hard.term()) {
+        answer_append(message, false, 0);
+        return;
+    }
+    follow(message.term(), message.from(), now);
+    leader_heard_at = now;
+    const pb::append_request& request = message.append();
+    if (request.previous_index() < commit_index) {
+        // What is committed here is the same in every leader's log.
+        answer_append(message, true, commit_index);
+        return;
+    }
+    if (log.term_at(request.previous_index()) != request.previous_term()) {
+        answer_append(message, false, rejection_hint(request));
+        return;
+    }
+    const std::uint64_t match = take_entries(request);
+    members_changed(now);
+    commit_through(std::min(request.commit_index(), match));
+    answer_append(message, true, match);
+}
+
+// Appends what is new, after dropping entries that conflict. Returns the last index that is known
+// to be the leader's.
+std::uint64_t core::implementation::take_entries(const pb::append_request& request)
+{
+    std::uint64_t match = request.previous_index();
+    for (const pb::log_entry& entry : request.entries()) {
+        match = entry.index();
+        if (log.term_at(match) == entry.term()) {
+            continue;
+        }
+        if (match <= log.last_index()) {
+            log.truncate_from(match);
+            durable_index = std::min(durable_index, match - 1);
+            out.truncate_from = match;
+        }
+        log.append(entry);
+        out.entries.push_back(entry);
+    }
+    return match;
+}
+
+// Where the leader should try next: before the whole term that conflicts, or at the log's end.
+std::uint64_t core::implementation::rejection_hint(const pb::append_request& request) const
+{
+    const std::uint64_t previous = request.previous_index();
+    if (previous > log.last_index()) {
+        return log.last_index();
+    }
+    if (!log.holds(previous)) {
+        return commit_index;
+    }
+    return std::max(commit_index, log.first_index_of_term(previous) - 1);
+}
+
+void core::implementation::answer_append(const pb::consensus_message& message, bool accepted,
+                                         std::uint64_t match)
+{
+    pb::consensus_message answer = message_to(message.from());
+    pb::append_reply* reply = answer.mutable_append_answer();
+    reply->set_accepted(accepted);
+    reply->set_match_index(match);
+    reply->set_asked_at_ms(message.append().asked_at_ms());
+    out.messages.push_back(std::move(answer));
+}
+
+void core::implementation::handle_append_answer(const pb::consensus_message& message,
+                                                clock::time_point now)
+{
+    if (!from_registered_disk(message)) {
+        adopt_disk(message, now);
+        return;
+    }
+    if (message.term() > hard.term()) {
+        follow(message.term(), {}, now);
+        return;
+    }
+    const auto found = peers.find(message.from());
+    if (role() != role::leader || message.term() != hard.term() || found == peers.end()) {
+        return;
+    }
+    peer& to = found->second;
+    const pb::append_reply& reply = message.append_answer();
+    const clock::time_point asked_at = from_ms(reply.asked_at_ms());
+    to.asked_at = std::max(to.asked_at.value_or(asked_at), asked_at);
+    if (!reply.accepted()) {
+        if (!to.snapshot && reply.match_index() + 1 < to.next_index) {
+            to.next_index = std::max(to.match_index, reply.match_index()) + 1;
+            to.sent_at.reset();
+        }
+        send_to(message.from(), to, now);
+        return;
+    }
+    if (reply.match_index() > to.match_index) {
+        to.match_index = reply.match_index();
+    }
+    if (to.match_index >= to.next_index) {
+        to.next_index = to.match_index + 1;
+        to.sent_at.reset();
+    }
+    if (to.snapshot && to.match_index >= to.snapshot->last_index()) {
+        to.snapshot.reset();
+        to.sent_at.reset();
+    }
+    advance_commit(now);
+    promote_learner(now);
+    if (role() == role::leader) {
+        send_to(message.from(), to, now);
+    }
+}
+
+std::uint64_t core::implementation::majority_index() const
+{
+    std::vector<std::uint64_t> reached;
+    for (const pb::member& member : log.members().members()) {
+        if (!member.voter()) {
+            continue;
+        }
+        const auto found = peers.find(member.instance());
+        const std::uint64_t other = found == peers.end() ? 0 : found->second.match_index;
+        reached.push_back(member.instance() == self() ? durable_index : other);
+    }
+    return reached.empty() ? 0 : reached_by_majority(std::move(reached));
+}
+
+clock::time_point core::implementation::majority_asked_at(clock::time_point now,
+                                                          clock::time_point unheard) const
+{
+    std::vector<clock::time_point> asked;
+    for (const pb::member& member : log.members().members()) {
+        if (!member.voter()) {
+            continue;
+        }
+        const auto found = peers.find(member.instance());
+        const bool answered = found != peers.end() && found->second.asked_at;
+        const clock::time_point other =
+            answered ? std::max(unheard, *found->second.asked_at) : unheard;
+        asked.push_back(member.instance() == self() ? now : other);
+    }
+    return asked.empty() ? unheard : reached_by_majority(std::move(asked));
+}
+
+bool core::implementation::is_current(clock::time_point now) const
+{
+    if (role() != role::leader || commit_index < term_begin_index) {
+        return false;
+    }
+    if (settings.unsafe.always_current) {
+        return true;
+    }
+    const clock::duration lease = settings.election_min * 9 / 10;
+    const clock::time_point never = now - settings.election_min;
+    return now - majority_asked_at(now, never) < lease;
+}
+
+void core::implementation::advance_commit(clock::time_point now)
+{
+    const std::uint64_t reached = majority_index();
+    const bool own_term = log.term_at(reached) == hard.term();
+    if (reached <= commit_index || !(own_term || settings.unsafe.commit_older_terms)) {
+        return;
+    }
+    commit_through(reached);
+    const bool removed = find_member(self()) == nullptr || !find_member(self())->voter();
+    if (removed && log.members_index() <= commit_index) {
+        step_down(now);
+        return;
+    }
+    promote_learner(now);
+}
+
+void core::implementation::commit_through(std::uint64_t index)
+{
+    while (commit_index < index) {
+        ++commit_index;
+        out.committed.push_back(log.at(commit_index));
+    }
+}
+
+} // namespace primrosehead::consensus
--- /dev/null
+++ b/tests/consensus_network.cpp
@@ -0,0 +1,340 @@
+#include "consensus_network.h"
+
+#include <algorithm>
+
+namespace primrosehead::testing {
+
+namespace {
+
+constexpr std::uint64_t per_mille = 1'000;
+
+std::pair<std::string, std::string> link(std::string_view left, std::string_view right)
+{
+    return std::minmax(std::string(left), std::string(right));
+}
+
+} // namespace
+
+consensus_network::consensus_network(const network_options& options)
+    : options_(options), random_(options.seed)
+{
+    pb::membership members;
+    for (int number = 1; number <= options.members; ++number) {
+        pb::member* member = members.add_members();
+        member->set_instance("c" + std::to_string(number));
+        member->set_voter(true);
+        if (options.disks_known) {
+            member->set_disk_id("disk-" + member->instance());
+        }
+    }
+    for (const pb::member& member : members.members()) {
+        add_node(member.instance(), "disk-" + member.instance(), members);
+    }
+}
+
+void consensus_network::add_node(const std::string& name, const std::string& disk_id,
+                                 const pb::membership& first_members)
+{
+    node_options chosen;
+    chosen.core.instance = instance_name(name);
+    chosen.core.disk_id = disk_id;
+    chosen.core.seed = random_();
+    chosen.core.adopt_disk_after = options_.adopt_disk_after;
+    chosen.core.unsafe = options_.unsafe;
+    chosen.first_members = first_members;
+    chosen.snapshot_after = options_.snapshot_after;
+    chosen.clock_offset = clock::duration(static_cast<clock::rep>(draw(1'000'000)));
+    auto made = std::make_unique<node>(std::move(chosen), random_(), options_.disk);
+    made->start(time_at(*made));
+    nodes_[name] = std::move(made);
+}
+
+std::uint64_t consensus_network::draw(std::uint64_t below)
+{
+    return random_() % below;
+}
+
+clock::time_point consensus_network::time_at(const node& one) const
+{
+    return now_ + one.options().clock_offset;
+}
+
+void consensus_network::step()
+{
+    for (clock::duration part{0}; part < tick_interval; ++part) {
+        now_ += clock::duration(1);
+        deliver_due();
+    }
+    for (auto& [name, one] : nodes_) {
+        if (one->running()) {
+            one->tick(time_at(*one));
+            after(*one);
+        }
+    }
+}
+
+void consensus_network::run(clock::duration time)
+{
+    const clock::time_point end = now_ + time;
+    while (now_ < end) {
+        step();
+    }
+}
+
+std::string consensus_network::run_until_leader(clock::duration limit)
+{
+    const clock::time_point end = now_ + limit;
+    while (now_ < end && current_leader().empty()) {
+        step();
+    }
+    return current_leader();
+}
+
+void consensus_network::deliver_due()
+{
+    while (!flights_.empty()) {
+        const auto next = std::min_element(
+            flights_.begin(), flights_.end(), [](const in_flight& left, const in_flight& right) {
+                return std::pair(left.due, left.number) < std::pair(right.due, right.number);
+            });
+        if (next->due > now_) {
+            return;
+        }
+        const pb::consensus_message message = std::move(next->message);
+        flights_.erase(next);
+        const auto to = nodes_.find(message.to());
+        const bool lost = to == nodes_.end() || !to->second->running() ||
+                          !reachable(message.from(), message.to());
+        if (!lost) {
+            to->second->receive(message, time_at(*to->second));
+            after(*to->second);
+        }
+    }
+}
+
+void consensus_network::enqueue(const pb::consensus_message& message)
+{
+    const auto spread =
+        static_cast<std::uint64_t>((options_.delay_max - options_.delay_min).count()) + 1;
+    const clock::duration delay =
+        options_.delay_min + clock::duration(static_cast<clock::rep>(draw(spread)));
+    flights_.push_back(in_flight{now_ + delay, ++flight_count_, message});
+}
+
+void consensus_network::send(std::vector<pb::consensus_message> messages)
+{
+    for (const pb::consensus_message& message : messages) {
+        ++messages_sent_;
+        bytes_sent_ += message.ByteSizeLong();
+        if (draw(per_mille) < static_cast<std::uint64_t>(options_.loss_per_mille)) {
+            continue;
+        }
+        enqueue(message);
+        if (draw(per_mille) < static_cast<std::uint64_t>(options_.duplicate_per_mille)) {
+            enqueue(message);
+        }
+    }
+}
+
+void consensus_network::after(node& changed)
+{
+    send(std::exchange(changed.outbox, {}));
+    check_committed(changed);
+    if (changed.running()) {
+        check_leader(changed);
+    }
+    check_current();
+}
+
+void consensus_network::check_leader(const node& changed)
+{
+    if (changed.core().role() != consensus::role::leader) {
+        return;
+    }
+    const std::string& name = changed.options().core.instance.text();
+    const auto [known, fresh] = leader_of_term_.emplace(changed.core().term(), name);
+    if (!fresh && known->second != name) {
+        breaches_.push_back("two leaders in term " + std::to_string(changed.core().term()));
+    }
+}
+
+// A committed entry, and the state after it, is the same wherever it is applied.
+void consensus_network::check_committed(node& changed)
+{
+    for (const applied_entry& entry : std::exchange(changed.applied, {})) {
+        const auto digest = digests_.emplace(entry.index, entry.digest).first;
+        if (digest->second != entry.digest) {
+            breaches_.push_back("states differ after entry " + std::to_string(entry.index));
+        }
+        if (entry.bytes.empty()) {
+            continue;
+        }
+        const auto known = committed_.emplace(entry.index, entry.bytes).first;
+        if (known->second != entry.bytes) {
+            breaches_.push_back("committed entries differ at " + std::to_string(entry.index));
+        }
+        pb::log_entry parsed;
+        parsed.ParseFromString(entry.bytes);
+        if (parsed.has_command()) {
+            commands_.insert(parsed.command());
+        }
+    }
+}
+
+void consensus_network::check_current()
+{
+    int current = 0;
+    for (const auto& [name, one] : nodes_) {
+        const bool claims = one->has_core() && one->core().is_current(time_at(*one));
+        current += claims ? 1 : 0;
+    }
+    if (current > 1) {
+        breaches_.push_back("two instances are current at " + std::to_string(to_ms(now_)));
+    }
+}
+
+bool consensus_network::reachable(const std::string& left, const std::string& right) const
+{
+    return !cuts_.contains(link(left, right));
+}
+
+void consensus_network::cut(std::string_view left, std::string_view right)
+{
+    cuts_.insert(link(left, right));
+}
+
+void consensus_network::isolate(std::string_view name)
+{
+    for (const auto& [other, one] : nodes_) {
+        if (other != name) {
+            cut(name, other);
+        }
+    }
+}
+
+void consensus_network::heal()
+{
+    cuts_.clear();
+}
+
+void consensus_network::crash(std::string_view name)
+{
+    at(name).crash();
+}
+
+void consensus_network::restart(std::string_view name)
+{
+    at(name).start(time_at(at(name)));
+    after(at(name));
+}
+
+void consensus_network::lose_disk(std::string_view name)
+{
+    at(name).crash();
+    ++disk_count_;
+    at(name).replace_disk("new-disk-" + std::to_string(disk_count_), random_());
+}
+
+void consensus_network::freeze(std::string_view name)
+{
+    at(name).set_frozen(true);
+}
+
+void consensus_network::thaw(std::string_view name)
+{
+    at(name).set_frozen(false);
+}
+
+std::string consensus_network::start_new(std::string_view name)
+{
+    const std::string disk_id = "disk-" + std::string(name);
+    add_node(std::string(name), disk_id, {});
+    return disk_id;
+}
+
+bool consensus_network::propose(std::string_view command)
+{
+    for (auto& [name, one] : nodes_) {
+        if (!one->running() || one->core().role() != consensus::role::leader) {
+            continue;
+        }
+        const bool accepted = ok(one->propose(std::string(command), time_at(*one)));
+        after(*one);
+        if (accepted) {
+            return true;
+        }
+    }
+    return false;
+}
+
+result<std::uint64_t> consensus_network::add_member(const pb::member& member)
+{
+    node& leading = at(current_leader());
+    result<std::uint64_t> added = leading.add_member(member, time_at(leading));
+    after(leading);
+    return added;
+}
+
+result<std::uint64_t> consensus_network::remove_member(std::string_view name)
+{
+    node& leading = at(current_leader());
+    result<std::uint64_t> removed = leading.remove_member(name, time_at(leading));
+    after(leading);
+    return removed;
+}
+
+node& consensus_network::at(std::string_view name)
+{
+    return *nodes_.find(name)->second;
+}
+
+std::vector<std::string> consensus_network::names() const
+{
+    std::vector<std::string> found;
+    for (const auto& [name, one] : nodes_) {
+        found.push_back(name);
+    }
+    return found;
+}
+
+std::vector<std::string> consensus_network::live() const
+{
+    std::vector<std::string> found;
+    for (const auto& [name, one] : nodes_) {
+        if (one->running()) {
+            found.push_back(name);
+        }
+    }
+    return found;
+}
+
+std::string consensus_network::current_leader() const
+{
+    for (const auto& [name, one] : nodes_) {
+        if (one->running() && one->core().is_current(time_at(*one))) {
+            return name;
+        }
+    }
+    return {};
+}
+
+std::uint64_t consensus_network::highest_term() const
+{
+    std::uint64_t highest = 0;
+    for (const auto& [name, one] : nodes_) {
+        highest = std::max(highest, one->has_core() ? one->core().term() : 0);
+    }
+    return highest;
+}
+
+std::uint64_t consensus_network::committed_index() const
+{
+    return committed_.empty() ? 0 : committed_.rbegin()->first;
+}
+
+bool consensus_network::command_committed(std::string_view command) const
+{
+    return commands_.contains(command);
+}
+
+} // namespace primrosehead::testing
--- /dev/null
+++ b/tests/consensus_network.h
@@ -0,0 +1,116 @@
+// A small network of consensus cores for tests: seeded loss, delay, duplication, cuts, crashes and
+// lost disks, with the promises checked after every event.
+#pragma once
+
+#include "consensus_node.h"
+
+#include <primrosehead/clock.h>
+#include <primrosehead/consensus.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace primrosehead::testing {
+
+struct network_options {
+    std::uint64_t seed = 1;
+    int members = 3;
+    bool disks_known = true; // false: a new cell that registers its disks itself
+    int loss_per_mille = 0;
+    int duplicate_per_mille = 0;
+    clock::duration delay_min{1};
+    clock::duration delay_max{3};
+    consensus::unsafe_switches unsafe;
+    disk_faults disk;
+    std::uint64_t snapshot_after = 40; // applied entries
+    clock::duration adopt_disk_after{2'000};
+};
+
+class consensus_network {
+  public:
+    explicit consensus_network(const network_options& options);
+
+    void run(clock::duration time);
+    void step(); // one interval of `tick_interval`
+
+    // Runs until a current leader exists or `limit` is over; returns its name, or nothing.
+    std::string run_until_leader(clock::duration limit = clock::duration(5'000));
+
+    void cut(std::string_view left, std::string_view right);
+    void isolate(std::string_view name);
+    void heal();
+    void crash(std::string_view name);
+    void restart(std::string_view name);
+    void lose_disk(std::string_view name); // crash, and the folder is gone
+    void freeze(std::string_view name);
+    void thaw(std::string_view name);
+
+    // Starts an instance that is no member yet; returns its disk id.
+    std::string start_new(std::string_view name);
+
+    // Proposes at the node that leads; false when none accepted it.
+    bool propose(std::string_view command);
+    result<std::uint64_t> add_member(const pb::member& member);
+    result<std::uint64_t> remove_member(std::string_view name);
+
+    [[nodiscard]] node& at(std::string_view name);
+    [[nodiscard]] std::vector<std::string> names() const;
+    [[nodiscard]] std::vector<std::string> live() const;
+    [[nodiscard]] std::string current_leader() const; // empty when none is current
+    [[nodiscard]] std::uint64_t highest_term() const;
+    [[nodiscard]] std::uint64_t committed_index() const; // highest seen anywhere
+    [[nodiscard]] bool command_committed(std::string_view command) const;
+    [[nodiscard]] clock::time_point now() const { return now_; }
+    [[nodiscard]] const std::vector<std::string>& breaches() const { return breaches_; }
+
+    // Counted over all messages between nodes.
+    [[nodiscard]] std::uint64_t messages_sent() const { return messages_sent_; }
+    [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
+
+    static constexpr clock::duration tick_interval{10};
+
+  private:
+    struct in_flight {
+        clock::time_point due;
+        std::uint64_t number = 0;
+        pb::consensus_message message;
+    };
+
+    void deliver_due();
+    void add_node(const std::string& name, const std::string& disk_id,
+                  const pb::membership& first_members);
+    void send(std::vector<pb::consensus_message> messages);
+    void enqueue(const pb::consensus_message& message);
+    void after(node& changed);
+    void check_leader(const node& changed);
+    void check_committed(node& changed);
+    void check_current();
+    [[nodiscard]] bool reachable(const std::string& left, const std::string& right) const;
+    [[nodiscard]] std::uint64_t draw(std::uint64_t below);
+    [[nodiscard]] clock::time_point time_at(const node& one) const;
+
+    network_options options_;
+    std::mt19937_64 random_;
+    clock::time_point now_{clock::duration(1'000'000)};
+    std::map<std::string, std::unique_ptr<node>, std::less<>> nodes_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::vector<in_flight> flights_;
+    std::uint64_t flight_count_ = 0;
+    std::uint64_t disk_count_ = 0;
+    std::map<std::uint64_t, std::string> leader_of_term_;
+    std::map<std::uint64_t, std::string> committed_; // entry bytes by index
+    std::map<std::uint64_t, std::uint64_t> digests_; // after applying the index
+    std::set<std::string, std::less<>> commands_;
+    std::vector<std::string> breaches_;
+    std::uint64_t messages_sent_ = 0;
+    std::uint64_t bytes_sent_ = 0;
+};
+
+} // namespace primrosehead::testing
--- /dev/null
+++ b/tests/consensus_node.cpp
@@ -0,0 +1,201 @@
+#include "consensus_node.h"
+
+#include <cstdlib>
+#include <utility>
+#include <xxhash.h>
+
+namespace primrosehead::testing {
+
+namespace {
+
+// States of more than one chunk, so that transfers take several messages.
+constexpr std::size_t state_padding_bytes = 600'000;
+
+std::uint64_t digest_with(std::uint64_t digest, const std::string& bytes)
+{
+    return XXH3_64bits_withSeed(bytes.data(), bytes.size(), digest);
+}
+
+std::string state_text(std::uint64_t digest)
+{
+    std::string text = std::to_string(digest) + ' ';
+    text.append(state_padding_bytes, '.');
+    return text;
+}
+
+} // namespace
+
+node::node(node_options options, std::uint64_t disk_seed, disk_faults faults)
+    : options_(std::move(options)), faults_(faults),
+      folder_(std::make_unique<fake_folder>(disk_seed, faults))
+{
+}
+
+void node::replace_disk(const std::string& disk_id, std::uint64_t disk_seed)
+{
+    options_.core.disk_id = disk_id;
+    folder_ = std::make_unique<fake_folder>(disk_seed, faults_);
+}
+
+void node::stop_for(const error& problem)
+{
+    failure_ = describe(problem);
+    core_.reset();
+    journal_.reset();
+}
+
+void node::start(clock::time_point now)
+{
+    pb::disk_record fresh;
+    fresh.set_cell("cell");
+    fresh.set_instance(options_.core.instance.text());
+    fresh.set_disk_id(options_.core.disk_id);
+    result<journal> opened = journal::open(folder_->open(), fresh);
+    if (!ok(opened)) {
+        stop_for(failure(opened));
+        return;
+    }
+    journal_.emplace(value(std::move(opened)));
+    journal::contents contents = journal_->take_contents();
+    options_.core.disk_id = contents.identity.disk_id();
+    options_.core.seed += 1'000'003;
+    applied_index_ = 0;
+    snapshot_index_ = 0;
+    digest_ = 0;
+    if (contents.snapshot) {
+        restore(contents.snapshot->state(), contents.snapshot->last_index());
+    }
+    consensus::persisted stored{contents.hard, contents.snapshot, contents.entries,
+                                options_.first_members};
+    result<consensus::core> made = consensus::core::create(options_.core, std::move(stored), now);
+    if (!ok(made)) {
+        stop_for(failure(made));
+        return;
+    }
+    core_ = std::make_unique<consensus::core>(value(std::move(made)));
+}
+
+void node::crash()
+{
+    core_.reset();
+    journal_.reset();
+    frozen_ = false;
+    folder_->crash();
+    outbox.clear();
+}
+
+void node::tick(clock::time_point now)
+{
+    carry_out(core_->tick(now), now);
+}
+
+void node::receive(const pb::consensus_message& message, clock::time_point now)
+{
+    carry_out(core_->receive(message, now), now);
+}
+
+status node::propose(std::string command, clock::time_point now)
+{
+    auto proposed = core_->propose(std::move(command), now);
+    if (!ok(proposed)) {
+        return failure(proposed);
+    }
+    carry_out(std::move(value(proposed).work), now);
+    return std::monostate{};
+}
+
+result<std::uint64_t> node::add_member(const pb::member& member, clock::time_point now)
+{
+    auto proposed = core_->add_member(member, now);
+    if (!ok(proposed)) {
+        return failure(proposed);
+    }
+    const std::uint64_t index = value(proposed).index;
+    carry_out(std::move(value(proposed).work), now);
+    return index;
+}
+
+result<std::uint64_t> node::remove_member(std::string_view name, clock::time_point now)
+{
+    auto proposed = core_->remove_member(instance_name(name), now);
+    if (!ok(proposed)) {
+        return failure(proposed);
+    }
+    const std::uint64_t index = value(proposed).index;
+    carry_out(std::move(value(proposed).work), now);
+    return index;
+}
+
+status node::write(const consensus::output& work)
+{
+    status done = std::monostate{};
+    if (work.hard) {
+        done = journal_->write_hard_state(*work.hard);
+    }
+    if (ok(done) && work.snapshot) {
+        done = journal_->write_snapshot(*work.snapshot);
+    }
+    if (ok(done) && work.truncate_from) {
+        done = journal_->truncate_from(*work.truncate_from);
+    }
+    if (ok(done)) {
+        done = journal_->append(work.entries);
+    }
+    return ok(done) ? journal_->sync() : done;
+}
+
+void node::carry_out(consensus::output work, clock::time_point now)
+{
+    const status written = write(work);
+    if (!ok(written)) {
+        stop_for(failure(written));
+        return;
+    }
+    for (pb::consensus_message& message : work.messages) {
+        outbox.push_back(std::move(message));
+    }
+    if (work.restore_state) {
+        restore(*work.restore_state, work.snapshot->last_index());
+    }
+    for (const pb::log_entry& entry : work.committed) {
+        apply(entry);
+    }
+    compact_when_due();
+    if (core_ && (!work.entries.empty() || work.snapshot)) {
+        carry_out(core_->written(now), now);
+    }
+}
+
+void node::apply(const pb::log_entry& entry)
+{
+    if (entry.index() <= applied_index_) {
+        return;
+    }
+    const std::string bytes = entry.SerializeAsString();
+    digest_ = digest_with(digest_, bytes);
+    applied_index_ = entry.index();
+    applied.push_back(applied_entry{entry.index(), bytes, digest_});
+}
+
+void node::restore(const std::string& state, std::uint64_t index)
+{
+    digest_ = std::strtoull(state.c_str(), nullptr, 10);
+    applied_index_ = index;
+    snapshot_index_ = index;
+    applied.push_back(applied_entry{index, {}, digest_});
+}
+
+void node::compact_when_due()
+{
+    if (!core_ || applied_index_ - snapshot_index_ < options_.snapshot_after) {
+        return;
+    }
+    const pb::snapshot_record record = core_->compact(applied_index_, state_text(digest_));
+    snapshot_index_ = applied_index_;
+    const status written = journal_->write_snapshot(record);
+    if (!ok(written)) {
+        stop_for(failure(written));
+    }
+}
+
+} // namespace primrosehead::testing
