Read and check environment documents and settings files

Cause: nothing read the JSON that operators write. Contradictions are checked in code. settings.h gains entry_settings::session_secret (required) and operator_settings.

--- a/include/primrosehead/settings.h
+++ b/include/primrosehead/settings.h
@@ -47,6 +47,7 @@
     std::string announce_listen; // IP:PORT for backend servers' announcements
     std::string bus_endpoint;    // tcp://IP:PORT
     std::vector<control_address> control;
+    std::string session_secret; // signs session tokens; the same on all entry instances of the cell
     std::uint32_t threads = 2;
     std::uint32_t max_connections = 10'000;
     clock::duration header_timeout{5'000}; // a half-sent request is dropped after this
@@ -64,7 +65,8 @@
     std::string environment;
     std::string bus_endpoint;
     std::string data_folder;
-    std::vector<control_address> control; // the first members of a new cell, this one among them
+    std::vector<control_address>
+        control; // the first members of a new cell; without this one when it joins later
     clock::duration heartbeat{50};
     clock::duration election_min{300};
     clock::duration election_max{600};
@@ -75,9 +77,17 @@
     log_settings log;
 };
 
+// What primrosectl needs to reach a cell's control instances.
+struct operator_settings {
+    cell_name cell;
+    std::vector<control_address> control;
+    std::optional<bus_key_settings> bus_key;
+};
+
 // Each reads the JSON text of a settings file.
 [[nodiscard]] result<entry_settings> parse_entry_settings(std::string_view text);
 [[nodiscard]] result<control_settings> parse_control_settings(std::string_view text);
+[[nodiscard]] result<operator_settings> parse_operator_settings(std::string_view text);
 
 // Reads a whole file; the error says how to mend it.
 [[nodiscard]] result<std::string> read_file(std::string_view path);
