Write leases and owners of backend servers

Leases count from the moment of asking at the holder and from the moment of receipt plus a margin at the keeper; a version that goes back (a restarted instance) is taken as said, which only waits longer.

Ruled out: counting from the answer.

--- a/include/primrosehead/lease.h
+++ b/include/primrosehead/lease.h
@@ -14,6 +14,10 @@
 
 namespace primrosehead {
 
+// The keeper counts a lease this much longer than its holder: covers rounding to milliseconds and
+// the drift of two monotonic clocks over one lease.
+inline constexpr clock::duration lease_margin{5};
+
 // An entry instance's side. Counted from the moment of asking, never from the answer.
 class lease_holder {
   public:
@@ -49,6 +53,10 @@
         std::uint64_t version = 0;
         clock::time_point expires_at;
     };
+
+    [[nodiscard]] static bool may_act_before(const holding& held, std::uint64_t version,
+                                             clock::time_point now) noexcept;
+
     clock::time_point old_leases_end_;
     clock::duration lease_;
     std::map<instance_name, holding> holdings_;
--- /dev/null
+++ b/tests/ownership_test.cpp
@@ -0,0 +1,61 @@
+#include <primrosehead/ownership.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+using namespace primrosehead;
+
+namespace {
+
+std::vector<instance_name> make_instances(int count)
+{
+    std::vector<instance_name> instances;
+    for (int index = 0; index < count; ++index) {
+        instances.emplace_back("entry-" + std::to_string(index));
+    }
+    return instances;
+}
+
+} // namespace
+
+TEST_CASE("owners are every instance once, whatever the order given")
+{
+    std::vector<instance_name> instances = make_instances(9);
+    const server_name server("kura-ledger-1a");
+    const std::vector<instance_name> owners = owners_of(server, instances);
+    CHECK(owners.size() == instances.size());
+    std::ranges::reverse(instances);
+    CHECK(owners_of(server, instances) == owners);
+    CHECK(owners_of(server, {}).empty());
+}
+
+TEST_CASE("when an owner goes, only its own servers move, each to the next in order")
+{
+    const std::vector<instance_name> instances = make_instances(9);
+    const instance_name& gone = instances[4];
+    std::vector<instance_name> rest = instances;
+    std::erase(rest, gone);
+    for (int index = 0; index < 200; ++index) {
+        const server_name server("server-" + std::to_string(index));
+        const std::vector<instance_name> before = owners_of(server, instances);
+        const std::vector<instance_name> after = owners_of(server, rest);
+        CHECK(after.front() == (before.front() == gone ? before[1] : before[0]));
+    }
+}
+
+TEST_CASE("servers spread over the instances")
+{
+    const std::vector<instance_name> instances = make_instances(8);
+    std::map<instance_name, int> owned;
+    for (int index = 0; index < 8'000; ++index) {
+        ++owned[owners_of(server_name("server-" + std::to_string(index)), instances).front()];
+    }
+    for (const auto& entry : owned) {
+        CAPTURE(entry.first.text());
+        CHECK(entry.second > 850);
+        CHECK(entry.second < 1'150);
+    }
+}
