Failover plan of a database group

steady, closing, waiting, fencing, promoting, opening as a Boost.MSM machine; the decisions around it are plain functions. A term is always new: a term that a predecessor closed but didn't open may have a primary already.

Ruled out: a bare majority of fences. With five members two copies of an acknowledged write can both be outside of three; fences_needed asks for so many that one copy is inside. Positions are cut by the starts of later terms before they are compared, so that entries of a replaced primary don't come back. A planned change lets a successor catch up before it is fenced.

--- a/include/primrosehead/failover.h
+++ b/include/primrosehead/failover.h
@@ -1,7 +1,8 @@
 // Replaces the primary of a database group. Pure: reports and answers go in, orders come out.
 //
 // steady -> closing (term closed in the log) -> waiting (leases of the old term end) ->
-// fencing (a majority of the group promises the new term) -> promoting -> steady.
+// fencing (enough of the group promises the new term) -> promoting -> opening (the new primary
+// stands in the log) -> steady.
 #pragma once
 
 #include <primrosehead/clock.h>
@@ -58,15 +59,25 @@
 struct group_view {
     std::uint64_t term = 0;
     std::optional<server_name> primary;
-    std::uint64_t version = 0; // state version that last changed the group
+    std::uint64_t version = 0;      // state version that last changed the group
+    std::vector<term_begin> starts; // of the group's terms, rising
 };
 
 struct plan_settings {
     clock::duration failure_after{400};
-    clock::duration retry_after{200}; // an order without an answer is given again
-    std::uint32_t group_size = 3;     // members known at most; a majority of these must fence
+    clock::duration retry_after{200};      // an order without an answer is given again
+    std::uint32_t group_size = 3;          // members known at most; a majority of these must fence
+    clock::duration bootstrap_wait{1'000}; // a new group waits so long for all of its members
+    clock::duration settle{1'000};         // no second unforced change within this of the last
+    clock::duration fence_grace{50};       // beyond enough fenced, for the other heard members
+    clock::duration catch_up_wait{1'000};  // a planned change waits so long for a replica
+    bool choose_highest = true;            // tests only: off promotes the first that was fenced
 };
 
+// Members that must promise a term before a server is promoted: a majority, and so many that every
+// acknowledged write, which two members hold, is at one of them at least.
+[[nodiscard]] std::uint32_t fences_needed(std::uint32_t group_size) noexcept;
+
 // The failover of one database group at the control leader.
 class plan {
   public:
@@ -80,9 +91,10 @@
     void heard(const member_report& report);
     void fenced(const server_name& server, std::uint64_t term, log_position received);
     void promoted(const server_name& server, std::uint64_t term, std::uint64_t start_index);
+    // A server answered an order with a higher term, or forgot the term that it promised.
     void refused(const server_name& server, std::uint64_t seen_term);
 
-    // An operator's or a leaving primary's planned change.
+    // An operator's planned change; a primary that is leaving brings one by itself.
     void request_change();
 
     // `leases_passed`: no instance may still acknowledge writes of an earlier term.
--- /dev/null
+++ b/src/failover_plan.cpp
@@ -0,0 +1,424 @@
+#include "failover_choice.h"
+#include "failover_phases.h"
+
+#include <primrosehead/failover.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace primrosehead::failover {
+
+namespace {
+
+// A report that was under way while its server was promoted still tells the old role.
+constexpr clock::duration role_report_delay{300};
+
+// A planned change that no other member was ready for is tried again after this.
+constexpr clock::duration planned_pause{5'000};
+
+// An order without an answer for so many retries is given up: a higher term is tried.
+constexpr int max_promotion_orders = 5;
+
+struct member {
+    member_report report;
+    std::optional<log_position> fenced_at; // in the term that the plan works for
+};
+
+} // namespace
+
+std::uint32_t fences_needed(std::uint32_t group_size) noexcept
+{
+    constexpr std::uint32_t copies_of_acknowledged = 2;
+    const std::uint32_t majority = group_size / 2 + 1;
+    const std::uint32_t rest =
+        group_size < copies_of_acknowledged ? 0 : group_size - copies_of_acknowledged;
+    return std::max(majority, rest + 1);
+}
+
+struct plan::implementation {
+    database_name database;
+    plan_settings settings;
+    clock::time_point started_at;
+    phases at;
+    std::map<server_name, member> members;
+    bool change_requested = false;
+    bool is_planned = false; // the change under way was asked for
+
+    std::uint64_t target_term = 0;
+    std::uint64_t highest_seen_term = 0;
+    std::optional<server_name> old_primary;
+    std::optional<server_name> promoted_server;
+    std::optional<std::uint64_t> start_index;
+    clock::time_point phase_since;
+    clock::time_point ordered_at;
+    int orders_given = 0;
+    std::optional<clock::time_point> changed_at; // when the last change ended
+    clock::time_point no_planned_before;
+
+    [[nodiscard]] bool is_heard(const member& one, clock::time_point now) const
+    {
+        return now - one.report.heard_at < settings.failure_after;
+    }
+
+    [[nodiscard]] std::uint32_t heard_members(clock::time_point now) const
+    {
+        return static_cast<std::uint32_t>(std::ranges::count_if(
+            members, [&](const auto& entry) { return is_heard(entry.second, now); }));
+    }
+
+    [[nodiscard]] const member* find(const std::optional<server_name>& server) const
+    {
+        if (!server) {
+            return nullptr;
+        }
+        const auto found = members.find(*server);
+        return found == members.end() ? nullptr : &found->second;
+    }
+
+    [[nodiscard]] std::uint32_t needed() const { return fences_needed(settings.group_size); }
+
+    [[nodiscard]] bool is_new_group_complete(clock::time_point now) const
+    {
+        return heard_members(now) >= settings.group_size ||
+               now - started_at >= settings.bootstrap_wait;
+    }
+
+    // A silent primary is replaced only when enough other members are heard to fence it off.
+    [[nodiscard]] bool is_silent(const member* primary, clock::time_point now) const
+    {
+        if (now - started_at < settings.failure_after) {
+            return false;
+        }
+        return primary == nullptr || !is_heard(*primary, now);
+    }
+
+    // The primary of the state answers, but as something else: it lost its promotion.
+    [[nodiscard]] bool is_demoted(const member* primary, const group_view& group) const
+    {
+        if (primary == nullptr) {
+            return false;
+        }
+        const clock::time_point settled = changed_at.value_or(started_at) + role_report_delay;
+        if (primary->report.heard_at < settled) {
+            return false;
+        }
+        return !primary->report.is_primary || primary->report.term < group.term;
+    }
+
+    [[nodiscard]] bool has_successor(const member* primary, clock::time_point now) const
+    {
+        return std::ranges::any_of(members, [&](const auto& entry) {
+            const member& one = entry.second;
+            return &one != primary && !one.report.leaving && is_heard(one, now);
+        });
+    }
+
+    [[nodiscard]] bool has_failed(const group_view& group, clock::time_point now) const
+    {
+        if (!group.primary) {
+            return group.term > 0 || is_new_group_complete(now);
+        }
+        const member* primary = find(group.primary);
+        return is_silent(primary, now) || is_demoted(primary, group);
+    }
+
+    [[nodiscard]] bool wants_change(const group_view& group, clock::time_point now) const
+    {
+        const member* primary = find(group.primary);
+        if (primary == nullptr || now < no_planned_before || !has_successor(primary, now)) {
+            return false;
+        }
+        return change_requested || primary->report.leaving;
+    }
+
+    [[nodiscard]] bool has_settled(clock::time_point now) const
+    {
+        return !changed_at || now - *changed_at >= settings.settle;
+    }
+
+    void enter_phase(clock::time_point now)
+    {
+        phase_since = now;
+        orders_given = 0;
+    }
+
+    // True when an order is due: at the start of a phase and at each retry.
+    bool take_turn(clock::time_point now)
+    {
+        if (orders_given > 0 && now - ordered_at < settings.retry_after) {
+            return false;
+        }
+        ordered_at = now;
+        ++orders_given;
+        return true;
+    }
+
+    void set_target(const group_view& group)
+    {
+        target_term = std::max({group.term, highest_seen_term, target_term}) + 1;
+        promoted_server.reset();
+        start_index.reset();
+        for (auto& [name, one] : members) {
+            one.fenced_at.reset();
+        }
+    }
+
+    void begin(const group_view& group, clock::time_point now)
+    {
+        old_primary = group.primary;
+        change_requested = false;
+        set_target(group);
+        at.begun();
+        enter_phase(now);
+    }
+
+    void restart(const group_view& group, clock::time_point now)
+    {
+        set_target(group);
+        at.restarted();
+        enter_phase(now);
+    }
+
+    void finish(clock::time_point now)
+    {
+        changed_at = now;
+        if (is_planned && promoted_server == old_primary) {
+            no_planned_before = now + planned_pause;
+        }
+        at.term_opened();
+        enter_phase(now);
+    }
+
+    void advance_steady(const group_view& group, clock::time_point now)
+    {
+        if (!has_settled(now) || heard_members(now) < needed()) {
+            return;
+        }
+        const bool failed = has_failed(group, now);
+        if (failed || wants_change(group, now)) {
+            is_planned = !failed;
+            begin(group, now);
+        }
+    }
+
+    void advance_closing(const group_view& group, clock::time_point now, std::vector<order>& orders)
+    {
+        if (group.term == target_term && !group.primary) {
+            at.term_closed();
+            enter_phase(now);
+        }
+        else if (take_turn(now)) {
+            orders.emplace_back(close_term{target_term});
+        }
+    }
+
+    // Before a planned change a successor gets what the old primary has; it can't once it is
+    // fenced.
+    [[nodiscard]] bool has_caught_up(clock::time_point now) const
+    {
+        const member* primary = find(old_primary);
+        if (!is_planned || primary == nullptr || now - phase_since >= settings.catch_up_wait) {
+            return true;
+        }
+        return std::ranges::any_of(members, [&](const auto& entry) {
+            const member_report& one = entry.second.report;
+            return one.server != *old_primary && !one.leaving &&
+                   one.received >= primary->report.received &&
+                   primary->report.heard_at > phase_since && one.heard_at > phase_since;
+        });
+    }
+
+    void advance_waiting(bool leases_passed, clock::time_point now)
+    {
+        if (leases_passed && has_caught_up(now)) {
+            at.leases_ended();
+            enter_phase(now);
+        }
+    }
+
+    [[nodiscard]] bool is_fencing_done(clock::time_point now) const
+    {
+        std::uint32_t fenced_members = 0;
+        bool all_heard_fenced = true;
+        for (const auto& [name, one] : members) {
+            fenced_members += one.fenced_at ? 1U : 0U;
+            all_heard_fenced = all_heard_fenced && (one.fenced_at || !is_heard(one, now));
+        }
+        const bool grace_over = now - phase_since >= settings.fence_grace;
+        return fenced_members >= needed() && (all_heard_fenced || grace_over);
+    }
+
+    void choose_successor(const group_view& group)
+    {
+        std::vector<candidate> candidates;
+        for (const auto& [name, one] : members) {
+            if (one.fenced_at) {
+                const bool was_primary = old_primary == name;
+                candidates.push_back({name, *one.fenced_at, one.report.leaving, was_primary});
+            }
+        }
+        promoted_server = settings.choose_highest ? choose(candidates, group.starts).server
+                                                  : candidates.front().server;
+    }
+
+    void advance_fencing(const group_view& group, clock::time_point now, std::vector<order>& orders)
+    {
+        if (is_fencing_done(now)) {
+            choose_successor(group);
+            at.members_fenced();
+            enter_phase(now);
+            return;
+        }
+        if (!take_turn(now)) {
+            return;
+        }
+        for (const auto& [name, one] : members) {
+            if (!one.fenced_at && is_heard(one, now)) {
+                orders.emplace_back(fence_server{name, one.report.url, target_term});
+            }
+        }
+    }
+
+    void advance_promoting(const group_view& group, clock::time_point now,
+                           std::vector<order>& orders)
+    {
+        if (start_index) {
+            at.server_promoted();
+            enter_phase(now);
+            return;
+        }
+        if (!take_turn(now)) {
+            return;
+        }
+        // It may have been promoted without the answer coming back: nobody else may get this term.
+        const bool is_gone = orders_given > 1 && !is_heard(*find(promoted_server), now);
+        if (is_gone || orders_given > max_promotion_orders) {
+            restart(group, now);
+            return;
+        }
+        const std::string& url = members.at(*promoted_server).report.url;
+        orders.emplace_back(promote_server{*promoted_server, url, target_term});
+    }
+
+    void advance_opening(const group_view& group, clock::time_point now, std::vector<order>& orders)
+    {
+        if (group.term == target_term && group.primary) {
+            finish(now);
+        }
+        else if (take_turn(now)) {
+            const std::string& url = members.at(*promoted_server).report.url;
+            orders.emplace_back(open_term{*promoted_server, url, target_term, *start_index});
+        }
+    }
+
+    void advance_phase(const group_view& group, bool leases_passed, clock::time_point now,
+                       std::vector<order>& orders)
+    {
+        switch (at.current()) {
+        case phase::steady:
+            advance_steady(group, now);
+            break;
+        case phase::closing:
+            advance_closing(group, now, orders);
+            break;
+        case phase::waiting:
+            advance_waiting(leases_passed, now);
+            break;
+        case phase::fencing:
+            advance_fencing(group, now, orders);
+            break;
+        case phase::promoting:
+            advance_promoting(group, now, orders);
+            break;
+        case phase::opening:
+            advance_opening(group, now, orders);
+            break;
+        }
+    }
+
+    // Goes on through every phase that is over at once.
+    void advance_phases(const group_view& group, bool leases_passed, clock::time_point now,
+                        std::vector<order>& orders)
+    {
+        auto before = at.current();
+        advance_phase(group, leases_passed, now, orders);
+        while (at.current() != before) {
+            before = at.current();
+            advance_phase(group, leases_passed, now, orders);
+        }
+    }
+
+    [[nodiscard]] bool is_overtaken(const group_view& group) const
+    {
+        return at.current() != phase::steady &&
+               (group.term > target_term || highest_seen_term > target_term);
+    }
+};
+
+plan::plan(database_name database, plan_settings settings, clock::time_point now)
+    : body_(std::make_unique<implementation>())
+{
+    body_->database = std::move(database);
+    body_->settings = settings;
+    body_->started_at = now;
+}
+
+plan::~plan() = default;
+plan::plan(plan&&) noexcept = default;
+plan& plan::operator=(plan&&) noexcept = default;
+
+void plan::heard(const member_report& report)
+{
+    member& one = body_->members[report.server];
+    if (report.heard_at >= one.report.heard_at) {
+        one.report = report;
+    }
+    body_->highest_seen_term = std::max<std::uint64_t>(body_->highest_seen_term, report.term);
+}
+
+void plan::fenced(const server_name& server, std::uint64_t term, log_position received)
+{
+    const auto found = body_->members.find(server);
+    if (found != body_->members.end() && term == body_->target_term) {
+        found->second.fenced_at = received;
+    }
+}
+
+void plan::promoted(const server_name& server, std::uint64_t term, std::uint64_t start_index)
+{
+    if (term == body_->target_term && body_->promoted_server == server) {
+        body_->start_index = start_index;
+    }
+}
+
+void plan::refused(const server_name& server, std::uint64_t seen_term)
+{
+    body_->highest_seen_term = std::max(body_->highest_seen_term, seen_term);
+    // A server that refuses its own promotion forgot its promise: a higher term fences it anew.
+    if (body_->at.current() == phase::promoting && body_->promoted_server == server) {
+        body_->highest_seen_term = std::max(body_->highest_seen_term, body_->target_term + 1);
+    }
+}
+
+void plan::request_change()
+{
+    body_->change_requested = true;
+}
+
+std::vector<order> plan::advance(const group_view& group, bool leases_passed, clock::time_point now)
+{
+    std::vector<order> orders;
+    if (body_->is_overtaken(group)) {
+        body_->restart(group, now);
+    }
+    body_->advance_phases(group, leases_passed, now, orders);
+    return orders;
+}
+
+std::string_view plan::phase() const noexcept
+{
+    return to_string(body_->at.current());
+}
+
+} // namespace primrosehead::failover
