Fleet service at the control leader

Heartbeats renew leases, bring server reports and allowance reports, and take back state deltas, the servers reported since the last answer taken in (but those that the instance reports itself), live instances and grants. Plans of the environment's groups become orders; replicas are told to follow until they answer, and again when their report speaks against it or their data grows old.

An instance whose digest differs gets the whole state and no lease.

--- a/include/primrosehead/fleet.h
+++ b/include/primrosehead/fleet.h
@@ -18,12 +18,21 @@
 
 namespace primrosehead::fleet {
 
+// Each is on but in tests that show what it is for.
+struct mechanisms {
+    bool wait_for_leases = true;  // before a promotion
+    bool choose_highest = true;   // member of those fenced
+    bool count_old_grants = true; // of the leader before
+};
+
 struct service_settings {
     cell_name cell;
     std::string environment; // whose production document counts
     clock::duration write_lease{500};
     clock::duration grant{1'000};
     clock::duration instance_timeout{2'000}; // silent for so long: not among the live ones
+    std::uint32_t group_size = 3;            // servers of a database group
+    mechanisms on;
 };
 
 // To be committed through consensus.
@@ -35,14 +44,14 @@
     std::string database;
     failover::order what; // fence_server or promote_server
 };
-// A replica is to follow the primary of the term.
+// A replica is to follow the primary of the term. Its answer comes back by `followed`.
 struct follow_server {
     std::string database;
     std::string server;
     std::string url;
     pb::group_record group;
 };
-// To be pushed to every live instance: the state changed.
+// The state changed: send each live instance what `pushed` makes for it.
 struct push_state {};
 
 using action = std::variant<propose, order_server, follow_server, push_state>;
@@ -58,10 +67,19 @@
     service& operator=(const service&) = delete;
 
     // Answers one heartbeat. Registers an instance that the state does not know (by a `propose`
-    // from the next `advance`).
+    // from the next `advance`). A heartbeat that comes late or twice is answered with sequence 0,
+    // which renews nothing. The caller fills in `control_term`.
+    //
+    // The answer holds the state's changes since the version that the instance has, none when it
+    // has the present one; the servers reported since the last answer that it took in, all at
+    // first; and always every live instance.
     [[nodiscard]] pb::heartbeat_reply heartbeat(const pb::heartbeat& beat,
                                                 const state_machine& state, clock::time_point now);
 
+    // The unasked message that brings `instance` to the present state.
+    [[nodiscard]] pb::heartbeat_reply pushed(std::string_view instance,
+                                             const state_machine& state) const;
+
     // What has become due. Call every 10 ms or so and after every answer.
     [[nodiscard]] std::vector<action> advance(const state_machine& state, clock::time_point now);
 
@@ -71,6 +89,7 @@
     void promoted(std::string_view database, std::string_view server, std::uint64_t term,
                   std::uint64_t start_index);
     void refused(std::string_view database, std::string_view server, std::uint64_t seen_term);
+    void followed(std::string_view server, std::uint64_t term);
 
     // An operator asks for a planned change of primary.
     void request_change(std::string_view database);
--- /dev/null
+++ b/src/fleet_groups.h
@@ -0,0 +1,53 @@
+// The database groups of the environment: their failovers, and who is to follow whom.
+#pragma once
+
+#include "fleet_index.h"
+#include "fleet_servers.h"
+
+#include <primrosehead/environment.h>
+#include <primrosehead/failover.h>
+#include <primrosehead/fleet.h>
+#include <primrosehead/lease.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace primrosehead::fleet {
+
+class group_table {
+  public:
+    explicit group_table(const service_settings& settings) : settings_(settings) {}
+
+    // Makes the plans fit the environment's databases.
+    void change(const environment& wanted, server_table& servers, clock::time_point now);
+
+    // Null for a database that the environment doesn't have.
+    [[nodiscard]] failover::plan* find(std::string_view database);
+
+    // A report that `server_table` took in.
+    void heard(const server_entry& server);
+
+    // What has become due, appended to `actions`.
+    void advance(const state_machine& state, const state_index& index, const lease_keeper& leases,
+                 server_table& servers, clock::time_point now, std::vector<action>& actions);
+
+    [[nodiscard]] std::map<std::string, std::string_view> phases() const;
+
+  private:
+    struct entry {
+        failover::plan plan;
+        clock::time_point next_look;
+    };
+
+    void advance_one(const std::string& database, entry& one, const state_index& index,
+                     const lease_keeper& leases, clock::time_point now,
+                     std::vector<action>& actions) const;
+
+    service_settings settings_;
+    std::map<std::string, entry, std::less<>> entries_;
+};
+
+} // namespace primrosehead::fleet
--- /dev/null
+++ b/src/fleet_instances.h
@@ -0,0 +1,59 @@
+// The entry instances that send heartbeats to the control leader.
+#pragma once
+
+#include "primrosehead.pb.h"
+
+#include <primrosehead/clock.h>
+#include <primrosehead/state.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace primrosehead::fleet {
+
+// What a reply that went to an instance told of the servers.
+struct sent_reply {
+    std::uint64_t sequence = 0;
+    std::uint64_t revision = 0;
+};
+
+struct instance_entry {
+    pb::instance_record self;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t state_version = 0;
+    clock::time_point heard_at;
+    clock::time_point registration_proposed_at;
+    std::uint64_t known_revision = 0; // of the servers, confirmed
+    std::deque<sent_reply> replies;   // not confirmed yet
+};
+
+class instance_table {
+  public:
+    explicit instance_table(clock::duration timeout) : timeout_(timeout) {}
+
+    // Takes in a heartbeat; null for one that comes late or twice.
+    instance_entry* heard(const pb::heartbeat& beat, clock::time_point now);
+
+    [[nodiscard]] const instance_entry* find(std::string_view instance) const;
+    [[nodiscard]] std::vector<std::string> live(clock::time_point now) const;
+    [[nodiscard]] bool is_live(const instance_entry& entry, clock::time_point now) const;
+
+    // Commands that register the live instances whose record in the state isn't what they say.
+    [[nodiscard]] std::vector<pb::command> registrations(const state_machine& state,
+                                                         clock::time_point now);
+
+    // Drops instances that are silent for long, their last lease included.
+    void forget_silent(clock::time_point now);
+
+  private:
+    clock::duration timeout_;
+    std::map<std::string, instance_entry, std::less<>> entries_;
+};
+
+} // namespace primrosehead::fleet
--- /dev/null
+++ b/src/fleet_service.cpp
@@ -0,0 +1,317 @@
+#include "fleet_groups.h"
+#include "fleet_index.h"
+#include "fleet_instances.h"
+#include "fleet_servers.h"
+
+#include <primrosehead/fleet.h>
+#include <primrosehead/lease.h>
+#include <primrosehead/limits.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <utility>
+
+namespace primrosehead::fleet {
+
+namespace {
+
+constexpr clock::duration housekeeping_interval{1'000};
+
+limits::contract contract_of(const organisation_settings& organisation,
+                             const policy_settings& policies, std::uint32_t instances)
+{
+    const bool is_split = policies.limits == limit_policy::static_split;
+    limits::contract terms;
+    terms.rate = organisation.rate;
+    terms.burst = organisation.burst;
+    terms.floor_share = is_split ? 1.0 : policies.floor_share;
+    terms.instances = instances;
+    return terms;
+}
+
+// True when an instance says that it has the present version, but not the same state.
+bool has_diverged(const pb::heartbeat& beat, const state_machine& state)
+{
+    return beat.state_version() == state.version() && beat.state_digest() != state.digest();
+}
+
+} // namespace
+
+struct service::implementation {
+    service_settings settings;
+    lease_keeper leases;
+    limits::allowance_ledger ledger;
+    instance_table instances;
+    server_table servers;
+    group_table groups;
+    state_index index;
+    environment wanted;
+    std::uint64_t environment_version = 0;
+    std::uint64_t pushed_version = 0;
+    clock::time_point housekeeping_at;
+
+    implementation(service_settings with, clock::time_point elected_at)
+        : settings(std::move(with)), leases(elected_at, settings.write_lease),
+          ledger(settings.on.count_old_grants ? elected_at : elected_at - settings.grant * 2,
+                 settings.grant),
+          instances(settings.instance_timeout), groups(settings)
+    {
+    }
+
+    void change_contracts(clock::time_point now)
+    {
+        const std::uint32_t entry_instances = std::max(index.entry_instances(), 1U);
+        for (const organisation_settings& organisation : wanted.organisations) {
+            ledger.change(organisation.name,
+                          contract_of(organisation, wanted.policies, entry_instances), now);
+        }
+    }
+
+    // A document that doesn't parse was refused before it was stored; the one before stays.
+    bool read_environment(const state_machine& state, clock::time_point now)
+    {
+        const pb::environment_record* stored = state.environment(settings.environment);
+        if (stored == nullptr || stored->production_version() == environment_version) {
+            return false;
+        }
+        environment_version = stored->production_version();
+        result<environment> parsed = parse_environment(stored->production_document());
+        if (!ok(parsed)) {
+            return false;
+        }
+        for (const organisation_settings& before : wanted.organisations) {
+            if (value(parsed).find(before.name) == nullptr) {
+                ledger.remove(before.name);
+            }
+        }
+        wanted = value(std::move(parsed));
+        groups.change(wanted, servers, now);
+        return true;
+    }
+
+    void follow_state(const state_machine& state, clock::time_point now)
+    {
+        if (!index.follow(state)) {
+            return;
+        }
+        read_environment(state, now);
+        change_contracts(now);
+    }
+
+    void take_reports(const pb::heartbeat& beat, clock::time_point now)
+    {
+        for (const pb::server_report& report : beat.servers()) {
+            const server_entry* taken = servers.heard(report, beat.instance(), now);
+            if (taken != nullptr) {
+                groups.heard(*taken);
+            }
+        }
+    }
+
+    // No lease for an instance whose state is not known to be one of ours.
+    void renew_lease(const pb::heartbeat& beat, const state_machine& state, clock::time_point now,
+                     pb::heartbeat_reply& reply)
+    {
+        if (beat.state_version() > state.version() || has_diverged(beat, state)) {
+            return;
+        }
+        leases.granted(instance_name(beat.instance()), beat.state_version(), now);
+        reply.set_lease_ms(static_cast<std::uint32_t>(settings.write_lease.count()));
+    }
+
+    static void add_delta(std::uint64_t from_version, const state_machine& state,
+                          pb::heartbeat_reply& reply)
+    {
+        if (from_version < state.version()) {
+            *reply.mutable_delta() = state.delta_since(from_version);
+        }
+    }
+
+    void add_grants(const pb::heartbeat& beat, clock::time_point now, pb::heartbeat_reply& reply)
+    {
+        const instance_name instance(beat.instance());
+        for (const pb::allowance_report& report : beat.allowances()) {
+            if (wanted.find(organisation_name(report.organisation())) == nullptr) {
+                continue;
+            }
+            *reply.add_grants() = ledger.report(instance, beat.incarnation(), beat.sequence(),
+                                                beat.answered_sequence(), report, now);
+        }
+    }
+
+    void add_directory(instance_entry& entry, clock::time_point now, pb::heartbeat_reply& reply)
+    {
+        for (pb::server_report& report :
+             servers.changed_since(entry.known_revision, entry.self.instance(), now)) {
+            *reply.add_servers() = std::move(report);
+        }
+        entry.replies.push_back({entry.sequence, servers.revision()});
+        for (std::string& name : instances.live(now)) {
+            reply.add_live_instances(std::move(name));
+        }
+    }
+
+    [[nodiscard]] boost::json::object describe_instances(clock::time_point now) const
+    {
+        boost::json::object all;
+        for (const std::string& name : instances.live(now)) {
+            const instance_entry& entry = *instances.find(name);
+            all[name] = boost::json::object{{"failure_domain", entry.self.failure_domain()},
+                                            {"state_version", entry.state_version},
+                                            {"heard_ms_ago", (now - entry.heard_at).count()},
+                                            {"leaving", entry.self.leaving()}};
+        }
+        return all;
+    }
+
+    [[nodiscard]] boost::json::object describe_servers(clock::time_point now) const
+    {
+        boost::json::object all;
+        for (const auto& [name, entry] : servers.all()) {
+            const pb::server_report& report = entry.report;
+            all[name] = boost::json::object{{"database", report.database()},
+                                            {"failure_domain", report.failure_domain()},
+                                            {"role", report.role()},
+                                            {"received_term", report.received().term()},
+                                            {"received_index", report.received().index()},
+                                            {"data_age_ms", report.data_age_ms()},
+                                            {"leaving", report.leaving()},
+                                            {"heard_ms_ago", (now - entry.heard_at).count()}};
+        }
+        return all;
+    }
+
+    [[nodiscard]] boost::json::object describe_groups(const state_machine& state,
+                                                      clock::time_point now) const
+    {
+        boost::json::object all;
+        for (const auto& [database, phase] : groups.phases()) {
+            boost::json::object group{{"phase", phase}};
+            if (const pb::group_record* record = state.group(database)) {
+                group["term"] = record->term();
+                group["primary"] = record->primary();
+            }
+            boost::json::array waiting;
+            for (const instance_name& name :
+                 leases.waiting_for(index.group(database).version, now)) {
+                waiting.emplace_back(name.text());
+            }
+            group["waiting_for"] = std::move(waiting);
+            all[database] = std::move(group);
+        }
+        return all;
+    }
+};
+
+service::service(service_settings settings, clock::time_point elected_at)
+    : body_(std::make_unique<implementation>(std::move(settings), elected_at))
+{
+}
+
+service::~service() = default;
+service::service(service&&) noexcept = default;
+service& service::operator=(service&&) noexcept = default;
+
+pb::heartbeat_reply service::heartbeat(const pb::heartbeat& beat, const state_machine& state,
+                                       clock::time_point now)
+{
+    pb::heartbeat_reply reply;
+    reply.set_is_leader(true);
+    instance_entry* entry = body_->instances.heard(beat, now);
+    if (entry == nullptr) {
+        return reply;
+    }
+    body_->follow_state(state, now);
+    reply.set_sequence(beat.sequence());
+    reply.set_asked_at_ms(beat.asked_at_ms());
+    body_->take_reports(beat, now);
+    body_->renew_lease(beat, state, now, reply);
+    body_->add_delta(has_diverged(beat, state) ? 0 : beat.state_version(), state, reply);
+    body_->add_grants(beat, now, reply);
+    body_->add_directory(*entry, now, reply);
+    return reply;
+}
+
+pb::heartbeat_reply service::pushed(std::string_view instance, const state_machine& state) const
+{
+    pb::heartbeat_reply reply;
+    reply.set_is_leader(true);
+    const instance_entry* entry = body_->instances.find(instance);
+    body_->add_delta(entry == nullptr ? 0 : entry->state_version, state, reply);
+    return reply;
+}
+
+std::vector<action> service::advance(const state_machine& state, clock::time_point now)
+{
+    std::vector<action> actions;
+    body_->follow_state(state, now);
+    if (state.version() != body_->pushed_version) {
+        body_->pushed_version = state.version();
+        actions.emplace_back(push_state{});
+    }
+    for (pb::command& command : body_->instances.registrations(state, now)) {
+        actions.emplace_back(propose{std::move(command)});
+    }
+    body_->groups.advance(state, body_->index, body_->leases, body_->servers, now, actions);
+    if (now - body_->housekeeping_at >= housekeeping_interval) {
+        body_->housekeeping_at = now;
+        body_->instances.forget_silent(now);
+        body_->servers.forget_silent(now);
+    }
+    return actions;
+}
+
+void service::fenced(std::string_view database, std::string_view server, std::uint64_t term,
+                     log_position received)
+{
+    if (failover::plan* plan = body_->groups.find(database)) {
+        plan->fenced(server_name(server), term, received);
+    }
+}
+
+void service::promoted(std::string_view database, std::string_view server, std::uint64_t term,
+                       std::uint64_t start_index)
+{
+    if (failover::plan* plan = body_->groups.find(database)) {
+        plan->promoted(server_name(server), term, start_index);
+    }
+}
+
+void service::refused(std::string_view database, std::string_view server, std::uint64_t seen_term)
+{
+    if (failover::plan* plan = body_->groups.find(database)) {
+        plan->refused(server_name(server), seen_term);
+    }
+}
+
+void service::followed(std::string_view server, std::uint64_t term)
+{
+    if (server_entry* entry = body_->servers.find(server)) {
+        entry->followed_term = term;
+        entry->followed_at = entry->follow_ordered_at;
+    }
+}
+
+void service::request_change(std::string_view database)
+{
+    if (failover::plan* plan = body_->groups.find(database)) {
+        plan->request_change();
+    }
+}
+
+std::string service::describe(const state_machine& state, clock::time_point now) const
+{
+    return boost::json::serialize(
+        boost::json::object{{"state_version", state.version()},
+                            {"instances", body_->describe_instances(now)},
+                            {"servers", body_->describe_servers(now)},
+                            {"groups", body_->describe_groups(state, now)}});
+}
+
+std::vector<std::string> service::live_instances(clock::time_point now) const
+{
+    return body_->instances.live(now);
+}
+
+} // namespace primrosehead::fleet
