Decide retries, routing and the queue in front of a server's slots

Ruled out: start tags fixed at arrival (a wrong estimate of a slow statement can't be corrected); tags are kept an organisation and corrected by the measured slot time. Ruled out too: a retry budget for replicas that are behind, since tried servers already bound these tries.

--- a/include/primrosehead/directory.h
+++ b/include/primrosehead/directory.h
@@ -30,8 +30,10 @@
     std::uint32_t connection_limit = 1;
     bool leaving = false;
     server_health health = server_health::up;
-    std::uint32_t outstanding = 0; // requests under way from this instance
-    clock::duration latency{0};    // smoothed
+    std::uint32_t outstanding = 0;   // requests under way from this instance
+    clock::duration latency{0};      // smoothed
+    double advance_rate = 0;         // entries a second by which `applied` grows, smoothed
+    clock::time_point leaving_since; // when `leaving` was first heard
 };
 
 // A live entry instance as others reach it.
--- a/include/primrosehead/fair_queue.h
+++ b/include/primrosehead/fair_queue.h
@@ -1,6 +1,10 @@
 // A queue in front of a server's execution slots, fair over organisations by weight (start-time
 // fair queueing: Goyal, Vin and Cheng, 1996) and bounded by deadlines: a request that would not be
 // reached in time is refused when it comes, with when to come back. Pure.
+//
+// Shares are counted in slot time, so that slow statements weigh as much as they hold a slot. At
+// most config::max_queued_per_server requests wait; when so many do, an organisation below its
+// share of these places takes one from the organisation furthest above its own.
 #pragma once
 
 #include <primrosehead/clock.h>
@@ -14,6 +18,9 @@
 
 namespace primrosehead {
 
+// In which order waiting requests run. `arrival` is for tests: without fairness.
+enum class queue_order { fair, arrival };
+
 class fair_queue {
   public:
     using ticket = std::uint64_t;
@@ -24,7 +31,7 @@
         clock::time_point deadline;
     };
 
-    explicit fair_queue(std::uint32_t slots);
+    explicit fair_queue(std::uint32_t slots, queue_order order = queue_order::fair);
     ~fair_queue();
     fair_queue(fair_queue&&) noexcept;
     fair_queue& operator=(fair_queue&&) noexcept;
@@ -36,14 +43,15 @@
     // Takes a place; `error_kind::overloaded` when the deadline would pass first.
     [[nodiscard]] result<ticket> enter(const waiting& request, clock::time_point now);
 
-    // The next request to run, when a slot is free. Those whose deadline passed go to `expired`.
+    // The next request to run, when a slot is free. Those whose deadline passed, and those that
+    // lost their place, go to `expired`. Call until it returns nothing.
     [[nodiscard]] std::optional<ticket> next(clock::time_point now, std::vector<ticket>& expired);
 
     // A running request ended after `service` and gives its slot back.
     void finished(ticket done, clock::duration service);
 
     // A waiting request is given up by its caller.
-    void abandon(ticket waiting);
+    void abandon(ticket given_up);
 
     [[nodiscard]] std::size_t size() const noexcept;
     [[nodiscard]] std::uint32_t running() const noexcept;
--- a/include/primrosehead/routing.h
+++ b/include/primrosehead/routing.h
@@ -10,17 +10,27 @@
 #include <cstdint>
 #include <random>
 #include <span>
-#include <string>
+#include <string_view>
 
 namespace primrosehead::routing {
 
 using random_engine = std::minstd_rand;
 
+// What counts as a replica that has reached a session's position. The server checks `minimum` in
+// any case and answers `behind` without running, so that a wrong guess costs a round trip only.
+enum class freshness {
+    known,      // its last report reaches the position
+    expected,   // its last report, carried on at the rate at which it advanced, reaches it
+    optimistic, // any replica, unless its last report is far behind
+};
+
 struct read_request {
     log_position minimum;       // of the session, kept in the present history
     clock::duration max_age{0}; // 0: no bound but the session's
     failure_domain_name here;
     std::span<const server_name> tried; // not to be chosen again
+    server_name primary;                // of the present term; empty: believe the reports
+    enum freshness freshness = freshness::expected;
 };
 
 // The choice and its reason, for the decision log.
@@ -30,12 +40,13 @@
 };
 
 // Chooses a server for a read: a replica that is fresh enough, of the own failure domain first; the
-// primary when none is; `error_kind::no_replica` at once when nothing can serve it.
+// primary when none is; `error_kind::no_replica` at once when nothing can serve it. A server under
+// probe gets a small share of the reads, one at a time.
 [[nodiscard]] result<choice> choose_read(std::span<const server_info> group,
                                          const read_request& request, const policy_settings& policy,
                                          clock::time_point now, random_engine& random);
 
-// The primary of `term`; `error_kind::no_primary` with when to come back otherwise.
+// The primary of the present term; `error_kind::no_primary` with when to come back otherwise.
 [[nodiscard]] result<choice> choose_write(std::span<const server_info> group,
                                           const server_name& primary, clock::time_point now);
 
--- /dev/null
+++ b/src/retry_decide.cpp
@@ -0,0 +1,73 @@
+#include <primrosehead/retry.h>
+
+#include <algorithm>
+
+namespace primrosehead {
+
+namespace {
+
+// Tries of one request, the first included.
+constexpr std::uint32_t max_tries = 4;
+
+enum class failure_class {
+    final_answer, // another try gets the same answer
+    elsewhere,    // the server could not serve it: another can, at no cost to the budget
+    transient,    // a fault that another try may miss
+};
+
+failure_class classify(error_kind kind) noexcept
+{
+    switch (kind) {
+    case error_kind::behind:
+        return failure_class::elsewhere;
+    case error_kind::overloaded:
+    case error_kind::timed_out:
+    case error_kind::connection_lost:
+    case error_kind::wrong_term:
+    case error_kind::leaving:
+        return failure_class::transient;
+    default:
+        return failure_class::final_answer;
+    }
+}
+
+} // namespace
+
+retry_budget::retry_budget(double share, double reserve) noexcept
+    : share_(share), reserve_(reserve), tokens_(reserve)
+{
+}
+
+void retry_budget::first_try() noexcept
+{
+    tokens_ = std::min(reserve_, tokens_ + share_);
+}
+
+bool retry_budget::take() noexcept
+{
+    if (tokens_ < 1) {
+        return false;
+    }
+    tokens_ -= 1;
+    return true;
+}
+
+retry_decision decide_retry(const attempt& last, retry_budget& budget) noexcept
+{
+    const failure_class failed = classify(last.failure);
+    if (failed == failure_class::final_answer || last.tries >= max_tries) {
+        return retry_decision::give_up_answer;
+    }
+    if (last.ran == ran::unknown && !last.repeatable) {
+        return retry_decision::give_up_unsafe;
+    }
+    if (last.now >= last.deadline) {
+        return retry_decision::give_up_deadline;
+    }
+    if (failed == failure_class::transient && !budget.take()) {
+        return retry_decision::give_up_budget;
+    }
+    return retry_decision::again;
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/tests/retry_test.cpp
@@ -0,0 +1,91 @@
+#include <primrosehead/retry.h>
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+using primrosehead::attempt;
+using primrosehead::clock;
+using primrosehead::decide_retry;
+using primrosehead::error_kind;
+using primrosehead::from_ms;
+using primrosehead::ran;
+using primrosehead::retry_budget;
+using primrosehead::retry_decision;
+
+namespace {
+
+attempt failed_attempt(error_kind failure, enum ran outcome, bool repeatable)
+{
+    attempt made;
+    made.failure = failure;
+    made.ran = outcome;
+    made.repeatable = repeatable;
+    made.now = from_ms(100);
+    made.deadline = from_ms(200);
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("retry: what may have run is tried again only when it is repeatable")
+{
+    retry_budget budget(0.1, 10);
+    const attempt unsafe = failed_attempt(error_kind::connection_lost, ran::unknown, false);
+    CHECK(decide_retry(unsafe, budget) == retry_decision::give_up_unsafe);
+    const attempt repeatable = failed_attempt(error_kind::connection_lost, ran::unknown, true);
+    CHECK(decide_retry(repeatable, budget) == retry_decision::again);
+    const attempt not_run = failed_attempt(error_kind::connection_lost, ran::no, false);
+    CHECK(decide_retry(not_run, budget) == retry_decision::again);
+}
+
+TEST_CASE("retry: a final answer is not asked for again")
+{
+    retry_budget budget(0.1, 10);
+    constexpr std::array final_kinds{error_kind::backend_refused, error_kind::bad_request,
+                                     error_kind::rate_limited,    error_kind::no_primary,
+                                     error_kind::no_replica,      error_kind::unknown_transaction};
+    for (const error_kind kind : final_kinds) {
+        CHECK(decide_retry(failed_attempt(kind, ran::no, true), budget) ==
+              retry_decision::give_up_answer);
+    }
+}
+
+TEST_CASE("retry: never past the deadline nor the number of tries")
+{
+    retry_budget budget(0.1, 10);
+    attempt late = failed_attempt(error_kind::overloaded, ran::no, true);
+    late.now = late.deadline;
+    CHECK(decide_retry(late, budget) == retry_decision::give_up_deadline);
+    attempt fourth = failed_attempt(error_kind::overloaded, ran::no, true);
+    fourth.tries = 4;
+    CHECK(decide_retry(fourth, budget) == retry_decision::give_up_answer);
+}
+
+TEST_CASE("retry: a failure of all servers multiplies the load by the share at most")
+{
+    constexpr int requests = 10'000;
+    constexpr double share = 0.1;
+    constexpr double reserve = 10;
+    retry_budget budget(share, reserve);
+    int retries = 0;
+    for (int request = 0; request < requests; ++request) {
+        budget.first_try();
+        attempt made = failed_attempt(error_kind::connection_lost, ran::no, true);
+        while (decide_retry(made, budget) == retry_decision::again) {
+            ++retries;
+            ++made.tries;
+        }
+    }
+    CHECK(retries <= static_cast<int>(requests * share + reserve));
+    CHECK(retries >= static_cast<int>(requests * share * 0.9));
+}
+
+TEST_CASE("retry: a replica that is behind costs no budget")
+{
+    retry_budget empty(0, 0);
+    CHECK(decide_retry(failed_attempt(error_kind::behind, ran::no, false), empty) ==
+          retry_decision::again);
+    CHECK(decide_retry(failed_attempt(error_kind::overloaded, ran::no, false), empty) ==
+          retry_decision::give_up_budget);
+}
--- /dev/null
+++ b/tests/routing_test.cpp
@@ -0,0 +1,223 @@
+#include <primrosehead/routing.h>
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace primrosehead;
+using routing::choose_read;
+using routing::choose_write;
+using routing::freshness;
+using routing::read_request;
+
+namespace {
+
+constexpr clock::time_point now = from_ms(10'000);
+
+server_info make_server(std::string_view server, std::string_view domain, server_role role,
+                        std::uint64_t index)
+{
+    server_info made;
+    made.name = server_name(server);
+    made.database = database_name("kura-1");
+    made.failure_domain = failure_domain_name(domain);
+    made.role = role;
+    made.applied = {1, index};
+    made.data_age = clock::duration(role == server_role::primary ? 0 : 50);
+    made.reported_at = now - clock::duration(100);
+    made.slots = 3;
+    made.latency = clock::duration(2);
+    return made;
+}
+
+// A primary at 100 in fukuoka, replicas at 90 in kumamoto and at 80 in nagasaki.
+std::vector<server_info> make_group()
+{
+    return {make_server("p", "fukuoka", server_role::primary, 100),
+            make_server("a", "kumamoto", server_role::replica, 90),
+            make_server("b", "nagasaki", server_role::replica, 80)};
+}
+
+read_request read_from(std::string_view domain, std::uint64_t minimum)
+{
+    read_request made;
+    made.here = failure_domain_name(domain);
+    made.minimum = {1, minimum};
+    return made;
+}
+
+// "SERVER REASON" or the error's kind.
+std::string chosen(const std::vector<server_info>& group, const read_request& request,
+                   const policy_settings& policy = {}, unsigned seed = 1)
+{
+    routing::random_engine random(seed);
+    const auto made = choose_read(group, request, policy, now, random);
+    if (!ok(made)) {
+        return std::string(to_string(failure(made).kind));
+    }
+    return value(made).server.text() + " " + std::string(value(made).reason);
+}
+
+// How often each server is chosen over many seeds.
+std::map<std::string, int> shares(const std::vector<server_info>& group,
+                                  const read_request& request, const policy_settings& policy = {})
+{
+    constexpr int draws = 4'000;
+    std::map<std::string, int> counts;
+    routing::random_engine random(7);
+    for (int draw = 0; draw < draws; ++draw) {
+        const auto made = choose_read(group, request, policy, now, random);
+        ++counts[ok(made) ? value(made).server.text() : "none"];
+    }
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("routing: a replica of the own failure domain goes first when it is fresh enough")
+{
+    const auto group = make_group();
+    CHECK(chosen(group, read_from("kumamoto", 90)) == "a local_replica");
+    CHECK(chosen(group, read_from("nagasaki", 80)) == "b local_replica");
+    CHECK(chosen(group, read_from("nagasaki", 81)) == "a remote_replica");
+    CHECK(chosen(group, read_from("kumamoto", 91)) == "p primary_no_fresh_replica");
+}
+
+TEST_CASE("routing: what was tried, leaves or is down is not chosen")
+{
+    auto group = make_group();
+    read_request request = read_from("kumamoto", 0);
+    const std::array tried{server_name("a")};
+    request.tried = tried;
+    CHECK(chosen(group, request) == "b remote_replica");
+    group[2].leaving = true;
+    CHECK(chosen(group, request) == "p primary_no_fresh_replica");
+    group[0].health = server_health::down;
+    CHECK(chosen(group, request) == "no_replica");
+    CHECK(chosen({}, request) == "no_replica");
+}
+
+TEST_CASE("routing: a stated age counts the age of the report")
+{
+    const auto group = make_group();
+    read_request request = read_from("kumamoto", 0);
+    request.max_age = clock::duration(150);
+    CHECK(chosen(group, request) == "a local_replica");
+    request.max_age = clock::duration(149);
+    CHECK(chosen(group, request) == "p primary_no_fresh_replica");
+}
+
+TEST_CASE("routing: a replaced primary's claim of fresh data is not believed")
+{
+    auto group = make_group();
+    group[0].health = server_health::up;
+    read_request request = read_from("fukuoka", 0);
+    request.primary = server_name("a");
+    request.max_age = clock::duration(50);
+    CHECK(chosen(group, request) == "a primary_no_fresh_replica");
+    group[1].health = server_health::down;
+    CHECK(chosen(group, request) == "no_replica");
+}
+
+TEST_CASE("routing: a replica that has most likely advanced far enough is tried")
+{
+    auto group = make_group();
+    group[1].advance_rate = 100; // 10 entries since its report, 100 ms ago
+    read_request request = read_from("kumamoto", 100);
+    CHECK(chosen(group, request) == "a local_replica_expected");
+    request.minimum = {1, 101};
+    CHECK(chosen(group, request) == "p primary_no_fresh_replica");
+    request.freshness = freshness::known;
+    request.minimum = {1, 91};
+    CHECK(chosen(group, request) == "p primary_no_fresh_replica");
+    request.freshness = freshness::optimistic;
+    request.minimum = {1, 1'000};
+    CHECK(chosen(group, request) == "a local_replica_expected");
+}
+
+TEST_CASE("routing: suspect servers come after the primary, a down group is refused at once")
+{
+    auto group = make_group();
+    group[1].health = server_health::suspect;
+    group[2].health = server_health::suspect;
+    group[1].outstanding = 1;
+    group[2].outstanding = 1;
+    CHECK(chosen(group, read_from("kumamoto", 0)) == "p primary_no_fresh_replica");
+    group[0].health = server_health::suspect;
+    CHECK(chosen(group, read_from("kumamoto", 0)) == "a local_suspect_replica");
+}
+
+TEST_CASE("routing: a server under probe gets a small share, one request at a time")
+{
+    auto group = make_group();
+    group[1].health = server_health::probing;
+    auto counts = shares(group, read_from("nagasaki", 0));
+    CHECK(counts["a"] > 0);
+    CHECK(counts["a"] < 4'000 / 10);
+    group[1].outstanding = 1;
+    counts = shares(group, read_from("nagasaki", 0));
+    CHECK(counts["a"] == 0);
+}
+
+TEST_CASE("routing: of two random choices the less loaded one is taken")
+{
+    std::vector<server_info> group;
+    for (int number = 0; number < 4; ++number) {
+        group.push_back(
+            make_server("r" + std::to_string(number), "kumamoto", server_role::replica, 100));
+    }
+    group[3].outstanding = 30;
+    auto counts = shares(group, read_from("kumamoto", 0));
+    CHECK(counts["r3"] == 0);
+    CHECK(counts["r0"] > 4'000 / 4);
+    policy_settings naive;
+    naive.choice = choice_policy::round_robin;
+    counts = shares(group, read_from("kumamoto", 0), naive);
+    CHECK(counts["r3"] > 4'000 / 5);
+}
+
+TEST_CASE("routing: a saturated local replica gives way to a remote one with less load")
+{
+    auto group = make_group();
+    group[1].outstanding = 6;
+    CHECK(chosen(group, read_from("kumamoto", 0)) == "b remote_replica_less_loaded");
+    group[2].outstanding = 6;
+    CHECK(chosen(group, read_from("kumamoto", 0)) == "a local_replica");
+}
+
+TEST_CASE("routing: without replica reads every read goes to the primary")
+{
+    policy_settings naive;
+    naive.replica_reads = false;
+    CHECK(chosen(make_group(), read_from("kumamoto", 0), naive) == "p primary_no_fresh_replica");
+}
+
+TEST_CASE("routing: writes go to the primary of the term or are refused at once")
+{
+    auto group = make_group();
+    const auto to_primary = choose_write(group, server_name("p"), now);
+    REQUIRE(ok(to_primary));
+    CHECK(value(to_primary).server == server_name("p"));
+
+    const auto between_terms = choose_write(group, server_name(), now);
+    REQUIRE(!ok(between_terms));
+    CHECK(failure(between_terms).kind == error_kind::no_primary);
+    CHECK(failure(between_terms).ran == ran::no);
+    CHECK(failure(between_terms).retry_after > clock::duration::zero());
+
+    CHECK(!ok(choose_write(group, server_name("unheard"), now)));
+    group[0].health = server_health::down;
+    CHECK(!ok(choose_write(group, server_name("p"), now)));
+}
+
+TEST_CASE("routing: a leaving primary takes writes for a bounded time only")
+{
+    auto group = make_group();
+    group[0].leaving = true;
+    group[0].leaving_since = now - clock::duration(2'000);
+    CHECK(ok(choose_write(group, server_name("p"), now)));
+    CHECK(!ok(choose_write(group, server_name("p"), now + clock::duration(1))));
+}
