--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -165,6 +165,7 @@
 TEST_CASE("routing: of two random choices the less loaded one is taken")
 {
     std::vector<server_info> group;
+    group.reserve(4);
     for (int number = 0; number < 4; ++number) {
         group.push_back(
             make_server("r" + std::to_string(number), "kumamoto", server_role::replica, 100));
