Pool the connections of one backend server behind fair queues

Cause: connections are scarce and a transaction must stay on the one that began it. Ruled out: refusing a begin when the transaction connections are in use; it waits in a fair queue of its own instead, so that an organisation with many open transactions keeps no other out.

--- a/include/primrosehead/gateway.h
+++ b/include/primrosehead/gateway.h
@@ -4,7 +4,9 @@
 // An instance owns a server when it is first in `owners_of` over the live instances of the server's
 // failure domain (over all live instances when that domain has none). The owner holds the server's
 // connections, runs a fair queue in front of its slots and keeps transactions pinned to their
-// connection. Everyone else forwards over the bus. Safe to call from any thread.
+// connection. Everyone else forwards over the bus. An owner opens at most half of a server's
+// connections, so that an old and a new owner stay within the limit while the ownership changes.
+// Safe to call from any thread.
 #pragma once
 
 #include "primrosehead.pb.h"
@@ -13,6 +15,7 @@
 #include <primrosehead/clock.h>
 #include <primrosehead/directory.h>
 #include <primrosehead/error.h>
+#include <primrosehead/health.h>
 #include <primrosehead/names.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -29,6 +32,11 @@
     cell_name cell;
     instance_name instance;
     failure_domain_name failure_domain;
+    clock::duration transaction_idle{5'000};   // without a statement: rolled back
+    clock::duration transaction_limit{60'000}; // open for so long: rolled back
+    clock::duration connection_idle{3'000};    // an unused connection is closed
+    health_settings health;
+    bool match_answers = true; // off in tests: answers of another request are believed
 };
 
 // What the gateway has done, for /metrics and tests.
@@ -44,6 +52,7 @@
 
 class gateway {
   public:
+    // `messages` must live until the executor has ended all work of the gateway.
     [[nodiscard]] static std::shared_ptr<gateway> create(boost::asio::any_io_executor executor,
                                                          gateway_settings settings, bus& messages);
     ~gateway();
--- /dev/null
+++ b/src/gateway_connection.cpp
@@ -0,0 +1,55 @@
+#include "gateway_connection.h"
+
+#include <utility>
+
+namespace primrosehead {
+
+namespace net = boost::asio;
+
+gateway_connection::gateway_connection(std::unique_ptr<http::client> link,
+                                       gateway_wire::answer_check check)
+    : link_(std::move(link)), check_(check)
+{
+}
+
+net::awaitable<result<std::unique_ptr<gateway_connection>>>
+gateway_connection::open(std::string url, clock::time_point deadline,
+                         gateway_wire::answer_check check)
+{
+    auto link = co_await http::client::connect(url, deadline);
+    if (!ok(link)) {
+        co_return failure(link);
+    }
+    co_return std::unique_ptr<gateway_connection>(
+        new gateway_connection(value(std::move(link)), check));
+}
+
+net::awaitable<result<pb::backend_reply>>
+gateway_connection::call(const pb::backend_request& request, clock::time_point deadline)
+{
+    auto encoded = gateway_wire::encode(request, deadline - clock::now());
+    if (!ok(encoded)) {
+        co_return failure(encoded);
+    }
+    usable_ = false; // until a whole answer is here
+    http::request sent;
+    sent.method = "POST";
+    sent.target = std::move(value(encoded).target);
+    sent.body = std::move(value(encoded).body);
+    const result<http::response> received = co_await link_->call(std::move(sent), deadline);
+    if (!ok(received)) {
+        co_return failure(received);
+    }
+    const http::response& response = value(received);
+    gateway_wire::answer answer =
+        gateway_wire::decode(request, response.status, response.body, check_);
+    usable_ = answer.is_whole && link_->is_open();
+    co_return std::move(answer.outcome);
+}
+
+bool gateway_connection::is_usable() const noexcept
+{
+    return usable_;
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/gateway_connection.h
@@ -0,0 +1,38 @@
+// One connection to a backend server over HTTP (docs/BACKEND.md).
+#pragma once
+
+#include "gateway_wire.h"
+
+#include <primrosehead/backend.h>
+#include <primrosehead/http.h>
+
+#include <memory>
+#include <string>
+
+namespace primrosehead {
+
+// Meets the concept `backend_connection`. Its calls run on the executor that opened it.
+class gateway_connection {
+  public:
+    // `error_kind::connection_lost` or `timed_out`, with `ran::no`, when it can't be opened.
+    [[nodiscard]] static boost::asio::awaitable<result<std::unique_ptr<gateway_connection>>>
+    open(std::string url, clock::time_point deadline, gateway_wire::answer_check check);
+
+    // Sends one request. `request.transaction` is the server's own name of the transaction.
+    [[nodiscard]] boost::asio::awaitable<result<pb::backend_reply>>
+    call(const pb::backend_request& request, clock::time_point deadline);
+
+    // False once an answer was missing, cut or of another request.
+    [[nodiscard]] bool is_usable() const noexcept;
+
+  private:
+    gateway_connection(std::unique_ptr<http::client> link, gateway_wire::answer_check check);
+
+    std::unique_ptr<http::client> link_;
+    gateway_wire::answer_check check_;
+    bool usable_ = true;
+};
+
+static_assert(backend_connection<gateway_connection>);
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/gateway_context.h
@@ -0,0 +1,62 @@
+// What the parts of one gateway share.
+#pragma once
+
+#include <primrosehead/bus.h>
+#include <primrosehead/gateway.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace primrosehead {
+
+class gateway_server;
+
+// Counts behind `gateway_stats`.
+struct gateway_counters {
+    std::atomic<std::uint64_t> run_here = 0;
+    std::atomic<std::uint64_t> forwarded = 0;
+    std::atomic<std::uint64_t> received = 0;
+    std::atomic<std::uint64_t> connections_opened = 0;
+    std::atomic<std::uint64_t> connections_open = 0;
+    std::atomic<std::uint64_t> refused = 0;
+    std::atomic<std::int64_t> queued = 0;
+    std::atomic<std::int64_t> active = 0; // requests under way
+};
+
+// Which server each open transaction of this instance is on.
+class transaction_index {
+  public:
+    void insert(std::uint64_t number, std::shared_ptr<gateway_server> server);
+    void erase(std::uint64_t number);
+    [[nodiscard]] std::shared_ptr<gateway_server> find(std::uint64_t number) const;
+    [[nodiscard]] bool is_empty() const;
+
+  private:
+    mutable std::mutex guard_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<gateway_server>> servers_;
+};
+
+struct gateway_context {
+    gateway_context(boost::asio::any_io_executor run_on, gateway_settings chosen, bus& over,
+                    std::uint64_t drawn_incarnation)
+        : executor(std::move(run_on)), settings(std::move(chosen)), messages(over),
+          incarnation(drawn_incarnation), next_correlation(drawn_incarnation)
+    {
+    }
+
+    const boost::asio::any_io_executor executor;
+    const gateway_settings settings;
+    bus& messages;
+    const std::uint64_t incarnation; // drawn at each start of the process
+    std::atomic<std::uint64_t> next_correlation;
+    std::atomic<bool> draining = false;
+    gateway_counters counters;
+    transaction_index transactions;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/gateway_gate.h
@@ -0,0 +1,48 @@
+// A fair queue that coroutines wait in. All calls on one strand.
+#pragma once
+
+#include <primrosehead/fair_queue.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+namespace primrosehead {
+
+class gateway_gate {
+  public:
+    // `queued`: a count that those who wait here are added to.
+    gateway_gate(boost::asio::any_io_executor strand, std::uint32_t slots,
+                 std::atomic<std::int64_t>& queued);
+    ~gateway_gate();
+    gateway_gate(const gateway_gate&) = delete;
+    gateway_gate& operator=(const gateway_gate&) = delete;
+
+    void resize(std::uint32_t slots);
+
+    // Waits for a slot; `error_kind::overloaded` with `ran::no` when there is none in time.
+    [[nodiscard]] boost::asio::awaitable<result<fair_queue::ticket>>
+    enter(fair_queue::waiting request);
+
+    // Gives a slot back after `held`.
+    void leave(fair_queue::ticket ticket, clock::duration held);
+
+    [[nodiscard]] bool is_idle() const noexcept;
+
+  private:
+    struct place;
+
+    void admit();
+    void settle(fair_queue::ticket ticket, bool admitted);
+
+    boost::asio::any_io_executor strand_;
+    fair_queue queue_;
+    std::unordered_map<fair_queue::ticket, std::shared_ptr<place>> waiting_;
+    std::atomic<std::int64_t>& queued_;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/gateway_pool.h
@@ -0,0 +1,106 @@
+// The connections of this instance to one backend server: a fair queue in front of its slots,
+// another in front of the connections that transactions hold, and the transactions pinned to them.
+// All calls on the server's strand.
+#pragma once
+
+#include "gateway_connection.h"
+#include "gateway_context.h"
+#include "gateway_gate.h"
+#include "gateway_transaction.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace primrosehead {
+
+// How a server may be used, from its reports.
+struct pool_limits {
+    std::string url;
+    std::uint32_t slots = 1;
+    std::uint32_t connection_limit = 1;
+
+    friend bool operator==(const pool_limits&, const pool_limits&) = default;
+};
+
+class gateway_pool {
+  public:
+    gateway_pool(std::shared_ptr<gateway_context> context, boost::asio::any_io_executor strand,
+                 pool_limits limits);
+
+    void configure(const pool_limits& limits);
+
+    // A statement outside transactions.
+    [[nodiscard]] boost::asio::awaitable<result<pb::backend_reply>>
+    execute(pb::backend_request request, clock::time_point deadline);
+
+    // Begins a transaction under `number`. The reply carries the server's own name of it.
+    [[nodiscard]] boost::asio::awaitable<result<pb::backend_reply>>
+    begin(pb::backend_request request, std::uint64_t number, clock::time_point deadline);
+
+    // A statement, commit or rollback of transaction `number`.
+    [[nodiscard]] boost::asio::awaitable<result<pb::backend_reply>>
+    proceed(std::uint64_t number, pb::backend_request request, clock::time_point deadline);
+
+    // Closes idle connections and rolls abandoned transactions back.
+    void sweep(clock::time_point now);
+
+  private:
+    using connection = std::shared_ptr<gateway_connection>;
+    using outcome = result<pb::backend_reply>;
+
+    struct idle_connection {
+        connection link;
+        clock::time_point since;
+    };
+
+    struct taken_connection {
+        connection link;
+        bool is_warm = false;
+    };
+
+    struct pinned_transaction {
+        transaction_machine states;
+        connection link;
+        std::uint64_t number = 0;
+        std::string organisation;
+        std::string server_name_of_it; // as the server calls it
+        std::uint32_t weight = 1;
+        bool write = false;
+        fair_queue::ticket place = 0;
+        clock::time_point begun_at;
+        clock::time_point last_used;
+    };
+    using pinned = std::shared_ptr<pinned_transaction>;
+
+    [[nodiscard]] std::uint32_t capacity() const noexcept;
+    [[nodiscard]] std::uint32_t transaction_places() const noexcept;
+
+    boost::asio::awaitable<result<taken_connection>> take(clock::time_point deadline);
+    boost::asio::awaitable<outcome> call_once(pb::backend_request request, connection& kept,
+                                              clock::time_point deadline);
+    void put_back(connection link);
+
+    boost::asio::awaitable<outcome> begin_at_place(pb::backend_request request,
+                                                   std::uint64_t number, fair_queue::ticket place,
+                                                   clock::time_point deadline);
+    boost::asio::awaitable<outcome> statement(pinned transaction, pb::backend_request request,
+                                              clock::time_point deadline);
+    boost::asio::awaitable<outcome> commit(pinned transaction, pb::backend_request request,
+                                           clock::time_point deadline);
+    boost::asio::awaitable<outcome> roll_back(pinned transaction, pb::backend_request request,
+                                              clock::time_point deadline);
+    void forget(const pinned& transaction);
+
+    std::shared_ptr<gateway_context> context_;
+    boost::asio::any_io_executor strand_;
+    pool_limits limits_;
+    gateway_gate slots_;
+    gateway_gate places_;
+    std::vector<idle_connection> idle_;
+    std::unordered_map<std::uint64_t, pinned> transactions_;
+    std::shared_ptr<std::uint32_t> open_ = std::make_shared<std::uint32_t>(0);
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/gateway_transaction.h
@@ -0,0 +1,51 @@
+// A transaction that is pinned to a connection: its name among instances, and its states.
+#pragma once
+
+#include <primrosehead/names.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace primrosehead {
+
+// Names a transaction everywhere: INSTANCE.INCARNATION.NUMBER. The number is drawn at random, so
+// that a handle can't be guessed.
+struct transaction_handle {
+    instance_name instance;
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+
+    [[nodiscard]] std::string text() const;
+    [[nodiscard]] static std::optional<transaction_handle> parse(std::string_view text);
+};
+
+enum class transaction_state { open, busy, ending, ended };
+
+// open -> busy -> open for each statement; open -> ending -> ended for commit and rollback; a
+// broken connection ends it from every state.
+class transaction_machine {
+  public:
+    transaction_machine();
+    ~transaction_machine();
+    transaction_machine(const transaction_machine&) = delete;
+    transaction_machine& operator=(const transaction_machine&) = delete;
+
+    // Each returns false, and changes nothing, in a state where it may not happen.
+    bool begin_statement();
+    bool finish_statement();
+    bool begin_end();
+    bool return_to_open(); // the commit was refused before it was sent
+    bool finish_end();
+    bool break_off();
+
+    [[nodiscard]] transaction_state state() const noexcept;
+
+  private:
+    struct implementation;
+    std::unique_ptr<implementation> body_;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/gateway_wire.cpp
@@ -0,0 +1,249 @@
+#include "gateway_wire.h"
+
+#include "gateway_errors.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace primrosehead::gateway_wire {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+std::string_view target_of(pb::backend_operation operation)
+{
+    switch (operation) {
+    case pb::BACKEND_BEGIN:
+        return "/v1/begin";
+    case pb::BACKEND_COMMIT:
+        return "/v1/commit";
+    case pb::BACKEND_ROLLBACK:
+        return "/v1/rollback";
+    default:
+        return "/v1/execute";
+    }
+}
+
+void add_minimum(json::object& body, const pb::backend_request& request)
+{
+    if (request.has_minimum()) {
+        body["minimum"] =
+            json::object{{"term", request.minimum().term()}, {"index", request.minimum().index()}};
+    }
+}
+
+void add_durability(json::object& body, const pb::backend_request& request)
+{
+    body["durability"] = request.durability().empty() ? "replica" : request.durability();
+    if (!request.idempotency_id().empty()) {
+        body["idempotency_id"] = request.idempotency_id();
+    }
+}
+
+status add_statement(json::object& body, const pb::backend_request& request)
+{
+    json::error_code failed;
+    json::value statement = json::parse(request.statement(), failed);
+    if (failed) {
+        return malformed_request("The statement is not valid JSON: " + failed.message() + ".");
+    }
+    body["statement"] = std::move(statement);
+    return std::monostate();
+}
+
+// Fields of an answer; each is missing when absent or of another type.
+class field_reader {
+  public:
+    explicit field_reader(const json::object& body) : body_(body) {}
+
+    [[nodiscard]] std::optional<std::string_view> text(std::string_view name) const
+    {
+        const json::value* found = body_.if_contains(name);
+        if (found == nullptr || !found->is_string()) {
+            return std::nullopt;
+        }
+        return std::string_view(found->get_string());
+    }
+
+    [[nodiscard]] std::optional<std::uint64_t> number(std::string_view name) const
+    {
+        const json::value* found = body_.if_contains(name);
+        if (found == nullptr || !found->is_number()) {
+            return std::nullopt;
+        }
+        json::error_code failed;
+        const auto read = found->to_number<std::uint64_t>(failed);
+        return failed ? std::nullopt : std::optional(read);
+    }
+
+    [[nodiscard]] const json::value* any(std::string_view name) const
+    {
+        return body_.if_contains(name);
+    }
+
+  private:
+    const json::object& body_;
+};
+
+answer not_whole(std::string_view what)
+{
+    return answer{broken_answer(what, ran::unknown), false};
+}
+
+bool read_position(const field_reader& fields, pb::backend_reply& reply)
+{
+    const auto term = fields.number("term");
+    const auto index = fields.number("index");
+    if (!term || !index) {
+        return false;
+    }
+    reply.mutable_at()->set_term(*term);
+    reply.mutable_at()->set_index(*index);
+    return true;
+}
+
+bool read_role(const field_reader& fields, pb::backend_reply& reply)
+{
+    const auto role = fields.text("role");
+    reply.set_role(std::string(role.value_or("")));
+    return role.has_value();
+}
+
+bool read_result(const field_reader& fields, pb::backend_reply& reply)
+{
+    const json::value* found = fields.any("result");
+    if (found == nullptr) {
+        return false;
+    }
+    reply.set_result(json::serialize(*found));
+    reply.set_data_age_ms(fields.number("data_age_ms").value_or(0));
+    return true;
+}
+
+bool read_transaction(const field_reader& fields, pb::backend_reply& reply)
+{
+    const auto transaction = fields.text("transaction");
+    reply.set_transaction(std::string(transaction.value_or("")));
+    return transaction.has_value() && !transaction->empty();
+}
+
+// Every field that docs/BACKEND.md promises for the operation must be there.
+bool read_fields(const field_reader& fields, pb::backend_operation operation,
+                 pb::backend_reply& reply)
+{
+    switch (operation) {
+    case pb::BACKEND_BEGIN:
+        return read_transaction(fields, reply) && read_position(fields, reply) &&
+               read_role(fields, reply);
+    case pb::BACKEND_COMMIT:
+        return read_position(fields, reply);
+    case pb::BACKEND_ROLLBACK:
+        return true;
+    default:
+        return read_result(fields, reply) && read_position(fields, reply) &&
+               read_role(fields, reply);
+    }
+}
+
+answer decode_success(const pb::backend_request& request, const field_reader& fields)
+{
+    pb::backend_reply reply;
+    reply.set_request_id(request.request_id());
+    if (!read_fields(fields, request.operation(), reply)) {
+        return not_whole("The answer of the backend server lacks a field.");
+    }
+    return answer{std::move(reply), true};
+}
+
+bool is_known_kind(std::string_view name)
+{
+    return to_string(error_kind_from(name)) == name;
+}
+
+answer decode_failure(const field_reader& fields)
+{
+    const auto kind = fields.text("kind");
+    const auto outcome = fields.text("ran");
+    if (!kind || !outcome) {
+        return not_whole("The refusal of the backend server lacks a field.");
+    }
+    error refusal;
+    refusal.kind = is_known_kind(*kind) ? error_kind_from(*kind) : error_kind::backend_refused;
+    refusal.message = fields.text("message").value_or(*kind);
+    refusal.remedy = "Look at the statement and at the backend server.";
+    refusal.ran = *outcome == "no" ? ran::no : ran::unknown;
+    refusal.retry_after = clock::duration(fields.number("retry_after_ms").value_or(0));
+    return answer{std::move(refusal), true};
+}
+
+// The refusal of a connection above the server's limit has no id: it read no request.
+bool is_connection_refusal(unsigned status, const field_reader& fields)
+{
+    return status == status_unavailable && !fields.any("id") &&
+           fields.text("kind") == std::string_view("overloaded");
+}
+
+} // namespace
+
+result<message> encode(const pb::backend_request& request, clock::duration time_left)
+{
+    json::object body{{"id", request.request_id()}};
+    if (!request.transaction().empty()) {
+        body["transaction"] = request.transaction();
+    }
+    if (request.operation() != pb::BACKEND_ROLLBACK) {
+        body["term"] = request.term();
+        body["timeout_ms"] = std::max<std::int64_t>(1, time_left.count());
+    }
+    switch (request.operation()) {
+    case pb::BACKEND_BEGIN:
+        body["mode"] = request.write() ? "write" : "read";
+        add_minimum(body, request);
+        break;
+    case pb::BACKEND_COMMIT:
+        add_durability(body, request);
+        break;
+    case pb::BACKEND_ROLLBACK:
+        break;
+    default:
+        body["write"] = request.write();
+        add_minimum(body, request);
+        add_durability(body, request);
+        if (const status added = add_statement(body, request); !ok(added)) {
+            return failure(added);
+        }
+    }
+    return message{std::string(target_of(request.operation())), json::serialize(body)};
+}
+
+answer decode(const pb::backend_request& request, unsigned status, std::string_view body,
+              answer_check check)
+{
+    json::error_code failed;
+    const json::value parsed = json::parse(body, failed);
+    if (failed || !parsed.is_object()) {
+        return not_whole("The answer of the backend server is not a JSON object.");
+    }
+    const field_reader fields(parsed.get_object());
+    if (is_connection_refusal(status, fields)) {
+        return answer{no_place("The backend server has no connection left.", clock::duration(100)),
+                      false};
+    }
+    if (check == answer_check::by_id && fields.text("id") != request.request_id()) {
+        return not_whole("The backend server answered another request.");
+    }
+    return status == status_ok ? decode_success(request, fields) : decode_failure(fields);
+}
+
+} // namespace primrosehead::gateway_wire
--- /dev/null
+++ b/src/gateway_wire.h
@@ -0,0 +1,36 @@
+// The requests and answers of docs/BACKEND.md as JSON. Pure.
+#pragma once
+
+#include "primrosehead.pb.h"
+
+#include <primrosehead/clock.h>
+#include <primrosehead/error.h>
+
+#include <string>
+#include <string_view>
+
+namespace primrosehead::gateway_wire {
+
+struct message {
+    std::string target;
+    std::string body;
+};
+
+// Whether an answer must repeat the request's id. `unchecked` is for tests only.
+enum class answer_check { by_id, unchecked };
+
+// What an answer turned out to be.
+struct answer {
+    result<pb::backend_reply> outcome;
+    bool is_whole = false; // else the connection can't be used again
+};
+
+// `error_kind::bad_request` when the statement is not JSON.
+[[nodiscard]] result<message> encode(const pb::backend_request& request, clock::duration time_left);
+
+// Reads an answer. One that is cut, lacks a field or has another id is not whole: whether the
+// request ran is then unknown.
+[[nodiscard]] answer decode(const pb::backend_request& request, unsigned status,
+                            std::string_view body, answer_check check);
+
+} // namespace primrosehead::gateway_wire
