--- /dev/null
+++ b/src/entry_allowances.h
@@ -0,0 +1,53 @@
+// The allowances of all organisations at one entry instance, for many threads.
+#pragma once
+
+#include <primrosehead/clock.h>
+#include <primrosehead/limits.h>
+#include <primrosehead/names.h>
+
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <span>
+#include <unordered_map>
+
+namespace primrosehead::pb {
+class allowance_grant;
+class heartbeat;
+class heartbeat_reply;
+} // namespace primrosehead::pb
+
+namespace primrosehead {
+
+struct environment;
+
+class entry_allowances {
+  public:
+    // What became of one request's admission.
+    struct admission {
+        bool admitted = false;
+        bool is_low = false; // a heartbeat should ask for more now
+        clock::duration retry_after{0};
+    };
+
+    // Takes over the contracts of a document; those that left it are dropped.
+    void change(const environment& document, std::uint32_t instances, clock::time_point now);
+
+    // Takes one request's tokens. An organisation without a contract is admitted.
+    [[nodiscard]] admission take(const organisation_name& organisation, clock::time_point now);
+
+    void report(pb::heartbeat& into, clock::time_point now);
+    void granted(const pb::heartbeat_reply& reply, clock::time_point now);
+
+  private:
+    struct account {
+        std::mutex guard;
+        limits::allowance tokens;
+        account(limits::contract terms, clock::time_point now) : tokens(terms, now) {}
+    };
+
+    std::shared_mutex guard_;
+    std::unordered_map<organisation_name, std::unique_ptr<account>> accounts_;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/entry_follower.h
@@ -0,0 +1,99 @@
+// An entry instance's session with the control leader: heartbeats out; leases, grants, the state and
+// the directory of backend servers in. It runs on the bus's thread.
+#pragma once
+
+#include "entry_view.h"
+
+#include <primrosehead/bus.h>
+#include <primrosehead/clock.h>
+#include <primrosehead/lease.h>
+#include <primrosehead/rcu.h>
+#include <primrosehead/settings.h>
+#include <primrosehead/state_view.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace primrosehead::pb {
+class envelope;
+class heartbeat_reply;
+} // namespace primrosehead::pb
+
+namespace primrosehead {
+
+class entry_allowances;
+class gateway;
+
+class entry_follower {
+  public:
+    entry_follower(const entry_settings& settings, std::uint64_t incarnation, bus& messages,
+                   gateway& servers, entry_allowances& allowances);
+
+    // Sends what is due. Called on the bus's thread every few milliseconds.
+    void tick(clock::time_point now);
+
+    // A `beat_reply`. The bus's thread.
+    void receive(const pb::envelope& message, clock::time_point now);
+
+    // Asks for a heartbeat before the next is due, because tokens run low. Any thread.
+    void ask_soon() noexcept { asked_soon_.store(true, std::memory_order_relaxed); }
+
+    // Tells the control leader that this instance is leaving. Any thread.
+    void leave() noexcept { leaving_.store(true); }
+
+    // Reads the present view: `use(const entry_view&)`. Any thread.
+    template <class Use>
+    decltype(auto) read(Use&& use) const
+    {
+        return view_.read(std::forward<Use>(use));
+    }
+
+    // Whether a write may be acknowledged now. Any thread.
+    [[nodiscard]] bool holds_lease(clock::time_point now) const noexcept;
+
+    // How long ago the key table was last confirmed. Any thread.
+    [[nodiscard]] clock::duration keys_age(clock::time_point now) const noexcept;
+
+    // True once a production document is known. Any thread.
+    [[nodiscard]] bool is_ready() const noexcept { return ready_.load(); }
+
+    [[nodiscard]] std::uint64_t version() const noexcept { return version_.load(); }
+
+  private:
+    void send_heartbeat(clock::time_point now);
+    void take_state(const pb::heartbeat_reply& reply, clock::time_point now);
+    void take_directory(const pb::heartbeat_reply& reply, clock::time_point now);
+    void choose_other_leader();
+    void follow_hint(const std::string& endpoint);
+    void publish(clock::time_point now);
+
+    const entry_settings& settings_;
+    std::uint64_t incarnation_;
+    bus& messages_;
+    gateway& servers_;
+    entry_allowances& allowances_;
+
+    state_view state_;
+    rcu_cell<entry_view> view_;
+    std::string leader_;
+    std::size_t next_control_ = 0;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t answered_ = 0;
+    std::uint64_t control_term_ = 0;
+    clock::time_point last_sent_{};
+    clock::time_point last_answer_{};
+    clock::time_point last_report_{};
+    bool confirm_ = false; // the leader waits to hear that a new version was taken in
+
+    std::atomic<std::int64_t> lease_until_ms_ = 0;
+    std::atomic<std::int64_t> confirmed_at_ms_ = 0;
+    std::atomic<std::uint64_t> version_ = 0;
+    std::atomic<bool> ready_ = false;
+    std::atomic<bool> asked_soon_ = false;
+    std::atomic<bool> leaving_ = false;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/entry_instance.cpp
@@ -0,0 +1,260 @@
+#include "entry_allowances.h"
+#include "entry_announcements.h"
+#include "entry_answer.h"
+#include "entry_follower.h"
+#include "entry_pipeline.h"
+
+#include <primrosehead/bus.h>
+#include <primrosehead/entry.h>
+#include <primrosehead/gateway.h>
+#include <primrosehead/http.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+#include "primrosehead.pb.h"
+
+namespace primrosehead {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr clock::duration bus_turn{5};
+constexpr std::chrono::milliseconds leave_notice{1'000}; // for the balancer to see /readyz
+constexpr std::chrono::milliseconds drain_turn{20};
+
+std::uint64_t new_incarnation()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+}
+
+http::response plain_answer(unsigned status, std::string_view text)
+{
+    http::response answer;
+    answer.status = status;
+    answer.content_type = "text/plain";
+    answer.body = text;
+    return answer;
+}
+
+} // namespace
+
+struct entry_instance::implementation {
+    explicit implementation(const entry_settings& with) : settings(with) {}
+
+    status open();
+    void run();
+    net::awaitable<http::response> serve_caller(const http::request& received);
+    net::awaitable<http::response> serve_server(const http::request& received);
+    net::awaitable<void> drain();
+    void run_bus();
+    void receive(const bus_origin& origin, const pb::envelope& message);
+    [[nodiscard]] std::string metrics_text() const;
+
+    const entry_settings settings;
+    const std::uint64_t incarnation = new_incarnation();
+    net::io_context context;
+    std::unique_ptr<bus> messages;
+    std::shared_ptr<gateway> servers;
+    entry_allowances allowances;
+    std::unique_ptr<entry_follower> follower;
+    std::unique_ptr<entry_pipeline> pipeline;
+    std::shared_ptr<http::listener> callers;
+    std::shared_ptr<http::listener> announcements;
+    std::atomic<bool> draining = false;
+    std::atomic<bool> stopped = false;
+};
+
+status entry_instance::implementation::open()
+{
+    result<std::unique_ptr<bus>> opened = bus::open(settings.bus_endpoint, settings.bus_key);
+    if (!ok(opened)) {
+        return failure(opened);
+    }
+    messages = std::move(value(opened));
+    gateway_settings for_gateway;
+    for_gateway.cell = settings.cell;
+    for_gateway.instance = settings.instance;
+    for_gateway.failure_domain = settings.failure_domain;
+    servers = gateway::create(context.get_executor(), for_gateway, *messages);
+    follower = std::make_unique<entry_follower>(settings, incarnation, *messages, *servers, allowances);
+    pipeline =
+        std::make_unique<entry_pipeline>(settings, incarnation, *servers, *follower, allowances);
+    http::listener_settings for_callers;
+    for_callers.address = settings.listen;
+    for_callers.max_connections = settings.max_connections;
+    for_callers.header_timeout = settings.header_timeout;
+    for_callers.tls = settings.tls;
+    auto callers_opened =
+        http::listener::open(context.get_executor(), for_callers,
+                             [this](const http::request& received) { return serve_caller(received); });
+    if (!ok(callers_opened)) {
+        return failure(callers_opened);
+    }
+    callers = value(callers_opened);
+    http::listener_settings for_servers;
+    for_servers.address = settings.announce_listen;
+    auto servers_opened =
+        http::listener::open(context.get_executor(), for_servers,
+                             [this](const http::request& received) { return serve_server(received); });
+    if (!ok(servers_opened)) {
+        return failure(servers_opened);
+    }
+    announcements = value(servers_opened);
+    return std::monostate{};
+}
+
+net::awaitable<http::response>
+entry_instance::implementation::serve_caller(const http::request& received)
+{
+    if (received.method == "GET" && received.target == "/healthz") {
+        co_return plain_answer(200, "ok\n");
+    }
+    if (received.method == "GET" && received.target == "/readyz") {
+        const bool ready = follower->is_ready() && !draining.load();
+        co_return ready ? plain_answer(200, "ready\n") : plain_answer(503, "not ready\n");
+    }
+    if (received.method == "GET" && received.target == "/metrics") {
+        co_return plain_answer(200, metrics_text());
+    }
+    http::response answer = co_await pipeline->handle(received);
+    answer.close = draining.load();
+    co_return answer;
+}
+
+net::awaitable<http::response>
+entry_instance::implementation::serve_server(const http::request& received)
+{
+    if (received.method != "POST" || received.target != "/v1/announcements") {
+        co_return plain_answer(404, "Post announcements to /v1/announcements.\n");
+    }
+    const result<pb::server_report> report = parse_announcement(received.body);
+    if (!ok(report)) {
+        spdlog::warn("entry: Refused an announcement. {}", describe(failure(report)));
+        co_return problem_answer(failure(report), settings.instance.text());
+    }
+    servers->heard(value(report), clock::now());
+    co_return plain_answer(204, "");
+}
+
+std::string entry_instance::implementation::metrics_text() const
+{
+    const gateway_stats stats = servers->stats();
+    std::string text;
+    const auto line = [&](std::string_view name, std::uint64_t number) {
+        text += "primrose_" + std::string(name) + " " + std::to_string(number) + "\n";
+    };
+    line("gateway_run_here_total", stats.run_here);
+    line("gateway_forwarded_total", stats.forwarded);
+    line("gateway_received_total", stats.received);
+    line("gateway_connections_opened_total", stats.connections_opened);
+    line("gateway_connections_open", stats.connections_open);
+    line("gateway_queued", stats.queued);
+    line("gateway_refused_total", stats.refused);
+    line("caller_connections", callers->connections());
+    line("state_version", follower->version());
+    return text;
+}
+
+void entry_instance::implementation::receive(const bus_origin& origin, const pb::envelope& message)
+{
+    switch (message.body_case()) {
+    case pb::envelope::kBeatReply:
+        follower->receive(message, clock::now());
+        break;
+    case pb::envelope::kBackend:
+    case pb::envelope::kBackendAnswer:
+        servers->receive(origin, message);
+        break;
+    default:
+        spdlog::warn("entry: Dropped a message from {} that is not for entry instances.",
+                     message.from());
+    }
+}
+
+void entry_instance::implementation::run_bus()
+{
+    while (!stopped.load()) {
+        follower->tick(clock::now());
+        messages->poll(bus_turn, [this](const bus_origin& origin, const pb::envelope& message) {
+            receive(origin, message);
+        });
+    }
+}
+
+net::awaitable<void> entry_instance::implementation::drain()
+{
+    spdlog::info("entry: Leaving. No new work is taken.");
+    draining.store(true);
+    follower->leave();
+    net::steady_timer timer(context);
+    timer.expires_after(leave_notice);
+    co_await timer.async_wait(net::use_awaitable);
+    callers->drain();
+    servers->drain();
+    const clock::time_point limit = clock::now() + settings.drain_timeout;
+    while (clock::now() < limit && !(callers->is_idle() && servers->is_idle())) {
+        timer.expires_after(drain_turn);
+        co_await timer.async_wait(net::use_awaitable);
+    }
+    spdlog::info("entry: Stopped with {} connections left.", callers->connections());
+    context.stop();
+}
+
+void entry_instance::implementation::run()
+{
+    net::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([this](const boost::system::error_code& failed, int) {
+        if (!failed) {
+            net::co_spawn(context, drain(), net::detached);
+        }
+    });
+    spdlog::info("entry: Instance {} of cell {} serves {}.", settings.instance.text(),
+                 settings.cell.text(), settings.listen);
+    std::thread bus_thread([this] { run_bus(); });
+    std::vector<std::thread> pool;
+    for (std::uint32_t i = 1; i < settings.threads; ++i) {
+        pool.emplace_back([this] { context.run(); });
+    }
+    context.run();
+    for (std::thread& thread : pool) {
+        thread.join();
+    }
+    stopped.store(true);
+    bus_thread.join();
+}
+
+entry_instance::entry_instance(std::unique_ptr<implementation> body) : body_(std::move(body)) {}
+entry_instance::~entry_instance() = default;
+
+result<std::unique_ptr<entry_instance>> entry_instance::open(const entry_settings& settings)
+{
+    auto body = std::make_unique<implementation>(settings);
+    const status opened = body->open();
+    if (!ok(opened)) {
+        return failure(opened);
+    }
+    return std::unique_ptr<entry_instance>(new entry_instance(std::move(body)));
+}
+
+void entry_instance::run()
+{
+    body_->run();
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/entry_pipeline.cpp
@@ -0,0 +1,551 @@
+#include "entry_pipeline.h"
+
+#include "entry_allowances.h"
+#include "entry_answer.h"
+#include "entry_follower.h"
+#include "seal.h"
+
+#include <primrosehead/config.h>
+#include <primrosehead/gateway.h>
+#include <primrosehead/routing.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+#include <xxhash.h>
+
+#include <random>
+
+namespace primrosehead {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr std::string_view ticket_prefix = "t1.";
+constexpr std::string_view public_organisation = "public"; // callers without a key
+constexpr std::string_view bearer_prefix = "Bearer ";
+constexpr clock::duration grant_wait{3};      // for the answer to a heartbeat
+constexpr int grant_waits = 4;                // before a refusal is final
+constexpr clock::duration confirm_pause{5};   // between looks at the lease
+constexpr clock::duration catch_up_time{100}; // for a state version that a caller has seen
+constexpr clock::duration term_change_time{200};
+constexpr double retry_reserve = 10; // retries that a quiet instance may make
+
+routing::random_engine& random_of_thread()
+{
+    thread_local routing::random_engine engine(std::random_device{}());
+    return engine;
+}
+
+net::awaitable<void> pause(clock::duration time)
+{
+    net::steady_timer timer(co_await net::this_coro::executor, std::chrono::milliseconds(time));
+    co_await timer.async_wait(net::use_awaitable);
+}
+
+error make_error(error_kind kind, std::string message, std::string remedy,
+                 clock::duration retry_after = clock::duration(0))
+{
+    return error{kind, std::move(message), std::move(remedy), ran::no, retry_after};
+}
+
+std::string_view bearer_of(const http::request& received)
+{
+    const std::string_view value = received.header_value("Authorization");
+    return value.starts_with(bearer_prefix) ? value.substr(bearer_prefix.size()) : value;
+}
+
+stage stage_of(const http::request& received)
+{
+    return received.header_value("Primrose-Stage") == "trial" ? stage::trial : stage::production;
+}
+
+bool serves(const route_settings& route, const organisation_name& organisation)
+{
+    const auto& allowed = route.organisations;
+    return allowed.empty() || std::find(allowed.begin(), allowed.end(), organisation) != allowed.end();
+}
+
+// Names an idempotent request for the database: never the caller's own text.
+std::string idempotency_id_of(const call_context& call, std::string_view key)
+{
+    const std::string text = call.organisation.text() + '\n' + call.route.name.text() + '\n' +
+                             std::string(key);
+    const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+    std::array<char, 33> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
+                  static_cast<unsigned long long>(hash.high64),
+                  static_cast<unsigned long long>(hash.low64));
+    return digits.data();
+}
+
+} // namespace
+
+entry_pipeline::entry_pipeline(const entry_settings& settings, std::uint64_t incarnation,
+                               gateway& servers, entry_follower& follower,
+                               entry_allowances& allowances)
+    : settings_(settings), incarnation_(incarnation), servers_(servers), follower_(follower),
+      allowances_(allowances), budget_(policy_settings().retry_share, retry_reserve)
+{
+}
+
+std::string entry_pipeline::next_request_id()
+{
+    return settings_.instance.text() + "-" + std::to_string(incarnation_) + "-" +
+           std::to_string(next_request_.fetch_add(1));
+}
+
+net::awaitable<http::response> entry_pipeline::handle(const http::request& received)
+{
+    const std::string request_id = next_request_id();
+    co_return co_await dispatch(received, request_id);
+}
+
+net::awaitable<http::response> entry_pipeline::dispatch(const http::request& received,
+                                                        const std::string& request_id)
+{
+    const call_target target = parse_target(received.target);
+    if (target.kind == call_kind::unknown || received.method != "POST") {
+        error refused = make_error(error_kind::bad_request,
+                                   received.method + " " + received.target + " is not served.",
+                                   "docs/API.md lists the requests.");
+        co_return problem_answer(refused, request_id);
+    }
+    if (target.kind == call_kind::statement) {
+        co_return co_await run_statement(received, request_id);
+    }
+    if (target.kind == call_kind::begin) {
+        co_return co_await begin(received, request_id);
+    }
+    co_return co_await run_in_transaction(received, target, request_id);
+}
+
+status entry_pipeline::authorise(const http::request& received, const entry_view& view,
+                                 call_context& call) const
+{
+    const std::string_view bearer = bearer_of(received);
+    if (bearer.empty() && call.route.open) {
+        call.organisation = organisation_name(public_organisation);
+        return std::monostate{};
+    }
+    if (follower_.keys_age(clock::now()) > call.policy.key_bound) {
+        return make_error(error_kind::stale_keys,
+                          "This instance can't confirm that keys are still valid.",
+                          "Use a route open to all, another instance, or come back.",
+                          call.policy.key_bound);
+    }
+    result<organisation_name> known = view.keys().verify(bearer);
+    if (!ok(known)) {
+        return failure(known);
+    }
+    call.organisation = value(known);
+    if (!call.route.open && !serves(call.route, call.organisation)) {
+        return make_error(error_kind::forbidden,
+                          "Route " + call.route.name.text() + " does not serve this organisation.",
+                          "Use a key of an organisation that the route names.");
+    }
+    return std::monostate{};
+}
+
+status entry_pipeline::read_session(const http::request& received, call_context& call) const
+{
+    const std::string_view token = received.header_value("Primrose-Session");
+    if (token.empty()) {
+        return std::monostate{};
+    }
+    result<session> opened = session::open(token, settings_.session_secret);
+    if (!ok(opened)) {
+        return failure(opened);
+    }
+    call.seen = std::move(value(opened));
+    call.minimum = call.seen.seen(call.route.database);
+    switch (standing_of(call.minimum, call.group.begins)) {
+    case standing::kept:
+        return std::monostate{};
+    case standing::lost:
+        return make_error(error_kind::session_write_lost,
+                          "A change of primary lost a write that this session has seen.",
+                          "Begin a new session, read again and decide what to repeat.");
+    case standing::unknown:
+        break;
+    }
+    return make_error(error_kind::behind, "This instance has not heard of the session's term yet.",
+                      "Come back soon or use another instance.", catch_up_time);
+}
+
+result<call_context> entry_pipeline::prepare(const http::request& received,
+                                             const caller_request& asked,
+                                             const std::string& request_id) const
+{
+    call_context call;
+    call.request_id = request_id;
+    call.which = stage_of(received);
+    const status prepared = follower_.read([&](const entry_view& view) -> status {
+        const environment* const document = view.document(call.which);
+        if (document == nullptr) {
+            return make_error(error_kind::no_replica, "This instance has no environment yet.",
+                              "Come back soon; operators: promote an environment.", catch_up_time);
+        }
+        const route_settings* const route = document->find(asked.route);
+        if (route == nullptr) {
+            return make_error(error_kind::unknown_route,
+                              "There is no route " + asked.route.text() + ".",
+                              "Use a route of the environment's document.");
+        }
+        const database_settings* const database = document->find(asked.database);
+        if (database == nullptr || route->database != asked.database) {
+            return make_error(error_kind::unknown_database,
+                              "Route " + asked.route.text() + " is not of database " +
+                                  asked.database.text() + ".",
+                              "Name the database that the route belongs to.");
+        }
+        call.route = *route;
+        call.policy = document->policies;
+        call.durability = database->durability;
+        if (const group_term* const group = view.group(asked.database)) {
+            call.group = *group;
+        }
+        const status allowed = authorise(received, view, call);
+        if (!ok(allowed)) {
+            return allowed;
+        }
+        if (const organisation_settings* const contract = document->find(call.organisation)) {
+            call.weight = contract->weight;
+        }
+        return read_session(received, call);
+    });
+    if (!ok(prepared)) {
+        return failure(prepared);
+    }
+    const clock::duration wanted = asked.timeout.value_or(call.route.timeout);
+    call.deadline = clock::now() + std::min(wanted, call.route.timeout);
+    call.max_age = call.route.max_age;
+    if (asked.max_age) {
+        call.max_age = call.max_age.count() == 0 ? *asked.max_age
+                                                 : std::min(*asked.max_age, call.max_age);
+    }
+    const std::string_view key = received.header_value("Idempotency-Key");
+    if (key.size() > config::max_idempotency_key_bytes) {
+        return make_error(error_kind::bad_request, "The Idempotency-Key is too long.",
+                          "Send at most 128 bytes.");
+    }
+    if (!key.empty()) {
+        call.idempotency_id = idempotency_id_of(call, key);
+    }
+    return call;
+}
+
+// Waits for the answers to a few heartbeats when this instance has no tokens left, then refuses.
+net::awaitable<status> entry_pipeline::admit(const call_context& call)
+{
+    entry_allowances::admission outcome = allowances_.take(call.organisation, clock::now());
+    for (int i = 0; i < grant_waits && !outcome.admitted; ++i) {
+        follower_.ask_soon();
+        co_await pause(grant_wait);
+        outcome = allowances_.take(call.organisation, clock::now());
+    }
+    if (outcome.is_low) {
+        follower_.ask_soon();
+    }
+    if (outcome.admitted) {
+        co_return std::monostate{};
+    }
+    co_return make_error(error_kind::rate_limited,
+                         "Organisation " + call.organisation.text() +
+                             " is above its rate and burst.",
+                         "Come back after retry_after_ms.", outcome.retry_after);
+}
+
+result<std::string> entry_pipeline::choose(const call_context& call,
+                                           const std::vector<server_name>& tried)
+{
+    const std::vector<server_info> group = servers_.group(call.route.database);
+    const clock::time_point now = clock::now();
+    result<routing::choice> chosen = [&]() -> result<routing::choice> {
+        if (call.route.access == access::write) {
+            return routing::choose_write(group, call.group.primary, now);
+        }
+        routing::read_request read;
+        read.minimum = call.minimum;
+        read.max_age = call.max_age;
+        read.here = settings_.failure_domain;
+        read.tried = tried;
+        read.primary = call.group.primary;
+        return routing::choose_read(group, read, call.policy, now, random_of_thread());
+    }();
+    if (!ok(chosen)) {
+        spdlog::info("route: {} of {} on {}: none. {}", call.request_id, call.organisation.text(),
+                     call.route.database.text(), failure(chosen).message);
+        return failure(chosen);
+    }
+    spdlog::info("route: {} of {} on {}: {}. {}.", call.request_id, call.organisation.text(),
+                 call.route.database.text(), value(chosen).server.text(), value(chosen).reason);
+    return value(chosen).server.text();
+}
+
+retry_decision entry_pipeline::again(const call_context& call, const error& failed,
+                                     std::uint32_t tries)
+{
+    attempt last;
+    last.failure = failed.kind;
+    last.ran = failed.ran;
+    last.repeatable = call.route.repeatable || call.route.access == access::read ||
+                      !call.idempotency_id.empty();
+    last.tries = tries;
+    last.now = clock::now();
+    last.deadline = call.deadline;
+    const std::lock_guard lock(budget_guard_);
+    return decide_retry(last, budget_);
+}
+
+net::awaitable<entry_pipeline::reply_result>
+entry_pipeline::run_with_retries(call_context& call, pb::backend_request& work)
+{
+    std::vector<server_name> tried;
+    {
+        const std::lock_guard lock(budget_guard_);
+        budget_.first_try();
+    }
+    for (std::uint32_t tries = 1;; ++tries) {
+        result<std::string> server = choose(call, tried);
+        if (!ok(server)) {
+            co_return failure(server);
+        }
+        work.set_server(value(server));
+        pb::backend_request sent = work;
+        reply_result outcome = co_await servers_.run(std::move(sent), call.deadline);
+        if (ok(outcome)) {
+            co_return outcome;
+        }
+        const error& failed = failure(outcome);
+        spdlog::info("route: {} failed on {}. {}", call.request_id, value(server),
+                     describe(failed));
+        if (again(call, failed, tries) != retry_decision::again) {
+            co_return outcome;
+        }
+        tried.emplace_back(value(server));
+    }
+}
+
+// An acknowledgement leaves only while the lease holds and the term that ran the write is the
+// present one.
+net::awaitable<status> entry_pipeline::confirm_write(const call_context& call, std::uint64_t term)
+{
+    while (true) {
+        const clock::time_point now = clock::now();
+        const std::uint64_t present = follower_.read([&](const entry_view& view) {
+            const group_term* const group = view.group(call.route.database);
+            return group == nullptr || group->primary.empty() ? 0 : group->term;
+        });
+        if (present != term) {
+            co_return error{error_kind::wrong_term,
+                            "The primary was replaced while the write ran.",
+                            "Read whether the write is there, or resend it with its "
+                            "Idempotency-Key.",
+                            ran::unknown, term_change_time};
+        }
+        if (follower_.holds_lease(now)) {
+            co_return std::monostate{};
+        }
+        if (now >= call.deadline) {
+            co_return error{error_kind::timed_out,
+                            "The write ran, but this instance can't confirm its primary's term.",
+                            "Read whether the write is there, or resend it with its "
+                            "Idempotency-Key.",
+                            ran::unknown, term_change_time};
+        }
+        co_await pause(confirm_pause);
+    }
+}
+
+net::awaitable<http::response> entry_pipeline::finish(call_context& call,
+                                                      const reply_result& outcome, bool wrote,
+                                                      const std::string& transaction)
+{
+    if (!ok(outcome)) {
+        co_return problem_answer(failure(outcome), call.request_id);
+    }
+    const pb::backend_reply& reply = value(outcome);
+    const log_position at{reply.at().term(), reply.at().index()};
+    if (wrote) {
+        const status confirmed = co_await confirm_write(call, at.term);
+        if (!ok(confirmed)) {
+            co_return problem_answer(failure(confirmed), call.request_id);
+        }
+    }
+    const status advanced = call.seen.advance(call.route.database, at);
+    if (!ok(advanced)) {
+        error refused = failure(advanced);
+        refused.ran = wrote ? ran::unknown : ran::no;
+        co_return problem_answer(refused, call.request_id);
+    }
+    co_return success_answer(reply, transaction, call.seen.seal(settings_.session_secret),
+                             call.request_id);
+}
+
+net::awaitable<http::response> entry_pipeline::run_statement(const http::request& received,
+                                                             const std::string& request_id)
+{
+    result<caller_request> asked = parse_caller_request(received.body, body_kind::statement);
+    if (!ok(asked)) {
+        co_return problem_answer(failure(asked), request_id);
+    }
+    result<call_context> prepared = prepare(received, value(asked), request_id);
+    if (!ok(prepared)) {
+        co_return problem_answer(failure(prepared), request_id);
+    }
+    call_context& call = value(prepared);
+    const status admitted = co_await admit(call);
+    if (!ok(admitted)) {
+        co_return problem_answer(failure(admitted), request_id);
+    }
+    const bool writes = call.route.access == access::write;
+    pb::backend_request work;
+    work.set_request_id(request_id);
+    work.set_organisation(call.organisation.text());
+    work.set_database(call.route.database.text());
+    work.set_operation(pb::BACKEND_EXECUTE);
+    work.set_statement(value(asked).statement);
+    work.set_write(writes);
+    work.set_term(call.group.term);
+    work.mutable_minimum()->set_term(call.minimum.term);
+    work.mutable_minimum()->set_index(call.minimum.index);
+    work.set_durability(call.durability == durability::replica ? "replica" : "primary");
+    work.set_weight(call.weight);
+    if (writes) {
+        work.set_idempotency_id(call.idempotency_id);
+    }
+    const reply_result outcome = co_await run_with_retries(call, work);
+    const std::string no_transaction;
+    co_return co_await finish(call, outcome, writes, no_transaction);
+}
+
+net::awaitable<http::response> entry_pipeline::begin(const http::request& received,
+                                                     const std::string& request_id)
+{
+    result<caller_request> asked = parse_caller_request(received.body, body_kind::begin);
+    if (!ok(asked)) {
+        co_return problem_answer(failure(asked), request_id);
+    }
+    result<call_context> prepared = prepare(received, value(asked), request_id);
+    if (!ok(prepared)) {
+        co_return problem_answer(failure(prepared), request_id);
+    }
+    call_context& call = value(prepared);
+    const bool writes = value(asked).mode == access::write;
+    if (writes && call.route.access == access::read) {
+        const error refused = make_error(error_kind::forbidden,
+                                         "Route " + call.route.name.text() + " is for reading.",
+                                         "Begin the transaction on a route for writing.");
+        co_return problem_answer(refused, request_id);
+    }
+    const status admitted = co_await admit(call);
+    if (!ok(admitted)) {
+        co_return problem_answer(failure(admitted), request_id);
+    }
+    call.route.access = writes ? access::write : access::read;
+    pb::backend_request work;
+    work.set_request_id(request_id);
+    work.set_organisation(call.organisation.text());
+    work.set_database(call.route.database.text());
+    work.set_operation(pb::BACKEND_BEGIN);
+    work.set_write(writes);
+    work.set_term(call.group.term);
+    work.mutable_minimum()->set_term(call.minimum.term);
+    work.mutable_minimum()->set_index(call.minimum.index);
+    work.set_weight(call.weight);
+    const reply_result outcome = co_await run_with_retries(call, work);
+    std::string transaction;
+    if (ok(outcome)) {
+        pb::transaction_ticket ticket;
+        ticket.set_handle(value(outcome).transaction());
+        ticket.set_organisation(call.organisation.text());
+        ticket.set_database(call.route.database.text());
+        ticket.set_route(call.route.name.text());
+        ticket.set_write(writes);
+        ticket.set_term(value(outcome).at().term());
+        ticket.set_trial(call.which == stage::trial);
+        transaction = seal(ticket_prefix, ticket.SerializeAsString(), settings_.session_secret);
+    }
+    const bool acknowledges = false;
+    co_return co_await finish(call, outcome, acknowledges, transaction);
+}
+
+result<pb::transaction_ticket> entry_pipeline::open_ticket(const http::request& received,
+                                                           std::string_view text) const
+{
+    const auto bytes = unseal(ticket_prefix, text, settings_.session_secret);
+    pb::transaction_ticket ticket;
+    if (!bytes || !ticket.ParseFromString(*bytes)) {
+        return make_error(error_kind::unknown_transaction, "There is no such transaction.",
+                          "Use the id that beginning the transaction answered.");
+    }
+    const bool trial = stage_of(received) == stage::trial;
+    if (trial != ticket.trial()) {
+        return make_error(error_kind::unknown_transaction,
+                          "The transaction was begun in another stage.",
+                          "Send the Primrose-Stage header of its beginning.");
+    }
+    return ticket;
+}
+
+net::awaitable<http::response> entry_pipeline::run_in_transaction(const http::request& received,
+                                                                  const call_target& target,
+                                                                  const std::string& request_id)
+{
+    const bool is_statement = target.kind == call_kind::transaction_statement;
+    result<caller_request> asked = parse_caller_request(
+        received.body, is_statement ? body_kind::statement_in_transaction : body_kind::end);
+    if (!ok(asked)) {
+        co_return problem_answer(failure(asked), request_id);
+    }
+    result<pb::transaction_ticket> opened = open_ticket(received, target.transaction);
+    if (!ok(opened)) {
+        co_return problem_answer(failure(opened), request_id);
+    }
+    const pb::transaction_ticket& ticket = value(opened);
+    value(asked).database = database_name(ticket.database());
+    value(asked).route = route_name(ticket.route());
+    result<call_context> prepared = prepare(received, value(asked), request_id);
+    if (!ok(prepared)) {
+        co_return problem_answer(failure(prepared), request_id);
+    }
+    call_context& call = value(prepared);
+    if (call.organisation.text() != ticket.organisation()) {
+        const error refused =
+            make_error(error_kind::forbidden, "The transaction belongs to another organisation.",
+                       "Use the key that began it.");
+        co_return problem_answer(refused, request_id);
+    }
+    if (is_statement) {
+        const status admitted = co_await admit(call);
+        if (!ok(admitted)) {
+            co_return problem_answer(failure(admitted), request_id);
+        }
+    }
+    pb::backend_request work;
+    work.set_request_id(request_id);
+    work.set_organisation(call.organisation.text());
+    work.set_database(ticket.database());
+    work.set_transaction(ticket.handle());
+    work.set_write(ticket.write());
+    work.set_term(ticket.term());
+    work.set_durability(call.durability == durability::replica ? "replica" : "primary");
+    work.set_weight(call.weight);
+    const bool commits = target.kind == call_kind::commit;
+    work.set_operation(is_statement ? pb::BACKEND_EXECUTE
+                                    : (commits ? pb::BACKEND_COMMIT : pb::BACKEND_ROLLBACK));
+    work.set_statement(value(asked).statement);
+    if (commits && ticket.write()) {
+        work.set_idempotency_id(call.idempotency_id);
+    }
+    const reply_result outcome = co_await servers_.run(std::move(work), call.deadline);
+    spdlog::info("route: {} of {} on {}: pinned connection. {}.", request_id,
+                 call.organisation.text(), ticket.database(), ok(outcome) ? "done" : "failed");
+    const std::string no_transaction;
+    co_return co_await finish(call, outcome, commits && ticket.write(), no_transaction);
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/entry_pipeline.h
@@ -0,0 +1,99 @@
+// A caller's request from its arrival to its answer: who asks, may they, which server, was it
+// confirmed.
+#pragma once
+
+#include "entry_request.h"
+#include "entry_view.h"
+
+#include <primrosehead/clock.h>
+#include <primrosehead/error.h>
+#include <primrosehead/http.h>
+#include <primrosehead/retry.h>
+#include <primrosehead/session.h>
+#include <primrosehead/settings.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+#include "primrosehead.pb.h"
+
+namespace primrosehead {
+
+class entry_allowances;
+class entry_follower;
+class gateway;
+
+// One request under way.
+struct call_context {
+    std::string request_id;
+    stage which = stage::production;
+    route_settings route;
+    policy_settings policy;
+    enum durability durability = durability::replica;
+    organisation_name organisation;
+    std::uint32_t weight = 1;
+    group_term group;
+    session seen;
+    log_position minimum;
+    clock::duration max_age{0};
+    clock::time_point deadline;
+    std::string idempotency_id;
+};
+
+class entry_pipeline {
+  public:
+    entry_pipeline(const entry_settings& settings, std::uint64_t incarnation, gateway& servers,
+                   entry_follower& follower, entry_allowances& allowances);
+
+    [[nodiscard]] boost::asio::awaitable<http::response> handle(const http::request& received);
+
+  private:
+    using reply_result = result<pb::backend_reply>;
+
+    boost::asio::awaitable<http::response> dispatch(const http::request& received,
+                                                    const std::string& request_id);
+    boost::asio::awaitable<http::response> run_statement(const http::request& received,
+                                                         const std::string& request_id);
+    boost::asio::awaitable<http::response> begin(const http::request& received,
+                                                 const std::string& request_id);
+    boost::asio::awaitable<http::response> run_in_transaction(const http::request& received,
+                                                              const call_target& target,
+                                                              const std::string& request_id);
+
+    // Authenticates, authorises and reads the session; no token is taken yet.
+    [[nodiscard]] result<call_context> prepare(const http::request& received,
+                                               const caller_request& asked,
+                                               const std::string& request_id) const;
+    [[nodiscard]] status authorise(const http::request& received, const entry_view& view,
+                                   call_context& call) const;
+    [[nodiscard]] status read_session(const http::request& received, call_context& call) const;
+    boost::asio::awaitable<status> admit(const call_context& call);
+
+    boost::asio::awaitable<reply_result> run_with_retries(call_context& call,
+                                                          pb::backend_request& work);
+    [[nodiscard]] result<std::string> choose(const call_context& call,
+                                             const std::vector<server_name>& tried);
+    boost::asio::awaitable<status> confirm_write(const call_context& call, std::uint64_t term);
+    boost::asio::awaitable<http::response> finish(call_context& call, const reply_result& outcome,
+                                                  bool wrote, const std::string& transaction);
+    [[nodiscard]] retry_decision again(const call_context& call, const error& failed,
+                                       std::uint32_t tries);
+    [[nodiscard]] result<pb::transaction_ticket> open_ticket(const http::request& received,
+                                                             std::string_view text) const;
+    [[nodiscard]] std::string next_request_id();
+
+    const entry_settings& settings_;
+    std::uint64_t incarnation_;
+    gateway& servers_;
+    entry_follower& follower_;
+    entry_allowances& allowances_;
+    std::atomic<std::uint64_t> next_request_ = 1;
+    std::mutex budget_guard_;
+    retry_budget budget_;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/entry_request.cpp
@@ -0,0 +1,189 @@
+#include "entry_request.h"
+
+#include <primrosehead/config.h>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <span>
+
+namespace primrosehead {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::array statement_members{std::string_view("database"), std::string_view("route"),
+                                       std::string_view("statement"),
+                                       std::string_view("max_age_ms"),
+                                       std::string_view("timeout_ms")};
+constexpr std::array begin_members{std::string_view("database"), std::string_view("route"),
+                                   std::string_view("mode"), std::string_view("timeout_ms")};
+constexpr std::array inner_members{std::string_view("statement"), std::string_view("timeout_ms")};
+constexpr std::array end_members{std::string_view("timeout_ms")};
+constexpr std::string_view statements_path = "/v1/statements";
+constexpr std::string_view transactions_path = "/v1/transactions";
+
+error refused(std::string message, std::string remedy)
+{
+    return error{error_kind::bad_request, std::move(message), std::move(remedy)};
+}
+
+std::span<const std::string_view> members_of(body_kind kind)
+{
+    switch (kind) {
+    case body_kind::statement:
+        return statement_members;
+    case body_kind::begin:
+        return begin_members;
+    case body_kind::statement_in_transaction:
+        return inner_members;
+    case body_kind::end:
+        break;
+    }
+    return end_members;
+}
+
+// Reads the members of one JSON object; keeps the first thing that is wrong.
+class member_reader {
+  public:
+    explicit member_reader(const json::object& object) : object_(object) {}
+
+    void only(std::span<const std::string_view> allowed)
+    {
+        for (const auto& member : object_) {
+            const std::string_view key(member.key());
+            if (std::find(allowed.begin(), allowed.end(), key) == allowed.end()) {
+                fail("\"" + std::string(key) + "\" is not a member of this request.",
+                     "Leave it out; docs/API.md lists the members.");
+            }
+        }
+    }
+
+    std::string text(std::string_view key)
+    {
+        const json::value* const found = object_.if_contains(key);
+        if (found == nullptr || !found->is_string() || found->get_string().empty()) {
+            fail("\"" + std::string(key) + "\" must be a string.", "Name it in the request's body.");
+            return {};
+        }
+        return std::string(found->get_string());
+    }
+
+    std::string object_text(std::string_view key)
+    {
+        const json::value* const found = object_.if_contains(key);
+        if (found == nullptr || !found->is_object()) {
+            fail("\"" + std::string(key) + "\" must be a JSON object.",
+                 "Send a statement that the database understands, such as {\"get\":\"KEY\"}.");
+            return {};
+        }
+        return json::serialize(*found);
+    }
+
+    std::optional<clock::duration> time(std::string_view key)
+    {
+        const json::value* const found = object_.if_contains(key);
+        if (found == nullptr) {
+            return std::nullopt;
+        }
+        const std::int64_t* const number = found->if_int64();
+        if (number == nullptr || *number < 0 || *number > config::max_statement_timeout_ms) {
+            fail("\"" + std::string(key) + "\" must be a number of milliseconds from 0 to " +
+                     std::to_string(config::max_statement_timeout_ms) + ".",
+                 "Send a smaller number or leave it out.");
+            return std::nullopt;
+        }
+        return clock::duration(*number);
+    }
+
+    void fail(std::string message, std::string remedy)
+    {
+        if (!failure_) {
+            failure_ = refused(std::move(message), std::move(remedy));
+        }
+    }
+
+    [[nodiscard]] const std::optional<error>& failed() const noexcept { return failure_; }
+
+  private:
+    const json::object& object_;
+    std::optional<error> failure_;
+};
+
+std::optional<enum access> read_mode(member_reader& reader)
+{
+    const std::string mode = reader.text("mode");
+    if (mode == "read") {
+        return access::read;
+    }
+    if (mode == "write") {
+        return access::write;
+    }
+    reader.fail("\"mode\" must be \"read\" or \"write\".", "Send one of the two.");
+    return std::nullopt;
+}
+
+} // namespace
+
+result<caller_request> parse_caller_request(std::string_view body, body_kind kind)
+{
+    boost::system::error_code failed;
+    const json::value parsed = json::parse(body.empty() ? std::string_view("{}") : body, failed);
+    if (failed || !parsed.is_object()) {
+        return refused("The body is not a JSON object.", "Send Content-Type: application/json.");
+    }
+    member_reader reader(parsed.get_object());
+    reader.only(members_of(kind));
+    caller_request request;
+    if (kind == body_kind::statement || kind == body_kind::begin) {
+        request.database = database_name(reader.text("database"));
+        request.route = route_name(reader.text("route"));
+    }
+    if (kind == body_kind::statement || kind == body_kind::statement_in_transaction) {
+        request.statement = reader.object_text("statement");
+    }
+    if (kind == body_kind::begin) {
+        request.mode = read_mode(reader);
+    }
+    request.max_age = reader.time("max_age_ms");
+    request.timeout = reader.time("timeout_ms");
+    if (reader.failed()) {
+        return *reader.failed();
+    }
+    return request;
+}
+
+call_target parse_target(std::string_view target)
+{
+    target = target.substr(0, target.find('?'));
+    if (target == statements_path) {
+        return {call_kind::statement, {}};
+    }
+    if (target == transactions_path) {
+        return {call_kind::begin, {}};
+    }
+    if (!target.starts_with(transactions_path)) {
+        return {};
+    }
+    const std::string_view rest = target.substr(transactions_path.size());
+    const std::size_t slash = rest.rfind('/');
+    if (slash == 0 || slash == std::string_view::npos) {
+        return {};
+    }
+    const std::string_view transaction = rest.substr(1, slash - 1);
+    const std::string_view verb = rest.substr(slash + 1);
+    if (verb == "statements") {
+        return {call_kind::transaction_statement, transaction};
+    }
+    if (verb == "commit") {
+        return {call_kind::commit, transaction};
+    }
+    if (verb == "rollback") {
+        return {call_kind::rollback, transaction};
+    }
+    return {};
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/entry_view.h
@@ -0,0 +1,54 @@
+// What an entry instance's requests read of the replicated state: an immutable snapshot.
+#pragma once
+
+#include <primrosehead/environment.h>
+#include <primrosehead/keys.h>
+#include <primrosehead/names.h>
+#include <primrosehead/position.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace primrosehead {
+
+class state_view;
+
+// Which document of the environment a request uses.
+enum class stage { production, trial };
+
+// The present term of a database group.
+struct group_term {
+    std::uint64_t term = 0;
+    server_name primary; // empty while no primary holds the term
+    std::vector<term_begin> begins;
+};
+
+class entry_view {
+  public:
+    // Before anything is known of the state.
+    entry_view() = default;
+
+    // Reads the environment's documents, the keys and the groups of `state`.
+    [[nodiscard]] static std::unique_ptr<entry_view> make(const state_view& state,
+                                                          std::string_view environment_name);
+
+    [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
+    [[nodiscard]] const environment* document(stage which) const noexcept;
+    [[nodiscard]] const group_term* group(const database_name& database) const noexcept;
+    [[nodiscard]] const key_table& keys() const noexcept { return keys_; }
+    [[nodiscard]] std::uint32_t entry_instances() const noexcept { return entry_instances_; }
+
+  private:
+    std::uint64_t version_ = 0;
+    std::optional<environment> production_;
+    std::optional<environment> trial_;
+    key_table keys_;
+    std::unordered_map<database_name, group_term> groups_;
+    std::uint32_t entry_instances_ = 1;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/seal.cpp
@@ -0,0 +1,58 @@
+#include "seal.h"
+
+#include "base64.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <array>
+
+namespace primrosehead {
+
+namespace {
+
+std::string signature(std::string_view text, std::string_view secret)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned size = 0;
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+         reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest.data(), &size);
+    return {reinterpret_cast<const char*>(digest.data()), size};
+}
+
+// Compares in a time that does not depend on where the two differ.
+bool equal_secrets(std::string_view left, std::string_view right) noexcept
+{
+    return left.size() == right.size() &&
+           CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+} // namespace
+
+std::string seal(std::string_view prefix, std::string_view bytes, std::string_view secret)
+{
+    std::string text(prefix);
+    text += to_base64url(bytes);
+    const std::string signed_by = signature(text, secret);
+    text += '.';
+    text += to_base64url(signed_by);
+    return text;
+}
+
+std::optional<std::string> unseal(std::string_view prefix, std::string_view text,
+                                  std::string_view secret)
+{
+    const std::size_t end = text.rfind('.');
+    if (end == std::string_view::npos || end < prefix.size() || !text.starts_with(prefix)) {
+        return std::nullopt;
+    }
+    const std::string_view signed_text = text.substr(0, end);
+    const auto given = from_base64url(text.substr(end + 1));
+    if (!given || !equal_secrets(*given, signature(signed_text, secret))) {
+        return std::nullopt;
+    }
+    return from_base64url(signed_text.substr(prefix.size()));
+}
+
+} // namespace primrosehead
