consensus: a new cell commits nothing before every first member holds the registered disks

Change: registrations are the only entries until one is committed by all; the first other entry says so. Limit: a cell whose every disk is lost at once is a new cell again.

--- a/include/primrosehead/consensus.h
+++ b/include/primrosehead/consensus.h
@@ -29,7 +29,6 @@
     bool no_lease_check = false;     // vote although a leader was heard within election_min
     bool no_disk_check = false;      // count votes and answers of any disk
     bool no_learner_stage = false;   // a new member votes at once
-    bool count_own_unsynced = false; // a leader's own entries count before they are synced
     bool commit_older_terms = false; // count copies of entries of earlier terms
 };
 
--- a/src/consensus_core.cpp
+++ b/src/consensus_core.cpp
@@ -156,6 +156,11 @@
                                     : "Send to " + leader + ".",
                      ran::no, settings.election_min};
     }
+    if (forming()) {
+        return error{error_kind::no_quorum, "The new cell has not heard all its first members yet.",
+                     "Start every control instance of the settings.", ran::no,
+                     settings.election_min};
+    }
     if (log.last_index() - commit_index >= config::max_uncommitted_entries) {
         return error{error_kind::overloaded, "Too many changes wait for a majority.",
                      "Send again later.", ran::no, settings.election_min};
--- a/src/consensus_core.h
+++ b/src/consensus_core.h
@@ -60,6 +60,7 @@
 
     // Replication (consensus_replication.cpp).
     std::uint64_t append_own(pb::log_entry entry);
+    void append_no_operation();
     void send_to_all(clock::time_point now);
     void send_to(const std::string& instance, peer& to, clock::time_point now);
     void send_heartbeat(const std::string& instance, peer& to, clock::time_point now);
@@ -92,7 +93,9 @@
     [[nodiscard]] const pb::member* find_member(std::string_view instance) const;
     [[nodiscard]] bool from_registered_disk(const pb::consensus_message& message) const;
     [[nodiscard]] bool own_disk_registered() const;
-    [[nodiscard]] bool disks_unregistered() const; // a new cell before its first leader
+    // True of the members of a new cell before its first leader.
+    [[nodiscard]] static bool disks_unregistered(const pb::membership& members);
+    [[nodiscard]] bool forming() const;
     [[nodiscard]] pb::membership registered_by_votes() const;
 
     // The largest value that a majority of the voters has reached.
--- a/src/consensus_election.cpp
+++ b/src/consensus_election.cpp
@@ -79,7 +79,7 @@
         voters += member.voter() ? 1 : 0;
         granted += member.voter() && votes.contains(member.instance()) ? 1 : 0;
     }
-    const std::size_t needed = disks_unregistered() ? voters : voters / 2 + 1;
+    const std::size_t needed = disks_unregistered(log.members()) ? voters : voters / 2 + 1;
     if (granted < needed) {
         return;
     }
@@ -98,7 +98,7 @@
     elected_at = now;
     heartbeat_due = now + settings.heartbeat;
     pb::log_entry first;
-    if (disks_unregistered()) {
+    if (forming()) {
         *first.mutable_members() = registered_by_votes();
     }
     else {
--- a/src/consensus_members.cpp
+++ b/src/consensus_members.cpp
@@ -1,6 +1,7 @@
 // Membership: one change at a time, learners before voters, disks by their registered id.
 #include "consensus_core.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace primrosehead::consensus {
@@ -34,14 +35,26 @@
     return own == nullptr || own->disk_id().empty() || own->disk_id() == settings.disk_id;
 }
 
-bool core::implementation::disks_unregistered() const
+bool core::implementation::disks_unregistered(const pb::membership& members)
 {
-    for (const pb::member& member : log.members().members()) {
-        if (member.voter() && member.disk_id().empty()) {
-            return true;
+    return std::any_of(
+        members.members().begin(), members.members().end(),
+        [](const pb::member& member) { return member.voter() && member.disk_id().empty(); });
+}
+
+// True while a new cell's log holds nothing but registrations of its disks. The first other entry
+// follows the commit of one, so whoever holds it knows that every member held the registration.
+bool core::implementation::forming() const
+{
+    if (log.snapshot_index() > 0 || !disks_unregistered(log.members_at(0))) {
+        return false;
+    }
+    for (std::uint64_t index = 1; index <= log.last_index(); ++index) {
+        if (!log.at(index).has_members()) {
+            return false;
         }
     }
-    return false;
+    return true;
 }
 
 pb::membership core::implementation::registered_by_votes() const
--- a/src/consensus_replication.cpp
+++ b/src/consensus_replication.cpp
@@ -31,12 +31,16 @@
     entry.set_index(log.last_index() + 1);
     log.append(entry);
     out.entries.push_back(std::move(entry));
-    if (settings.unsafe.count_own_unsynced) {
-        durable_index = log.last_index();
-    }
     return log.last_index();
 }
 
+void core::implementation::append_no_operation()
+{
+    pb::log_entry entry;
+    entry.set_no_operation(true);
+    static_cast<void>(append_own(std::move(entry)));
+}
+
 void core::implementation::send_to_all(clock::time_point now)
 {
     for (auto& [instance, to] : peers) {
@@ -209,6 +213,8 @@
     }
 }
 
+// A new cell's disks are registered once every member holds the registration, so that the loss of
+// some disks can't be taken for a new cell later.
 std::uint64_t core::implementation::majority_index() const
 {
     std::vector<std::uint64_t> reached;
@@ -220,7 +226,13 @@
         const std::uint64_t other = found == peers.end() ? 0 : found->second.match_index;
         reached.push_back(member.instance() == self() ? durable_index : other);
     }
-    return reached.empty() ? 0 : reached_by_majority(std::move(reached));
+    if (reached.empty()) {
+        return 0;
+    }
+    if (forming()) {
+        return *std::min_element(reached.begin(), reached.end());
+    }
+    return reached_by_majority(std::move(reached));
 }
 
 clock::time_point core::implementation::majority_asked_at(clock::time_point now,
@@ -260,7 +272,12 @@
     if (reached <= commit_index || !(own_term || settings.unsafe.commit_older_terms)) {
         return;
     }
+    const bool formed = forming();
     commit_through(reached);
+    if (formed) {
+        append_no_operation();
+        send_to_all(now);
+    }
     const bool removed = find_member(self()) == nullptr || !find_member(self())->voter();
     if (removed && log.members_index() <= commit_index) {
         step_down(now);
--- a/tests/consensus_network.cpp
+++ b/tests/consensus_network.cpp
@@ -43,6 +43,8 @@
     chosen.core.unsafe = options_.unsafe;
     chosen.first_members = first_members;
     chosen.snapshot_after = options_.snapshot_after;
+    chosen.state_bytes = options_.state_bytes;
+    chosen.journal = options_.journal;
     chosen.clock_offset = clock::duration(static_cast<clock::rep>(draw(1'000'000)));
     auto made = std::make_unique<node>(std::move(chosen), random_(), options_.disk);
     made->start(time_at(*made));
@@ -332,6 +334,17 @@
     return committed_.empty() ? 0 : committed_.rbegin()->first;
 }
 
+std::string consensus_network::stopped() const
+{
+    std::string reasons;
+    for (const auto& [name, one] : nodes_) {
+        if (!one->failure_text().empty()) {
+            reasons += name + ": " + one->failure_text() + '\n';
+        }
+    }
+    return reasons;
+}
+
 bool consensus_network::command_committed(std::string_view command) const
 {
     return commands_.contains(command);
--- a/tests/consensus_network.h
+++ b/tests/consensus_network.h
@@ -31,6 +31,8 @@
     disk_faults disk;
     std::uint64_t snapshot_after = 40; // applied entries
     clock::duration adopt_disk_after{2'000};
+    std::size_t state_bytes = 100;
+    journal_switches journal;
 };
 
 class consensus_network {
@@ -67,6 +69,8 @@
     [[nodiscard]] std::uint64_t highest_term() const;
     [[nodiscard]] std::uint64_t committed_index() const; // highest seen anywhere
     [[nodiscard]] bool command_committed(std::string_view command) const;
+    [[nodiscard]] std::string stopped() const;             // why instances stopped themselves
+    [[nodiscard]] std::uint64_t draw(std::uint64_t below); // seeded, below `below`
     [[nodiscard]] clock::time_point now() const { return now_; }
     [[nodiscard]] const std::vector<std::string>& breaches() const { return breaches_; }
 
@@ -93,7 +97,6 @@
     void check_committed(node& changed);
     void check_current();
     [[nodiscard]] bool reachable(const std::string& left, const std::string& right) const;
-    [[nodiscard]] std::uint64_t draw(std::uint64_t below);
     [[nodiscard]] clock::time_point time_at(const node& one) const;
 
     network_options options_;
--- a/tests/consensus_node.cpp
+++ b/tests/consensus_node.cpp
@@ -8,18 +8,15 @@
 
 namespace {
 
-// States of more than one chunk, so that transfers take several messages.
-constexpr std::size_t state_padding_bytes = 600'000;
-
 std::uint64_t digest_with(std::uint64_t digest, const std::string& bytes)
 {
     return XXH3_64bits_withSeed(bytes.data(), bytes.size(), digest);
 }
 
-std::string state_text(std::uint64_t digest)
+std::string state_text(std::uint64_t digest, std::size_t bytes)
 {
     std::string text = std::to_string(digest) + ' ';
-    text.append(state_padding_bytes, '.');
+    text.append(bytes, '.');
     return text;
 }
 
@@ -50,7 +47,7 @@
     fresh.set_cell("cell");
     fresh.set_instance(options_.core.instance.text());
     fresh.set_disk_id(options_.core.disk_id);
-    result<journal> opened = journal::open(folder_->open(), fresh);
+    result<journal> opened = journal::open(folder_->open(), fresh, options_.journal);
     if (!ok(opened)) {
         stop_for(failure(opened));
         return;
@@ -190,7 +187,8 @@
     if (!core_ || applied_index_ - snapshot_index_ < options_.snapshot_after) {
         return;
     }
-    const pb::snapshot_record record = core_->compact(applied_index_, state_text(digest_));
+    const pb::snapshot_record record =
+        core_->compact(applied_index_, state_text(digest_, options_.state_bytes));
     snapshot_index_ = applied_index_;
     const status written = journal_->write_snapshot(record);
     if (!ok(written)) {
--- a/tests/consensus_node.h
+++ b/tests/consensus_node.h
@@ -18,6 +18,8 @@
     pb::membership first_members;
     std::uint64_t snapshot_after = 40; // applied entries
     clock::duration clock_offset{0};   // its clock against the network's
+    std::size_t state_bytes = 100;     // size of a snapshot's state
+    journal_switches journal;
 };
 
 // What one event did, for the checker.
@@ -42,6 +44,7 @@
     [[nodiscard]] result<std::uint64_t> remove_member(std::string_view name, clock::time_point now);
 
     [[nodiscard]] bool running() const { return core_ != nullptr && !frozen_; }
+    [[nodiscard]] bool frozen() const { return frozen_; }
     [[nodiscard]] bool has_core() const { return core_ != nullptr; } // also while frozen
     void set_frozen(bool frozen) { frozen_ = frozen; }
     [[nodiscard]] const consensus::core& core() const { return *core_; }
--- /dev/null
+++ b/tests/consensus_schedule.cpp
@@ -0,0 +1,209 @@
+#include "consensus_schedule.h"
+
+#include <algorithm>
+
+namespace primrosehead::testing {
+
+namespace {
+
+constexpr int most_extra_members = 2;
+// A cell that lost all its disks is no longer told from a new one, so one disk always stays.
+constexpr std::string_view kept_disk = "c1";
+constexpr clock::duration longest_pause{400};
+constexpr clock::duration time_to_recover{15'000};
+
+// Draws one fault a round.
+class schedule {
+  public:
+    explicit schedule(const schedule_options& options)
+        : options_(options), network_(network_for(options))
+    {
+    }
+
+    schedule_outcome run()
+    {
+        network_.run_until_leader();
+        for (int round = 0; round < options_.rounds; ++round) {
+            write_some();
+            fault();
+            network_.run(clock::duration(static_cast<clock::rep>(
+                network_.draw(static_cast<std::uint64_t>(longest_pause.count())))));
+        }
+        recover();
+        return schedule_outcome{network_.breaches(), network_.stopped(), network_.committed_index(),
+                                whole()};
+    }
+
+  private:
+    static network_options network_for(const schedule_options& options)
+    {
+        network_options chosen;
+        chosen.seed = options.seed;
+        chosen.members = options.seed % 2 == 0 ? 3 : 5;
+        chosen.disks_known = options.seed % 3 != 0;
+        chosen.loss_per_mille = static_cast<int>(options.seed % 4) * 30;
+        chosen.duplicate_per_mille = static_cast<int>(options.seed % 5) * 20;
+        chosen.delay_max = clock::duration(static_cast<clock::rep>(1 + options.seed % 7 * 8));
+        chosen.snapshot_after = 5 + options.seed % 3 * 40;
+        chosen.state_bytes = options.seed % 10 == 0 ? 300'000 : 100;
+        chosen.unsafe = options.unsafe;
+        chosen.disk = options.disk;
+        chosen.journal = options.journal;
+        return chosen;
+    }
+
+    void write_some()
+    {
+        const std::uint64_t count = network_.draw(6);
+        for (std::uint64_t number = 0; number < count; ++number) {
+            network_.propose("command " + std::to_string(++commands_));
+        }
+    }
+
+    std::string any()
+    {
+        const std::vector<std::string> names = network_.names();
+        return names[network_.draw(names.size())];
+    }
+
+    void fault()
+    {
+        const std::string name = any();
+        switch (network_.draw(12)) {
+        case 0:
+        case 1:
+            network_.crash(name);
+            break;
+        case 2:
+        case 3:
+            revive(name);
+            break;
+        case 4:
+            network_.isolate(name);
+            break;
+        case 5:
+            network_.cut(name, any());
+            break;
+        case 6:
+            network_.heal();
+            break;
+        case 7:
+            freeze(name);
+            break;
+        case 8:
+            lose_disk(name);
+            break;
+        case 9:
+            change_members(name);
+            break;
+        case 10:
+            crash_all();
+            break;
+        default:
+            break;
+        }
+    }
+
+    void freeze(const std::string& name)
+    {
+        if (network_.at(name).running()) {
+            network_.freeze(name);
+        }
+    }
+
+    void revive(const std::string& name)
+    {
+        if (network_.at(name).frozen()) {
+            network_.thaw(name);
+        }
+        else if (!network_.at(name).running()) {
+            network_.restart(name);
+        }
+    }
+
+    void crash_all()
+    {
+        for (const std::string& name : network_.names()) {
+            network_.crash(name);
+        }
+        for (const std::string& name : network_.names()) {
+            network_.restart(name);
+        }
+    }
+
+    void lose_disk(const std::string& name)
+    {
+        if (options_.lose_any_disk ? name == kept_disk : !whole() || voters() < 3) {
+            return;
+        }
+        network_.lose_disk(name);
+        network_.restart(name);
+    }
+
+    void change_members(const std::string& name)
+    {
+        if (!options_.change_members || network_.current_leader().empty() || !whole()) {
+            return;
+        }
+        if (extra_members_ < most_extra_members) {
+            const std::string fresh = "x" + std::to_string(++extra_members_);
+            pb::member member;
+            member.set_instance(fresh);
+            member.set_disk_id(network_.start_new(fresh));
+            static_cast<void>(network_.add_member(member));
+            return;
+        }
+        if (voters() > 3) {
+            static_cast<void>(network_.remove_member(name));
+        }
+    }
+
+    [[nodiscard]] int voters()
+    {
+        const std::string leader = network_.current_leader();
+        return leader.empty() ? 0 : network_.at(leader).core().members().members_size();
+    }
+
+    // One leader, and every member is a voter that runs and has applied everything.
+    [[nodiscard]] bool whole()
+    {
+        const std::string leader = network_.current_leader();
+        if (leader.empty()) {
+            return false;
+        }
+        const pb::membership& members = network_.at(leader).core().members();
+        return std::all_of(members.members().begin(), members.members().end(),
+                           [&](const pb::member& member) {
+                               const node& one = network_.at(member.instance());
+                               return member.voter() && one.running() &&
+                                      one.options().core.disk_id == member.disk_id() &&
+                                      one.applied_index() == network_.committed_index();
+                           });
+    }
+
+    void recover()
+    {
+        network_.heal();
+        for (const std::string& name : network_.names()) {
+            revive(name);
+        }
+        network_.run(time_to_recover);
+        for (int wait = 0; wait < 100 && !whole(); ++wait) {
+            network_.run(clock::duration(100));
+        }
+    }
+
+    schedule_options options_;
+    consensus_network network_;
+    int commands_ = 0;
+    int extra_members_ = 0;
+};
+
+} // namespace
+
+schedule_outcome run_schedule(const schedule_options& options)
+{
+    return schedule(options).run();
+}
+
+} // namespace primrosehead::testing
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -157,6 +157,7 @@
     for (const pb::member& member : network.at(leader).core().members().members()) {
         CHECK(member.disk_id() == "disk-" + member.instance());
     }
+    network.run(clock::duration(100));
     network.crash(leader);
     network.run(clock::duration(50));
     CHECK(!network.run_until_leader().empty());
@@ -277,6 +278,7 @@
 {
     network_options options;
     options.snapshot_after = 20;
+    options.state_bytes = 600'000;
     consensus_network network(options);
     REQUIRE(!network.run_until_leader().empty());
     const std::string away = follower_of(network);
