--- a/include/primrosehead/replica.h
+++ b/include/primrosehead/replica.h
@@ -5,6 +5,7 @@
 #include "primrosehead.pb.h"
 
 #include <primrosehead/clock.h>
+#include <primrosehead/consensus.h>
 #include <primrosehead/error.h>
 #include <primrosehead/journal.h>
 #include <primrosehead/settings.h>
@@ -14,13 +15,17 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace primrosehead {
 
 class replica {
   public:
-    // Called once with the committed answer, or with an error: `not_leader`, `no_quorum` (the
-    // leader lost its quorum before the commit was known: the outcome is unknown).
+    // Called once, with the committed answer or with an error: `not_leader`, `version_conflict`
+    // (another membership change is under way), `no_quorum`. When leadership is lost before the
+    // commit was known, the outcome is unknown (`ran` is "unknown"); a resend with the same request
+    // id is safe.
     using completion = std::function<void(const pb::operator_reply& reply)>;
     using sender = std::function<void(const pb::consensus_message& message)>;
 
@@ -32,7 +37,8 @@
     replica(const replica&) = delete;
     replica& operator=(const replica&) = delete;
 
-    // A storage failure ends the process: an instance that can't write may not vote.
+    // Each returns an error only when the data folder failed. The process ends then: an instance
+    // that can't write may not vote.
     [[nodiscard]] status receive(const pb::consensus_message& message, clock::time_point now);
     [[nodiscard]] status tick(clock::time_point now);
 
@@ -46,6 +52,12 @@
     [[nodiscard]] const state_machine& state() const noexcept;
     [[nodiscard]] const pb::membership& members() const noexcept;
 
+    [[nodiscard]] std::vector<consensus::core::progress>
+    member_progress(clock::time_point now) const;
+    [[nodiscard]] std::uint64_t commit_index() const noexcept;
+    [[nodiscard]] const std::string& disk_id() const noexcept;
+    [[nodiscard]] bool tail_was_cut() const noexcept; // at the start of this process
+
     // May answer as the leader: see `consensus::core::is_current`.
     [[nodiscard]] bool is_current(clock::time_point now) const noexcept;
     [[nodiscard]] std::uint64_t term() const noexcept;
--- a/src/consensus_log.cpp
+++ b/src/consensus_log.cpp
@@ -8,7 +8,7 @@
 namespace primrosehead::consensus {
 
 entry_log::entry_log(std::shared_ptr<const pb::snapshot_record> snapshot,
-                     pb::membership first_members, std::vector<pb::log_entry> entries)
+                     pb::membership first_members, std::span<const pb::log_entry> entries)
 {
     memberships_.push_back(membership_point{0, std::move(first_members)});
     if (snapshot) {
--- a/src/consensus_log.h
+++ b/src/consensus_log.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace primrosehead::consensus {
@@ -19,7 +20,7 @@
   public:
     // `entries` are contiguous and start right after `snapshot` (or at 1 without one).
     entry_log(std::shared_ptr<const pb::snapshot_record> snapshot, pb::membership first_members,
-              std::vector<pb::log_entry> entries);
+              std::span<const pb::log_entry> entries);
 
     [[nodiscard]] std::uint64_t last_index() const noexcept;
     [[nodiscard]] std::uint64_t last_term() const noexcept;
--- a/src/journal.cpp
+++ b/src/journal.cpp
@@ -68,7 +68,7 @@
         if (segments.back().bytes < config::journal_segment_bytes) {
             return std::monostate{};
         }
-        const status synced = sync_file(segment_file(segments.back().number));
+        status synced = sync_file(segment_file(segments.back().number));
         if (!ok(synced)) {
             return synced;
         }
@@ -90,13 +90,13 @@
 // One record for everything since the last sync: a crash can tear only this one.
 status journal::implementation::write_pending()
 {
-    const status begun = begin_segment_when_full();
+    status begun = begin_segment_when_full();
     if (!ok(begun)) {
         return begun;
     }
     const frame_kind kind = pending_cut ? frame_kind::overwrite : frame_kind::append;
     const std::uint64_t first = pending.empty() ? pending_cut.value_or(0) : pending.front().index();
-    const status written = append_frame(kind, first, encode_entries(pending));
+    status written = append_frame(kind, first, encode_entries(pending));
     if (!ok(written)) {
         return written;
     }
@@ -106,7 +106,7 @@
     }
     pending.clear();
     pending_cut.reset();
-    const status synced = sync_file(segment_file(segments.back().number));
+    status synced = sync_file(segment_file(segments.back().number));
     if (!ok(synced)) {
         return synced;
     }
@@ -118,7 +118,7 @@
 status journal::implementation::drop_segments_through(std::uint64_t index)
 {
     while (segments.size() > 1 && segments.front().highest_index <= index) {
-        const status removed = files->remove(segment_file(segments.front().number));
+        status removed = files->remove(segment_file(segments.front().number));
         if (!ok(removed)) {
             return removed;
         }
@@ -132,7 +132,7 @@
 status journal::implementation::drop_all_segments()
 {
     while (!segments.empty()) {
-        const status removed = files->remove(segment_file(segments.back().number));
+        status removed = files->remove(segment_file(segments.back().number));
         if (!ok(removed)) {
             return removed;
         }
@@ -149,7 +149,7 @@
         return failure(folder);
     }
     for (const std::string& file : value(folder).obsolete) {
-        const status removed = files->remove(file);
+        status removed = files->remove(file);
         if (!ok(removed)) {
             return failure(removed);
         }
@@ -211,11 +211,11 @@
 
 status journal::write_snapshot(const pb::snapshot_record& snapshot)
 {
-    const status synced = sync();
+    status synced = sync();
     if (!ok(synced)) {
         return synced;
     }
-    const status written = body_->write_file(snapshot_file, snapshot);
+    status written = body_->write_file(snapshot_file, snapshot);
     if (!ok(written)) {
         return written;
     }
--- a/src/journal_posix_disk.cpp
+++ b/src/journal_posix_disk.cpp
@@ -186,7 +186,7 @@
     }
 
   private:
-    static constexpr std::size_t read_block_bytes = 64 * 1024;
+    static constexpr std::size_t read_block_bytes = 65'536;
 
     [[nodiscard]] std::string path_of(std::string_view file) const
     {
--- a/src/journal_recovery.cpp
+++ b/src/journal_recovery.cpp
@@ -79,13 +79,13 @@
         while (current.bytes < value(bytes).size()) {
             const std::optional<frame> found = decode_frame(value(bytes), current.bytes);
             if (!found) {
-                const status cut = cut_tail(file, value(bytes), current.bytes, last);
+                status cut = cut_tail(file, value(bytes), current.bytes, last);
                 if (!ok(cut)) {
                     return cut;
                 }
                 break;
             }
-            const status taken = take(file, current, *found);
+            status taken = take(file, current, *found);
             if (!ok(taken)) {
                 return taken;
             }
@@ -107,7 +107,7 @@
         if (!last || find_frame(bytes, offset + 1)) {
             return damaged(file, offset, "its checksum does not match, and more follows");
         }
-        const status cut = files_.truncate(file, offset);
+        status cut = files_.truncate(file, offset);
         if (!ok(cut)) {
             return cut;
         }
--- a/tests/consensus_network.cpp
+++ b/tests/consensus_network.cpp
@@ -123,7 +123,7 @@
     flights_.push_back(in_flight{now_ + delay, ++flight_count_, message});
 }
 
-void consensus_network::send(std::vector<pb::consensus_message> messages)
+void consensus_network::send(std::span<const pb::consensus_message> messages)
 {
     for (const pb::consensus_message& message : messages) {
         ++messages_sent_;
@@ -140,7 +140,8 @@
 
 void consensus_network::after(node& changed)
 {
-    send(std::exchange(changed.outbox, {}));
+    const std::vector<pb::consensus_message> sent = std::exchange(changed.outbox, {});
+    send(sent);
     check_committed(changed);
     if (changed.running()) {
         check_leader(changed);
@@ -249,7 +250,7 @@
 
 std::string consensus_network::start_new(std::string_view name)
 {
-    const std::string disk_id = "disk-" + std::string(name);
+    std::string disk_id = "disk-" + std::string(name);
     add_node(std::string(name), disk_id, {});
     return disk_id;
 }
--- a/tests/consensus_network.h
+++ b/tests/consensus_network.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -90,7 +91,7 @@
     void deliver_due();
     void add_node(const std::string& name, const std::string& disk_id,
                   const pb::membership& first_members);
-    void send(std::vector<pb::consensus_message> messages);
+    void send(std::span<const pb::consensus_message> messages);
     void enqueue(const pb::consensus_message& message);
     void after(node& changed);
     void check_leader(const node& changed);
