--- a/tests/consensus_network.cpp
+++ b/tests/consensus_network.cpp
@@ -43,6 +43,8 @@
     chosen.core.unsafe = options_.unsafe;
     chosen.first_members = first_members;
     chosen.snapshot_after = options_.snapshot_after;
+    chosen.state_bytes = options_.state_bytes;
+    chosen.journal = options_.journal;
     chosen.clock_offset = clock::duration(static_cast<clock::rep>(draw(1'000'000)));
     auto made = std::make_unique<node>(std::move(chosen), random_(), options_.disk);
     made->start(time_at(*made));
@@ -121,7 +123,7 @@
     flights_.push_back(in_flight{now_ + delay, ++flight_count_, message});
 }
 
-void consensus_network::send(std::vector<pb::consensus_message> messages)
+void consensus_network::send(std::span<const pb::consensus_message> messages)
 {
     for (const pb::consensus_message& message : messages) {
         ++messages_sent_;
@@ -138,7 +140,8 @@
 
 void consensus_network::after(node& changed)
 {
-    send(std::exchange(changed.outbox, {}));
+    const std::vector<pb::consensus_message> sent = std::exchange(changed.outbox, {});
+    send(sent);
     check_committed(changed);
     if (changed.running()) {
         check_leader(changed);
@@ -247,7 +250,7 @@
 
 std::string consensus_network::start_new(std::string_view name)
 {
-    const std::string disk_id = "disk-" + std::string(name);
+    std::string disk_id = "disk-" + std::string(name);
     add_node(std::string(name), disk_id, {});
     return disk_id;
 }
@@ -332,6 +335,17 @@
     return committed_.empty() ? 0 : committed_.rbegin()->first;
 }
 
+std::string consensus_network::stopped() const
+{
+    std::string reasons;
+    for (const auto& [name, one] : nodes_) {
+        if (!one->failure_text().empty()) {
+            reasons += name + ": " + one->failure_text() + '\n';
+        }
+    }
+    return reasons;
+}
+
 bool consensus_network::command_committed(std::string_view command) const
 {
     return commands_.contains(command);
--- a/tests/consensus_network.h
+++ b/tests/consensus_network.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -31,6 +32,8 @@
     disk_faults disk;
     std::uint64_t snapshot_after = 40; // applied entries
     clock::duration adopt_disk_after{2'000};
+    std::size_t state_bytes = 100;
+    journal_switches journal;
 };
 
 class consensus_network {
@@ -67,6 +70,8 @@
     [[nodiscard]] std::uint64_t highest_term() const;
     [[nodiscard]] std::uint64_t committed_index() const; // highest seen anywhere
     [[nodiscard]] bool command_committed(std::string_view command) const;
+    [[nodiscard]] std::string stopped() const;             // why instances stopped themselves
+    [[nodiscard]] std::uint64_t draw(std::uint64_t below); // seeded, below `below`
     [[nodiscard]] clock::time_point now() const { return now_; }
     [[nodiscard]] const std::vector<std::string>& breaches() const { return breaches_; }
 
@@ -86,14 +91,13 @@
     void deliver_due();
     void add_node(const std::string& name, const std::string& disk_id,
                   const pb::membership& first_members);
-    void send(std::vector<pb::consensus_message> messages);
+    void send(std::span<const pb::consensus_message> messages);
     void enqueue(const pb::consensus_message& message);
     void after(node& changed);
     void check_leader(const node& changed);
     void check_committed(node& changed);
     void check_current();
     [[nodiscard]] bool reachable(const std::string& left, const std::string& right) const;
-    [[nodiscard]] std::uint64_t draw(std::uint64_t below);
     [[nodiscard]] clock::time_point time_at(const node& one) const;
 
     network_options options_;
