Replicated state: commands, deltas with digests, views that only move forward

Cause: control instances had nothing to apply committed commands to, entry instances nothing to follow. Change: records stamped with the state version; the digest is the XOR of the hashes of live records; deltas since a version, whole states from before the kept tombstones (1,024). The first answers of 4,096 requests are kept with a hash of the body (request_record.body_hash), so that a resend gets the first answer and another change under the id is refused. A view tries a delta's digest before it takes it, never goes back, and asks for everything after a mismatch. Environment versions count per environment: promote is based on the trial version that it promotes.

--- a/include/primrosehead/config.h
+++ b/include/primrosehead/config.h
@@ -26,6 +26,8 @@
 // Replicated state.
 inline constexpr std::size_t max_document_bytes = 1024 * 1024;
 inline constexpr std::size_t max_remembered_requests = 4'096;
+inline constexpr std::size_t max_request_id_bytes = 128;
+inline constexpr std::size_t max_tombstones = 1'024;
 inline constexpr std::size_t max_append_entries = 256;
 inline constexpr std::size_t snapshot_chunk_bytes = 256 * 1024;
 
--- a/include/primrosehead/state.h
+++ b/include/primrosehead/state.h
@@ -27,6 +27,7 @@
 
 // Records under their keys ("group/NAME", ...), shared by the machine and the view.
 class state_records;
+class state_requests;
 
 // Applies commands in log order. Deterministic: no clock, no randomness.
 class state_machine {
@@ -39,13 +40,16 @@
     state_machine& operator=(const state_machine&) = delete;
 
     // Applies one command and answers it. A command whose `request_id` is known gets the first
-    // answer again and changes nothing. Keeps the last config::max_remembered_requests answers.
+    // answer again and changes nothing; another command under a known id is refused. Keeps the last
+    // config::max_remembered_requests answers.
     pb::operator_reply apply(const pb::command& command);
 
     [[nodiscard]] std::uint64_t version() const noexcept;
     [[nodiscard]] std::uint64_t digest() const noexcept;
 
     // Everything changed after `from_version`, tombstones included; remembered requests excepted.
+    // The whole state, from version 0, when `from_version` lies before the kept tombstones; nothing
+    // but version and digest when it is not below the own version.
     [[nodiscard]] pb::state_delta delta_since(std::uint64_t from_version) const;
 
     // The whole state, for a snapshot, and back.
@@ -59,7 +63,9 @@
     [[nodiscard]] const state_records& records() const noexcept;
 
   private:
+    cell_name cell_;
     std::unique_ptr<state_records> records_;
+    std::unique_ptr<state_requests> requests_;
 };
 
 } // namespace primrosehead
--- a/src/json_check.cpp
+++ b/src/json_check.cpp
@@ -24,17 +24,21 @@
 
 constexpr std::string_view root_path = "$";
 constexpr std::size_t max_found_bytes = 80; // longer values are cut in messages
+constexpr std::size_t max_path_bytes = 200; // and longer paths
 
 using adapter = valijson::adapters::BoostJsonAdapter;
 
-std::string shown(const json::value& found)
+std::string cut(std::string_view text, std::size_t max_bytes)
 {
-    std::string text = json::serialize(found);
-    if (text.size() > max_found_bytes) {
-        text.resize(max_found_bytes);
-        text += "...";
+    if (text.size() <= max_bytes) {
+        return std::string(text);
     }
-    return text;
+    return std::string(text.substr(0, max_bytes)) + "...";
+}
+
+std::string shown(const json::value& found)
+{
+    return cut(json::serialize(found), max_found_bytes);
 }
 
 // A step of valijson's context: "[routes]" or "[2]" without its brackets.
@@ -252,7 +256,7 @@
 {
     error made;
     made.kind = error_kind::bad_settings;
-    made.message = std::string(path) + ": expected " + std::string(expected) + ", found " +
+    made.message = cut(path, max_path_bytes) + ": expected " + std::string(expected) + ", found " +
                    std::string(found) + ".";
     made.remedy = remedy;
     return made;
--- /dev/null
+++ b/src/state_commands.cpp
@@ -0,0 +1,259 @@
+#include "state_commands.h"
+
+#include "json_check.h"
+#include "state_records.h"
+#include "state_replies.h"
+
+#include <primrosehead/environment.h>
+
+#include <fmt/format.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace primrosehead {
+
+namespace {
+
+constexpr std::size_t key_digest_bytes = 32; // SHA-256
+constexpr std::size_t min_salt_bytes = 16;
+
+pb::operator_reply bad_name(std::string_view what)
+{
+    return refused(error_kind::bad_request,
+                   fmt::format("The {} is not a name of 1 to 64 characters.", what),
+                   "Use letters, digits, '.', '_' and '-', beginning with a letter or digit.");
+}
+
+// The record under `key` to change, or a new one.
+pb::state_record draft(const state_records& records, std::string key)
+{
+    if (const pb::state_record* held = records.find(key)) {
+        return *held;
+    }
+    pb::state_record made;
+    made.set_key(std::move(key));
+    return made;
+}
+
+pb::operator_reply environment_conflict(std::string_view what, std::uint64_t current,
+                                        std::uint64_t base)
+{
+    return refused(
+        error_kind::version_conflict,
+        fmt::format("{} is at version {}, the change is based on {}.", what, current, base),
+        "Look at the present document (primrosectl show) and base the change on it.", current);
+}
+
+pb::operator_reply apply_one(state_records& records, const pb::store_trial& trial)
+{
+    if (!is_name(trial.name())) {
+        return bad_name("environment");
+    }
+    pb::state_record record = draft(records, record_key(environment_prefix, trial.name()));
+    pb::environment_record& changed = *record.mutable_environment();
+    if (trial.base_version() != changed.trial_version()) {
+        return environment_conflict("The trial document", changed.trial_version(),
+                                    trial.base_version());
+    }
+    const result<environment> parsed = parse_environment(trial.document());
+    if (!ok(parsed)) {
+        return refused(failure(parsed), changed.trial_version());
+    }
+    changed.set_name(trial.name());
+    changed.set_trial_version(changed.trial_version() + 1);
+    changed.set_trial_document(trial.document());
+    const std::uint64_t version = changed.trial_version();
+    records.change(std::move(record));
+    return accepted(version);
+}
+
+// Refuses a promotion that is not based on the trial document or was made already.
+std::optional<pb::operator_reply> promotion_refusal(const pb::environment_record& held,
+                                                    const pb::promote_environment& promote)
+{
+    if (promote.base_version() != held.trial_version()) {
+        return environment_conflict("The trial document", held.trial_version(),
+                                    promote.base_version());
+    }
+    if (held.production_version() == held.trial_version()) {
+        return refused(
+            error_kind::version_conflict,
+            fmt::format("Production is at version {} already.", held.production_version()),
+            "Store another trial document first.", held.production_version());
+    }
+    const result<environment> parsed = parse_environment(held.trial_document());
+    if (!ok(parsed)) {
+        return refused(failure(parsed), held.trial_version());
+    }
+    return std::nullopt;
+}
+
+pb::operator_reply apply_one(state_records& records, const pb::promote_environment& promote)
+{
+    const std::string key = record_key(environment_prefix, promote.name());
+    if (records.find(key) == nullptr) {
+        return refused(error_kind::bad_request, "There is no environment of this name.",
+                       "Store a trial document first (primrosectl trial).");
+    }
+    pb::state_record record = draft(records, key);
+    pb::environment_record& changed = *record.mutable_environment();
+    if (auto refusal = promotion_refusal(changed, promote)) {
+        return std::move(*refusal);
+    }
+    changed.set_production_version(changed.trial_version());
+    changed.set_production_document(changed.trial_document());
+    const std::uint64_t version = changed.production_version();
+    records.change(std::move(record));
+    return accepted(version);
+}
+
+pb::operator_reply apply_one(state_records& records, const pb::issue_key& issue)
+{
+    const pb::key_record& key = issue.key();
+    if (!is_name(key.key_id()) || !is_name(key.organisation())) {
+        return bad_name("key id or organisation");
+    }
+    if (key.digest().size() != key_digest_bytes || key.salt().size() < min_salt_bytes) {
+        return refused(error_kind::bad_request, "The key's salt or digest has a wrong size.",
+                       "Issue keys with primrosectl keys issue.");
+    }
+    pb::state_record record = draft(records, record_key(key_prefix, key.key_id()));
+    if (record.has_key_value()) {
+        return refused(error_kind::bad_request, "There is a key of this id already.",
+                       "Issue a key with another id.");
+    }
+    *record.mutable_key_value() = key;
+    record.mutable_key_value()->set_withdrawn(false);
+    records.change(std::move(record));
+    return accepted(records.version());
+}
+
+pb::operator_reply apply_one(state_records& records, const pb::withdraw_key& withdraw)
+{
+    const std::string key = record_key(key_prefix, withdraw.key_id());
+    if (records.find(key) == nullptr) {
+        return refused(error_kind::bad_request, "There is no key of this id.",
+                       "Look the id up: it is the part between the underscores of a key.");
+    }
+    pb::state_record record = draft(records, key);
+    if (!record.key_value().withdrawn()) {
+        record.mutable_key_value()->set_withdrawn(true);
+        records.change(std::move(record));
+    }
+    return accepted(records.version());
+}
+
+pb::operator_reply apply_one(state_records& records, const pb::register_instance& registration)
+{
+    const pb::instance_record& instance = registration.instance();
+    if (!is_name(instance.instance()) || !is_name(instance.failure_domain())) {
+        return bad_name("instance or failure domain");
+    }
+    pb::state_record record = draft(records, record_key(instance_prefix, instance.instance()));
+    const bool unchanged = record.has_instance() &&
+                           record.instance().SerializeAsString() == instance.SerializeAsString();
+    if (!unchanged) {
+        *record.mutable_instance() = instance;
+        records.change(std::move(record));
+    }
+    return accepted(records.version());
+}
+
+pb::operator_reply apply_one(state_records& records, const pb::remove_instance& removal)
+{
+    const std::string key = record_key(instance_prefix, removal.instance());
+    if (records.find(key) == nullptr) {
+        return refused(error_kind::bad_request, "There is no instance of this name.",
+                       "Look the name up with primrosectl status.");
+    }
+    pb::state_record tombstone;
+    tombstone.set_key(key);
+    tombstone.set_removed(true);
+    records.change(std::move(tombstone));
+    return accepted(records.version());
+}
+
+pb::operator_reply wrong_term_reply(std::uint64_t current, std::uint64_t asked)
+{
+    return refused(error_kind::wrong_term,
+                   fmt::format("The database group is in term {}, not {}.", current, asked),
+                   "Begin a promotion with a greater term.", current);
+}
+
+pb::operator_reply apply_one(state_records& records, const pb::begin_promotion& begin)
+{
+    if (!is_name(begin.database())) {
+        return bad_name("database");
+    }
+    pb::state_record record = draft(records, record_key(group_prefix, begin.database()));
+    pb::group_record& group = *record.mutable_group();
+    if (begin.new_term() <= group.term()) {
+        return wrong_term_reply(group.term(), begin.new_term());
+    }
+    group.set_database(begin.database());
+    group.set_term(begin.new_term());
+    group.clear_primary();
+    group.clear_primary_url();
+    records.change(std::move(record));
+    return accepted(records.version());
+}
+
+pb::operator_reply apply_one(state_records& records, const pb::finish_promotion& finish)
+{
+    const std::string key = record_key(group_prefix, finish.database());
+    const pb::state_record* held = records.find(key);
+    const std::uint64_t open_term = held == nullptr ? 0 : held->group().term();
+    if (held == nullptr || finish.term() != open_term || finish.primary().empty()) {
+        return wrong_term_reply(open_term, finish.term());
+    }
+    const std::string& primary = held->group().primary();
+    if (primary == finish.primary()) {
+        return accepted(records.version());
+    }
+    if (!primary.empty()) {
+        return refused(error_kind::wrong_term,
+                       fmt::format("Term {} has the primary {}.", open_term, primary),
+                       "Begin a promotion with a greater term.", open_term);
+    }
+    pb::state_record record = *held;
+    pb::group_record& group = *record.mutable_group();
+    group.set_primary(finish.primary());
+    group.set_primary_url(finish.primary_url());
+    pb::term_start& start = *group.add_starts();
+    start.set_term(finish.term());
+    start.set_index(finish.start_index());
+    records.change(std::move(record));
+    return accepted(records.version());
+}
+
+} // namespace
+
+pb::operator_reply apply_command(state_records& records, const pb::command& command)
+{
+    switch (command.body_case()) {
+    case pb::command::kTrial:
+        return apply_one(records, command.trial());
+    case pb::command::kPromote:
+        return apply_one(records, command.promote());
+    case pb::command::kIssue:
+        return apply_one(records, command.issue());
+    case pb::command::kWithdraw:
+        return apply_one(records, command.withdraw());
+    case pb::command::kRegisterOne:
+        return apply_one(records, command.register_one());
+    case pb::command::kRemoveOne:
+        return apply_one(records, command.remove_one());
+    case pb::command::kBegin:
+        return apply_one(records, command.begin());
+    case pb::command::kFinish:
+        return apply_one(records, command.finish());
+    case pb::command::BODY_NOT_SET:
+        break;
+    }
+    return refused(error_kind::bad_request, "The change is of no kind that this instance knows.",
+                   "Use a primrosectl of the same version.");
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/state_commands.h
@@ -0,0 +1,13 @@
+// What each command changes in the records, and its answer.
+#pragma once
+
+#include "primrosehead.pb.h"
+
+namespace primrosehead {
+
+class state_records;
+
+// Applies one command. A refused one changes nothing.
+[[nodiscard]] pb::operator_reply apply_command(state_records& records, const pb::command& command);
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/state_machine.cpp
@@ -0,0 +1,172 @@
+#include "state_commands.h"
+#include "state_records.h"
+#include "state_replies.h"
+#include "state_requests.h"
+
+#include <primrosehead/config.h>
+#include <primrosehead/state.h>
+
+#include <utility>
+
+namespace primrosehead {
+
+namespace {
+
+error damaged_snapshot(std::string_view why)
+{
+    error made;
+    made.kind = error_kind::corrupt_storage;
+    made.message = "The snapshot of the replicated state is damaged: " + std::string(why) + ".";
+    made.remedy = "Empty this instance's data folder; it then joins as a learner.";
+    return made;
+}
+
+pb::operator_reply reused_request_id()
+{
+    return refused(error_kind::bad_request, "This request id was used for another change.",
+                   "Send the change with a request id of its own.");
+}
+
+void add_all(pb::state_delta& delta, const std::vector<const pb::state_record*>& records)
+{
+    for (const pb::state_record* record : records) {
+        *delta.add_records() = *record;
+    }
+}
+
+} // namespace
+
+state_machine::state_machine(cell_name cell)
+    : cell_(std::move(cell)), records_(std::make_unique<state_records>()),
+      requests_(std::make_unique<state_requests>())
+{
+}
+
+state_machine::~state_machine() = default;
+state_machine::state_machine(state_machine&&) noexcept = default;
+state_machine& state_machine::operator=(state_machine&&) noexcept = default;
+
+pb::operator_reply state_machine::apply(const pb::command& command)
+{
+    if (command.request_id().empty()) {
+        return apply_command(*records_, command);
+    }
+    if (command.request_id().size() > config::max_request_id_bytes) {
+        return refused(error_kind::bad_request, "The request id is too long.",
+                       "Use at most 128 bytes.");
+    }
+    const std::uint64_t hash = body_hash(command);
+    if (const pb::request_record* known = requests_->find(command.request_id())) {
+        return known->body_hash() == hash ? known->reply() : reused_request_id();
+    }
+    pb::request_record first;
+    first.set_request_id(command.request_id());
+    first.set_body_hash(hash);
+    *first.mutable_reply() = apply_command(*records_, command);
+    first.mutable_reply()->set_request_id(command.request_id());
+    pb::operator_reply reply = first.reply();
+    requests_->remember(std::move(first));
+    return reply;
+}
+
+std::uint64_t state_machine::version() const noexcept
+{
+    return records_->version();
+}
+
+std::uint64_t state_machine::digest() const noexcept
+{
+    return records_->digest();
+}
+
+pb::state_delta state_machine::delta_since(std::uint64_t from_version) const
+{
+    pb::state_delta delta;
+    delta.set_cell(cell_.text());
+    delta.set_to_version(version());
+    delta.set_digest(digest());
+    if (from_version >= version()) {
+        delta.set_from_version(version());
+    }
+    else if (from_version == 0 || from_version < records_->first_delta()) {
+        add_all(delta, records_->live());
+    }
+    else {
+        delta.set_from_version(from_version);
+        add_all(delta, records_->changed_after(from_version));
+    }
+    return delta;
+}
+
+std::string state_machine::snapshot() const
+{
+    pb::state_delta whole;
+    whole.set_cell(cell_.text());
+    whole.set_from_version(records_->first_delta());
+    whole.set_to_version(version());
+    whole.set_digest(digest());
+    add_all(whole, records_->changed_after(0));
+    requests_->for_each([&](const pb::request_record& request) {
+        pb::state_record& record = *whole.add_records();
+        record.set_key(record_key(request_prefix, request.request_id()));
+        *record.mutable_request() = request;
+    });
+    return whole.SerializeAsString();
+}
+
+result<state_machine> state_machine::restore(std::string_view snapshot)
+{
+    pb::state_delta whole;
+    if (!whole.ParseFromArray(snapshot.data(), static_cast<int>(snapshot.size()))) {
+        return damaged_snapshot("it can't be read");
+    }
+    if (whole.cell().empty()) {
+        return damaged_snapshot("it names no cell");
+    }
+    state_machine restored{cell_name(whole.cell())};
+    for (pb::state_record& record : *whole.mutable_records()) {
+        if (record.has_request()) {
+            restored.requests_->remember(std::move(*record.mutable_request()));
+        }
+        else {
+            restored.records_->put(std::move(record));
+        }
+    }
+    restored.records_->set_version(whole.to_version());
+    restored.records_->set_first_delta(whole.from_version());
+    if (restored.digest() != whole.digest()) {
+        return damaged_snapshot("its digest does not match");
+    }
+    return restored;
+}
+
+const pb::environment_record* state_machine::environment(std::string_view name) const
+{
+    const pb::state_record* found = records_->find(record_key(environment_prefix, name));
+    return found == nullptr ? nullptr : &found->environment();
+}
+
+const pb::group_record* state_machine::group(std::string_view database) const
+{
+    const pb::state_record* found = records_->find(record_key(group_prefix, database));
+    return found == nullptr ? nullptr : &found->group();
+}
+
+const pb::instance_record* state_machine::instance(std::string_view name) const
+{
+    const pb::state_record* found = records_->find(record_key(instance_prefix, name));
+    return found == nullptr ? nullptr : &found->instance();
+}
+
+const pb::key_record* state_machine::key(std::string_view key_id) const
+{
+    const pb::state_record* found = records_->find(record_key(key_prefix, key_id));
+    return found == nullptr ? nullptr : &found->key_value();
+}
+
+const state_records& state_machine::records() const noexcept
+{
+    return *records_;
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/state_records.cpp
@@ -0,0 +1,114 @@
+#include "state_records.h"
+
+#include <primrosehead/config.h>
+
+#include <utility>
+#include <xxhash.h>
+
+namespace primrosehead {
+
+std::uint64_t hash_of(const pb::state_record& record)
+{
+    if (record.removed()) {
+        return 0;
+    }
+    const std::string bytes = record.SerializeAsString();
+    return XXH64(bytes.data(), bytes.size(), 0);
+}
+
+std::string record_key(std::string_view prefix, std::string_view name)
+{
+    std::string key(prefix);
+    key += name;
+    return key;
+}
+
+const pb::state_record* state_records::find(std::string_view key) const
+{
+    const auto found = records_.find(key);
+    if (found == records_.end() || found->second.record.removed()) {
+        return nullptr;
+    }
+    return &found->second.record;
+}
+
+std::vector<const pb::state_record*> state_records::with_prefix(std::string_view prefix) const
+{
+    std::vector<const pb::state_record*> found;
+    for (auto at = records_.lower_bound(prefix); at != records_.end(); ++at) {
+        if (!at->first.starts_with(prefix)) {
+            break;
+        }
+        if (!at->second.record.removed()) {
+            found.push_back(&at->second.record);
+        }
+    }
+    return found;
+}
+
+std::vector<const pb::state_record*> state_records::changed_after(std::uint64_t version) const
+{
+    std::vector<const pb::state_record*> found;
+    for (auto at = keys_by_version_.upper_bound(version); at != keys_by_version_.end(); ++at) {
+        found.push_back(&records_.at(at->second).record);
+    }
+    return found;
+}
+
+std::vector<const pb::state_record*> state_records::live() const
+{
+    return with_prefix({});
+}
+
+void state_records::change(pb::state_record record)
+{
+    ++version_;
+    record.set_version(version_);
+    put(std::move(record));
+    drop_old_tombstones();
+}
+
+void state_records::put(pb::state_record record)
+{
+    const std::string key = record.key();
+    const std::uint64_t version = record.version();
+    stored& place = records_[key];
+    digest_ ^= place.hash;
+    if (place.record.version() != 0) {
+        keys_by_version_.erase(place.record.version());
+        tombstones_by_version_.erase(place.record.version());
+    }
+    place.hash = hash_of(record);
+    digest_ ^= place.hash;
+    keys_by_version_[version] = key;
+    if (record.removed()) {
+        tombstones_by_version_[version] = key;
+    }
+    place.record = std::move(record);
+}
+
+std::uint64_t state_records::digest_with(std::span<const pb::state_record* const> records) const
+{
+    std::uint64_t digest = digest_;
+    for (const pb::state_record* record : records) {
+        const auto held = records_.find(record->key());
+        if (held != records_.end()) {
+            digest ^= held->second.hash;
+        }
+        digest ^= hash_of(*record);
+    }
+    return digest;
+}
+
+void state_records::drop_old_tombstones()
+{
+    while (tombstones_by_version_.size() > config::max_tombstones) {
+        const auto oldest = tombstones_by_version_.begin();
+        first_delta_ = oldest->first;
+        keys_by_version_.erase(oldest->first);
+        records_.erase(oldest->second);
+        tombstones_by_version_.erase(oldest);
+    }
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/state_replies.h
@@ -0,0 +1,24 @@
+// Answers to operators' requests.
+#pragma once
+
+#include "primrosehead.pb.h"
+
+#include <primrosehead/error.h>
+
+#include <cstdint>
+#include <string_view>
+
+namespace primrosehead {
+
+[[nodiscard]] pb::operator_reply accepted(std::uint64_t version);
+
+// A refusal; `version` is the current one that a conflict names.
+[[nodiscard]] pb::operator_reply refused(const error& why, std::uint64_t version = 0);
+[[nodiscard]] pb::operator_reply refused(error_kind kind, std::string_view message,
+                                         std::string_view remedy, std::uint64_t version = 0);
+
+// An error as messages carry it, and back.
+[[nodiscard]] pb::request_error to_message(const error& failure);
+[[nodiscard]] error from_message(const pb::request_error& message);
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/state_view.cpp
@@ -0,0 +1,183 @@
+#include "state_records.h"
+
+#include <primrosehead/state_view.h>
+
+#include <utility>
+
+namespace primrosehead {
+
+namespace {
+
+// A delta from version 0 is a whole state and replaces what is held.
+bool is_whole(const pb::state_delta& delta)
+{
+    return delta.from_version() == 0;
+}
+
+// The records of a delta that are newer than `version`.
+std::vector<const pb::state_record*> newer_than(const pb::state_delta& delta, std::uint64_t version)
+{
+    std::vector<const pb::state_record*> newer;
+    for (const pb::state_record& record : delta.records()) {
+        if (record.version() > version) {
+            newer.push_back(&record);
+        }
+    }
+    return newer;
+}
+
+template <class Record, class Read>
+std::vector<const Record*> all_of_kind(const state_records& records, std::string_view prefix,
+                                       Read read)
+{
+    std::vector<const Record*> found;
+    for (const pb::state_record* record : records.with_prefix(prefix)) {
+        found.push_back(&read(*record));
+    }
+    return found;
+}
+
+} // namespace
+
+std::string_view to_string(follow_outcome outcome) noexcept
+{
+    switch (outcome) {
+    case follow_outcome::advanced:
+        return "advanced";
+    case follow_outcome::confirmed:
+        return "confirmed";
+    case follow_outcome::stale:
+        return "stale";
+    case follow_outcome::gap:
+        return "gap";
+    case follow_outcome::mismatch:
+        return "mismatch";
+    case follow_outcome::other_cell:
+        return "other_cell";
+    }
+    return "unknown";
+}
+
+state_view::state_view(cell_name cell, bool check_digest)
+    : cell_(std::move(cell)), check_digest_(check_digest),
+      records_(std::make_unique<state_records>())
+{
+}
+
+state_view::~state_view() = default;
+state_view::state_view(state_view&&) noexcept = default;
+state_view& state_view::operator=(state_view&&) noexcept = default;
+
+follow_outcome state_view::apply(const pb::state_delta& delta)
+{
+    if (delta.cell() != cell_.text()) {
+        return follow_outcome::other_cell;
+    }
+    if (delta.to_version() < version()) {
+        return follow_outcome::stale;
+    }
+    if (delta.from_version() > version()) {
+        return follow_outcome::gap;
+    }
+    const follow_outcome outcome = is_whole(delta) ? replace(delta) : follow(delta);
+    wants_everything_ = outcome == follow_outcome::mismatch;
+    return outcome;
+}
+
+// Builds a whole state beside the present one and takes it if its digest matches.
+follow_outcome state_view::replace(const pb::state_delta& delta)
+{
+    auto next = std::make_unique<state_records>();
+    for (const pb::state_record& record : delta.records()) {
+        next->put(record);
+    }
+    if (check_digest_ && next->digest() != delta.digest()) {
+        return follow_outcome::mismatch;
+    }
+    const bool same = delta.to_version() == version() && next->digest() == digest();
+    next->set_version(delta.to_version());
+    records_ = std::move(next);
+    return same ? follow_outcome::confirmed : follow_outcome::advanced;
+}
+
+// Takes the newer records of a delta if the digest will match.
+follow_outcome state_view::follow(const pb::state_delta& delta)
+{
+    const auto newer = newer_than(delta, version());
+    if (check_digest_ && records_->digest_with(newer) != delta.digest()) {
+        return follow_outcome::mismatch;
+    }
+    if (delta.to_version() == version()) {
+        return follow_outcome::confirmed;
+    }
+    for (const pb::state_record* record : newer) {
+        records_->put(*record);
+    }
+    records_->set_version(delta.to_version());
+    records_->drop_old_tombstones();
+    return follow_outcome::advanced;
+}
+
+std::uint64_t state_view::version() const noexcept
+{
+    return records_->version();
+}
+
+std::uint64_t state_view::digest() const noexcept
+{
+    return records_->digest();
+}
+
+std::uint64_t state_view::asked_version() const noexcept
+{
+    return wants_everything_ ? 0 : version();
+}
+
+const pb::environment_record* state_view::environment(std::string_view name) const
+{
+    const pb::state_record* found = records_->find(record_key(environment_prefix, name));
+    return found == nullptr ? nullptr : &found->environment();
+}
+
+const pb::group_record* state_view::group(std::string_view database) const
+{
+    const pb::state_record* found = records_->find(record_key(group_prefix, database));
+    return found == nullptr ? nullptr : &found->group();
+}
+
+const pb::instance_record* state_view::instance(std::string_view name) const
+{
+    const pb::state_record* found = records_->find(record_key(instance_prefix, name));
+    return found == nullptr ? nullptr : &found->instance();
+}
+
+const pb::key_record* state_view::key(std::string_view key_id) const
+{
+    const pb::state_record* found = records_->find(record_key(key_prefix, key_id));
+    return found == nullptr ? nullptr : &found->key_value();
+}
+
+std::vector<const pb::group_record*> state_view::groups() const
+{
+    return all_of_kind<pb::group_record>(
+        *records_, group_prefix,
+        [](const pb::state_record& record) -> const pb::group_record& { return record.group(); });
+}
+
+std::vector<const pb::instance_record*> state_view::instances() const
+{
+    return all_of_kind<pb::instance_record>(
+        *records_, instance_prefix,
+        [](const pb::state_record& record) -> const pb::instance_record& {
+            return record.instance();
+        });
+}
+
+std::vector<const pb::key_record*> state_view::keys() const
+{
+    return all_of_kind<pb::key_record>(
+        *records_, key_prefix,
+        [](const pb::state_record& record) -> const pb::key_record& { return record.key_value(); });
+}
+
+} // namespace primrosehead
