--- a/include/primrosehead/limits.h
+++ b/include/primrosehead/limits.h
@@ -3,7 +3,9 @@
 // The control leader mints an organisation's tokens in an `allowance_ledger` and grants them to
 // instances for a short time; an instance spends them from its `allowance`. Tokens that exist (with
 // the leader or unexpired at instances) never pass the burst, and they are minted at the rate, so
-// that any window admits at most burst + rate x time. Amounts are thousandths of a request.
+// that any window admits at most burst + rate x time. An instance that takes in an answer lends its
+// floor to the leader for the grant time: floors are minted by instances only once they are cut off
+// from the leader for so long. Amounts are thousandths of a request.
 #pragma once
 
 #include <primrosehead/clock.h>
@@ -44,7 +46,9 @@
     // When `take` may succeed again, were no grant to come.
     [[nodiscard]] clock::duration retry_after(clock::time_point now) const;
 
-    // A grant in answer to a heartbeat asked at `asked_at`.
+    // A grant in answer to a heartbeat asked at `asked_at`, also one of nothing: it lends the
+    // instance's floor to the leader for `valid` from now on. Answers older than the last one that
+    // was taken in are to be dropped before they come here.
     void granted(std::int64_t amount, clock::duration valid, clock::time_point asked_at,
                  clock::time_point now);
 
@@ -54,6 +58,10 @@
     // True when the next heartbeat should not wait: demand is there and tokens run low.
     [[nodiscard]] bool is_low(clock::time_point now) const;
 
+    // True when the next heartbeat should carry a report: there is something to say, or the last
+    // one is a while ago.
+    [[nodiscard]] bool is_due(clock::time_point now) const;
+
     ~allowance();
     allowance(allowance&&) noexcept;
     allowance& operator=(allowance&&) noexcept;
--- /dev/null
+++ b/src/limits_allowance.cpp
@@ -0,0 +1,202 @@
+#include "limits_bucket.h"
+#include "limits_demand.h"
+#include "limits_lots.h"
+#include "limits_shares.h"
+#include "primrosehead.pb.h"
+
+#include <primrosehead/limits.h>
+
+#include <algorithm>
+
+namespace primrosehead::limits {
+
+namespace {
+
+constexpr clock::duration supply{150};         // of demand that an instance likes to hold
+constexpr clock::duration spare_time{1'000};   // one request is held ready so long after the last
+constexpr clock::duration renewal_time{250};   // tokens that end sooner are returned for new ones
+constexpr clock::duration idle_interval{400};  // between reports of an idle organisation
+constexpr clock::duration answer_timeout{20};  // a report without an answer is made again
+constexpr clock::duration short_pause_min{10}; // after a grant of less than was wanted
+constexpr clock::duration short_pause_max{100};
+constexpr clock::duration retry_after_max{5'000};
+constexpr std::int64_t milliseconds_a_second = 1'000;
+constexpr clock::time_point never = clock::time_point::max();
+
+// Time in which `rate` (thousandths a second) yields `amount`.
+clock::duration time_for(std::int64_t amount, std::int64_t rate)
+{
+    if (rate <= 0) {
+        return retry_after_max;
+    }
+    const std::int64_t needed = (amount * milliseconds_a_second + rate - 1) / rate;
+    return clock::duration(std::max<std::int64_t>(needed, 1));
+}
+
+} // namespace
+
+struct allowance::implementation {
+    contract terms;
+    shares amounts;
+    lots granted;
+    bucket floor;
+    clock::time_point floor_minted_at;
+    clock::time_point floor_from = never; // until then the floor is lent to the leader
+    demand recent;
+    std::int64_t unmet = 0; // requests refused since the last report
+    std::int64_t wanted = 0;
+    std::int64_t returned_total = 0;
+    std::int64_t used_total = 0;
+    clock::time_point reported_at{};
+    clock::time_point last_asked_at{};
+    bool is_awaiting = false; // a report has no answer yet
+    clock::time_point quiet_until{};
+
+    void set_terms(const contract& changed, clock::time_point now)
+    {
+        terms = changed;
+        amounts = shares_of(changed);
+        floor.cap(amounts.floor_burst);
+        if (is_static_split(terms)) {
+            floor_from = std::min(floor_from, now);
+        }
+    }
+
+    void bring_up(clock::time_point now)
+    {
+        granted.expire(now);
+        const clock::time_point from = std::max(floor_minted_at, floor_from);
+        if (now > from) {
+            floor.mint(amounts.floor_rate, now - from);
+            floor.cap(amounts.floor_burst);
+        }
+        floor_minted_at = std::max(floor_minted_at, now);
+    }
+
+    [[nodiscard]] std::int64_t held() const { return granted.total() + floor.tokens(); }
+
+    // The tokens that demand and refusals since the last report speak for.
+    [[nodiscard]] std::int64_t supply_wanted(clock::time_point now) const
+    {
+        const std::int64_t recent_requests = recent.recent(now);
+        const std::int64_t ahead =
+            recent_requests * one_request * supply.count() / demand::window.count();
+        const bool is_active =
+            recent.last_at() != clock::time_point{} && now - recent.last_at() < spare_time;
+        const std::int64_t spare = is_active ? one_request : 0;
+        const std::int64_t whole = (ahead + one_request - 1) / one_request * one_request;
+        return std::max(whole, spare) + unmet * one_request;
+    }
+
+    [[nodiscard]] bool is_waiting_for_answer(clock::time_point now) const
+    {
+        return is_awaiting && now - reported_at < answer_timeout;
+    }
+};
+
+allowance::allowance(contract terms, clock::time_point now)
+    : body_(std::make_unique<implementation>())
+{
+    body_->floor_minted_at = now;
+    body_->set_terms(terms, now);
+}
+
+allowance::~allowance() = default;
+allowance::allowance(allowance&&) noexcept = default;
+allowance& allowance::operator=(allowance&&) noexcept = default;
+
+void allowance::change(contract terms, clock::time_point now)
+{
+    body_->bring_up(now);
+    body_->set_terms(terms, now);
+}
+
+bool allowance::take(clock::time_point now)
+{
+    body_->bring_up(now);
+    body_->recent.record(now);
+    if (body_->held() < one_request) {
+        ++body_->unmet;
+        return false;
+    }
+    const std::int64_t taken = body_->granted.take(one_request);
+    body_->floor.take(one_request - taken);
+    body_->used_total += one_request;
+    return true;
+}
+
+clock::duration allowance::retry_after(clock::time_point now) const
+{
+    body_->bring_up(now);
+    const std::int64_t missing = std::max<std::int64_t>(one_request - body_->held(), 0);
+    const std::int64_t even_share = body_->amounts.rate / std::max(body_->terms.instances, 1U);
+    const std::int64_t rate =
+        is_static_split(body_->terms) ? body_->amounts.floor_rate : even_share;
+    return std::min(time_for(missing, rate), retry_after_max);
+}
+
+void allowance::granted(std::int64_t amount, clock::duration valid, clock::time_point asked_at,
+                        clock::time_point now)
+{
+    if (is_static_split(body_->terms)) {
+        return;
+    }
+    body_->bring_up(now);
+    body_->floor.clear();
+    body_->floor_from =
+        body_->floor_from == never ? now + valid : std::max(body_->floor_from, now + valid);
+    if (asked_at <= body_->last_asked_at) {
+        return;
+    }
+    body_->last_asked_at = asked_at;
+    body_->is_awaiting = false;
+    body_->granted.add(amount, asked_at + valid);
+    body_->granted.expire(now);
+    if (body_->granted.total() < body_->wanted) {
+        const clock::duration pause = time_for(one_request, body_->amounts.rate);
+        body_->quiet_until = now + std::clamp(pause, short_pause_min, short_pause_max);
+    }
+}
+
+void allowance::report(pb::allowance_report& into, clock::time_point now)
+{
+    body_->bring_up(now);
+    body_->wanted = body_->supply_wanted(now);
+    const std::int64_t surplus = std::max<std::int64_t>(body_->granted.total() - body_->wanted, 0);
+    const std::int64_t ending = body_->granted.ending_before(now + renewal_time);
+    body_->returned_total += body_->granted.take(std::max(surplus, ending));
+    body_->unmet = 0;
+    body_->reported_at = now;
+    body_->is_awaiting = true;
+    into.set_held(body_->granted.total());
+    into.set_returned_total(body_->returned_total);
+    into.set_wanted(body_->wanted);
+    into.set_used_total(body_->used_total);
+}
+
+bool allowance::is_low(clock::time_point now) const
+{
+    if (is_static_split(body_->terms) || now < body_->quiet_until ||
+        body_->is_waiting_for_answer(now)) {
+        return false;
+    }
+    body_->bring_up(now);
+    if (body_->unmet > 0) {
+        return true;
+    }
+    const bool has_demand = body_->recent.recent(now) > 0;
+    return has_demand && body_->held() < body_->supply_wanted(now) / 4;
+}
+
+bool allowance::is_due(clock::time_point now) const
+{
+    if (is_static_split(body_->terms)) {
+        return false;
+    }
+    body_->bring_up(now);
+    const bool has_something =
+        body_->unmet > 0 || !body_->granted.empty() || now - body_->recent.last_at() < spare_time;
+    return has_something || now - body_->reported_at >= idle_interval;
+}
+
+} // namespace primrosehead::limits
--- /dev/null
+++ b/src/limits_bucket.cpp
@@ -0,0 +1,31 @@
+#include "limits_bucket.h"
+
+#include <algorithm>
+
+namespace primrosehead::limits {
+
+namespace {
+
+constexpr std::int64_t milliseconds_a_second = 1'000;
+
+} // namespace
+
+void bucket::mint(std::int64_t rate, clock::duration time) noexcept
+{
+    const std::int64_t minted = rate * std::max<std::int64_t>(time.count(), 0) + fraction_;
+    tokens_ += minted / milliseconds_a_second;
+    fraction_ = minted % milliseconds_a_second;
+}
+
+void bucket::cap(std::int64_t most) noexcept
+{
+    tokens_ = std::min(tokens_, std::max<std::int64_t>(most, 0));
+}
+
+void bucket::clear() noexcept
+{
+    tokens_ = 0;
+    fraction_ = 0;
+}
+
+} // namespace primrosehead::limits
--- /dev/null
+++ b/src/limits_demand.cpp
@@ -0,0 +1,27 @@
+#include "limits_demand.h"
+
+namespace primrosehead::limits {
+
+void demand::record(clock::time_point now)
+{
+    const std::int64_t number = now.time_since_epoch() / slot_length;
+    slot& present = slots_.at(static_cast<std::size_t>(number) % slot_count);
+    if (present.number != number) {
+        present = {number, 0};
+    }
+    ++present.requests;
+    last_at_ = now;
+}
+
+std::int64_t demand::recent(clock::time_point now) const
+{
+    const std::int64_t number = now.time_since_epoch() / slot_length;
+    std::int64_t requests = 0;
+    for (const slot& one : slots_) {
+        const bool is_recent = one.number > number - static_cast<std::int64_t>(slot_count);
+        requests += is_recent ? one.requests : 0;
+    }
+    return requests;
+}
+
+} // namespace primrosehead::limits
--- /dev/null
+++ b/src/limits_model.cpp
@@ -0,0 +1,363 @@
+#include "limits_model.h"
+
+#include "primrosehead.pb.h"
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace primrosehead::limits {
+
+namespace {
+
+const char* const organisation = "shrine-committee";
+
+// The one bucket that an unlimited fleet without faults would have.
+class ideal_bucket {
+  public:
+    explicit ideal_bucket(const contract& terms) : terms_(terms), tokens_(terms.burst) {}
+
+    bool take(clock::time_point now)
+    {
+        constexpr double milliseconds_a_second = 1'000;
+        const auto passed = static_cast<double>((now - at_).count());
+        tokens_ = std::min(terms_.burst, tokens_ + terms_.rate * passed / milliseconds_a_second);
+        at_ = now;
+        if (tokens_ < 1) {
+            return false;
+        }
+        tokens_ -= 1;
+        return true;
+    }
+
+  private:
+    contract terms_;
+    double tokens_;
+    clock::time_point at_{};
+};
+
+struct waiting_request {
+    clock::time_point deadline;
+    bool is_within = false;
+};
+
+struct request_message {
+    clock::time_point due;
+    std::size_t instance = 0;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t answered = 0;
+    clock::time_point asked_at;
+    pb::allowance_report report;
+};
+
+struct reply_message {
+    clock::time_point due;
+    std::size_t instance = 0;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    clock::time_point asked_at;
+    pb::allowance_grant grant;
+};
+
+struct entry {
+    std::optional<allowance> tokens;
+    std::uint64_t incarnation = 1;
+    std::uint64_t sequence = 0;
+    std::uint64_t answered = 0;
+    clock::time_point next_heartbeat;
+    clock::time_point frozen_until;
+    clock::time_point down_until;
+    clock::time_point cut_until;
+    std::deque<waiting_request> waiting;
+};
+
+class model {
+  public:
+    explicit model(const model_settings& settings)
+        : settings_(settings), random_(settings.seed), present_(settings.terms),
+          ideal_(settings.terms)
+    {
+        entries_.resize(settings.terms.instances);
+        for (std::size_t index = 0; index < entries_.size(); ++index) {
+            entries_[index].tokens.emplace(present_, start);
+            entries_[index].next_heartbeat = start + clock::duration(index * 10);
+        }
+        elect(start);
+    }
+
+    model_result run(std::span<const arrival> arrivals)
+    {
+        const clock::time_point end = start + settings_.length;
+        for (clock::time_point now = start; now < end; now += clock::duration(1)) {
+            disturb(now);
+            lead(now);
+            deliver_replies(now);
+            while (!arrivals.empty() && arrivals.front().at <= now) {
+                arrive(arrivals.front(), now);
+                arrivals = arrivals.subspan(1);
+            }
+            for (std::size_t index = 0; index < entries_.size(); ++index) {
+                step(index, now);
+            }
+        }
+        result_.breach = find_breach(admissions_, settings_.terms.rate, settings_.terms.burst);
+        return result_;
+    }
+
+    static constexpr clock::time_point start{clock::duration(100'000)};
+
+  private:
+    bool happens(double chance)
+    {
+        return chance > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < chance;
+    }
+
+    clock::duration any_duration(clock::duration most)
+    {
+        return clock::duration(std::uniform_int_distribution<clock::rep>(0, most.count())(random_));
+    }
+
+    void elect(clock::time_point now)
+    {
+        const clock::time_point counted_from =
+            settings_.count_old_grants ? now : now - settings_.grant_time * 2;
+        ledger_.emplace(counted_from, settings_.grant_time);
+        ledger_->change(organisation_name(organisation), present_, now);
+    }
+
+    void disturb(clock::time_point now)
+    {
+        for (entry& one : entries_) {
+            if (happens(settings_.freeze_chance)) {
+                one.frozen_until = now + any_duration(settings_.outage_max);
+            }
+            if (happens(settings_.cut_chance)) {
+                one.cut_until = now + any_duration(settings_.outage_max);
+            }
+            if (happens(settings_.restart_chance)) {
+                restart(one, now);
+            }
+        }
+        if (happens(settings_.leader_change_chance)) {
+            ledger_.reset();
+            elected_at_ = now + any_duration(settings_.election_max);
+        }
+        if (!ledger_ && now >= elected_at_) {
+            elect(now);
+        }
+        if (happens(settings_.contract_change_chance)) {
+            change_contract(now);
+        }
+    }
+
+    void restart(entry& one, clock::time_point now)
+    {
+        one.tokens.emplace(present_, now);
+        ++one.incarnation;
+        one.sequence = 0;
+        one.answered = 0;
+        one.down_until = now + any_duration(settings_.outage_max);
+        one.next_heartbeat = one.down_until;
+        result_.refused += one.waiting.size();
+        one.waiting.clear();
+    }
+
+    // Instances learn the new terms at different times.
+    void change_contract(clock::time_point now)
+    {
+        present_ = settings_.terms;
+        if (is_halved_) {
+            is_halved_ = false;
+        }
+        else {
+            is_halved_ = true;
+            present_.rate /= 2;
+            present_.burst /= 2;
+        }
+        if (ledger_) {
+            ledger_->change(organisation_name(organisation), present_, now);
+        }
+        for (entry& one : entries_) {
+            if (happens(0.5)) {
+                one.tokens->change(present_, now);
+            }
+        }
+    }
+
+    [[nodiscard]] bool runs(const entry& one, clock::time_point now) const
+    {
+        return now >= one.frozen_until && now >= one.down_until;
+    }
+
+    clock::time_point delivery(clock::time_point now)
+    {
+        return now + settings_.one_way + any_duration(settings_.extra_delay);
+    }
+
+    template <class Message>
+    void send(std::deque<Message>& link, Message message, clock::time_point now)
+    {
+        if (happens(settings_.message_loss)) {
+            return;
+        }
+        const int copies = happens(settings_.message_repeat) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            message.due = delivery(now);
+            link.push_back(message);
+        }
+    }
+
+    template <class Message>
+    static std::vector<Message> take_due(std::deque<Message>& link, clock::time_point now)
+    {
+        std::vector<Message> due;
+        for (Message& message : link) {
+            if (message.due <= now) {
+                due.push_back(message);
+            }
+        }
+        std::erase_if(link, [now](const Message& message) { return message.due <= now; });
+        return due;
+    }
+
+    void lead(clock::time_point now)
+    {
+        for (const request_message& asked : take_due(requests_, now)) {
+            if (!ledger_ || now < entries_[asked.instance].cut_until) {
+                continue;
+            }
+            reply_message reply;
+            reply.instance = asked.instance;
+            reply.incarnation = asked.incarnation;
+            reply.sequence = asked.sequence;
+            reply.asked_at = asked.asked_at;
+            reply.grant = ledger_->report(instance_name("entry-" + std::to_string(asked.instance)),
+                                          asked.incarnation, asked.sequence, asked.answered,
+                                          asked.report, now);
+            send(replies_, std::move(reply), now);
+        }
+    }
+
+    // What comes to a frozen instance waits for it; what comes to a stopped one is lost.
+    void deliver_replies(clock::time_point now)
+    {
+        for (reply_message& reply : take_due(replies_, now)) {
+            entry& one = entries_[reply.instance];
+            if (now < one.frozen_until) {
+                reply.due = one.frozen_until;
+                replies_.push_back(reply);
+                continue;
+            }
+            const bool is_late =
+                reply.incarnation != one.incarnation || reply.sequence <= one.answered;
+            if (is_late || now < one.down_until || now < one.cut_until) {
+                continue;
+            }
+            one.answered = reply.sequence;
+            const clock::time_point counted_from =
+                settings_.count_from_asking ? reply.asked_at : now;
+            one.tokens->granted(reply.grant.amount(), clock::duration(reply.grant.valid_ms()),
+                                counted_from, now);
+            serve_waiting(one, now);
+        }
+    }
+
+    void admit(clock::time_point now)
+    {
+        ++result_.admitted;
+        admissions_.push_back(now);
+    }
+
+    void refuse(bool is_within)
+    {
+        ++result_.refused;
+        result_.wrongly_refused += is_within ? 1 : 0;
+    }
+
+    void serve_waiting(entry& one, clock::time_point now)
+    {
+        while (!one.waiting.empty() && one.tokens->take(now)) {
+            ++result_.waited;
+            admit(now);
+            one.waiting.pop_front();
+        }
+    }
+
+    void arrive(const arrival& request, clock::time_point now)
+    {
+        entry& one = entries_[request.instance];
+        if (!runs(one, now)) {
+            return;
+        }
+        ++result_.offered;
+        const bool is_within = ideal_.take(now);
+        if (one.waiting.empty() && one.tokens->take(now)) {
+            admit(now);
+        }
+        else {
+            one.waiting.push_back({now + settings_.request_wait, is_within});
+        }
+    }
+
+    void step(std::size_t index, clock::time_point now)
+    {
+        entry& one = entries_[index];
+        if (!runs(one, now)) {
+            return;
+        }
+        while (!one.waiting.empty() && one.waiting.front().deadline <= now) {
+            refuse(one.waiting.front().is_within);
+            one.waiting.pop_front();
+        }
+        const bool is_regular = now >= one.next_heartbeat;
+        if (is_regular || one.tokens->is_low(now)) {
+            ask(index, now);
+        }
+    }
+
+    void ask(std::size_t index, clock::time_point now)
+    {
+        entry& one = entries_[index];
+        one.next_heartbeat = now + settings_.heartbeat;
+        if (!one.tokens->is_due(now)) {
+            return;
+        }
+        ++result_.heartbeats;
+        request_message message;
+        message.instance = index;
+        message.incarnation = one.incarnation;
+        message.sequence = ++one.sequence;
+        message.answered = one.answered;
+        message.asked_at = now;
+        message.report.set_organisation(organisation);
+        one.tokens->report(message.report, now);
+        if (now >= one.cut_until) {
+            send(requests_, std::move(message), now);
+        }
+    }
+
+    model_settings settings_;
+    std::mt19937_64 random_;
+    contract present_;
+    bool is_halved_ = false;
+    ideal_bucket ideal_;
+    std::vector<entry> entries_;
+    std::optional<allowance_ledger> ledger_;
+    clock::time_point elected_at_{};
+    std::deque<request_message> requests_;
+    std::deque<reply_message> replies_;
+    std::vector<clock::time_point> admissions_;
+    model_result result_;
+};
+
+} // namespace
+
+model_result run_model(const model_settings& settings, std::span<const arrival> arrivals)
+{
+    return model(settings).run(arrivals);
+}
+
+} // namespace primrosehead::limits
--- /dev/null
+++ b/src/limits_window.cpp
@@ -0,0 +1,29 @@
+#include "limits_model.h"
+
+#include <algorithm>
+
+namespace primrosehead::limits {
+
+// A window from admission i to admission j holds j - i + 1 of them. With surplus(k) = k - rate x
+// t(k) the bound reads surplus(j) - surplus(i) + 1 <= burst; the lowest surplus so far is the worst
+// start.
+std::optional<clock::time_point> find_breach(std::span<const clock::time_point> admissions,
+                                             double rate, double burst)
+{
+    constexpr double milliseconds_a_second = 1'000;
+    constexpr double rounding = 1e-6;
+    double lowest = 0;
+    double count = 0;
+    for (const clock::time_point at : admissions) {
+        const double surplus =
+            count - rate * static_cast<double>(to_ms(at)) / milliseconds_a_second;
+        lowest = count == 0 ? surplus : std::min(lowest, surplus);
+        if (surplus - lowest + 1 > burst + rounding) {
+            return at;
+        }
+        ++count;
+    }
+    return std::nullopt;
+}
+
+} // namespace primrosehead::limits
--- /dev/null
+++ b/tests/limits_test.cpp
@@ -0,0 +1,134 @@
+#include "limits_model.h"
+#include "limits_split.h"
+#include "primrosehead.pb.h"
+
+#include <primrosehead/limits.h>
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <random>
+
+using namespace primrosehead;
+using namespace primrosehead::limits;
+
+namespace {
+
+constexpr clock::time_point model_start{clock::duration(100'000)};
+
+contract lesson_contract()
+{
+    contract terms;
+    terms.rate = 200;
+    terms.burst = 100;
+    terms.floor_share = 0.2;
+    terms.instances = 9;
+    return terms;
+}
+
+// Poisson arrivals at `rate` a second over all instances, in lessons: bursts of `burst` requests
+// within 50 ms at times.
+std::vector<arrival> make_arrivals(std::uint64_t seed, double rate, std::size_t instances,
+                                   clock::duration length, int burst)
+{
+    std::mt19937_64 random(seed * 7'919);
+    std::uniform_int_distribution<std::size_t> any_instance(0, instances - 1);
+    std::vector<arrival> arrivals;
+    double at = 0;
+    std::exponential_distribution<double> gap(rate / 1'000);
+    while (at < static_cast<double>(length.count())) {
+        at += gap(random);
+        const clock::time_point time = model_start + clock::duration(static_cast<clock::rep>(at));
+        arrivals.push_back({time, any_instance(random)});
+        if (burst > 0 && random() % 500 == 0) {
+            const std::size_t instance = any_instance(random);
+            for (int index = 0; index < burst; ++index) {
+                arrivals.push_back({time + clock::duration(random() % 50), instance});
+            }
+        }
+    }
+    std::ranges::stable_sort(arrivals, {}, &arrival::at);
+    return arrivals;
+}
+
+model_settings faulty(std::uint64_t seed)
+{
+    model_settings settings;
+    settings.terms = lesson_contract();
+    settings.length = clock::duration(8'000);
+    settings.seed = seed;
+    settings.message_loss = 0.05;
+    settings.message_repeat = 0.05;
+    settings.extra_delay = clock::duration(seed % 3 == 0 ? 600 : 30);
+    settings.freeze_chance = 0.0002;
+    settings.restart_chance = 0.0001;
+    settings.cut_chance = 0.0002;
+    settings.outage_max = clock::duration(2'500);
+    settings.leader_change_chance = seed % 2 == 0 ? 0.001 : 0.0;
+    settings.contract_change_chance = seed % 5 == 0 ? 0.0005 : 0.0;
+    return settings;
+}
+
+model_result run_overloaded(const model_settings& settings)
+{
+    const double load = settings.terms.rate * 5;
+    return run_model(settings, make_arrivals(settings.seed, load, settings.terms.instances,
+                                             settings.length, 60));
+}
+
+} // namespace
+
+TEST_CASE("the window check finds what a contract forbids, and nothing else")
+{
+    std::vector<clock::time_point> admissions(10, from_ms(1'000));
+    CHECK_FALSE(find_breach(admissions, 10, 10).has_value());
+    admissions.push_back(from_ms(1'100));
+    CHECK_FALSE(find_breach(admissions, 10, 10).has_value());
+    admissions.push_back(from_ms(1'150));
+    CHECK(find_breach(admissions, 10, 10) == from_ms(1'150));
+}
+
+TEST_CASE("a pool is divided max-min fairly")
+{
+    CHECK(fair_level({5, 5, 50}, 60) == 50);
+    CHECK(fair_level({5, 5, 50}, 40) == 30);
+    CHECK(fair_level({10, 20, 30}, 30) == 10);
+    CHECK(fair_level({}, 30) == 0);
+}
+
+TEST_CASE("no window admits more than burst and rate allow, whatever fails")
+{
+    constexpr std::uint64_t seeds = 200;
+    std::uint64_t admitted = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        const model_result outcome = run_overloaded(faulty(seed));
+        CHECK_FALSE(outcome.breach.has_value());
+        admitted += outcome.admitted;
+    }
+    CHECK(admitted > 0);
+}
+
+TEST_CASE("a new leader that forgets old grants is caught")
+{
+    bool caught = false;
+    for (std::uint64_t seed = 2; seed <= 200 && !caught; seed += 2) {
+        model_settings settings = faulty(seed);
+        settings.count_old_grants = false;
+        settings.election_max = clock::duration(0);
+        settings.leader_change_chance = 0.005;
+        caught = run_overloaded(settings).breach.has_value();
+    }
+    CHECK(caught);
+}
+
+TEST_CASE("grants that count from their arrival are caught")
+{
+    bool caught = false;
+    for (std::uint64_t seed = 3; seed <= 600 && !caught; seed += 3) {
+        model_settings settings = faulty(seed);
+        settings.count_from_asking = false;
+        caught = run_overloaded(settings).breach.has_value();
+    }
+    CHECK(caught);
+}
