--- /dev/null
+++ b/src/gateway.cpp
@@ -0,0 +1,359 @@
+#include "gateway_directory.h"
+#include "gateway_errors.h"
+#include "gateway_timer.h"
+#include "gateway_transaction.h"
+
+#include <primrosehead/gateway.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <spdlog/spdlog.h>
+
+#include <random>
+#include <utility>
+
+namespace primrosehead {
+
+namespace net = boost::asio;
+
+namespace {
+
+using outcome = result<pb::backend_reply>;
+
+// Time between checks of health, idle connections and abandoned transactions.
+constexpr clock::duration check_interval{50};
+
+std::uint64_t draw_number()
+{
+    std::random_device source;
+    return (static_cast<std::uint64_t>(source()) << 32U) | source();
+}
+
+bool belongs_to_transaction(const pb::backend_request& request)
+{
+    return request.operation() != pb::BACKEND_BEGIN && !request.transaction().empty();
+}
+
+bool is_plain_read(const pb::backend_request& request)
+{
+    return request.operation() == pb::BACKEND_EXECUTE && !request.write() &&
+           request.transaction().empty();
+}
+
+pb::backend_reply to_message(const std::string& request_id, outcome&& answered)
+{
+    pb::backend_reply reply;
+    if (ok(answered)) {
+        reply = value(std::move(answered));
+    }
+    else {
+        const error& failed = failure(answered);
+        pb::request_error& told = *reply.mutable_error();
+        told.set_kind(std::string(to_string(failed.kind)));
+        told.set_message(failed.message);
+        told.set_remedy(failed.remedy);
+        told.set_ran(std::string(to_string(failed.ran)));
+        told.set_retry_after_ms(static_cast<std::uint32_t>(failed.retry_after.count()));
+    }
+    reply.set_request_id(request_id);
+    return reply;
+}
+
+// Counts a request for as long as it lives.
+class active_request {
+  public:
+    explicit active_request(gateway_counters& counters) : counters_(counters)
+    {
+        ++counters_.active;
+    }
+    ~active_request() { --counters_.active; }
+    active_request(const active_request&) = delete;
+    active_request& operator=(const active_request&) = delete;
+
+  private:
+    gateway_counters& counters_;
+};
+
+} // namespace
+
+struct gateway::implementation : std::enable_shared_from_this<gateway::implementation> {
+    explicit implementation(std::shared_ptr<gateway_context> shared)
+        : context(std::move(shared)), directory(context)
+    {
+    }
+
+    std::shared_ptr<gateway_context> context;
+    gateway_directory directory;
+
+    // Where a request goes: the instance that holds its transaction, or an owner of its server.
+    net::awaitable<outcome> run(pb::backend_request request, clock::time_point deadline)
+    {
+        const auto self = shared_from_this();
+        const active_request counted(context->counters);
+        if (belongs_to_transaction(request)) {
+            co_return co_await run_in_transaction(std::move(request), deadline);
+        }
+        const placed_server placed = directory.find(server_name(request.server()));
+        if (!placed.server) {
+            co_return unknown_server(request.server());
+        }
+        co_return co_await run_on_owner(placed, std::move(request), deadline);
+    }
+
+    // The owner first. The next one only when it certainly did not run: nothing was sent to a
+    // silent owner, or the request changes nothing.
+    net::awaitable<outcome> run_on_owner(placed_server placed, pb::backend_request request,
+                                         clock::time_point deadline)
+    {
+        for (const gateway_owner& owner : placed.owners) {
+            if (!owner) {
+                break;
+            }
+            if (owner->is_silent(clock::now())) {
+                continue;
+            }
+            const gateway_server::load counted(*placed.server);
+            const clock::time_point started = clock::now();
+            ++context->counters.forwarded;
+            forward_outcome forwarded = co_await owner->forward(request, deadline);
+            if (forwarded.is_answered) {
+                placed.server->learn(forwarded.answer, clock::now() - started,
+                                     is_plain_read(request));
+            }
+            if (!forwarded.is_given_back) {
+                co_return std::move(forwarded.answer);
+            }
+            spdlog::info("gateway: Request {} leaves silent instance {}.", request.request_id(),
+                         owner->address().name.text());
+        }
+        co_return co_await run_here(placed.server, std::move(request), deadline);
+    }
+
+    net::awaitable<outcome> run_here(std::shared_ptr<gateway_server> server,
+                                     pb::backend_request request, clock::time_point deadline)
+    {
+        ++context->counters.run_here;
+        const gateway_server::load counted(*server);
+        const clock::time_point started = clock::now();
+        const bool is_read = is_plain_read(request);
+        outcome answered;
+        if (request.operation() == pb::BACKEND_BEGIN) {
+            answered = co_await begin_here(server, std::move(request), deadline);
+        }
+        else {
+            answered = co_await server->run(std::move(request), deadline);
+        }
+        server->learn(answered, clock::now() - started, is_read);
+        if (ok(answered)) {
+            value(answered).set_server(server->name().text());
+        }
+        co_return answered;
+    }
+
+    net::awaitable<outcome> begin_here(std::shared_ptr<gateway_server> server,
+                                       pb::backend_request request, clock::time_point deadline)
+    {
+        if (context->draining) {
+            co_return instance_leaving();
+        }
+        const std::uint64_t number = draw_number();
+        context->transactions.insert(number, server);
+        outcome begun = co_await server->begin(std::move(request), number, deadline);
+        if (!ok(begun)) {
+            context->transactions.erase(number);
+            co_return begun;
+        }
+        const transaction_handle handle{context->settings.instance, context->incarnation, number};
+        value(begun).set_transaction(handle.text());
+        co_return begun;
+    }
+
+    net::awaitable<outcome> run_in_transaction(pb::backend_request request,
+                                               clock::time_point deadline)
+    {
+        const auto handle = transaction_handle::parse(request.transaction());
+        if (!handle) {
+            co_return transaction_gone();
+        }
+        if (handle->instance == context->settings.instance) {
+            co_return co_await proceed_here(*handle, std::move(request), deadline);
+        }
+        const std::shared_ptr<gateway_peer> holder = directory.find(handle->instance);
+        if (!holder) {
+            co_return transaction_gone();
+        }
+        ++context->counters.forwarded;
+        forward_outcome forwarded = co_await holder->forward(std::move(request), deadline);
+        co_return std::move(forwarded.answer);
+    }
+
+    net::awaitable<outcome> proceed_here(transaction_handle handle, pb::backend_request request,
+                                         clock::time_point deadline)
+    {
+        const auto server = context->transactions.find(handle.number);
+        if (handle.incarnation != context->incarnation || !server) {
+            co_return transaction_gone();
+        }
+        ++context->counters.run_here;
+        const gateway_server::load counted(*server);
+        const clock::time_point started = clock::now();
+        const std::string name = request.transaction();
+        outcome answered = co_await server->proceed(handle.number, std::move(request), deadline);
+        server->learn(answered, clock::now() - started, false);
+        if (ok(answered)) {
+            value(answered).set_server(server->name().text());
+            value(answered).set_transaction(name);
+        }
+        co_return answered;
+    }
+
+    // A request that another instance forwarded runs here, whoever owns the server by this
+    // instance's own view.
+    net::awaitable<void> run_forwarded(bus_origin origin, std::uint64_t correlation,
+                                       pb::backend_request request)
+    {
+        const auto self = shared_from_this();
+        const active_request counted(context->counters);
+        const clock::time_point deadline = clock::now() + clock::duration(request.deadline_ms());
+        const std::string request_id = request.request_id();
+        outcome answered = co_await run_received(std::move(request), deadline);
+        pb::envelope message;
+        message.set_cell(context->settings.cell.text());
+        message.set_from(context->settings.instance.text());
+        message.set_correlation(correlation);
+        *message.mutable_backend_answer() = to_message(request_id, std::move(answered));
+        context->messages.reply(origin, message);
+    }
+
+    net::awaitable<outcome> run_received(pb::backend_request request, clock::time_point deadline)
+    {
+        if (belongs_to_transaction(request)) {
+            const auto handle = transaction_handle::parse(request.transaction());
+            if (!handle || handle->instance != context->settings.instance) {
+                co_return transaction_gone();
+            }
+            co_return co_await proceed_here(*handle, std::move(request), deadline);
+        }
+        const placed_server placed = directory.find(server_name(request.server()));
+        if (!placed.server) {
+            co_return unknown_server(request.server());
+        }
+        co_return co_await run_here(placed.server, std::move(request), deadline);
+    }
+
+    void receive(const bus_origin& origin, const pb::envelope& message)
+    {
+        if (message.cell() != context->settings.cell.text()) {
+            return;
+        }
+        const auto sender = directory.find(instance_name(message.from()));
+        if (sender) {
+            sender->heard(clock::now());
+        }
+        if (message.has_backend()) {
+            ++context->counters.received;
+            net::co_spawn(context->executor,
+                          run_forwarded(origin, message.correlation(), message.backend()),
+                          net::detached);
+        }
+        else if (message.has_backend_answer() && sender) {
+            sender->answered(message.correlation(), message.backend_answer());
+        }
+    }
+
+    // Ends with the gateway.
+    static net::awaitable<void> check_regularly(std::weak_ptr<implementation> checked,
+                                                net::any_io_executor executor)
+    {
+        net::steady_timer timer(executor);
+        for (;;) {
+            co_await wait_until(timer, clock::now() + check_interval);
+            const auto alive = checked.lock();
+            if (!alive) {
+                co_return;
+            }
+            alive->directory.check(clock::now());
+        }
+    }
+};
+
+gateway::gateway(std::shared_ptr<implementation> body) : body_(std::move(body)) {}
+
+gateway::~gateway()
+{
+    body_->context->transactions.clear();
+}
+
+std::shared_ptr<gateway> gateway::create(net::any_io_executor executor, gateway_settings settings,
+                                         bus& messages)
+{
+    auto context =
+        std::make_shared<gateway_context>(executor, std::move(settings), messages, draw_number());
+    auto body = std::make_shared<implementation>(std::move(context));
+    net::co_spawn(executor, implementation::check_regularly(body, executor), net::detached);
+    return std::shared_ptr<gateway>(new gateway(std::move(body)));
+}
+
+net::awaitable<result<pb::backend_reply>> gateway::run(pb::backend_request request,
+                                                       clock::time_point deadline)
+{
+    return body_->run(std::move(request), deadline);
+}
+
+void gateway::receive(const bus_origin& origin, const pb::envelope& message)
+{
+    body_->receive(origin, message);
+}
+
+void gateway::heard(const pb::server_report& report, clock::time_point now)
+{
+    body_->directory.heard(report, now);
+}
+
+void gateway::forget_silent(clock::duration limit, clock::time_point now)
+{
+    body_->directory.forget_silent(limit, now);
+}
+
+void gateway::set_instances(std::span<const instance_address> live)
+{
+    body_->directory.set_instances(live);
+}
+
+std::vector<server_info> gateway::group(const database_name& database) const
+{
+    return body_->directory.group(database);
+}
+
+std::vector<pb::server_report> gateway::announced(clock::time_point since,
+                                                  clock::time_point now) const
+{
+    return body_->directory.announced(since, now);
+}
+
+gateway_stats gateway::stats() const
+{
+    const gateway_counters& counters = body_->context->counters;
+    gateway_stats made;
+    made.run_here = counters.run_here;
+    made.forwarded = counters.forwarded;
+    made.received = counters.received;
+    made.connections_opened = counters.connections_opened;
+    made.connections_open = counters.connections_open;
+    made.queued = static_cast<std::uint64_t>(std::max<std::int64_t>(0, counters.queued));
+    made.refused = counters.refused;
+    return made;
+}
+
+void gateway::drain()
+{
+    body_->context->draining = true;
+}
+
+bool gateway::is_idle() const
+{
+    return body_->context->counters.active == 0 && body_->context->transactions.is_empty();
+}
+
+} // namespace primrosehead
--- a/src/gateway_context.h
+++ b/src/gateway_context.h
@@ -33,6 +33,7 @@
   public:
     void insert(std::uint64_t number, std::shared_ptr<gateway_server> server);
     void erase(std::uint64_t number);
+    void clear();
     [[nodiscard]] std::shared_ptr<gateway_server> find(std::uint64_t number) const;
     [[nodiscard]] bool is_empty() const;
 
--- /dev/null
+++ b/src/gateway_directory.cpp
@@ -0,0 +1,258 @@
+#include "gateway_directory.h"
+
+#include <primrosehead/config.h>
+#include <primrosehead/ownership.h>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace primrosehead {
+
+namespace {
+
+// Instances that are tried for one server, one after the other.
+constexpr std::size_t max_owners = 3;
+
+// Instances that are gone and remembered for the transactions that they may still hold.
+constexpr std::size_t max_gone_instances = 256;
+
+// Of several servers that claim to be primary only the one of the newest term is believed.
+void believe_one_primary(std::vector<known_report>& group)
+{
+    const auto claim = [](const known_report& report) {
+        const bool is_primary = report.info.role == server_role::primary;
+        return std::tuple(is_primary, report.info.applied.term, report.primary_since);
+    };
+    const auto newest = std::ranges::max_element(group, {}, claim);
+    for (auto report = group.begin(); report != group.end(); ++report) {
+        if (report != newest && report->info.role == server_role::primary) {
+            report->info.role = server_role::replica;
+            report->info.data_age = clock::duration::max() / 2; // its claim can't be trusted
+        }
+    }
+}
+
+clock::duration median_of_others(const std::vector<clock::duration>& latencies, std::size_t but)
+{
+    std::vector<clock::duration> others;
+    others.reserve(latencies.size());
+    for (std::size_t at = 0; at < latencies.size(); ++at) {
+        if (at != but && latencies[at] > clock::duration::zero()) {
+            others.push_back(latencies[at]);
+        }
+    }
+    if (others.empty()) {
+        return clock::duration::zero();
+    }
+    const auto middle = others.begin() + static_cast<std::ptrdiff_t>(others.size() / 2);
+    std::ranges::nth_element(others, middle);
+    return *middle;
+}
+
+pb::server_report to_message(const known_report& known, clock::time_point now)
+{
+    const server_info& info = known.info;
+    pb::server_report made;
+    made.set_server(info.name.text());
+    made.set_database(info.database.text());
+    made.set_failure_domain(info.failure_domain.text());
+    made.set_url(info.url);
+    made.set_role(info.role == server_role::primary ? "primary" : "replica");
+    made.mutable_applied()->set_term(info.applied.term);
+    made.mutable_applied()->set_index(info.applied.index);
+    made.mutable_received()->set_term(known.received.term);
+    made.mutable_received()->set_index(known.received.index);
+    made.set_data_age_ms(static_cast<std::uint64_t>(info.data_age.count()));
+    made.set_slots(info.slots);
+    made.set_connection_limit(info.connection_limit);
+    made.set_leaving(info.leaving);
+    made.set_age_ms(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, (now - info.reported_at).count())));
+    return made;
+}
+
+} // namespace
+
+gateway_directory::gateway_directory(std::shared_ptr<gateway_context> context)
+    : context_(std::move(context)), snapshot_(std::make_unique<snapshot>())
+{
+}
+
+std::unique_ptr<gateway_directory::snapshot> gateway_directory::copy() const
+{
+    return snapshot_.read([](const snapshot& view) { return std::make_unique<snapshot>(view); });
+}
+
+void gateway_directory::publish(std::unique_ptr<snapshot> next)
+{
+    next->groups.clear();
+    for (auto& [name, placed] : next->servers) {
+        placed.owners = owners(*placed.server, *next);
+        next->groups[placed.server->database()].push_back(placed.server);
+    }
+    for (auto& [database, servers] : next->groups) {
+        std::ranges::sort(servers, {}, [](const auto& server) { return server->name(); });
+    }
+    snapshot_.publish(std::move(next));
+}
+
+// Live instances of the server's failure domain, or all live ones when that domain has none.
+std::vector<gateway_owner> gateway_directory::owners(const gateway_server& server,
+                                                     const snapshot& view) const
+{
+    std::vector<instance_name> near;
+    std::vector<instance_name> all;
+    all.reserve(view.live.size());
+    for (const instance_address& instance : view.live) {
+        all.push_back(instance.name);
+        if (instance.failure_domain == server.failure_domain()) {
+            near.push_back(instance.name);
+        }
+    }
+    std::vector<gateway_owner> made;
+    for (const instance_name& owner : owners_of(server.name(), near.empty() ? all : near)) {
+        if (made.size() == max_owners) {
+            break;
+        }
+        const bool is_this = owner == context_->settings.instance;
+        made.push_back(is_this ? nullptr : view.peers.at(owner));
+    }
+    if (made.empty()) {
+        made.emplace_back();
+    }
+    return made;
+}
+
+void gateway_directory::heard(const pb::server_report& report, clock::time_point now)
+{
+    const std::lock_guard lock(writer_);
+    const placed_server known = find(server_name(report.server()));
+    const bool is_same = known.server && known.server->database().text() == report.database() &&
+                         known.server->failure_domain().text() == report.failure_domain();
+    if (is_same) {
+        known.server->heard(report, now);
+        return;
+    }
+    auto next = copy();
+    if (!known.server && next->servers.size() >= config::max_servers_per_instance) {
+        spdlog::warn("gateway: Server {} is not taken in: {} servers are known already.",
+                     report.server(), next->servers.size());
+        return;
+    }
+    placed_server& placed = next->servers[server_name(report.server())];
+    placed.server = std::make_shared<gateway_server>(context_, report, now);
+    spdlog::info("gateway: Server {} of {} is known now at {}.", report.server(), report.database(),
+                 report.url());
+    publish(std::move(next));
+}
+
+void gateway_directory::forget_silent(clock::duration limit, clock::time_point now)
+{
+    const std::lock_guard lock(writer_);
+    auto next = copy();
+    const std::size_t gone = std::erase_if(next->servers, [&](const auto& entry) {
+        const bool silent = now - entry.second.server->report().info.reported_at > limit;
+        if (silent) {
+            spdlog::info("gateway: Server {} is forgotten: no report for {} ms.",
+                         entry.first.text(), limit.count());
+        }
+        return silent;
+    });
+    if (gone > 0) {
+        publish(std::move(next));
+    }
+}
+
+void gateway_directory::set_instances(std::span<const instance_address> live)
+{
+    const std::lock_guard lock(writer_);
+    auto next = copy();
+    if (next->peers.size() > live.size() + max_gone_instances) {
+        next->peers.clear();
+    }
+    next->live.assign(live.begin(), live.end());
+    for (const instance_address& instance : live) {
+        std::shared_ptr<gateway_peer>& peer = next->peers[instance.name];
+        if (!peer || peer->address().endpoint != instance.endpoint) {
+            peer = std::make_shared<gateway_peer>(context_, instance);
+        }
+    }
+    publish(std::move(next));
+}
+
+placed_server gateway_directory::find(const server_name& server) const
+{
+    return snapshot_.read([&](const snapshot& view) {
+        const auto found = view.servers.find(server);
+        return found == view.servers.end() ? placed_server() : found->second;
+    });
+}
+
+std::shared_ptr<gateway_peer> gateway_directory::find(const instance_name& instance) const
+{
+    return snapshot_.read([&](const snapshot& view) {
+        const auto found = view.peers.find(instance);
+        return found == view.peers.end() ? nullptr : found->second;
+    });
+}
+
+std::vector<server_info> gateway_directory::group(const database_name& database) const
+{
+    std::vector<known_report> reports;
+    snapshot_.read([&](const snapshot& view) {
+        const auto found = view.groups.find(database);
+        if (found == view.groups.end()) {
+            return;
+        }
+        reports.reserve(found->second.size());
+        for (const auto& server : found->second) {
+            reports.push_back(server->report());
+        }
+    });
+    believe_one_primary(reports);
+    std::vector<server_info> made;
+    made.reserve(reports.size());
+    for (known_report& report : reports) {
+        made.push_back(std::move(report.info));
+    }
+    return made;
+}
+
+std::vector<pb::server_report> gateway_directory::announced(clock::time_point since,
+                                                            clock::time_point now) const
+{
+    std::vector<pb::server_report> made;
+    snapshot_.read([&](const snapshot& view) {
+        for (const auto& [name, placed] : view.servers) {
+            const known_report known = placed.server->report();
+            if (known.announced_at >= since) {
+                made.push_back(to_message(known, now));
+            }
+        }
+    });
+    return made;
+}
+
+void gateway_directory::check(clock::time_point now) const
+{
+    snapshot_.read([&](const snapshot& view) {
+        for (const auto& [database, servers] : view.groups) {
+            std::vector<clock::duration> latencies;
+            latencies.reserve(servers.size());
+            for (const auto& server : servers) {
+                latencies.push_back(server->latency());
+            }
+            for (std::size_t at = 0; at < servers.size(); ++at) {
+                servers[at]->check(median_of_others(latencies, at));
+            }
+        }
+        for (const auto& [name, peer] : view.peers) {
+            peer->check(now);
+        }
+    });
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/gateway_directory.h
@@ -0,0 +1,71 @@
+// Backend servers, entry instances and who owns which server, as this instance sees them.
+//
+// Readers take a snapshot by read-copy-update; one writer at a time replaces it when a server or an
+// instance comes or goes.
+#pragma once
+
+#include "gateway_context.h"
+#include "gateway_peer.h"
+#include "gateway_server.h"
+
+#include <primrosehead/rcu.h>
+
+#include <memory>
+#include <mutex>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace primrosehead {
+
+// An instance that may run requests on a server. An empty pointer stands for this instance.
+using gateway_owner = std::shared_ptr<gateway_peer>;
+
+// A server and the instances to try for it, the owner first.
+struct placed_server {
+    std::shared_ptr<gateway_server> server;
+    std::vector<gateway_owner> owners;
+};
+
+class gateway_directory {
+  public:
+    explicit gateway_directory(std::shared_ptr<gateway_context> context);
+
+    void heard(const pb::server_report& report, clock::time_point now);
+    void forget_silent(clock::duration limit, clock::time_point now);
+    void set_instances(std::span<const instance_address> live);
+
+    // Empty when the server is not known.
+    [[nodiscard]] placed_server find(const server_name& server) const;
+
+    // Empty when the instance was never heard of. Instances that are gone are found for a while.
+    [[nodiscard]] std::shared_ptr<gateway_peer> find(const instance_name& instance) const;
+
+    [[nodiscard]] std::vector<server_info> group(const database_name& database) const;
+    [[nodiscard]] std::vector<pb::server_report> announced(clock::time_point since,
+                                                           clock::time_point now) const;
+
+    // Checks the health of every server and instance.
+    void check(clock::time_point now) const;
+
+  private:
+    using server_list = std::vector<std::shared_ptr<gateway_server>>;
+
+    struct snapshot {
+        std::unordered_map<server_name, placed_server> servers;
+        std::unordered_map<database_name, server_list> groups;
+        std::unordered_map<instance_name, std::shared_ptr<gateway_peer>> peers;
+        std::vector<instance_address> live;
+    };
+
+    [[nodiscard]] std::unique_ptr<snapshot> copy() const;
+    void publish(std::unique_ptr<snapshot> next);
+    [[nodiscard]] std::vector<gateway_owner> owners(const gateway_server& server,
+                                                    const snapshot& view) const;
+
+    std::shared_ptr<gateway_context> context_;
+    std::mutex writer_;
+    rcu_cell<snapshot> snapshot_;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/gateway_peer.h
@@ -0,0 +1,71 @@
+// Another entry instance, to which requests for the servers that it owns are forwarded.
+#pragma once
+
+#include "gateway_context.h"
+
+#include <primrosehead/directory.h>
+
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace primrosehead {
+
+// What became of a forwarded request.
+struct forward_outcome {
+    result<pb::backend_reply> answer;
+    bool is_answered = false;   // it came from the peer
+    bool is_given_back = false; // nothing came, and the request changes nothing: try elsewhere
+};
+
+class gateway_peer : public std::enable_shared_from_this<gateway_peer> {
+  public:
+    gateway_peer(std::shared_ptr<gateway_context> context, instance_address address);
+    ~gateway_peer();
+    gateway_peer(const gateway_peer&) = delete;
+    gateway_peer& operator=(const gateway_peer&) = delete;
+
+    [[nodiscard]] const instance_address& address() const noexcept { return address_; }
+
+    // Sends a request and waits for its answer. Any thread.
+    [[nodiscard]] boost::asio::awaitable<forward_outcome> forward(pb::backend_request request,
+                                                                  clock::time_point deadline);
+
+    // An answer came. One that nobody waits for any more is dropped. Any thread.
+    void answered(std::uint64_t correlation, pb::backend_reply reply);
+
+    // A message of any kind came from it.
+    void heard(clock::time_point now) noexcept;
+
+    // True when nothing came back for a while though something was asked.
+    [[nodiscard]] bool is_silent(clock::time_point now) const noexcept;
+
+    [[nodiscard]] bool is_idle() const noexcept { return pending_count_ == 0; }
+
+    // Asks a peer that owes an answer for a sign of life, and gives reads back from a silent one.
+    void check(clock::time_point now);
+
+  private:
+    using strand = boost::asio::strand<boost::asio::any_io_executor>;
+    struct pending;
+
+    boost::asio::awaitable<forward_outcome> forward_here(pb::backend_request request,
+                                                         clock::time_point deadline);
+    void send(std::uint64_t correlation, const pb::backend_request& request);
+    void ping();
+    void give_reads_back();
+
+    std::shared_ptr<gateway_context> context_;
+    const instance_address address_;
+    strand strand_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<pending>> pending_; // on the strand
+    std::atomic<std::uint32_t> pending_count_ = 0;
+    std::atomic<std::int64_t> unanswered_since_ms_ = 0; // 0: it owes nothing
+    std::atomic<std::int64_t> pinged_at_ms_ = 0;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/gateway_server.cpp
@@ -0,0 +1,220 @@
+#include "gateway_server.h"
+
+#include "gateway_pool.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace primrosehead {
+
+namespace net = boost::asio;
+
+namespace {
+
+// Weight of the newest rate in the smoothed rate at which a server's position advances.
+constexpr double smoothing = 0.3;
+
+// A request that timed out sooner tells more of its deadline than of the server.
+constexpr clock::duration shortest_telling_timeout{250};
+
+log_position to_position(const pb::position& position)
+{
+    return {position.term(), position.index()};
+}
+
+pool_limits limits_of(const server_info& info)
+{
+    return {info.url, info.slots, info.connection_limit};
+}
+
+double advance_rate(const server_info& before, const server_info& after)
+{
+    const auto elapsed = std::chrono::duration<double>(after.reported_at - before.reported_at);
+    if (elapsed.count() <= 0 || after.applied.index < before.applied.index) {
+        return before.advance_rate;
+    }
+    const auto grown = static_cast<double>(after.applied.index - before.applied.index);
+    return before.advance_rate + smoothing * (grown / elapsed.count() - before.advance_rate);
+}
+
+// Kinds of errors that only the server itself answers.
+bool is_answer_of_server(error_kind kind)
+{
+    return kind == error_kind::behind || kind == error_kind::wrong_term ||
+           kind == error_kind::backend_refused;
+}
+
+} // namespace
+
+gateway_server::gateway_server(std::shared_ptr<gateway_context> context,
+                               const pb::server_report& first, clock::time_point now)
+    : context_(std::move(context)), name_(first.server()), database_(first.database()),
+      domain_(first.failure_domain()), strand_(net::make_strand(context_->executor)),
+      report_(std::make_unique<known_report>(read(first, now))),
+      watch_(context_->settings.health, now - clock::duration(first.age_ms())),
+      pool_(std::make_unique<gateway_pool>(context_, strand_, limits_of(read(first, now).info)))
+{
+}
+
+gateway_server::~gateway_server() = default;
+
+known_report gateway_server::read(const pb::server_report& report, clock::time_point now)
+{
+    known_report made;
+    server_info& info = made.info;
+    info.name = server_name(report.server());
+    info.database = database_name(report.database());
+    info.failure_domain = failure_domain_name(report.failure_domain());
+    info.url = report.url();
+    info.role = report.role() == "primary" ? server_role::primary : server_role::replica;
+    info.applied = to_position(report.applied());
+    info.data_age = clock::duration(report.data_age_ms());
+    info.reported_at = now - clock::duration(report.age_ms());
+    info.slots = std::max(1U, report.slots());
+    info.connection_limit = std::max(1U, report.connection_limit());
+    info.leaving = report.leaving();
+    info.leaving_since = info.reported_at;
+    made.received = to_position(report.received());
+    made.primary_since = info.reported_at;
+    made.announced_at = report.age_ms() == 0 ? now : clock::time_point();
+    return made;
+}
+
+void gateway_server::heard(const pb::server_report& report, clock::time_point now)
+{
+    auto next = std::make_unique<known_report>(read(report, now));
+    const bool is_newer = report_.read([&](const known_report& known) {
+        next->info.advance_rate = advance_rate(known.info, next->info);
+        if (known.info.leaving) {
+            next->info.leaving_since = known.info.leaving_since;
+        }
+        if (known.info.role == server_role::primary) {
+            next->primary_since = known.primary_since;
+        }
+        next->announced_at = std::max(next->announced_at, known.announced_at);
+        return next->info.reported_at > known.info.reported_at;
+    });
+    if (!is_newer) {
+        return;
+    }
+    const clock::time_point measured = next->info.reported_at;
+    const pool_limits limits = limits_of(next->info);
+    report_.publish(std::move(next));
+    net::post(strand_, [self = shared_from_this(), measured, now, limits] {
+        const server_health before = self->watch_.state();
+        self->watch_.heard(measured, now);
+        self->pool_->configure(limits);
+        self->publish_health(before);
+    });
+}
+
+known_report gateway_server::report() const
+{
+    known_report made = report_.read([](const known_report& known) { return known; });
+    server_info& info = made.info;
+    info.health = health_.load(std::memory_order_relaxed);
+    info.outstanding = outstanding_.load(std::memory_order_relaxed);
+    info.latency = latency();
+    if (seen_term_.load(std::memory_order_acquire) == info.applied.term) {
+        const std::uint64_t seen = seen_index_.load(std::memory_order_relaxed);
+        info.applied.index = std::max(info.applied.index, seen);
+    }
+    return made;
+}
+
+clock::duration gateway_server::latency() const noexcept
+{
+    return clock::duration(latency_ms_.load(std::memory_order_relaxed));
+}
+
+net::awaitable<result<pb::backend_reply>> gateway_server::run(pb::backend_request request,
+                                                              clock::time_point deadline)
+{
+    const auto self = shared_from_this();
+    co_return co_await net::co_spawn(strand_, pool_->execute(std::move(request), deadline),
+                                     net::use_awaitable);
+}
+
+net::awaitable<result<pb::backend_reply>>
+gateway_server::begin(pb::backend_request request, std::uint64_t number, clock::time_point deadline)
+{
+    const auto self = shared_from_this();
+    co_return co_await net::co_spawn(strand_, pool_->begin(std::move(request), number, deadline),
+                                     net::use_awaitable);
+}
+
+net::awaitable<result<pb::backend_reply>> gateway_server::proceed(std::uint64_t number,
+                                                                  pb::backend_request request,
+                                                                  clock::time_point deadline)
+{
+    const auto self = shared_from_this();
+    co_return co_await net::co_spawn(strand_, pool_->proceed(number, std::move(request), deadline),
+                                     net::use_awaitable);
+}
+
+void gateway_server::learn(const result<pb::backend_reply>& outcome, clock::duration took,
+                           bool is_plain_read)
+{
+    if (ok(outcome) && value(outcome).has_at()) {
+        saw(value(outcome).at());
+    }
+    const bool answered = ok(outcome) || is_answer_of_server(failure(outcome).kind);
+    const error_kind kind = ok(outcome) ? error_kind::internal : failure(outcome).kind;
+    if (!answered && kind == error_kind::timed_out && took < shortest_telling_timeout) {
+        return;
+    }
+    const bool is_measured = is_plain_read && ok(outcome);
+    net::post(strand_, [self = shared_from_this(), answered, kind, took, is_measured] {
+        const server_health before = self->watch_.state();
+        if (answered) {
+            const clock::duration known = self->watch_.latency();
+            self->watch_.succeeded(is_measured ? took : known, clock::now());
+        }
+        else {
+            self->watch_.failed(kind, clock::now());
+        }
+        self->publish_health(before);
+    });
+}
+
+// Positions of answers are newer than reports. Two racing answers may leave the lower index, which
+// is a lower bound as well.
+void gateway_server::saw(const pb::position& position) noexcept
+{
+    if (seen_term_.load(std::memory_order_relaxed) != position.term()) {
+        seen_index_.store(position.index(), std::memory_order_relaxed);
+        seen_term_.store(position.term(), std::memory_order_release);
+        return;
+    }
+    if (seen_index_.load(std::memory_order_relaxed) < position.index()) {
+        seen_index_.store(position.index(), std::memory_order_relaxed);
+    }
+}
+
+void gateway_server::check(clock::duration others)
+{
+    net::post(strand_, [self = shared_from_this(), others] {
+        const server_health before = self->watch_.state();
+        self->watch_.check(others, clock::now());
+        self->publish_health(before);
+        self->pool_->sweep(clock::now());
+    });
+}
+
+void gateway_server::publish_health(server_health before)
+{
+    const server_health after = watch_.state();
+    latency_ms_.store(watch_.latency().count(), std::memory_order_relaxed);
+    health_.store(after, std::memory_order_relaxed);
+    if (before != after) {
+        spdlog::info("gateway: Server {} went from {} to {}: {}.", name_.text(), to_string(before),
+                     to_string(after), watch_.reason());
+    }
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/gateway_server.h
@@ -0,0 +1,99 @@
+// One backend server as this instance sees it: its last report, its health, the load this instance
+// puts on it, and its pool of connections when this instance owns it.
+#pragma once
+
+#include "gateway_context.h"
+
+#include <primrosehead/directory.h>
+#include <primrosehead/health.h>
+#include <primrosehead/rcu.h>
+
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace primrosehead {
+
+class gateway_pool;
+
+// The newest report of a server.
+struct known_report {
+    server_info info;
+    log_position received;
+    clock::time_point primary_since; // when it first claimed its present role of primary
+    clock::time_point announced_at;  // when it last announced itself here; zero: never
+};
+
+class gateway_server : public std::enable_shared_from_this<gateway_server> {
+  public:
+    gateway_server(std::shared_ptr<gateway_context> context, const pb::server_report& first,
+                   clock::time_point now);
+    ~gateway_server();
+    gateway_server(const gateway_server&) = delete;
+    gateway_server& operator=(const gateway_server&) = delete;
+
+    [[nodiscard]] const server_name& name() const noexcept { return name_; }
+    [[nodiscard]] const database_name& database() const noexcept { return database_; }
+    [[nodiscard]] const failure_domain_name& failure_domain() const noexcept { return domain_; }
+
+    // Takes a newer report in. One caller at a time.
+    void heard(const pb::server_report& report, clock::time_point now);
+
+    // The last report with present health and load. Any thread, without a lock.
+    [[nodiscard]] known_report report() const;
+
+    // Runs a request over this instance's own connections. Any thread.
+    [[nodiscard]] boost::asio::awaitable<result<pb::backend_reply>> run(pb::backend_request request,
+                                                                        clock::time_point deadline);
+    [[nodiscard]] boost::asio::awaitable<result<pb::backend_reply>>
+    begin(pb::backend_request request, std::uint64_t number, clock::time_point deadline);
+    [[nodiscard]] boost::asio::awaitable<result<pb::backend_reply>>
+    proceed(std::uint64_t number, pb::backend_request request, clock::time_point deadline);
+
+    // Counts a request of this instance on the server, run here or forwarded, while it lives.
+    class load {
+      public:
+        explicit load(gateway_server& server) : server_(server) { ++server_.outstanding_; }
+        ~load() { --server_.outstanding_; }
+        load(const load&) = delete;
+        load& operator=(const load&) = delete;
+
+      private:
+        gateway_server& server_;
+    };
+
+    // Learns position and health from what a request came to. Only reads outside transactions tell
+    // of latency: writes wait for replicas, too.
+    void learn(const result<pb::backend_reply>& outcome, clock::duration took, bool is_plain_read);
+
+    [[nodiscard]] clock::duration latency() const noexcept;
+
+    // Checks health against the median latency of the rest of its group, and sweeps the pool.
+    void check(clock::duration others);
+
+  private:
+    using strand = boost::asio::strand<boost::asio::any_io_executor>;
+
+    [[nodiscard]] static known_report read(const pb::server_report& report, clock::time_point now);
+    void saw(const pb::position& position) noexcept;
+    void publish_health(server_health before);
+
+    std::shared_ptr<gateway_context> context_;
+    const server_name name_;
+    const database_name database_;
+    const failure_domain_name domain_;
+    strand strand_;
+    rcu_cell<known_report> report_;
+    health_watch watch_;                 // on the strand
+    std::unique_ptr<gateway_pool> pool_; // on the strand
+    std::atomic<std::uint32_t> outstanding_ = 0;
+    std::atomic<std::int64_t> latency_ms_ = 0;
+    std::atomic<server_health> health_ = server_health::up;
+    std::atomic<std::uint64_t> seen_term_ = 0; // of answers
+    std::atomic<std::uint64_t> seen_index_ = 0;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/tests/fake_server.h
@@ -0,0 +1,63 @@
+// A small backend server for tests: it answers execute, begin, commit and rollback of
+// docs/BACKEND.md, keeps a record of them, and misbehaves on demand.
+#pragma once
+
+#include <primrosehead/clock.h>
+#include <primrosehead/http.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace primrosehead::testing {
+
+enum class misbehaviour {
+    none,
+    late,          // answers after `delay`
+    wrong_id,      // answers with the id of the request before
+    cut,           // sends half of its answer and closes
+    without_field, // leaves `index` out
+    refuse,        // refuses every statement: backend_refused, not run
+    hang,          // never answers
+};
+
+struct recorded_request {
+    std::string target;
+    std::string id;
+    std::string statement;
+    std::string transaction;
+    std::uint64_t connection = 0;
+};
+
+class fake_server {
+  public:
+    explicit fake_server(boost::asio::any_io_executor executor, std::uint32_t max_connections = 20);
+    ~fake_server();
+    fake_server(const fake_server&) = delete;
+    fake_server& operator=(const fake_server&) = delete;
+
+    void misbehave(misbehaviour how, clock::duration delay = clock::duration(0));
+
+    // Drops every connection, rolls their transactions back and refuses new ones.
+    void stop();
+
+    [[nodiscard]] std::string url() const;
+    [[nodiscard]] std::vector<recorded_request> record() const;
+    [[nodiscard]] std::size_t open_transactions() const;
+    [[nodiscard]] std::uint32_t most_at_once() const; // requests that ran at the same time
+    [[nodiscard]] std::uint32_t connections() const;
+
+  private:
+    struct state;
+    std::shared_ptr<state> state_;
+    std::shared_ptr<http::listener> listener_;
+};
+
+} // namespace primrosehead::testing
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,685 @@
+#include "fake_server.h"
+#include "gateway_transaction.h"
+#include "gateway_wire.h"
+
+#include <primrosehead/gateway.h>
+#include <primrosehead/ownership.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <doctest/doctest.h>
+
+#include <array>
+#include <atomic>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace primrosehead;
+using testing::fake_server;
+using testing::misbehaviour;
+
+namespace net = boost::asio;
+
+namespace {
+
+using outcome = result<pb::backend_reply>;
+
+constexpr clock::duration generous{20'000};
+constexpr clock::duration short_time{150};
+
+// Waits until `is_true`, for a generous time at most.
+template <class Condition>
+bool eventually(const Condition& is_true)
+{
+    const clock::time_point end = clock::now() + generous;
+    while (clock::now() < end) {
+        if (is_true()) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    return is_true();
+}
+
+// Threads that run one io_context.
+class runner {
+  public:
+    runner()
+    {
+        for (std::thread& each : threads_) {
+            each = std::thread([this] { context_.run(); });
+        }
+    }
+    ~runner()
+    {
+        context_.stop();
+        for (std::thread& each : threads_) {
+            each.join();
+        }
+    }
+    runner(const runner&) = delete;
+    runner& operator=(const runner&) = delete;
+
+    net::any_io_executor executor() { return context_.get_executor(); }
+
+  private:
+    net::io_context context_;
+    net::executor_work_guard<net::io_context::executor_type> work_{context_.get_executor()};
+    std::array<std::thread, 2> threads_;
+};
+
+// An entry instance's gateway with its bus.
+class node {
+  public:
+    node(std::string_view name, std::string endpoint, gateway_settings settings = {})
+        : address_{instance_name(name), failure_domain_name("kumamoto"), std::move(endpoint)}
+    {
+        settings.cell = cell_name("test");
+        settings.instance = address_.name;
+        settings.failure_domain = address_.failure_domain;
+        settings.health.take_out = false;
+        auto opened = bus::open(address_.endpoint, std::nullopt);
+        REQUIRE(ok(opened));
+        messages_ = value(std::move(opened));
+        gateway_ = gateway::create(runner_.executor(), std::move(settings), *messages_);
+        poller_ = std::thread([this] { poll(); });
+    }
+    ~node()
+    {
+        is_polling_ = false;
+        poller_.join();
+    }
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    gateway& operator*() { return *gateway_; }
+    gateway* operator->() { return gateway_.get(); }
+    [[nodiscard]] const instance_address& address() const { return address_; }
+
+    // Reads no message any more, as if frozen.
+    void freeze() { is_frozen_ = true; }
+    [[nodiscard]] bool has_dropped_some() const { return dropped_ > 0; }
+
+    std::future<outcome> start(pb::backend_request request, clock::duration timeout = generous)
+    {
+        return net::co_spawn(runner_.executor(),
+                             gateway_->run(std::move(request), clock::now() + timeout),
+                             net::use_future);
+    }
+    outcome run(pb::backend_request request, clock::duration timeout = generous)
+    {
+        return start(std::move(request), timeout).get();
+    }
+
+  private:
+    void poll()
+    {
+        while (is_polling_) {
+            messages_->poll(clock::duration(5),
+                            [this](const bus_origin& origin, const pb::envelope& message) {
+                                if (is_frozen_) {
+                                    ++dropped_;
+                                    return;
+                                }
+                                gateway_->receive(origin, message);
+                            });
+        }
+    }
+
+    instance_address address_;
+    std::unique_ptr<bus> messages_;
+    std::shared_ptr<gateway> gateway_;
+    std::atomic<bool> is_polling_ = true;
+    std::atomic<bool> is_frozen_ = false;
+    std::atomic<int> dropped_ = 0;
+    std::thread poller_;
+    runner runner_; // ends first
+};
+
+constexpr std::string_view the_server = "kura-1-a";
+
+pb::server_report report_of(const fake_server& server)
+{
+    pb::server_report made;
+    made.set_server(std::string(the_server));
+    made.set_database("kura-1");
+    made.set_failure_domain("kumamoto");
+    made.set_url(server.url());
+    made.set_role("primary");
+    made.mutable_applied()->set_term(1);
+    made.mutable_applied()->set_index(10);
+    made.set_slots(3);
+    made.set_connection_limit(20);
+    return made;
+}
+
+pb::backend_request ask(std::string_view id, std::string_view statement, bool write = false)
+{
+    pb::backend_request made;
+    made.set_request_id(std::string(id));
+    made.set_organisation("shrine");
+    made.set_database("kura-1");
+    made.set_server(std::string(the_server));
+    made.set_statement(std::string(statement));
+    made.set_write(write);
+    made.set_term(1);
+    made.set_weight(1);
+    return made;
+}
+
+pb::backend_request ask_in(std::string_view id, const std::string& transaction,
+                           pb::backend_operation operation, std::string_view statement = "")
+{
+    pb::backend_request made = ask(id, statement, true);
+    made.clear_server();
+    made.set_transaction(transaction);
+    made.set_operation(operation);
+    return made;
+}
+
+pb::backend_request begin(std::string_view id)
+{
+    pb::backend_request made = ask(id, "", true);
+    made.set_operation(pb::BACKEND_BEGIN);
+    return made;
+}
+
+std::string echo(std::string_view statement)
+{
+    return R"({"echo":)" + std::string(statement) + "}";
+}
+
+error_kind kind_of(const outcome& answered)
+{
+    REQUIRE(!ok(answered));
+    return failure(answered).kind;
+}
+
+// One instance and one server.
+struct single {
+    explicit single(gateway_settings settings = {}, std::string_view endpoint = "")
+        : server(server_runner.executor()), entry("e1", std::string(endpoint), std::move(settings))
+    {
+        entry->heard(report_of(server), clock::now());
+    }
+
+    std::string begin_transaction()
+    {
+        const outcome begun = entry.run(begin("b"));
+        REQUIRE(ok(begun));
+        return value(begun).transaction();
+    }
+
+    runner server_runner;
+    fake_server server;
+    node entry;
+};
+
+constexpr std::string_view first_endpoint = "tcp://127.0.0.1:42817";
+constexpr std::string_view second_endpoint = "tcp://127.0.0.1:42818";
+
+// Two instances of the server's failure domain; `owner` owns it.
+struct pair {
+    pair() : server(server_runner.executor())
+    {
+        const std::array names{instance_name("e1"), instance_name("e2")};
+        const bool first_owns = owners_of(server_name(the_server), names).front() == names[0];
+        owner = std::make_unique<node>(first_owns ? "e1" : "e2", std::string(first_endpoint));
+        other = std::make_unique<node>(first_owns ? "e2" : "e1", std::string(second_endpoint));
+        const std::array live{owner->address(), other->address()};
+        for (node* each : {owner.get(), other.get()}) {
+            (*each)->set_instances(live);
+            (*each)->heard(report_of(server), clock::now());
+        }
+    }
+
+    runner server_runner;
+    fake_server server;
+    std::unique_ptr<node> owner;
+    std::unique_ptr<node> other;
+};
+
+} // namespace
+
+TEST_CASE("gateway: a statement is answered whole, with position and server")
+{
+    single one;
+    const outcome answered = one.entry.run(ask("r1", R"({"get":"bay 7"})"));
+    REQUIRE(ok(answered));
+    CHECK(value(answered).request_id() == "r1");
+    CHECK(value(answered).result() == echo(R"({"get":"bay 7"})"));
+    CHECK(value(answered).at().index() == 11);
+    CHECK(value(answered).server() == the_server);
+    CHECK(value(answered).role() == "primary");
+    CHECK(value(answered).data_age_ms() == 7);
+    const auto group = one.entry->group(database_name("kura-1"));
+    REQUIRE(group.size() == 1);
+    CHECK(group[0].applied == log_position{1, 11});
+    CHECK(group[0].outstanding == 0);
+}
+
+TEST_CASE("gateway: a server's slots and half of its connections are never passed")
+{
+    single one;
+    one.server.misbehave(misbehaviour::late, clock::duration(5));
+    std::vector<std::future<outcome>> started;
+    constexpr int requests = 60;
+    started.reserve(requests);
+    for (int number = 0; number < requests; ++number) {
+        started.push_back(one.entry.start(ask("r" + std::to_string(number), "{}")));
+    }
+    for (auto& each : started) {
+        CHECK(ok(each.get()));
+    }
+    CHECK(one.server.most_at_once() <= 3);
+    CHECK(one.server.connections() <= 10);
+    CHECK(one.entry->stats().connections_opened <= 10);
+    CHECK(one.entry->stats().queued == 0);
+}
+
+TEST_CASE("gateway: every caller gets the answer to its own request")
+{
+    single one;
+    std::vector<std::future<outcome>> started;
+    constexpr int requests = 200;
+    started.reserve(requests);
+    for (int number = 0; number < requests; ++number) {
+        const std::string text = std::to_string(number);
+        started.push_back(one.entry.start(ask("r" + text, text)));
+    }
+    for (int number = 0; number < requests; ++number) {
+        const outcome answered = started[static_cast<std::size_t>(number)].get();
+        REQUIRE(ok(answered));
+        CHECK(value(answered).result() == echo(std::to_string(number)));
+    }
+}
+
+TEST_CASE("gateway: an answer with another id, cut or without a field is not delivered")
+{
+    for (const misbehaviour how :
+         {misbehaviour::wrong_id, misbehaviour::cut, misbehaviour::without_field}) {
+        CAPTURE(static_cast<int>(how));
+        single one;
+        REQUIRE(ok(one.entry.run(ask("r1", "1", true))));
+        one.server.misbehave(how);
+        const outcome write = one.entry.run(ask("r2", "2", true));
+        CHECK(kind_of(write) == error_kind::connection_lost);
+        CHECK(failure(write).ran == ran::unknown);
+        one.server.misbehave(misbehaviour::none);
+        const outcome after = one.entry.run(ask("r3", "3", true));
+        REQUIRE(ok(after));
+        CHECK(value(after).result() == echo("3"));
+        const auto record = one.server.record();
+        CHECK(record.back().connection != record.front().connection);
+    }
+}
+
+TEST_CASE("gateway: without the check of ids an answer reaches the wrong caller")
+{
+    gateway_settings settings;
+    settings.match_answers = false;
+    single one(settings);
+    REQUIRE(ok(one.entry.run(ask("r1", "1", true))));
+    one.server.misbehave(misbehaviour::wrong_id);
+    CHECK(ok(one.entry.run(ask("r2", "2", true)))); // what the test above forbids
+}
+
+TEST_CASE("gateway: a late answer is dropped with its connection")
+{
+    single one;
+    REQUIRE(ok(one.entry.run(ask("r1", "1", true))));
+    one.server.misbehave(misbehaviour::late, short_time * 2);
+    const outcome late = one.entry.run(ask("r2", "2", true), short_time);
+    CHECK(kind_of(late) == error_kind::timed_out);
+    CHECK(failure(late).ran == ran::unknown);
+    one.server.misbehave(misbehaviour::none);
+    const outcome next = one.entry.run(ask("r3", "3", true));
+    REQUIRE(ok(next));
+    CHECK(value(next).result() == echo("3"));
+}
+
+TEST_CASE("gateway: a refusal of the database says that it did not run")
+{
+    single one;
+    one.server.misbehave(misbehaviour::refuse);
+    const outcome refused = one.entry.run(ask("r1", "1", true));
+    CHECK(kind_of(refused) == error_kind::backend_refused);
+    CHECK(failure(refused).ran == ran::no);
+}
+
+TEST_CASE("gateway: a server that is not there refuses without running")
+{
+    single one;
+    one.server.stop();
+    const outcome answered = one.entry.run(ask("r1", "1", true));
+    CHECK(kind_of(answered) == error_kind::connection_lost);
+    CHECK(failure(answered).ran == ran::no);
+    pb::backend_request elsewhere = ask("r2", "1");
+    elsewhere.set_server("nobody");
+    CHECK(kind_of(one.entry.run(elsewhere)) == error_kind::no_replica);
+}
+
+TEST_CASE("gateway: a statement that is not JSON is not sent")
+{
+    single one;
+    const outcome answered = one.entry.run(ask("r1", "{\"get\":", true));
+    CHECK(kind_of(answered) == error_kind::bad_request);
+    CHECK(one.server.record().empty());
+}
+
+TEST_CASE("gateway: a transaction keeps its connection and nobody else's statements get into it")
+{
+    single one;
+    const std::string transaction = one.begin_transaction();
+    std::vector<std::future<outcome>> others;
+    for (int number = 0; number < 20; ++number) {
+        others.push_back(one.entry.start(ask("o" + std::to_string(number), "0")));
+    }
+    REQUIRE(ok(one.entry.run(ask_in("s1", transaction, pb::BACKEND_EXECUTE, "1"))));
+    REQUIRE(ok(one.entry.run(ask_in("s2", transaction, pb::BACKEND_EXECUTE, "2"))));
+    REQUIRE(ok(one.entry.run(ask_in("c", transaction, pb::BACKEND_COMMIT))));
+    for (auto& each : others) {
+        CHECK(ok(each.get()));
+    }
+    const auto record = one.server.record();
+    const std::uint64_t pinned = record.front().connection;
+    bool is_open = false;
+    for (const auto& each : record) {
+        is_open = is_open || each.target == "/v1/begin";
+        if (is_open && each.connection == pinned && each.target == "/v1/execute") {
+            CHECK(each.transaction == "t1");
+        }
+        is_open = is_open && each.target != "/v1/commit";
+    }
+    CHECK(one.server.open_transactions() == 0);
+    CHECK(one.entry->is_idle());
+    const outcome after = one.entry.run(ask_in("s3", transaction, pb::BACKEND_EXECUTE, "3"));
+    CHECK(kind_of(after) == error_kind::unknown_transaction);
+    CHECK(failure(after).ran == ran::no);
+}
+
+TEST_CASE("gateway: another organisation can't use a transaction")
+{
+    single one;
+    const std::string transaction = one.begin_transaction();
+    pb::backend_request foreign = ask_in("s1", transaction, pb::BACKEND_EXECUTE, "1");
+    foreign.set_organisation("carpenters");
+    CHECK(kind_of(one.entry.run(foreign)) == error_kind::unknown_transaction);
+    CHECK(one.server.record().size() == 1); // the begin
+    CHECK(ok(one.entry.run(ask_in("r", transaction, pb::BACKEND_ROLLBACK))));
+}
+
+TEST_CASE("gateway: a connection that breaks ends its transaction")
+{
+    single one;
+    const std::string transaction = one.begin_transaction();
+    one.server.misbehave(misbehaviour::cut);
+    const outcome broken = one.entry.run(ask_in("s1", transaction, pb::BACKEND_EXECUTE, "1"));
+    CHECK(kind_of(broken) == error_kind::connection_lost);
+    CHECK(failure(broken).ran == ran::unknown);
+    one.server.misbehave(misbehaviour::none);
+    const outcome after = one.entry.run(ask_in("s2", transaction, pb::BACKEND_EXECUTE, "2"));
+    CHECK(kind_of(after) == error_kind::unknown_transaction);
+    CHECK(eventually([&] { return one.server.open_transactions() == 0; }));
+}
+
+TEST_CASE("gateway: a commit without an answer has an unknown outcome")
+{
+    single one;
+    const std::string transaction = one.begin_transaction();
+    one.server.misbehave(misbehaviour::cut);
+    const outcome broken = one.entry.run(ask_in("c", transaction, pb::BACKEND_COMMIT));
+    CHECK(kind_of(broken) == error_kind::connection_lost);
+    CHECK(failure(broken).ran == ran::unknown);
+    CHECK(one.entry->is_idle());
+}
+
+TEST_CASE("gateway: one statement of a transaction runs at a time")
+{
+    single one;
+    const std::string transaction = one.begin_transaction();
+    one.server.misbehave(misbehaviour::late, short_time);
+    auto first = one.entry.start(ask_in("s1", transaction, pb::BACKEND_EXECUTE, "1"));
+    CHECK(eventually([&] { return one.server.record().size() == 2; }));
+    const outcome second = one.entry.run(ask_in("s2", transaction, pb::BACKEND_EXECUTE, "2"));
+    CHECK(kind_of(second) == error_kind::bad_request);
+    CHECK(failure(second).ran == ran::no);
+    CHECK(ok(first.get()));
+    CHECK(one.server.record().size() == 2);
+    CHECK(ok(one.entry.run(ask_in("r", transaction, pb::BACKEND_ROLLBACK))));
+}
+
+TEST_CASE("gateway: an abandoned transaction is rolled back")
+{
+    gateway_settings settings;
+    settings.transaction_idle = short_time;
+    single one(settings);
+    const std::string transaction = one.begin_transaction();
+    CHECK(one.server.open_transactions() == 1);
+    CHECK(eventually([&] { return one.server.open_transactions() == 0; }));
+    CHECK(one.entry->is_idle());
+    CHECK(kind_of(one.entry.run(ask_in("c", transaction, pb::BACKEND_COMMIT))) ==
+          error_kind::unknown_transaction);
+}
+
+TEST_CASE("gateway: open transactions leave connections to statements and wait in a fair queue")
+{
+    single one;
+    std::vector<std::string> open;
+    for (int number = 0; number < 7; ++number) {
+        open.push_back(one.begin_transaction());
+    }
+    CHECK(ok(one.entry.run(ask("r1", "1"))));
+    const outcome refused = one.entry.run(begin("b8"), short_time);
+    CHECK(kind_of(refused) == error_kind::overloaded);
+    CHECK(failure(refused).ran == ran::no);
+    auto waiting = one.entry.start(begin("b9"));
+    REQUIRE(ok(one.entry.run(ask_in("r", open.front(), pb::BACKEND_ROLLBACK))));
+    CHECK(ok(waiting.get()));
+    CHECK(one.server.connections() <= 10);
+}
+
+TEST_CASE("gateway: while draining open transactions go on and none begins")
+{
+    single one;
+    const std::string transaction = one.begin_transaction();
+    one.entry->drain();
+    CHECK(kind_of(one.entry.run(begin("b2"))) == error_kind::leaving);
+    CHECK(!one.entry->is_idle());
+    CHECK(ok(one.entry.run(ask_in("s1", transaction, pb::BACKEND_EXECUTE, "1"))));
+    CHECK(ok(one.entry.run(ask_in("c", transaction, pb::BACKEND_COMMIT))));
+    CHECK(one.entry->is_idle());
+}
+
+TEST_CASE("gateway: unused connections are closed")
+{
+    gateway_settings settings;
+    settings.connection_idle = short_time;
+    single one(settings);
+    REQUIRE(ok(one.entry.run(ask("r1", "1"))));
+    CHECK(one.entry->stats().connections_opened == 1);
+    CHECK(eventually([&] { return one.entry->stats().connections_open == 0; }));
+}
+
+TEST_CASE("gateway: reports that are older change nothing, silent servers are forgotten")
+{
+    single one;
+    const clock::time_point now = clock::now() + clock::duration(1'000);
+    pb::server_report newer = report_of(one.server);
+    newer.mutable_applied()->set_index(50);
+    one.entry->heard(newer, now);
+    pb::server_report older = report_of(one.server);
+    older.mutable_applied()->set_index(40);
+    older.set_age_ms(1);
+    one.entry->heard(older, now);
+    CHECK(one.entry->group(database_name("kura-1")).at(0).applied.index == 50);
+    CHECK(one.entry->announced(now, now).size() == 1);
+    CHECK(one.entry->announced(now + clock::duration(1), now).empty());
+    one.entry->forget_silent(clock::duration(500), now + clock::duration(500));
+    CHECK(one.entry->group(database_name("kura-1")).size() == 1);
+    one.entry->forget_silent(clock::duration(500), now + clock::duration(501));
+    CHECK(one.entry->group(database_name("kura-1")).empty());
+}
+
+TEST_CASE("gateway: of two servers that claim to be primary the newer term's is believed")
+{
+    single one;
+    pb::server_report second = report_of(one.server);
+    second.set_server("kura-1-b");
+    second.mutable_applied()->set_term(2);
+    one.entry->heard(second, clock::now());
+    const auto group = one.entry->group(database_name("kura-1"));
+    REQUIRE(group.size() == 2);
+    CHECK(group[0].role == server_role::replica);
+    CHECK(group[0].data_age > generous);
+    CHECK(group[1].role == server_role::primary);
+}
+
+TEST_CASE("gateway: a request for another instance's server is forwarded to it")
+{
+    pair two;
+    const outcome answered = two.other->run(ask("r1", R"({"get":"bay 7"})"));
+    REQUIRE(ok(answered));
+    CHECK(value(answered).result() == echo(R"({"get":"bay 7"})"));
+    CHECK(value(answered).server() == the_server);
+    CHECK((*two.other)->stats().forwarded == 1);
+    CHECK((*two.other)->stats().connections_opened == 0);
+    CHECK((*two.owner)->stats().received == 1);
+    CHECK((*two.owner)->stats().run_here == 1);
+}
+
+TEST_CASE("gateway: a refusal comes back through another instance as it is")
+{
+    pair two;
+    two.server.misbehave(misbehaviour::refuse);
+    const outcome refused = two.other->run(ask("r1", "1", true));
+    CHECK(kind_of(refused) == error_kind::backend_refused);
+    CHECK(failure(refused).ran == ran::no);
+    two.server.misbehave(misbehaviour::cut);
+    const outcome cut = two.other->run(ask("r2", "2", true));
+    CHECK(kind_of(cut) == error_kind::connection_lost);
+    CHECK(failure(cut).ran == ran::unknown);
+}
+
+TEST_CASE("gateway: a transaction goes on through any instance")
+{
+    pair two;
+    const outcome begun = two.other->run(begin("b"));
+    REQUIRE(ok(begun));
+    const std::string transaction = value(begun).transaction();
+    CHECK(transaction.starts_with(two.owner->address().name.text() + "."));
+    REQUIRE(ok(two.other->run(ask_in("s1", transaction, pb::BACKEND_EXECUTE, "1"))));
+    REQUIRE(ok(two.owner->run(ask_in("s2", transaction, pb::BACKEND_EXECUTE, "2"))));
+    REQUIRE(ok(two.other->run(ask_in("c", transaction, pb::BACKEND_COMMIT))));
+    const auto record = two.server.record();
+    REQUIRE(record.size() == 4);
+    for (const auto& each : record) {
+        CHECK(each.connection == record.front().connection);
+    }
+    CHECK(kind_of(two.other->run(ask_in("s3", transaction, pb::BACKEND_EXECUTE, "3"))) ==
+          error_kind::unknown_transaction);
+}
+
+TEST_CASE("gateway: answers over the bus reach the caller that asked")
+{
+    pair two;
+    std::vector<std::future<outcome>> started;
+    constexpr int requests = 100;
+    started.reserve(requests);
+    for (int number = 0; number < requests; ++number) {
+        const std::string text = std::to_string(number);
+        started.push_back(two.other->start(ask("r" + text, text)));
+    }
+    for (int number = 0; number < requests; ++number) {
+        const outcome answered = started[static_cast<std::size_t>(number)].get();
+        REQUIRE(ok(answered));
+        CHECK(value(answered).result() == echo(std::to_string(number)));
+    }
+}
+
+TEST_CASE("gateway: a silent owner's reads go elsewhere, its writes may have run")
+{
+    pair two;
+    REQUIRE(ok(two.other->run(ask("r1", "1"))));
+    two.owner->freeze();
+    auto write = two.other->start(ask("w1", "1", true), clock::duration(1'500));
+    const outcome read = two.other->run(ask("r2", "2"));
+    REQUIRE(ok(read)); // run by the next owner
+    CHECK(value(read).result() == echo("2"));
+    const outcome later_write = two.other->run(ask("w2", "2", true));
+    CHECK(ok(later_write)); // never sent to the silent owner
+    const outcome lost = write.get();
+    CHECK(kind_of(lost) == error_kind::timed_out);
+    CHECK(failure(lost).ran == ran::unknown);
+    CHECK((*two.other)->stats().run_here == 2);
+}
+
+TEST_CASE("gateway: an owner that is gone is replaced by the next one")
+{
+    pair two;
+    const std::array left{two.other->address()};
+    (*two.other)->set_instances(left);
+    REQUIRE(ok(two.other->run(ask("r1", "1", true))));
+    CHECK((*two.other)->stats().run_here == 1);
+    CHECK((*two.other)->stats().forwarded == 0);
+}
+
+TEST_CASE("transaction handle: reads back what it wrote, whatever the instance's name")
+{
+    const transaction_handle made{instance_name("e1.fukuoka"), 0xffff'0000'1234'abcdULL, 7};
+    const auto read = transaction_handle::parse(made.text());
+    REQUIRE(read);
+    CHECK(read->instance == made.instance);
+    CHECK(read->incarnation == made.incarnation);
+    CHECK(read->number == made.number);
+    for (const std::string_view bad :
+         {"", "a", "a.1", ".1.2", "a.1.", "a..1", "a.1.x", "a.1.2.", "a.11111111111111111.1"}) {
+        CAPTURE(bad);
+        CHECK(!transaction_handle::parse(bad));
+    }
+}
+
+TEST_CASE("transaction: states allow one statement at a time and nothing after the end")
+{
+    transaction_machine states;
+    CHECK(states.state() == transaction_state::open);
+    CHECK(states.begin_statement());
+    CHECK(!states.begin_statement());
+    CHECK(!states.begin_end());
+    CHECK(states.finish_statement());
+    CHECK(states.begin_end());
+    CHECK(states.state() == transaction_state::ending);
+    CHECK(!states.begin_statement());
+    CHECK(states.return_to_open());
+    CHECK(states.begin_end());
+    CHECK(states.finish_end());
+    CHECK(states.state() == transaction_state::ended);
+    CHECK(!states.begin_statement());
+    CHECK(!states.break_off());
+}
+
+TEST_CASE("gateway wire: requests are those of docs/BACKEND.md")
+{
+    pb::backend_request write = ask("r1", R"({"put":"bay","value":1})", true);
+    write.set_idempotency_id("i1");
+    write.set_durability("primary");
+    write.mutable_minimum()->set_term(1);
+    write.mutable_minimum()->set_index(9);
+    const auto encoded = gateway_wire::encode(write, clock::duration(250));
+    REQUIRE(ok(encoded));
+    CHECK(value(encoded).target == "/v1/execute");
+    CHECK(value(encoded).body ==
+          R"({"id":"r1","term":1,"timeout_ms":250,"write":true,"minimum":{"term":1,"index":9},)"
+          R"("durability":"primary","idempotency_id":"i1","statement":{"put":"bay","value":1}})");
+    pb::backend_request rollback = ask_in("r2", "t1", pb::BACKEND_ROLLBACK);
+    const auto end = gateway_wire::encode(rollback, clock::duration(250));
+    REQUIRE(ok(end));
+    CHECK(value(end).target == "/v1/rollback");
+    CHECK(value(end).body == R"({"id":"r2","transaction":"t1"})");
+}
