--- a/include/primrosehead/config.h
+++ b/include/primrosehead/config.h
@@ -34,7 +34,8 @@
 inline constexpr std::size_t max_append_entries = 256;
 inline constexpr std::size_t max_append_bytes = mebibyte;
 inline constexpr std::size_t max_uncommitted_entries = 4'096;
-inline constexpr std::size_t kept_log_entries = 256; // behind a snapshot, for followers nearly there
+inline constexpr std::size_t kept_log_entries =
+    256; // behind a snapshot, for followers nearly there
 inline constexpr std::size_t snapshot_chunk_bytes = 256 * kibibyte;
 inline constexpr std::size_t journal_segment_bytes = mebibyte; // a new file after this size
 
--- a/include/primrosehead/entry.h
+++ b/include/primrosehead/entry.h
@@ -1,5 +1,5 @@
-// An entry instance: callers' HTTP interface, the gateway to backend servers and the session with the
-// control leader, joined.
+// An entry instance: callers' HTTP interface, the gateway to backend servers and the session with
+// the control leader, joined.
 #pragma once
 
 #include <primrosehead/error.h>
@@ -12,7 +12,8 @@
 class entry_instance {
   public:
     // Opens the listeners and the bus; nothing is served before `run`.
-    [[nodiscard]] static result<std::unique_ptr<entry_instance>> open(const entry_settings& settings);
+    [[nodiscard]] static result<std::unique_ptr<entry_instance>>
+    open(const entry_settings& settings);
     ~entry_instance();
     entry_instance(const entry_instance&) = delete;
     entry_instance& operator=(const entry_instance&) = delete;
--- /dev/null
+++ b/src/control_orders.cpp
@@ -0,0 +1,187 @@
+#include "control_orders.h"
+
+#include <primrosehead/http.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include <mutex>
+#include <thread>
+
+namespace primrosehead {
+
+namespace net = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr clock::duration order_timeout{400};
+
+// An order as it goes over the wire.
+struct wire_order {
+    order_answer answer; // filled in when it comes
+    std::string url;
+    std::string target;
+    std::string body;
+};
+
+json::array starts_of(const pb::group_record& group)
+{
+    json::array starts;
+    for (const pb::term_start& start : group.starts()) {
+        starts.push_back(json::object{{"term", start.term()}, {"index", start.index()}});
+    }
+    return starts;
+}
+
+std::uint64_t number(const json::object& from, std::string_view key)
+{
+    const json::value* const found = from.if_contains(key);
+    boost::system::error_code failed;
+    return found == nullptr ? 0 : found->to_number<std::uint64_t>(failed);
+}
+
+void read_answer(const http::response& response, order_answer& into)
+{
+    boost::system::error_code failed;
+    const json::value parsed = json::parse(response.body, failed);
+    if (failed || !parsed.is_object()) {
+        return;
+    }
+    const json::object& body = parsed.get_object();
+    into.accepted = response.status == 200;
+    into.seen_term = number(body, "term");
+    into.start_index = number(body, "index");
+    if (const json::value* const received = body.if_contains("received");
+        received != nullptr && received->is_object()) {
+        into.received = {number(received->get_object(), "term"),
+                         number(received->get_object(), "index")};
+    }
+}
+
+wire_order make_order(const fleet::order_server& order, const pb::group_record& group)
+{
+    wire_order made;
+    made.answer.database = order.database;
+    if (const auto* const fence = std::get_if<failover::fence_server>(&order.what)) {
+        made.answer.kind = order_kind::fence;
+        made.answer.server = fence->server.text();
+        made.answer.term = fence->term;
+        made.url = fence->url;
+        made.target = "/v1/fence";
+        made.body = json::serialize(json::object{{"term", fence->term}});
+    }
+    else if (const auto* const promote = std::get_if<failover::promote_server>(&order.what)) {
+        made.answer.kind = order_kind::promote;
+        made.answer.server = promote->server.text();
+        made.answer.term = promote->term;
+        made.url = promote->url;
+        made.target = "/v1/promote";
+        made.body =
+            json::serialize(json::object{{"term", promote->term}, {"starts", starts_of(group)}});
+    }
+    return made;
+}
+
+wire_order make_order(const fleet::follow_server& order)
+{
+    wire_order made;
+    made.answer.kind = order_kind::follow;
+    made.answer.database = order.database;
+    made.answer.server = order.server;
+    made.answer.term = order.group.term();
+    made.url = order.url;
+    made.target = "/v1/follow";
+    made.body = json::serialize(json::object{{"term", order.group.term()},
+                                             {"primary", order.group.primary()},
+                                             {"url", order.group.primary_url()},
+                                             {"starts", starts_of(order.group)}});
+    return made;
+}
+
+} // namespace
+
+struct control_orders::implementation {
+    explicit implementation(std::string name)
+        : instance(std::move(name)), work(net::make_work_guard(context)),
+          thread([this] { context.run(); })
+    {
+    }
+    ~implementation()
+    {
+        context.stop();
+        thread.join();
+    }
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
+    void start(wire_order order);
+    net::awaitable<void> carry_out(std::shared_ptr<wire_order> order);
+
+    std::string instance;
+    net::io_context context;
+    net::executor_work_guard<net::io_context::executor_type> work;
+    std::mutex guard;
+    std::vector<order_answer> answers;
+    std::thread thread;
+};
+
+void control_orders::implementation::start(wire_order order)
+{
+    if (order.url.empty()) {
+        return;
+    }
+    auto shared = std::make_shared<wire_order>(std::move(order));
+    net::co_spawn(context, carry_out(std::move(shared)), net::detached);
+}
+
+net::awaitable<void> control_orders::implementation::carry_out(std::shared_ptr<wire_order> order)
+{
+    const clock::time_point deadline = clock::now() + order_timeout;
+    result<std::unique_ptr<http::client>> link =
+        co_await http::client::connect(order->url, deadline);
+    if (ok(link)) {
+        http::request sent;
+        sent.method = "POST";
+        sent.target = order->target;
+        sent.headers.push_back({"Primrose-From", "control"});
+        sent.body = order->body;
+        const result<http::response> answered = co_await value(link)->call(sent, deadline);
+        if (ok(answered)) {
+            read_answer(value(answered), order->answer);
+        }
+    }
+    spdlog::info("placement: {} {} to {} of {}: {}.", order->target, order->answer.term,
+                 order->answer.server, order->answer.database,
+                 order->answer.accepted ? "accepted" : "not accepted");
+    const std::lock_guard lock(guard);
+    answers.push_back(order->answer);
+}
+
+control_orders::control_orders(std::string instance)
+    : body_(std::make_unique<implementation>(std::move(instance)))
+{
+}
+control_orders::~control_orders() = default;
+
+void control_orders::send(const fleet::order_server& order, const pb::group_record& group)
+{
+    body_->start(make_order(order, group));
+}
+
+void control_orders::send(const fleet::follow_server& order)
+{
+    body_->start(make_order(order));
+}
+
+std::vector<order_answer> control_orders::take_answers()
+{
+    const std::lock_guard lock(body_->guard);
+    return std::exchange(body_->answers, {});
+}
+
+} // namespace primrosehead
--- a/src/entry_allowances.cpp
+++ b/src/entry_allowances.cpp
@@ -1,9 +1,9 @@
 #include "entry_allowances.h"
 
-#include <primrosehead/environment.h>
-
 #include "primrosehead.pb.h"
 
+#include <primrosehead/environment.h>
+
 namespace primrosehead {
 
 namespace {
--- a/src/entry_announcements.cpp
+++ b/src/entry_announcements.cpp
@@ -61,8 +61,7 @@
     {
         const json::value* const found = object.if_contains(key);
         boost::system::error_code failed;
-        const auto number =
-            found == nullptr ? 0 : found->to_number<std::uint64_t>(failed);
+        const auto number = found == nullptr ? 0 : found->to_number<std::uint64_t>(failed);
         if (found == nullptr || failed) {
             fail(key, "a whole number");
         }
--- a/src/entry_announcements.h
+++ b/src/entry_announcements.h
@@ -1,12 +1,12 @@
 // Backend servers' announcements (docs/BACKEND.md).
 #pragma once
 
+#include "primrosehead.pb.h"
+
 #include <primrosehead/error.h>
 
 #include <string_view>
 
-#include "primrosehead.pb.h"
-
 namespace primrosehead {
 
 // Reads an announcement's body; `error_kind::bad_request` names the member that is wrong.
--- a/src/entry_answer.cpp
+++ b/src/entry_answer.cpp
@@ -1,11 +1,11 @@
 #include "entry_answer.h"
 
+#include "primrosehead.pb.h"
+
 #include <boost/json.hpp>
 
 #include <string>
 
-#include "primrosehead.pb.h"
-
 namespace primrosehead {
 
 namespace json = boost::json;
@@ -77,7 +77,8 @@
                       {"request_id", request_id}};
     if (failure.retry_after.count() > 0) {
         body["retry_after_ms"] = failure.retry_after.count();
-        const std::int64_t seconds = (failure.retry_after.count() + ms_per_second - 1) / ms_per_second;
+        const std::int64_t seconds =
+            (failure.retry_after.count() + ms_per_second - 1) / ms_per_second;
         answer.headers.push_back({"Retry-After", std::to_string(seconds)});
     }
     answer.body = json::serialize(body);
--- a/src/entry_follower.cpp
+++ b/src/entry_follower.cpp
@@ -1,11 +1,10 @@
 #include "entry_follower.h"
 
 #include "entry_allowances.h"
+#include "primrosehead.pb.h"
 
 #include <primrosehead/gateway.h>
 
-#include "primrosehead.pb.h"
-
 #include <spdlog/spdlog.h>
 
 namespace primrosehead {
--- a/src/entry_follower.h
+++ b/src/entry_follower.h
@@ -1,5 +1,5 @@
-// An entry instance's session with the control leader: heartbeats out; leases, grants, the state and
-// the directory of backend servers in. It runs on the bus's thread.
+// An entry instance's session with the control leader: heartbeats out; leases, grants, the state
+// and the directory of backend servers in. It runs on the bus's thread.
 #pragma once
 
 #include "entry_view.h"
--- a/src/entry_instance.cpp
+++ b/src/entry_instance.cpp
@@ -3,6 +3,7 @@
 #include "entry_answer.h"
 #include "entry_follower.h"
 #include "entry_pipeline.h"
+#include "primrosehead.pb.h"
 
 #include <primrosehead/bus.h>
 #include <primrosehead/entry.h>
@@ -24,8 +25,6 @@
 #include <thread>
 #include <vector>
 
-#include "primrosehead.pb.h"
-
 namespace primrosehead {
 
 namespace net = boost::asio;
@@ -92,7 +91,8 @@
     for_gateway.instance = settings.instance;
     for_gateway.failure_domain = settings.failure_domain;
     servers = gateway::create(context.get_executor(), for_gateway, *messages);
-    follower = std::make_unique<entry_follower>(settings, incarnation, *messages, *servers, allowances);
+    follower =
+        std::make_unique<entry_follower>(settings, incarnation, *messages, *servers, allowances);
     pipeline =
         std::make_unique<entry_pipeline>(settings, incarnation, *servers, *follower, allowances);
     http::listener_settings for_callers;
@@ -100,18 +100,18 @@
     for_callers.max_connections = settings.max_connections;
     for_callers.header_timeout = settings.header_timeout;
     for_callers.tls = settings.tls;
-    auto callers_opened =
-        http::listener::open(context.get_executor(), for_callers,
-                             [this](const http::request& received) { return serve_caller(received); });
+    auto callers_opened = http::listener::open(
+        context.get_executor(), for_callers,
+        [this](const http::request& received) { return serve_caller(received); });
     if (!ok(callers_opened)) {
         return failure(callers_opened);
     }
     callers = value(callers_opened);
     http::listener_settings for_servers;
     for_servers.address = settings.announce_listen;
-    auto servers_opened =
-        http::listener::open(context.get_executor(), for_servers,
-                             [this](const http::request& received) { return serve_server(received); });
+    auto servers_opened = http::listener::open(
+        context.get_executor(), for_servers,
+        [this](const http::request& received) { return serve_server(received); });
     if (!ok(servers_opened)) {
         return failure(servers_opened);
     }
--- a/src/entry_pipeline.cpp
+++ b/src/entry_pipeline.cpp
@@ -13,9 +13,9 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <spdlog/spdlog.h>
-#include <xxhash.h>
 
 #include <random>
+#include <xxhash.h>
 
 namespace primrosehead {
 
@@ -65,14 +65,15 @@
 bool serves(const route_settings& route, const organisation_name& organisation)
 {
     const auto& allowed = route.organisations;
-    return allowed.empty() || std::find(allowed.begin(), allowed.end(), organisation) != allowed.end();
+    return allowed.empty() ||
+           std::find(allowed.begin(), allowed.end(), organisation) != allowed.end();
 }
 
 // Names an idempotent request for the database: never the caller's own text.
 std::string idempotency_id_of(const call_context& call, std::string_view key)
 {
-    const std::string text = call.organisation.text() + '\n' + call.route.name.text() + '\n' +
-                             std::string(key);
+    const std::string text =
+        call.organisation.text() + '\n' + call.route.name.text() + '\n' + std::string(key);
     const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
     std::array<char, 33> digits{};
     std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
@@ -131,10 +132,9 @@
         return std::monostate{};
     }
     if (follower_.keys_age(clock::now()) > call.policy.key_bound) {
-        return make_error(error_kind::stale_keys,
-                          "This instance can't confirm that keys are still valid.",
-                          "Use a route open to all, another instance, or come back.",
-                          call.policy.key_bound);
+        return make_error(
+            error_kind::stale_keys, "This instance can't confirm that keys are still valid.",
+            "Use a route open to all, another instance, or come back.", call.policy.key_bound);
     }
     result<organisation_name> known = view.keys().verify(bearer);
     if (!ok(known)) {
@@ -223,8 +223,8 @@
     call.deadline = clock::now() + std::min(wanted, call.route.timeout);
     call.max_age = call.route.max_age;
     if (asked.max_age) {
-        call.max_age = call.max_age.count() == 0 ? *asked.max_age
-                                                 : std::min(*asked.max_age, call.max_age);
+        call.max_age =
+            call.max_age.count() == 0 ? *asked.max_age : std::min(*asked.max_age, call.max_age);
     }
     const std::string_view key = received.header_value("Idempotency-Key");
     if (key.size() > config::max_idempotency_key_bytes) {
@@ -291,8 +291,8 @@
     attempt last;
     last.failure = failed.kind;
     last.ran = failed.ran;
-    last.repeatable = call.route.repeatable || call.route.access == access::read ||
-                      !call.idempotency_id.empty();
+    last.repeatable =
+        call.route.repeatable || call.route.access == access::read || !call.idempotency_id.empty();
     last.tries = tries;
     last.now = clock::now();
     last.deadline = call.deadline;
@@ -340,8 +340,7 @@
             return group == nullptr || group->primary.empty() ? 0 : group->term;
         });
         if (present != term) {
-            co_return error{error_kind::wrong_term,
-                            "The primary was replaced while the write ran.",
+            co_return error{error_kind::wrong_term, "The primary was replaced while the write ran.",
                             "Read whether the write is there, or resend it with its "
                             "Idempotency-Key.",
                             ran::unknown, term_change_time};
--- a/src/entry_pipeline.h
+++ b/src/entry_pipeline.h
@@ -4,6 +4,7 @@
 
 #include "entry_request.h"
 #include "entry_view.h"
+#include "primrosehead.pb.h"
 
 #include <primrosehead/clock.h>
 #include <primrosehead/error.h>
@@ -19,8 +20,6 @@
 #include <mutex>
 #include <string>
 
-#include "primrosehead.pb.h"
-
 namespace primrosehead {
 
 class entry_allowances;
--- a/src/entry_request.cpp
+++ b/src/entry_request.cpp
@@ -14,10 +14,9 @@
 
 namespace {
 
-constexpr std::array statement_members{std::string_view("database"), std::string_view("route"),
-                                       std::string_view("statement"),
-                                       std::string_view("max_age_ms"),
-                                       std::string_view("timeout_ms")};
+constexpr std::array statement_members{
+    std::string_view("database"), std::string_view("route"), std::string_view("statement"),
+    std::string_view("max_age_ms"), std::string_view("timeout_ms")};
 constexpr std::array begin_members{std::string_view("database"), std::string_view("route"),
                                    std::string_view("mode"), std::string_view("timeout_ms")};
 constexpr std::array inner_members{std::string_view("statement"), std::string_view("timeout_ms")};
@@ -65,7 +64,8 @@
     {
         const json::value* const found = object_.if_contains(key);
         if (found == nullptr || !found->is_string() || found->get_string().empty()) {
-            fail("\"" + std::string(key) + "\" must be a string.", "Name it in the request's body.");
+            fail("\"" + std::string(key) + "\" must be a string.",
+                 "Name it in the request's body.");
             return {};
         }
         return std::string(found->get_string());
--- a/src/entry_view.cpp
+++ b/src/entry_view.cpp
@@ -1,9 +1,9 @@
 #include "entry_view.h"
 
-#include <primrosehead/state_view.h>
-
 #include "primrosehead.pb.h"
 
+#include <primrosehead/state_view.h>
+
 #include <spdlog/spdlog.h>
 
 namespace primrosehead {
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -1,7 +1,7 @@
-#include <primrosehead/replica.h>
-
 #include "replica_waiting.h"
 
+#include <primrosehead/replica.h>
+
 #include <spdlog/spdlog.h>
 
 #include <optional>
@@ -318,11 +318,9 @@
     return body_->propose_entry(body_->core.add_member(member, now), {}, now, std::move(done));
 }
 
-status replica::remove_member(const instance_name& instance, clock::time_point now,
-                              completion done)
+status replica::remove_member(const instance_name& instance, clock::time_point now, completion done)
 {
-    return body_->propose_entry(body_->core.remove_member(instance, now), {}, now,
-                                std::move(done));
+    return body_->propose_entry(body_->core.remove_member(instance, now), {}, now, std::move(done));
 }
 
 const state_machine& replica::state() const noexcept
--- a/tools/control.cpp
+++ b/tools/control.cpp
@@ -1,7 +1,35 @@
-// primrose-control: a control instance.
-#include <cstdio>
+// primrose-control: a control instance, which keeps the system's replicated state.
+#include "program.h"
 
-int main()
+#include <primrosehead/control.h>
+#include <primrosehead/settings.h>
+
+int main(int count, char** arguments)
 {
-    std::puts("primrose-control " PRIMROSEHEAD_VERSION);
+    using namespace primrosehead;
+    const program_options options = read_command_line(
+        count, arguments,
+        "A control instance: keeps the replicated state.\nprimrose-control --config FILE");
+    if (!options.is_valid) {
+        return exit_bad_settings;
+    }
+    const result<control_settings> settings = parse_control_settings(options.config_text);
+    if (!ok(settings)) {
+        complain(describe(failure(settings)));
+        return exit_bad_settings;
+    }
+    if (options.check_only) {
+        return exit_done;
+    }
+    const auto instance = control_instance::open(value(settings));
+    if (!ok(instance)) {
+        complain(describe(failure(instance)));
+        return exit_failed;
+    }
+    const status outcome = value(instance)->run();
+    if (!ok(outcome)) {
+        complain(describe(failure(outcome)));
+        return exit_failed;
+    }
+    return exit_done;
 }
--- /dev/null
+++ b/tools/entry.cpp
@@ -0,0 +1,31 @@
+// primrose-entry: an entry instance, which takes callers' requests.
+#include "program.h"
+
+#include <primrosehead/entry.h>
+#include <primrosehead/settings.h>
+
+int main(int count, char** arguments)
+{
+    using namespace primrosehead;
+    const program_options options = read_command_line(
+        count, arguments,
+        "An entry instance: takes callers' requests.\nprimrose-entry --config FILE");
+    if (!options.is_valid) {
+        return exit_bad_settings;
+    }
+    const result<entry_settings> settings = parse_entry_settings(options.config_text);
+    if (!ok(settings)) {
+        complain(describe(failure(settings)));
+        return exit_bad_settings;
+    }
+    if (options.check_only) {
+        return exit_done;
+    }
+    const auto instance = entry_instance::open(value(settings));
+    if (!ok(instance)) {
+        complain(describe(failure(instance)));
+        return exit_failed;
+    }
+    value(instance)->run();
+    return exit_done;
+}
