--- a/src/state_machine.cpp
+++ b/src/state_machine.cpp
@@ -6,12 +6,16 @@
 #include <primrosehead/config.h>
 #include <primrosehead/state.h>
 
+#include <algorithm>
 #include <utility>
+#include <xxhash.h>
 
 namespace primrosehead {
 
 namespace {
 
+constexpr std::size_t trailer_bytes = sizeof(XXH64_canonical_t);
+
 error damaged_snapshot(std::string_view why)
 {
     error made;
@@ -27,6 +31,14 @@
                    "Send the change with a request id of its own.");
 }
 
+// Hash of a snapshot's bytes, which stands at its end.
+std::string trailer(std::string_view bytes)
+{
+    XXH64_canonical_t canonical;
+    XXH64_canonicalFromHash(&canonical, XXH64(bytes.data(), bytes.size(), 0));
+    return {reinterpret_cast<const char*>(canonical.digest), sizeof(canonical.digest)};
+}
+
 void add_all(pb::state_delta& delta, const std::vector<const pb::state_record*>& records)
 {
     for (const pb::state_record* record : records) {
@@ -111,18 +123,22 @@
         record.set_key(record_key(request_prefix, request.request_id()));
         *record.mutable_request() = request;
     });
-    return whole.SerializeAsString();
+    std::string bytes = whole.SerializeAsString();
+    bytes += trailer(bytes);
+    return bytes;
 }
 
 result<state_machine> state_machine::restore(std::string_view snapshot)
 {
+    const std::size_t size = snapshot.size() - std::min(snapshot.size(), trailer_bytes);
+    const std::string_view body = snapshot.substr(0, size);
+    if (snapshot.substr(size) != trailer(body)) {
+        return damaged_snapshot("its hash does not match");
+    }
     pb::state_delta whole;
-    if (!whole.ParseFromArray(snapshot.data(), static_cast<int>(snapshot.size()))) {
+    if (!whole.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
         return damaged_snapshot("it can't be read");
     }
-    if (whole.cell().empty()) {
-        return damaged_snapshot("it names no cell");
-    }
     state_machine restored{cell_name(whole.cell())};
     for (pb::state_record& record : *whole.mutable_records()) {
         if (record.has_request()) {
--- a/tests/state_machine_test.cpp
+++ b/tests/state_machine_test.cpp
@@ -230,12 +230,12 @@
         REQUIRE_FALSE(ok(cut));
         CHECK(failure(cut).kind == error_kind::corrupt_storage);
     }
-    std::string changed = whole;
-    const std::size_t place = changed.find("fukuoka");
-    REQUIRE(place != std::string::npos);
-    changed[place] = 'g';
-    const auto refused = state_machine::restore(changed);
-    REQUIRE_FALSE(ok(refused));
-    CHECK(failure(refused).kind == error_kind::corrupt_storage);
-    CHECK_FALSE(failure(refused).remedy.empty());
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+        std::string changed = whole;
+        changed[at] = static_cast<char>(changed[at] ^ 1);
+        const auto refused = state_machine::restore(changed);
+        REQUIRE_FALSE(ok(refused));
+        CHECK(failure(refused).kind == error_kind::corrupt_storage);
+        CHECK_FALSE(failure(refused).remedy.empty());
+    }
 }
