--- /dev/null
+++ b/src/keys_table.cpp
@@ -0,0 +1,59 @@
+#include "keys_digest.h"
+
+#include <primrosehead/keys.h>
+#include <primrosehead/state_view.h>
+
+#include <openssl/crypto.h>
+
+namespace primrosehead {
+
+namespace {
+
+error refused_key(std::string_view why, std::string_view remedy)
+{
+    error made;
+    made.kind = error_kind::unauthenticated;
+    made.message = why;
+    made.remedy = remedy;
+    return made;
+}
+
+bool holds_secret(const pb::key_record& key, std::string_view secret)
+{
+    const std::string digest = key_digest(key.salt(), secret);
+    return digest.size() == key.digest().size() &&
+           CRYPTO_memcmp(digest.data(), key.digest().data(), digest.size()) == 0;
+}
+
+} // namespace
+
+key_table key_table::make(const state_view& state)
+{
+    key_table made;
+    for (const pb::key_record* key : state.keys()) {
+        made.keys_.emplace(key->key_id(), *key);
+    }
+    return made;
+}
+
+result<organisation_name> key_table::verify(std::string_view text) const
+{
+    if (text.empty()) {
+        return refused_key("This route needs a key.", "Send the header Authorization: Bearer KEY.");
+    }
+    const auto parts = split_key(text);
+    if (!parts) {
+        return refused_key("The key is malformed.", "Send the key as it was issued.");
+    }
+    const auto found = keys_.find(std::string(parts->key_id));
+    if (found == keys_.end() || !holds_secret(found->second, parts->secret)) {
+        return refused_key("The key is not known here.",
+                           "Send the key as it was issued; a new key is known within seconds.");
+    }
+    if (found->second.withdrawn()) {
+        return refused_key("The key was withdrawn.", "Ask the operators for another key.");
+    }
+    return organisation_name(found->second.organisation());
+}
+
+} // namespace primrosehead
