--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,222 @@
+#include "primrosehead.pb.h"
+
+#include <primrosehead/fleet.h>
+#include <primrosehead/state.h>
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+using namespace primrosehead;
+using namespace primrosehead::fleet;
+
+namespace {
+
+const char* const document = R"({
+  "databases": [{"name": "kura-ledger-1"}],
+  "routes": [{"name": "reserve", "database": "kura-ledger-1", "access": "write"}],
+  "organisations": [{"name": "shrine-committee", "rate": 100, "burst": 50}]
+})";
+
+// A service whose proposals commit at once and whose servers obey.
+class service_bench {
+  public:
+    service_bench()
+    {
+        pb::command trial;
+        trial.mutable_trial()->set_name("hakata");
+        trial.mutable_trial()->set_document(document);
+        REQUIRE(state.apply(trial).ok());
+        pb::command promote;
+        promote.mutable_promote()->set_name("hakata");
+        promote.mutable_promote()->set_base_version(1);
+        REQUIRE(state.apply(promote).ok());
+    }
+
+    pb::heartbeat beat_of(const std::string& instance)
+    {
+        pb::heartbeat beat;
+        beat.set_instance(instance);
+        beat.set_incarnation(1);
+        beat.set_sequence(++sequences[instance]);
+        beat.set_answered_sequence(sequences[instance] - 1);
+        beat.set_asked_at_ms(to_ms(now));
+        beat.set_state_version(state.version());
+        beat.set_state_digest(state.digest());
+        beat.mutable_self()->set_failure_domain("fukuoka");
+        beat.mutable_self()->set_endpoint("tcp://127.0.0.1:1");
+        beat.mutable_self()->set_http_url("http://127.0.0.1:2");
+        return beat;
+    }
+
+    void add_servers(pb::heartbeat& beat)
+    {
+        for (const char* name : {"a", "b", "c"}) {
+            if (silent != name) {
+                *beat.add_servers() = report_of(name);
+            }
+        }
+    }
+
+    [[nodiscard]] pb::server_report report_of(const std::string& server) const
+    {
+        const pb::group_record* group = state.group("kura-ledger-1");
+        pb::server_report report;
+        report.set_server(server);
+        report.set_database("kura-ledger-1");
+        report.set_url(std::string("http://").append(server));
+        const bool is_primary = group != nullptr && group->primary() == server;
+        report.set_role(is_primary ? "primary" : "replica");
+        report.set_term(group == nullptr ? 0 : group->term());
+        report.mutable_received()->set_term(1);
+        report.mutable_received()->set_index(server == "c" ? 12 : 10);
+        return report;
+    }
+
+    void act()
+    {
+        for (const action& one : leader.advance(state, now)) {
+            std::visit([this](const auto& what) { do_one(what); }, one);
+        }
+    }
+
+    // Heartbeats every 100 ms, decisions every 10 ms.
+    void run(clock::duration time)
+    {
+        const clock::time_point end = now + time;
+        for (; now < end; now += clock::duration(10)) {
+            if (to_ms(now) % 100 == 0) {
+                pb::heartbeat beat = beat_of("entry-1");
+                add_servers(beat);
+                last_reply = leader.heartbeat(beat, state, now);
+            }
+            act();
+        }
+    }
+
+    clock::time_point now = from_ms(100'000);
+    state_machine state{cell_name("hakata")};
+    service_settings settings{cell_name("hakata"), "hakata"};
+    service leader{settings, now};
+    std::map<std::string, std::uint64_t> sequences;
+    std::string silent;
+    pb::heartbeat_reply last_reply;
+    std::map<std::string, std::uint64_t> follow_orders;
+    int pushes = 0;
+
+  private:
+    void do_one(const propose& what) { state.apply(what.command); }
+
+    void do_one(const order_server& what)
+    {
+        if (const auto* fence = std::get_if<failover::fence_server>(&what.what)) {
+            const std::uint64_t index = fence->server.text() == "c" ? 12 : 10;
+            leader.fenced(what.database, fence->server.text(), fence->term, {1, index});
+        }
+        else if (const auto* promote = std::get_if<failover::promote_server>(&what.what)) {
+            leader.promoted(what.database, promote->server.text(), promote->term, 12);
+        }
+    }
+
+    void do_one(const follow_server& what)
+    {
+        ++follow_orders[what.server];
+        leader.followed(what.server, what.group.term());
+    }
+
+    void do_one(const push_state& /*what*/) { ++pushes; }
+};
+
+} // namespace
+
+TEST_CASE("a heartbeat gets a lease, the missing state, servers and live instances")
+{
+    service_bench bench;
+    pb::heartbeat first = bench.beat_of("entry-1");
+    first.set_state_version(0);
+    first.set_state_digest(0);
+    bench.add_servers(first);
+    const pb::heartbeat_reply answer = bench.leader.heartbeat(first, bench.state, bench.now);
+    CHECK(answer.is_leader());
+    CHECK(answer.lease_ms() == 500);
+    CHECK(answer.asked_at_ms() == first.asked_at_ms());
+    CHECK(answer.delta().to_version() == bench.state.version());
+    CHECK(answer.servers_size() == 0);
+    CHECK(answer.live_instances_size() == 1);
+    const pb::heartbeat_reply other =
+        bench.leader.heartbeat(bench.beat_of("entry-2"), bench.state, bench.now);
+    CHECK(other.servers_size() == 3);
+    CHECK_FALSE(other.has_delta());
+    const pb::heartbeat_reply next =
+        bench.leader.heartbeat(bench.beat_of("entry-2"), bench.state, bench.now);
+    CHECK(next.servers_size() == 0);
+}
+
+TEST_CASE("a late heartbeat renews nothing")
+{
+    service_bench bench;
+    const pb::heartbeat first = bench.beat_of("entry-1");
+    (void)bench.leader.heartbeat(first, bench.state, bench.now);
+    const pb::heartbeat_reply again = bench.leader.heartbeat(first, bench.state, bench.now);
+    CHECK(again.sequence() == 0);
+    CHECK(again.lease_ms() == 0);
+}
+
+TEST_CASE("an instance with another state of the same version gets all of it and no lease")
+{
+    service_bench bench;
+    pb::heartbeat beat = bench.beat_of("entry-1");
+    beat.set_state_digest(bench.state.digest() + 1);
+    const pb::heartbeat_reply answer = bench.leader.heartbeat(beat, bench.state, bench.now);
+    CHECK(answer.lease_ms() == 0);
+    CHECK(answer.delta().from_version() == 0);
+    CHECK(answer.delta().records_size() > 0);
+}
+
+TEST_CASE("an instance that is not in the state gets registered, once")
+{
+    service_bench bench;
+    bench.run(clock::duration(50));
+    REQUIRE(bench.state.instance("entry-1") != nullptr);
+    const std::uint64_t version = bench.state.version();
+    bench.run(clock::duration(300));
+    CHECK(bench.state.version() == version);
+}
+
+TEST_CASE("a group gets a primary, followers, and another primary when it falls silent")
+{
+    service_bench bench;
+    bench.run(clock::duration(1'000));
+    REQUIRE(bench.state.group("kura-ledger-1") != nullptr);
+    CHECK(bench.state.group("kura-ledger-1")->primary() == "c");
+    CHECK(bench.state.group("kura-ledger-1")->term() == 1);
+    CHECK(bench.follow_orders["a"] == 1);
+    CHECK(bench.follow_orders["b"] == 1);
+    CHECK(bench.follow_orders["c"] == 0);
+    CHECK(bench.pushes > 0);
+    bench.run(clock::duration(1'000));
+    bench.silent.assign(1, 'c');
+    const clock::time_point silent_from = bench.now;
+    while (bench.state.group("kura-ledger-1")->primary() == "c" &&
+           bench.now - silent_from < clock::duration(2'000)) {
+        bench.run(clock::duration(10));
+    }
+    bench.run(clock::duration(300));
+    CHECK(bench.state.group("kura-ledger-1")->primary() == "a");
+    CHECK(bench.state.group("kura-ledger-1")->term() == 2);
+}
+
+TEST_CASE("an allowance report is answered with a grant")
+{
+    service_bench bench;
+    bench.run(clock::duration(2'000));
+    pb::heartbeat beat = bench.beat_of("entry-1");
+    pb::allowance_report& report = *beat.add_allowances();
+    report.set_organisation("shrine-committee");
+    report.set_wanted(5'000);
+    const pb::heartbeat_reply answer = bench.leader.heartbeat(beat, bench.state, bench.now);
+    REQUIRE(answer.grants_size() == 1);
+    CHECK(answer.grants(0).amount() == 5'000);
+    CHECK(answer.grants(0).valid_ms() == 1'000);
+}
