Gate: take the waiting request as a named variable

Cause: a gateway test ended in malloc's check of its heap. g++ 12 copies an aggregate argument of an awaited call bit by bit, so that the organisation's short string was freed in place. Ruled out: the queue itself, whose tests run without coroutines. The overload for temporaries is deleted, so that the fault can't come back unseen.

--- a/src/gateway_connection.cpp
+++ b/src/gateway_connection.cpp
@@ -36,7 +36,7 @@
     sent.method = "POST";
     sent.target = std::move(value(encoded).target);
     sent.body = std::move(value(encoded).body);
-    const result<http::response> received = co_await link_->call(std::move(sent), deadline);
+    const result<http::response> received = co_await link_->call(sent, deadline);
     if (!ok(received)) {
         co_return failure(received);
     }
--- a/src/gateway_gate.h
+++ b/src/gateway_gate.h
@@ -25,8 +25,11 @@
     void resize(std::uint32_t slots);
 
     // Waits for a slot; `error_kind::overloaded` with `ran::no` when there is none in time.
+    // `request` is a named variable: g++ 12 copies an aggregate argument of an awaited call bit by
+    // bit, which breaks short strings.
     [[nodiscard]] boost::asio::awaitable<result<fair_queue::ticket>>
-    enter(fair_queue::waiting request);
+    enter(const fair_queue::waiting& request);
+    boost::asio::awaitable<result<fair_queue::ticket>> enter(fair_queue::waiting&&) = delete;
 
     // Gives a slot back after `held`.
     void leave(fair_queue::ticket ticket, clock::duration held);
--- a/src/gateway_pool.cpp
+++ b/src/gateway_pool.cpp
@@ -146,7 +146,8 @@
 net::awaitable<gateway_pool::outcome> gateway_pool::execute(pb::backend_request request,
                                                             clock::time_point deadline)
 {
-    const auto slot = co_await slots_.enter(waiting_for(request, deadline));
+    const fair_queue::waiting asked = waiting_for(request, deadline);
+    const auto slot = co_await slots_.enter(asked);
     if (!ok(slot)) {
         ++context_->counters.refused;
         co_return failure(slot);
@@ -162,7 +163,8 @@
 net::awaitable<gateway_pool::outcome>
 gateway_pool::begin(pb::backend_request request, std::uint64_t number, clock::time_point deadline)
 {
-    const auto place = co_await places_.enter(waiting_for(request, deadline));
+    const fair_queue::waiting asked = waiting_for(request, deadline);
+    const auto place = co_await places_.enter(asked);
     if (!ok(place)) {
         ++context_->counters.refused;
         co_return failure(place);
@@ -183,7 +185,8 @@
     if (context_->draining) {
         co_return instance_leaving();
     }
-    const auto slot = co_await slots_.enter(waiting_for(request, deadline));
+    const fair_queue::waiting asked = waiting_for(request, deadline);
+    const auto slot = co_await slots_.enter(asked);
     if (!ok(slot)) {
         ++context_->counters.refused;
         co_return failure(slot);
@@ -242,7 +245,8 @@
     if (!transaction->states.begin_statement()) {
         co_return transaction_busy();
     }
-    const auto slot = co_await slots_.enter(waiting_for(request, deadline));
+    const fair_queue::waiting asked = waiting_for(request, deadline);
+    const auto slot = co_await slots_.enter(asked);
     if (!ok(slot)) {
         transaction->states.finish_statement();
         co_return failure(slot);
@@ -267,7 +271,8 @@
     if (!transaction->states.begin_end()) {
         co_return transaction_busy();
     }
-    const auto slot = co_await slots_.enter(waiting_for(request, deadline));
+    const fair_queue::waiting asked = waiting_for(request, deadline);
+    const auto slot = co_await slots_.enter(asked);
     if (!ok(slot)) {
         transaction->states.return_to_open();
         transaction->last_used = clock::now();
