Stand-in of the databases: log with terms, transactions, replication, control port, record

Cause: the whole path needs a backend server that obeys docs/BACKEND.md. Ruled out: starting a primary's term without an entry of its own; a majority's highest position could then leave out an idempotent answer given in that term, so promote appends one empty entry. Added to http::response: drop, which closes the connection without an answer (cut links).

--- a/include/primrosehead/http.h
+++ b/include/primrosehead/http.h
@@ -42,6 +42,7 @@
     std::vector<header> headers;
     std::string body;
     bool close = false; // close the connection after this answer
+    bool drop = false;  // close the connection without an answer
 
     [[nodiscard]] std::string_view header_value(std::string_view name) const noexcept;
 };
--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -372,6 +372,9 @@
     const bool keep_alive = parser.get().keep_alive();
     const request received = from_beast(parser.release(), connection);
     response text = co_await run_handler(received);
+    if (text.drop) {
+        co_return false;
+    }
     const bool stays = keep_alive && !text.close && !draining.load();
     co_return co_await answer(stream, text, stays);
 }
--- /dev/null
+++ b/src/standin_database.cpp
@@ -0,0 +1,517 @@
+#include "standin_database.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace primrosehead::standin {
+
+namespace {
+
+constexpr clock::duration unknown_age{24 * 60 * 60 * 1'000};
+
+error wrong_term(std::uint64_t asked, std::uint64_t held)
+{
+    return error{error_kind::wrong_term,
+                 "Term " + std::to_string(asked) + " asked, term " + std::to_string(held) +
+                     " holds here.",
+                 "Ask the primary of the present term."};
+}
+
+error unknown_transaction(std::string_view name)
+{
+    return error{error_kind::unknown_transaction,
+                 "No transaction " + std::string(name) + " on this connection.",
+                 "Begin a new transaction."};
+}
+
+error refused(std::string_view why, std::string_view remedy)
+{
+    return error{error_kind::backend_refused, std::string(why), std::string(remedy)};
+}
+
+const std::string& key_of(const statement& asked)
+{
+    if (const auto* put = std::get_if<put_statement>(&asked)) {
+        return put->key;
+    }
+    if (const auto* add = std::get_if<add_statement>(&asked)) {
+        return add->key;
+    }
+    if (const auto* get = std::get_if<get_statement>(&asked)) {
+        return get->key;
+    }
+    return std::get<scan_statement>(asked).prefix;
+}
+
+boost::json::value write_outcome(const statement& asked, const change& made)
+{
+    if (std::holds_alternative<add_statement>(asked)) {
+        return boost::json::object{{"value", made.value}};
+    }
+    return boost::json::object{{"ok", true}};
+}
+
+} // namespace
+
+database::database(std::string server, storage& kept, database_faults faults,
+                   std::uint64_t promised_term, std::vector<log_entry> held)
+    : server_(std::move(server)), kept_(kept), faults_(faults), term_(promised_term)
+{
+    for (log_entry& entry : held) {
+        store(entry);
+        log_.append(std::move(entry));
+    }
+    applied_ = log_.last().index;
+}
+
+log_position database::position_at(std::uint64_t index) const noexcept
+{
+    return log_position{log_.term_at(index), index};
+}
+
+log_position database::applied() const noexcept
+{
+    return position_at(applied_);
+}
+
+clock::duration database::data_age(clock::time_point now) const noexcept
+{
+    if (primary_) {
+        return clock::duration(0);
+    }
+    return fresh_as_of_ ? now - *fresh_as_of_ : unknown_age;
+}
+
+std::optional<error> database::refuse_term(std::uint64_t term) const
+{
+    const bool matches = primary_ && term == term_;
+    if (matches || faults_.ignore_terms) {
+        return std::nullopt;
+    }
+    return wrong_term(term, term_);
+}
+
+std::optional<error> database::refuse_behind(std::optional<log_position> minimum) const
+{
+    if (!minimum || applied() >= *minimum) {
+        return std::nullopt;
+    }
+    return error{error_kind::behind,
+                 "Index " + std::to_string(applied_) + " is visible here, " +
+                     std::to_string(minimum->index) + " was asked.",
+                 "Ask a server that is further on."};
+}
+
+std::optional<answer> database::answered_before(std::string_view idempotency_id) const
+{
+    if (idempotency_id.empty() || faults_.forget_idempotency) {
+        return std::nullopt;
+    }
+    const auto found = idempotency_.find(std::string(idempotency_id));
+    if (found == idempotency_.end()) {
+        return std::nullopt;
+    }
+    return answer{log_.at(found->second).result, position_at(found->second), false, true};
+}
+
+boost::json::value database::read_at(const statement& asked, std::uint64_t index) const
+{
+    if (const auto* scan = std::get_if<scan_statement>(&asked)) {
+        return boost::json::object{{"items", store_.scan(scan->prefix, scan->limit, index)}};
+    }
+    const boost::json::value* value = store_.find(key_of(asked), index);
+    return boost::json::object{{"value", value == nullptr ? boost::json::value() : *value}};
+}
+
+result<answer> database::read(const statement& asked, std::optional<log_position> minimum) const
+{
+    if (writes(asked)) {
+        return refused("A read may not change the database.", "Send it as a write.");
+    }
+    if (const std::optional<error> behind = refuse_behind(minimum)) {
+        return *behind;
+    }
+    return answer{read_at(asked, applied_), applied()};
+}
+
+result<std::vector<change>> database::changes_of(const statement& asked,
+                                                 const boost::json::value* old) const
+{
+    if (const auto* put = std::get_if<put_statement>(&asked)) {
+        return std::vector{change{put->key, put->value}};
+    }
+    const auto& add = std::get<add_statement>(asked);
+    const bool counts = old == nullptr || old->is_null() || old->is_int64();
+    if (!counts) {
+        return refused("add needs a key that holds a whole number.", "Put a number first.");
+    }
+    const std::int64_t before = old != nullptr && old->is_int64() ? old->get_int64() : 0;
+    return std::vector{change{add.key, boost::json::value(before + add.by)}};
+}
+
+result<answer> database::write(const statement& asked, std::uint64_t term,
+                               std::string_view idempotency_id)
+{
+    if (const std::optional<error> refusal = refuse_term(term)) {
+        return *refusal;
+    }
+    if (!writes(asked)) {
+        return answer{read_at(asked, applied_), applied()};
+    }
+    if (const std::optional<answer> earlier = answered_before(idempotency_id)) {
+        return *earlier;
+    }
+    result<std::vector<change>> changes =
+        changes_of(asked, store_.find(key_of(asked), log_.last().index));
+    if (!ok(changes)) {
+        return failure(changes);
+    }
+    const boost::json::value outcome = write_outcome(asked, value(changes).front());
+    const log_position at = append(std::move(value(changes)), idempotency_id, outcome);
+    return answer{outcome, at, true};
+}
+
+result<transaction_begin> database::begin(transaction_mode mode, std::uint64_t connection,
+                                          std::uint64_t term, std::optional<log_position> minimum)
+{
+    if (mode == transaction_mode::write) {
+        if (const std::optional<error> refusal = refuse_term(term)) {
+            return *refusal;
+        }
+    }
+    if (const std::optional<error> behind = refuse_behind(minimum)) {
+        return *behind;
+    }
+    const bool busy =
+        std::any_of(transactions_.begin(), transactions_.end(), [connection](const auto& each) {
+            return each.second.connection == connection;
+        });
+    if (busy) {
+        return refused("This connection has an open transaction.",
+                       "End it, or begin on another connection.");
+    }
+    std::string name = server_ + "-" + std::to_string(next_transaction_++);
+    transaction open;
+    open.mode = mode;
+    open.connection = connection;
+    open.snapshot = applied_;
+    transactions_.emplace(name, std::move(open));
+    return transaction_begin{std::move(name), applied()};
+}
+
+database::transactions::iterator database::find(std::string_view name, std::uint64_t connection)
+{
+    const auto found = transactions_.find(name);
+    const bool owned = found != transactions_.end() && found->second.connection == connection;
+    return owned ? found : transactions_.end();
+}
+
+const boost::json::value* database::seen_by(const transaction& open, const std::string& key) const
+{
+    const auto own = open.pending.find(key);
+    return own != open.pending.end() ? &own->second : store_.find(key, open.snapshot);
+}
+
+answer database::execute_read(transaction& open, const statement& asked) const
+{
+    const std::uint64_t seen = faults_.unstable_snapshot ? applied_ : open.snapshot;
+    if (const auto* scan = std::get_if<scan_statement>(&asked)) {
+        open.prefixes_read.push_back(scan->prefix);
+        boost::json::object items = store_.scan(scan->prefix, scan->limit, seen);
+        for (const auto& [key, value] : open.pending) {
+            if (key.starts_with(scan->prefix)) {
+                items[key] = value;
+            }
+        }
+        return answer{boost::json::object{{"items", std::move(items)}}, position_at(seen)};
+    }
+    const std::string& key = key_of(asked);
+    open.keys_read.push_back(key);
+    const bool own = open.pending.contains(key);
+    const boost::json::value* value = own ? &open.pending.at(key) : store_.find(key, seen);
+    return answer{boost::json::object{{"value", value == nullptr ? boost::json::value() : *value}},
+                  position_at(seen)};
+}
+
+result<answer> database::execute_write(transaction& open, const statement& asked)
+{
+    result<std::vector<change>> changes = changes_of(asked, seen_by(open, key_of(asked)));
+    if (!ok(changes)) {
+        return failure(changes);
+    }
+    if (std::holds_alternative<add_statement>(asked)) {
+        open.keys_read.push_back(key_of(asked));
+    }
+    const change& made = value(changes).front();
+    answer outcome{write_outcome(asked, made), position_at(open.snapshot)};
+    if (faults_.mix_transactions) {
+        append(std::move(value(changes)), {}, outcome.result);
+        return outcome;
+    }
+    open.pending[made.key] = made.value;
+    return outcome;
+}
+
+result<answer> database::execute(std::string_view name, std::uint64_t connection,
+                                 const statement& asked)
+{
+    const auto found = find(name, connection);
+    if (found == transactions_.end()) {
+        return unknown_transaction(name);
+    }
+    if (!writes(asked)) {
+        return execute_read(found->second, asked);
+    }
+    if (found->second.mode == transaction_mode::read) {
+        return refused("A read transaction may not change the database.",
+                       "Begin a write transaction.");
+    }
+    return execute_write(found->second, asked);
+}
+
+bool database::conflicts(const transaction& open) const
+{
+    const auto changed = [&](const std::string& key) {
+        return store_.key_changed_after(key, open.snapshot);
+    };
+    const auto prefix_changed = [&](const std::string& prefix) {
+        return store_.prefix_changed_after(prefix, open.snapshot);
+    };
+    const auto written = [&](const auto& item) { return changed(item.first); };
+    return std::any_of(open.pending.begin(), open.pending.end(), written) ||
+           std::any_of(open.keys_read.begin(), open.keys_read.end(), changed) ||
+           std::any_of(open.prefixes_read.begin(), open.prefixes_read.end(), prefix_changed);
+}
+
+result<answer> database::commit(std::string_view name, std::uint64_t connection, std::uint64_t term,
+                                std::string_view idempotency_id)
+{
+    const auto found = find(name, connection);
+    if (found == transactions_.end()) {
+        return unknown_transaction(name);
+    }
+    const transaction open = std::move(found->second);
+    transactions_.erase(found);
+    if (open.mode == transaction_mode::read) {
+        return answer{boost::json::object{{"ok", true}}, position_at(open.snapshot)};
+    }
+    if (const std::optional<error> refusal = refuse_term(term)) {
+        return *refusal;
+    }
+    if (std::optional<answer> earlier = answered_before(idempotency_id)) {
+        return *earlier;
+    }
+    if (open.pending.empty()) {
+        return answer{boost::json::object{{"ok", true}}, position_at(open.snapshot)};
+    }
+    if (conflicts(open)) {
+        return refused("Another transaction changed what this one read or wrote.",
+                       "Run the transaction again.");
+    }
+    std::vector<change> changes;
+    for (const auto& [key, value] : open.pending) {
+        changes.push_back(change{key, value});
+    }
+    const boost::json::value outcome = boost::json::object{{"ok", true}};
+    return answer{outcome, append(std::move(changes), idempotency_id, outcome), true};
+}
+
+status database::rollback(std::string_view name, std::uint64_t connection)
+{
+    const auto found = find(name, connection);
+    if (found == transactions_.end()) {
+        return unknown_transaction(name);
+    }
+    transactions_.erase(found);
+    return std::monostate{};
+}
+
+void database::connection_closed(std::uint64_t connection)
+{
+    std::erase_if(transactions_,
+                  [connection](const auto& each) { return each.second.connection == connection; });
+}
+
+bool database::is_replicated(std::uint64_t index) const noexcept
+{
+    const std::uint64_t needed = std::max(index, term_start_ + 1);
+    return std::any_of(received_by_.begin(), received_by_.end(),
+                       [needed](const auto& each) { return each.second >= needed; });
+}
+
+log_position database::append(std::vector<change> changes, std::string_view idempotency_id,
+                              boost::json::value outcome)
+{
+    log_entry entry{log_position{term_, log_.last().index + 1}, std::string(idempotency_id),
+                    std::move(changes), std::move(outcome)};
+    const log_position at = entry.at;
+    kept_.appended(entry);
+    store(entry);
+    log_.append(std::move(entry));
+    applied_ = at.index;
+    return at;
+}
+
+void database::store(const log_entry& entry)
+{
+    for (const change& each : entry.changes) {
+        store_.put(each.key, each.value, entry.at.index);
+    }
+    if (!entry.idempotency_id.empty()) {
+        idempotency_[entry.idempotency_id] = entry.at.index;
+    }
+}
+
+void database::truncate_after(std::uint64_t index)
+{
+    if (index >= log_.last().index) {
+        return;
+    }
+    kept_.truncated_after(index);
+    log_.truncate_after(index);
+    store_.truncate_after(index);
+    std::erase_if(idempotency_, [index](const auto& each) { return each.second > index; });
+    std::erase_if(transactions_,
+                  [index](const auto& each) { return each.second.snapshot > index; });
+    std::erase_if(arrivals_, [index](const arrival& each) { return each.index > index; });
+    applied_ = std::min(applied_, index);
+}
+
+void database::promise(std::uint64_t term)
+{
+    if (term <= term_) {
+        return;
+    }
+    kept_.promised(term);
+    term_ = term;
+    primary_ = false;
+    following_ = 0;
+    abandon_writes();
+}
+
+void database::abandon_writes()
+{
+    std::erase_if(transactions_,
+                  [](const auto& each) { return each.second.mode == transaction_mode::write; });
+}
+
+result<log_position> database::fence(std::uint64_t term)
+{
+    if (term < term_) {
+        return wrong_term(term, term_);
+    }
+    promise(term);
+    return received();
+}
+
+result<std::uint64_t> database::promote(std::uint64_t term, std::span<const term_begin> starts)
+{
+    if (term != term_ || following_ == term) {
+        return wrong_term(term, term_);
+    }
+    if (primary_) {
+        return term_start_;
+    }
+    truncate_after(log_.kept_through(starts));
+    primary_ = true;
+    term_start_ = log_.last().index;
+    received_by_.clear();
+    freshness_.clear();
+    arrivals_.clear();
+    // The first entry of a term is empty: it makes this server's position the group's highest.
+    append({}, {}, nullptr);
+    return term_start_;
+}
+
+status database::follow(std::uint64_t term, std::string_view primary,
+                        std::span<const term_begin> starts)
+{
+    const bool own_term = primary_ && term == term_;
+    if (term < term_ || own_term || primary == server_) {
+        return wrong_term(term, term_);
+    }
+    promise(term);
+    truncate_after(log_.kept_through(starts));
+    if (following_ != term) {
+        following_ = term;
+        freshness_.clear();
+    }
+    return std::monostate{};
+}
+
+bool database::agrees_with(const log_question& question) const noexcept
+{
+    return question.after == 0 || log_.term_at(question.after) == question.after_term;
+}
+
+void database::confirm(std::string_view server, const log_question& question)
+{
+    const bool current = primary_ && question.term == term_;
+    if (!current || !agrees_with(question)) {
+        return;
+    }
+    std::uint64_t& known = received_by_[std::string(server)];
+    known = std::max(known, question.after);
+}
+
+result<log_batch> database::entries_for(const log_question& question, std::size_t limit) const
+{
+    if (!primary_ || question.term != term_) {
+        return wrong_term(question.term, term_);
+    }
+    log_batch batch;
+    batch.last = log_.last();
+    if (!agrees_with(question)) {
+        batch.ask_after = log_.last_not_after(question.after - 1, question.after_term);
+        return batch;
+    }
+    const std::span<const log_entry> found = log_.after(question.after, limit);
+    batch.entries.assign(found.begin(), found.end());
+    return batch;
+}
+
+log_question database::next_question() const noexcept
+{
+    const log_position last = log_.last();
+    return log_question{last.index, last.term, following_};
+}
+
+status database::receive(std::uint64_t term, const log_batch& batch, clock::time_point asked_at,
+                         clock::time_point now)
+{
+    if (term != term_ || following_ != term) {
+        return wrong_term(term, term_);
+    }
+    if (batch.ask_after) {
+        truncate_after(*batch.ask_after);
+        return std::monostate{};
+    }
+    for (const log_entry& entry : batch.entries) {
+        if (entry.at.index != log_.last().index + 1) {
+            continue;
+        }
+        kept_.appended(entry);
+        store(entry);
+        log_.append(entry);
+        arrivals_.push_back(arrival{entry.at.index, now});
+    }
+    freshness_.push_back(freshness{batch.last.index, asked_at});
+    return std::monostate{};
+}
+
+void database::apply(clock::time_point now, clock::duration lag)
+{
+    while (!arrivals_.empty() && arrivals_.front().received_at + lag <= now) {
+        applied_ = std::max(applied_, arrivals_.front().index);
+        arrivals_.pop_front();
+    }
+    if (arrivals_.empty() && !primary_) {
+        applied_ = log_.last().index;
+    }
+    while (!freshness_.empty() && freshness_.front().last <= applied_) {
+        fresh_as_of_ = freshness_.front().asked_at;
+        freshness_.pop_front();
+    }
+}
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_files.cpp
@@ -0,0 +1,120 @@
+#include "standin_files.h"
+
+#include "lab_json.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <charconv>
+#include <fcntl.h>
+#include <filesystem>
+#include <sstream>
+#include <unistd.h>
+
+namespace primrosehead::standin {
+
+namespace {
+
+constexpr const char* term_file = "/term";
+constexpr const char* log_file = "/log.jsonl";
+
+// Replaces a small file so that either the old or the new text is there after a crash.
+void write_synced(const std::string& path, const std::string& text)
+{
+    const std::string next = path + ".next";
+    const int file = ::open(next.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+    const bool written =
+        file >= 0 && ::write(file, text.data(), text.size()) == static_cast<ssize_t>(text.size()) &&
+        ::fsync(file) == 0;
+    if (file >= 0) {
+        ::close(file);
+    }
+    if (!written || ::rename(next.c_str(), path.c_str()) != 0) {
+        std::abort(); // a server that can't keep a promise must not make it
+    }
+}
+
+std::string read_whole(const std::string& path)
+{
+    std::ostringstream whole;
+    whole << std::ifstream(path).rdbuf();
+    return whole.str();
+}
+
+} // namespace
+
+result<std::unique_ptr<file_storage>> file_storage::open(const std::string& folder)
+{
+    std::error_code failed;
+    std::filesystem::create_directories(folder, failed);
+    if (failed) {
+        return error{error_kind::storage_failed, "Can't make " + folder + ": " + failed.message(),
+                     "Name a data_folder that this user may write."};
+    }
+    std::unique_ptr<file_storage> opened(new file_storage(folder));
+    const status loaded = opened->load();
+    if (!ok(loaded)) {
+        return failure(loaded);
+    }
+    return opened;
+}
+
+status file_storage::load()
+{
+    const std::string term = read_whole(folder_ + term_file);
+    std::from_chars(term.data(), term.data() + term.size(), contents_.term);
+    const std::string log = read_whole(folder_ + log_file);
+    std::size_t start = 0;
+    for (std::size_t end = log.find('\n'); end != std::string::npos; end = log.find('\n', start)) {
+        const std::string_view line = std::string_view(log).substr(start, end - start);
+        const result<boost::json::value> parsed = lab::parse_json(line);
+        if (!ok(parsed)) {
+            return error{error_kind::corrupt_storage, folder_ + log_file + " is damaged.",
+                         "Start this server with an empty data_folder."};
+        }
+        const boost::json::object* members = value(parsed).if_object();
+        const boost::json::value* truncated =
+            members == nullptr ? nullptr : members->if_contains("truncated_after");
+        if (truncated != nullptr) {
+            contents_.entries.resize(truncated->to_number<std::size_t>());
+        }
+        else {
+            result<log_entry> entry = log_entry_from(value(parsed));
+            if (!ok(entry)) {
+                return failure(entry);
+            }
+            contents_.entries.push_back(std::move(value(entry)));
+        }
+        start = end + 1;
+    }
+    rewrite_log(start);
+    return std::monostate{};
+}
+
+void file_storage::rewrite_log(std::size_t good_bytes)
+{
+    const std::string path = folder_ + log_file;
+    std::error_code failed;
+    if (std::filesystem::exists(path, failed)) {
+        std::filesystem::resize_file(path, good_bytes, failed);
+    }
+    log_.open(path, std::ios::app);
+}
+
+void file_storage::promised(std::uint64_t term)
+{
+    write_synced(folder_ + term_file, std::to_string(term));
+}
+
+void file_storage::appended(const log_entry& entry)
+{
+    log_ << boost::json::serialize(to_json(entry)) << '\n' << std::flush;
+}
+
+void file_storage::truncated_after(std::uint64_t index)
+{
+    log_ << boost::json::serialize(boost::json::object{{"truncated_after", index}}) << '\n'
+         << std::flush;
+}
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_messages.h
@@ -0,0 +1,53 @@
+// JSON of docs/BACKEND.md: what the stand-in reads from requests and writes into answers.
+#pragma once
+
+#include "standin_database.h"
+
+#include <primrosehead/http.h>
+
+#include <boost/json/object.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace primrosehead::standin {
+
+// A request's body with its members as they were asked for; absent ones keep their defaults.
+struct message_body {
+    std::string id;
+    std::optional<statement> asked;
+    bool write = false;
+    bool reads_only = false; // "mode":"read"
+    std::uint64_t term = 0;
+    std::optional<log_position> minimum;
+    bool wait_for_replica = true;
+    std::string idempotency_id;
+    std::string transaction;
+    clock::duration timeout{2'000};
+    std::string primary;
+    std::string url;
+    std::vector<term_begin> starts;
+};
+
+// The error carries no id; `id` is filled as far as it could be read.
+[[nodiscard]] status read_body(std::string_view text, message_body& into);
+
+// The query of GET /v1/log.
+struct log_query {
+    log_question question;
+    std::string server;
+};
+[[nodiscard]] log_query read_log_query(std::string_view target);
+[[nodiscard]] std::string log_target(const log_question& question, std::string_view server);
+
+[[nodiscard]] boost::json::object to_json(log_position at);
+[[nodiscard]] boost::json::object to_json(const log_batch& batch);
+[[nodiscard]] result<log_batch> log_batch_from(std::string_view text);
+
+// An error's answer, with its status.
+[[nodiscard]] http::response to_response(const error& cause, std::string_view id,
+                                         std::uint64_t term);
+[[nodiscard]] http::response to_response(const boost::json::object& body);
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_node.h
@@ -0,0 +1,61 @@
+// What the parts of one stand-in process share. All of it belongs to one thread.
+#pragma once
+
+#include "standin_database.h"
+#include "standin_notifier.h"
+#include "standin_record.h"
+#include "standin_settings.h"
+#include "standin_slots.h"
+#include "standin_switches.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace primrosehead::standin {
+
+// Whose log this server replicates.
+struct replication_source {
+    std::uint64_t term = 0;
+    std::string primary;
+    std::string url;
+
+    friend bool operator==(const replication_source&, const replication_source&) = default;
+};
+
+struct node {
+    node(boost::asio::any_io_executor executor, server_settings with,
+         std::unique_ptr<storage> files, database_faults faults, std::uint64_t promised_term,
+         std::vector<log_entry> held)
+        : settings(std::move(with)), kept(std::move(files)),
+          data(settings.server, *kept, faults, promised_term, std::move(held)),
+          record(settings.data_folder.empty() ? std::string()
+                                              : settings.data_folder + "/record.jsonl"),
+          slots(executor, settings.slots), log_changed(executor), role_changed(executor)
+    {
+        controls.lag = settings.lag;
+    }
+
+    // True when this server and `peer` exchange messages just now.
+    [[nodiscard]] bool reaches(std::string_view peer) const
+    {
+        return !controls.frozen && !controls.is_cut(peer);
+    }
+
+    server_settings settings;
+    std::unique_ptr<storage> kept;
+    database data;
+    execution_record record;
+    switches controls;
+    execution_slots slots;
+    notifier log_changed;  // entries came, or another server received some
+    notifier role_changed; // also at the end of the process
+    replication_source source;
+    bool stopped = false;
+};
+
+// The body of announcements and of GET /v1/status.
+[[nodiscard]] std::string announcement(const node& about, std::string_view url);
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_notifier.h
@@ -0,0 +1,31 @@
+// Wakes coroutines that wait for a change.
+#pragma once
+
+#include <primrosehead/clock.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+
+namespace primrosehead::standin {
+
+// All calls on one thread.
+class notifier {
+  public:
+    explicit notifier(boost::asio::any_io_executor executor) : executor_(std::move(executor)) {}
+
+    // Returns at the next `notify_all`, at the latest at `deadline`.
+    [[nodiscard]] boost::asio::awaitable<void> wait_until(clock::time_point deadline);
+    void notify_all();
+
+  private:
+    boost::asio::any_io_executor executor_;
+    std::list<boost::asio::steady_timer> waiting_;
+};
+
+// Waits for `time`.
+[[nodiscard]] boost::asio::awaitable<void> pause_for(clock::duration time);
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_replicator.h
@@ -0,0 +1,18 @@
+// The replica's side of the stand-in's replication.
+#pragma once
+
+#include "standin_node.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+
+namespace primrosehead::standin {
+
+// Pulls the log of the node's present source until the node follows another one.
+[[nodiscard]] boost::asio::awaitable<void> replicate(std::shared_ptr<node> to);
+
+// Makes received entries visible after the lag, until the node stops.
+[[nodiscard]] boost::asio::awaitable<void> apply_with_lag(std::shared_ptr<node> to);
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_server.h
@@ -0,0 +1,39 @@
+// The stand-in of a backend server: docs/BACKEND.md over HTTP, with a control port for faults.
+#pragma once
+
+#include "standin_database.h"
+#include "standin_settings.h"
+
+#include <primrosehead/error.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace primrosehead::standin {
+
+// Runs on one thread: the executor's.
+class server {
+  public:
+    [[nodiscard]] static result<std::unique_ptr<server>>
+    start(boost::asio::any_io_executor executor, const server_settings& settings,
+          database_faults faults = {});
+    ~server();
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const noexcept;
+    [[nodiscard]] std::uint16_t control_port() const noexcept; // 0 without a control port
+
+    // Says that it leaves and takes no new connections; `is_idle` once nothing is under way.
+    void drain();
+    [[nodiscard]] bool is_idle() const noexcept;
+
+  private:
+    struct implementation;
+    explicit server(std::shared_ptr<implementation> body);
+    std::shared_ptr<implementation> body_;
+};
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_settings.cpp
@@ -0,0 +1,83 @@
+#include "standin_settings.h"
+
+#include "lab_json.h"
+
+#include <algorithm>
+
+namespace primrosehead::standin {
+
+namespace {
+
+constexpr std::int64_t most_slots = 1'024;
+constexpr std::int64_t most_connections = 100'000;
+constexpr std::int64_t most_delay_ms = 600'000;
+
+clock::duration read_delay(lab::object_reader& members, std::string_view key,
+                           clock::duration fallback)
+{
+    return clock::duration(members.integer(key, 0, most_delay_ms, fallback.count()));
+}
+
+log_settings read_log(lab::object_reader& members)
+{
+    log_settings read;
+    const boost::json::value* found = members.any("log");
+    if (found == nullptr) {
+        return read;
+    }
+    lab::object_reader part(*found, "$.log");
+    read.level = part.text("level", read.level);
+    read.format = part.text("format", read.format);
+    read.file = part.text("file", "");
+    if (!ok(part.finish())) {
+        members.fault("log", "an object with level, format and file");
+    }
+    return read;
+}
+
+void check_group(lab::object_reader& members, const server_settings& read)
+{
+    const bool names_itself =
+        std::any_of(read.group.begin(), read.group.end(),
+                    [&](const peer_settings& peer) { return peer.server == read.server; });
+    if (names_itself) {
+        members.fault("group", "only the other servers of the group");
+    }
+}
+
+} // namespace
+
+result<server_settings> parse_server_settings(std::string_view text)
+{
+    const result<boost::json::value> parsed = lab::parse_json(text);
+    if (!ok(parsed)) {
+        return failure(parsed);
+    }
+    lab::object_reader members(value(parsed), "$");
+    server_settings read;
+    read.server = members.text("server");
+    read.database = members.text("database");
+    read.failure_domain = members.text("failure_domain");
+    read.listen = members.text("listen");
+    read.control_listen = members.text("control_listen", "");
+    read.announce_urls = members.texts("announce_urls");
+    members.objects("group", [&read](lab::object_reader& peer) {
+        read.group.push_back(peer_settings{peer.text("server"), peer.text("url")});
+    });
+    read.slots = static_cast<std::uint32_t>(members.integer("slots", 1, most_slots, read.slots));
+    read.connection_limit = static_cast<std::uint32_t>(
+        members.integer("connection_limit", 1, most_connections, read.connection_limit));
+    read.new_connection = read_delay(members, "new_connection_ms", read.new_connection);
+    read.service = read_delay(members, "service_ms", read.service);
+    read.lag = read_delay(members, "lag_ms", read.lag);
+    read.data_folder = members.text("data_folder", "");
+    read.log = read_log(members);
+    check_group(members, read);
+    const status checked = members.finish();
+    if (!ok(checked)) {
+        return failure(checked);
+    }
+    return read;
+}
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_settings.h
@@ -0,0 +1,41 @@
+// Settings of the stand-in (docs/BACKEND.md).
+#pragma once
+
+#include <primrosehead/clock.h>
+#include <primrosehead/error.h>
+#include <primrosehead/settings.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace primrosehead::standin {
+
+// Another server of the group.
+struct peer_settings {
+    std::string server;
+    std::string url;
+};
+
+struct server_settings {
+    std::string server;
+    std::string database;
+    std::string failure_domain;
+    std::string listen;         // IP:PORT
+    std::string control_listen; // IP:PORT of the control port
+    std::vector<std::string> announce_urls;
+    std::vector<peer_settings> group;
+    std::uint32_t slots = 3;
+    std::uint32_t connection_limit = 20;
+    clock::duration new_connection{10};
+    clock::duration service{1};
+    clock::duration lag{0};
+    std::string data_folder; // empty: log and promised term last as long as the process
+    log_settings log;
+};
+
+// Reads the JSON text of a settings file. The error names the JSON path and what was expected.
+[[nodiscard]] result<server_settings> parse_server_settings(std::string_view text);
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_slots.h
@@ -0,0 +1,29 @@
+// The stand-in's execution slots: a bounded number of statements run at once, in order of arrival.
+#pragma once
+
+#include "standin_notifier.h"
+
+#include <cstdint>
+#include <deque>
+
+namespace primrosehead::standin {
+
+class execution_slots {
+  public:
+    execution_slots(boost::asio::any_io_executor executor, std::uint32_t count)
+        : changed_(std::move(executor)), free_(count)
+    {
+    }
+
+    // Takes a slot; `false` when none came free before `deadline`.
+    [[nodiscard]] boost::asio::awaitable<bool> take(clock::time_point deadline);
+    void give_back();
+
+  private:
+    notifier changed_;
+    std::uint32_t free_;
+    std::uint64_t next_ticket_ = 1;
+    std::deque<std::uint64_t> queue_;
+};
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_statement.cpp
@@ -0,0 +1,87 @@
+#include "standin_statement.h"
+
+#include <boost/json/object.hpp>
+
+#include <limits>
+#include <string_view>
+
+namespace primrosehead::standin {
+
+namespace {
+
+constexpr std::uint32_t default_scan_limit = 1'000;
+
+error refused(std::string_view why)
+{
+    return error{error_kind::backend_refused, std::string(why),
+                 "Send one of the statements of docs/BACKEND.md."};
+}
+
+result<statement> parse_put(const boost::json::object& source, const std::string& key)
+{
+    const boost::json::value* value = source.if_contains("value");
+    if (value == nullptr) {
+        return refused("put needs a value.");
+    }
+    return statement(put_statement{key, *value});
+}
+
+result<statement> parse_add(const boost::json::object& source, const std::string& key)
+{
+    const boost::json::value* by = source.if_contains("by");
+    if (by == nullptr || !by->is_int64()) {
+        return refused("add needs a whole number in `by`.");
+    }
+    return statement(add_statement{key, by->get_int64()});
+}
+
+result<statement> parse_scan(const boost::json::object& source, const std::string& prefix)
+{
+    const boost::json::value* limit = source.if_contains("limit");
+    if (limit == nullptr) {
+        return statement(scan_statement{prefix, default_scan_limit});
+    }
+    const std::int64_t* number = limit->if_int64();
+    if (number == nullptr || *number < 1 || *number > std::numeric_limits<std::uint32_t>::max()) {
+        return refused("scan needs a limit of at least 1.");
+    }
+    return statement(scan_statement{prefix, static_cast<std::uint32_t>(*number)});
+}
+
+// The text of a member; nothing when it is missing or of another type.
+const boost::json::string* text_member(const boost::json::object& source, std::string_view name)
+{
+    const boost::json::value* found = source.if_contains(name);
+    return found == nullptr ? nullptr : found->if_string();
+}
+
+} // namespace
+
+result<statement> parse_statement(const boost::json::value& source)
+{
+    const boost::json::object* members = source.if_object();
+    if (members == nullptr) {
+        return refused("A statement is an object.");
+    }
+    if (const auto* key = text_member(*members, "get")) {
+        return statement(get_statement{std::string(*key)});
+    }
+    if (const auto* key = text_member(*members, "put")) {
+        return parse_put(*members, std::string(*key));
+    }
+    if (const auto* key = text_member(*members, "add")) {
+        return parse_add(*members, std::string(*key));
+    }
+    if (const auto* prefix = text_member(*members, "scan")) {
+        return parse_scan(*members, std::string(*prefix));
+    }
+    return refused("Unknown statement.");
+}
+
+bool writes(const statement& parsed) noexcept
+{
+    return std::holds_alternative<put_statement>(parsed) ||
+           std::holds_alternative<add_statement>(parsed);
+}
+
+} // namespace primrosehead::standin
--- /dev/null
+++ b/src/standin_switches.cpp
@@ -0,0 +1,39 @@
+#include "standin_switches.h"
+
+#include "lab_json.h"
+
+namespace primrosehead::standin {
+
+namespace {
+
+constexpr std::int64_t most_delay_ms = 600'000;
+
+} // namespace
+
+result<switches> change_switches(const switches& before, std::string_view text)
+{
+    const result<boost::json::value> parsed = lab::parse_json(text);
+    if (!ok(parsed)) {
+        return failure(parsed);
+    }
+    lab::object_reader members(value(parsed), "$");
+    switches after = before;
+    after.lag = clock::duration(members.integer("lag_ms", 0, most_delay_ms, before.lag.count()));
+    after.slow = clock::duration(members.integer("slow_ms", 0, most_delay_ms, before.slow.count()));
+    after.frozen = members.boolean("freeze", before.frozen);
+    after.refuse_connections = members.boolean("refuse_connections", before.refuse_connections);
+    after.leaving = members.boolean("leaving", before.leaving);
+    after.crash = members.boolean("crash", false);
+    const bool names_links = value(parsed).is_object() && value(parsed).as_object().contains("cut");
+    const std::vector<std::string> cut = members.texts("cut");
+    if (names_links) {
+        after.cut = {cut.begin(), cut.end()};
+    }
+    const status checked = members.finish();
+    if (!ok(checked)) {
+        return failure(checked);
+    }
+    return after;
+}
+
+} // namespace primrosehead::standin
