--- /dev/null
+++ b/src/scenario_history.h
@@ -0,0 +1,84 @@
+// What a scenario observed, and the promises it is checked against.
+#pragma once
+
+#include <primrosehead/clock.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace primrosehead::scenario {
+
+struct acknowledged_write {
+    std::string id;
+    std::string database;
+    std::uint64_t term = 0;
+    clock::time_point at;
+};
+
+struct promotion {
+    std::string database;
+    std::string server;
+    std::uint64_t term = 0;
+    clock::time_point at; // when the server became primary
+};
+
+struct organisation_record {
+    double rate = 0;
+    double burst = 0;
+    std::vector<clock::time_point> admissions;
+    std::uint64_t refused = 0;
+};
+
+struct key_use {
+    std::string key;
+    clock::time_point at;
+};
+
+struct leader_answer {
+    std::string instance;
+    std::uint64_t term = 0;
+    clock::time_point at;
+};
+
+class history {
+  public:
+    void acknowledged(acknowledged_write write) { acknowledged_.push_back(std::move(write)); }
+    void not_run(std::string id) { not_run_.push_back(std::move(id)); }
+    void promoted(promotion made) { promotions_.push_back(std::move(made)); }
+    void answered(leader_answer answer);
+    void used(key_use use) { key_uses_.push_back(std::move(use)); }
+    void withdrawn(const std::string& key, clock::time_point at) { withdrawals_[key] = at; }
+    void broke(std::string what) { broken_.push_back(std::move(what)); }
+    [[nodiscard]] organisation_record& organisation(const std::string& name);
+
+    [[nodiscard]] std::uint64_t acknowledged_count(std::string_view database) const;
+    // The longest time between two acknowledgements of a database after `from`.
+    [[nodiscard]] clock::duration gap(std::string_view database, clock::time_point from) const;
+    [[nodiscard]] std::uint64_t answers_of(std::string_view instance, clock::time_point from) const;
+
+    // `logs`: the write ids in the log of each database's latest primary, in order.
+    [[nodiscard]] std::vector<std::string>
+    breaches(const std::map<std::string, std::vector<std::string>>& logs) const;
+
+  private:
+    void check_replaced(std::vector<std::string>& found) const;
+    void check_logs(const std::map<std::string, std::vector<std::string>>& logs,
+                    std::vector<std::string>& found) const;
+    void check_limits(std::vector<std::string>& found) const;
+    void check_keys(std::vector<std::string>& found) const;
+
+    std::vector<acknowledged_write> acknowledged_;
+    std::vector<std::string> not_run_;
+    std::vector<promotion> promotions_;
+    std::vector<leader_answer> answers_;
+    std::uint64_t highest_answered_term_ = 0;
+    std::vector<key_use> key_uses_;
+    std::map<std::string, clock::time_point> withdrawals_;
+    std::map<std::string, organisation_record> organisations_;
+    std::vector<std::string> broken_;
+};
+
+} // namespace primrosehead::scenario
--- /dev/null
+++ b/src/scenario_runner.h
@@ -0,0 +1,49 @@
+// Carries out the steps of one scenario.
+#pragma once
+
+#include "scenario_script.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+
+namespace primrosehead::scenario {
+
+class runner {
+  public:
+    runner(std::uint64_t seed, const mechanisms& on) : world_(seed, on) {}
+
+    void run(const script_step& step);
+    [[nodiscard]] outcome finish();
+
+  private:
+    using arguments = std::span<const std::string>;
+
+    // Each returns false for a step that it doesn't understand.
+    bool set_up(const std::string& verb, arguments rest);
+    bool disturb(const std::string& verb, arguments rest);
+    bool call(const std::string& verb, arguments rest);
+    bool operate(const std::string& verb, arguments rest);
+    bool expect(arguments rest);
+    bool expect_group(arguments rest);
+    bool expect_control(arguments rest);
+    bool expect_answer(arguments rest);
+    bool expect_callers(arguments rest);
+
+    void deploy();
+    void wait_for_answer(const std::string& request);
+    void check(bool is_met, const std::string& seen);
+
+    // A process by name, alias, "leader" or "primary-of:DATABASE".
+    [[nodiscard]] std::string target(const std::string& word);
+    [[nodiscard]] std::set<std::string> targets(const std::string& list);
+
+    world world_;
+    std::map<std::string, std::string> aliases_;
+    clock::time_point marked_at_{};
+    std::uint32_t line_ = 0;
+    std::vector<std::string> failures_;
+};
+
+} // namespace primrosehead::scenario
--- /dev/null
+++ b/src/scenario_server.h
@@ -0,0 +1,109 @@
+// A fake backend server that keeps docs/BACKEND.md: terms, positions, fencing and asynchronous
+// replication. Its log holds the ids of writes.
+#pragma once
+
+#include "primrosehead.pb.h"
+
+#include <primrosehead/clock.h>
+#include <primrosehead/position.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace primrosehead::scenario {
+
+struct server_log_entry {
+    std::uint64_t term = 0;
+    std::string id;
+};
+
+// The answer to a write: where it is, or that it certainly did not run.
+struct write_answer {
+    bool did_run = false;
+    std::uint64_t term = 0;
+};
+
+// The term that a server promised, other than the one of a refused order.
+struct refused_term {
+    std::uint64_t promised = 0;
+};
+
+class server {
+  public:
+    server(std::string name, std::string database, std::string failure_domain,
+           bool waits_for_replica);
+
+    // Answers once a replica has the write too; never, if none gets it.
+    void write(const std::string& id, std::uint64_t term,
+               std::function<void(const write_answer&)> done);
+
+    // The position received, or the higher term promised before.
+    [[nodiscard]] std::variant<log_position, refused_term> fence(std::uint64_t term);
+    // The index at which the term begins, or the term promised.
+    [[nodiscard]] std::variant<std::uint64_t, refused_term>
+    promote(std::uint64_t term, std::span<const term_begin> starts);
+    [[nodiscard]] bool follow(std::uint64_t term, const std::string& primary,
+                              std::span<const term_begin> starts);
+
+    // Replication: a replica asks, its primary answers, the entries come in after the lag.
+    struct pull {
+        std::uint64_t term = 0;
+        std::uint64_t after = 0;
+    };
+    [[nodiscard]] pull next_pull() const { return {promised_, log_.size()}; }
+    [[nodiscard]] std::vector<server_log_entry> read_log(const std::string& replica,
+                                                         const pull& asked);
+    void receive(std::uint64_t term, std::uint64_t after, std::vector<server_log_entry> entries,
+                 clock::time_point now);
+    void tick(clock::time_point now);
+
+    [[nodiscard]] pb::server_report report() const;
+    [[nodiscard]] const std::string& following() const noexcept { return following_; }
+    [[nodiscard]] bool is_primary() const noexcept { return is_primary_; }
+    [[nodiscard]] const std::string& name() const noexcept { return name_; }
+    [[nodiscard]] const std::string& database() const noexcept { return database_; }
+    [[nodiscard]] std::vector<std::string> ids() const;
+
+    // After a restart: log and promise were durable, the role was not.
+    void restart();
+    void set_lag(clock::duration lag) noexcept { lag_ = lag; }
+    void set_leaving() noexcept { is_leaving_ = true; }
+
+  private:
+    struct waiting_write {
+        std::uint64_t index = 0;
+        std::function<void(const write_answer&)> done;
+    };
+
+    struct delayed_entries {
+        clock::time_point due;
+        std::uint64_t term = 0;
+        std::uint64_t after = 0;
+        std::vector<server_log_entry> entries;
+    };
+
+    [[nodiscard]] log_position received() const;
+    void drop_after_starts(std::span<const term_begin> starts);
+    void step_down();
+
+    std::string name_;
+    std::string database_;
+    std::string failure_domain_;
+    bool waits_for_replica_;
+    std::vector<server_log_entry> log_;
+    std::uint64_t promised_ = 0;
+    bool is_primary_ = false;
+    bool is_leaving_ = false;
+    std::string following_;
+    clock::duration lag_{0};
+    std::deque<waiting_write> waiting_;
+    std::deque<delayed_entries> delayed_;
+};
+
+} // namespace primrosehead::scenario
