Gateway tests: stop the threads, destroy the gateway, then its executor's context

Cause: a gateway test crashed at its end: idle connections were destroyed after their io_context. The order is now part of gateway::create's comment. Ruled out: the pool (the crash came after the last check). Ports of the tests are free ones instead of fixed ones.

--- a/include/primrosehead/gateway.h
+++ b/include/primrosehead/gateway.h
@@ -52,7 +52,8 @@
 
 class gateway {
   public:
-    // `messages` must live until the executor has ended all work of the gateway.
+    // `messages` must live until the executor has ended all work of the gateway, and the executor's
+    // context until the gateway is destroyed.
     [[nodiscard]] static std::shared_ptr<gateway> create(boost::asio::any_io_executor executor,
                                                          gateway_settings settings, bus& messages);
     ~gateway();
--- a/tests/fake_server.cpp
+++ b/tests/fake_server.cpp
@@ -169,12 +169,6 @@
     state_->delay = delay;
 }
 
-void fake_server::stop()
-{
-    listener_->drain();
-    listener_->close();
-}
-
 std::string fake_server::url() const
 {
     return "http://127.0.0.1:" + std::to_string(listener_->port());
--- a/tests/fake_server.h
+++ b/tests/fake_server.h
@@ -45,9 +45,6 @@
 
     void misbehave(misbehaviour how, clock::duration delay = clock::duration(0));
 
-    // Drops every connection, rolls their transactions back and refuses new ones.
-    void stop();
-
     [[nodiscard]] std::string url() const;
     [[nodiscard]] std::vector<recorded_request> record() const;
     [[nodiscard]] std::size_t open_transactions() const;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_future.hpp>
 #include <doctest/doctest.h>
 
@@ -56,17 +57,21 @@
             each = std::thread([this] { context_.run(); });
         }
     }
-    ~runner()
+    ~runner() { stop(); }
+    runner(const runner&) = delete;
+    runner& operator=(const runner&) = delete;
+
+    net::any_io_executor executor() { return context_.get_executor(); }
+
+    void stop()
     {
         context_.stop();
         for (std::thread& each : threads_) {
-            each.join();
+            if (each.joinable()) {
+                each.join();
+            }
         }
     }
-    runner(const runner&) = delete;
-    runner& operator=(const runner&) = delete;
-
-    net::any_io_executor executor() { return context_.get_executor(); }
 
   private:
     net::io_context context_;
@@ -92,6 +97,7 @@
     }
     ~node()
     {
+        runner_.stop();
         is_polling_ = false;
         poller_.join();
     }
@@ -132,6 +138,7 @@
         }
     }
 
+    runner runner_; // its io_context outlives the gateway's connections
     instance_address address_;
     std::unique_ptr<bus> messages_;
     std::shared_ptr<gateway> gateway_;
@@ -139,7 +146,6 @@
     std::atomic<bool> is_frozen_ = false;
     std::atomic<int> dropped_ = 0;
     std::thread poller_;
-    runner runner_; // ends first
 };
 
 constexpr std::string_view the_server = "kura-1-a";
@@ -221,8 +227,14 @@
     node entry;
 };
 
-constexpr std::string_view first_endpoint = "tcp://127.0.0.1:42817";
-constexpr std::string_view second_endpoint = "tcp://127.0.0.1:42818";
+// "127.0.0.1:PORT" with a port that nobody listens on.
+std::string free_address()
+{
+    net::io_context context;
+    const net::ip::tcp::endpoint any_port(net::ip::address_v4::loopback(), 0);
+    const net::ip::tcp::acceptor taken(context, any_port);
+    return "127.0.0.1:" + std::to_string(taken.local_endpoint().port());
+}
 
 // Two instances of the server's failure domain; `owner` owns it.
 struct pair {
@@ -230,8 +242,8 @@
     {
         const std::array names{instance_name("e1"), instance_name("e2")};
         const bool first_owns = owners_of(server_name(the_server), names).front() == names[0];
-        owner = std::make_unique<node>(first_owns ? "e1" : "e2", std::string(first_endpoint));
-        other = std::make_unique<node>(first_owns ? "e2" : "e1", std::string(second_endpoint));
+        owner = std::make_unique<node>(first_owns ? "e1" : "e2", "tcp://" + free_address());
+        other = std::make_unique<node>(first_owns ? "e2" : "e1", "tcp://" + free_address());
         const std::array live{owner->address(), other->address()};
         for (node* each : {owner.get(), other.get()}) {
             (*each)->set_instances(live);
@@ -356,7 +368,9 @@
 TEST_CASE("gateway: a server that is not there refuses without running")
 {
     single one;
-    one.server.stop();
+    pb::server_report moved = report_of(one.server);
+    moved.set_url("http://" + free_address());
+    one.entry->heard(moved, clock::now() + clock::duration(1));
     const outcome answered = one.entry.run(ask("r1", "1", true));
     CHECK(kind_of(answered) == error_kind::connection_lost);
     CHECK(failure(answered).ran == ran::no);
