--- a/src/entry_announcements.cpp
+++ b/src/entry_announcements.cpp
@@ -91,6 +91,7 @@
     report.set_role(reader.text("role"));
     reader.position("applied", *report.mutable_applied());
     reader.position("received", *report.mutable_received());
+    report.set_term(reader.number("term"));
     report.set_data_age_ms(reader.number("data_age_ms"));
     report.set_slots(static_cast<std::uint32_t>(reader.number("slots")));
     report.set_connection_limit(static_cast<std::uint32_t>(reader.number("connection_limit")));
