--- a/src/routing_choose.cpp
+++ b/src/routing_choose.cpp
@@ -23,6 +23,7 @@
 
 // How long a leaving primary still takes writes while its successor is being promoted.
 constexpr clock::duration leaving_grace{2'000};
+constexpr clock::duration longest_primary_silence{1'000}; // then writes are refused at once
 
 // Order of preference among the servers of a group. Lower values go first.
 enum class rank : std::size_t {
@@ -259,6 +260,9 @@
     if (found->health == server_health::down) {
         return no_primary("The primary does not answer.");
     }
+    if (now - found->reported_at > longest_primary_silence) {
+        return no_primary("The primary has not been heard of: a failover is due.");
+    }
     if (found->health == server_health::probing && found->outstanding > 0) {
         return no_primary("The primary is being tried again after a failure.");
     }
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -222,3 +222,19 @@
     CHECK(ok(choose_write(group, server_name("p"), now)));
     CHECK(!ok(choose_write(group, server_name("p"), now + clock::duration(1))));
 }
+
+TEST_CASE("a write to a primary that has been silent too long is refused at once")
+{
+    const clock::time_point heard_at = from_ms(10'000);
+    server_info primary;
+    primary.name = server_name("p");
+    primary.role = server_role::primary;
+    primary.reported_at = heard_at;
+    const std::vector group{primary};
+    CHECK(ok(choose_write(group, primary.name, heard_at + clock::duration(1'000))));
+    const auto late = choose_write(group, primary.name, heard_at + clock::duration(1'001));
+    REQUIRE(!ok(late));
+    CHECK(failure(late).kind == error_kind::no_primary);
+    CHECK(failure(late).ran == ran::no);
+    CHECK(failure(late).retry_after.count() > 0);
+}
