--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <spdlog/spdlog.h>
 
 #include <random>
@@ -263,10 +264,9 @@
     }
 
     // Ends with the gateway.
-    static net::awaitable<void> check_regularly(std::weak_ptr<implementation> checked,
-                                                net::any_io_executor executor)
+    static net::awaitable<void> check_regularly(std::weak_ptr<implementation> checked)
     {
-        net::steady_timer timer(executor);
+        net::steady_timer timer(co_await net::this_coro::executor);
         for (;;) {
             co_await wait_until(timer, clock::now() + check_interval);
             const auto alive = checked.lock();
@@ -291,7 +291,7 @@
     auto context =
         std::make_shared<gateway_context>(executor, std::move(settings), messages, draw_number());
     auto body = std::make_shared<implementation>(std::move(context));
-    net::co_spawn(executor, implementation::check_regularly(body, executor), net::detached);
+    net::co_spawn(executor, implementation::check_regularly(body), net::detached);
     return std::shared_ptr<gateway>(new gateway(std::move(body)));
 }
 
--- a/src/health_watch.cpp
+++ b/src/health_watch.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstddef>
 
 namespace primrosehead {
@@ -300,7 +301,7 @@
 
 clock::duration health_watch::latency() const noexcept
 {
-    return clock::duration(static_cast<std::int64_t>(body_->latency_ms + 0.5));
+    return clock::duration(std::llround(body_->latency_ms));
 }
 
 clock::time_point health_watch::last_heard() const noexcept
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -392,6 +392,7 @@
     single one;
     const std::string transaction = one.begin_transaction();
     std::vector<std::future<outcome>> others;
+    others.reserve(20);
     for (int number = 0; number < 20; ++number) {
         others.push_back(one.entry.start(ask("o" + std::to_string(number), "0")));
     }
@@ -486,6 +487,7 @@
 {
     single one;
     std::vector<std::string> open;
+    open.reserve(7);
     for (int number = 0; number < 7; ++number) {
         open.push_back(one.begin_transaction());
     }
