Load tool and history checker

Cause: the promises and the four measures need concurrent runs whose histories can be judged. The history has two lines an operation and one a HTTP request; the checker sorts but for that is linear. Wrongful refusals are judged by an ideal token bucket spent by what was admitted, windows by a segment tree over calls, both independent of the fleet's code. Not run against a fleet yet.

--- /dev/null
+++ b/src/history_check.h
@@ -0,0 +1,54 @@
+// Says of each promise whether a history keeps it. Pure, and linear in the history but for sorting.
+#pragma once
+
+#include "history_operation.h"
+
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+namespace primrosehead::history {
+
+enum class verdict { held, broken, not_exercised };
+
+struct finding {
+    std::string promise;
+    enum verdict verdict = verdict::not_exercised;
+    std::uint64_t checked = 0;   // operations that the promise was checked on
+    std::uint64_t operation = 0; // the first that breaks it
+    std::string detail;
+};
+
+// What the stand-ins' records say. `changed`: values and added keys whose write went into a log.
+struct execution_evidence {
+    std::unordered_set<std::string> changed;
+    std::uint64_t requests = 0;
+    std::string leaked_key_line; // the first line that holds a caller's key
+};
+
+// Reads the lines of one stand-in's record into the evidence.
+void read_record(std::string_view text, const std::vector<std::string>& keys,
+                 execution_evidence& into);
+
+[[nodiscard]] finding check_read_your_writes(const recorded& from);
+[[nodiscard]] finding check_monotonic_reads(const recorded& from);
+[[nodiscard]] finding check_acknowledged_kept(const recorded& from);
+[[nodiscard]] finding check_at_most_once(const recorded& from);
+[[nodiscard]] finding check_no_mixing(const recorded& from);
+[[nodiscard]] finding check_one_snapshot(const recorded& from);
+[[nodiscard]] finding check_organisations(const recorded& from);
+[[nodiscard]] finding check_whole_answers(const recorded& from);
+[[nodiscard]] finding check_stated_age(const recorded& from);
+[[nodiscard]] finding check_rates(const recorded& from);
+
+// With the stand-ins' records.
+[[nodiscard]] finding check_not_run(const recorded& from, const execution_evidence& evidence);
+[[nodiscard]] finding check_no_key(const execution_evidence& evidence);
+
+// All checks that need no record.
+[[nodiscard]] std::vector<finding> check_all(const recorded& from);
+
+[[nodiscard]] std::string_view to_string(verdict value) noexcept;
+
+} // namespace primrosehead::history
--- /dev/null
+++ b/src/history_measures.cpp
@@ -0,0 +1,246 @@
+#include "history_measures.h"
+
+#include "history_check.h"
+
+#include <algorithm>
+#include <map>
+
+namespace primrosehead::history {
+
+namespace {
+
+constexpr double us_per_s = 1e6;
+constexpr std::int64_t us_per_ms = 1'000;
+constexpr double rounding = 1e-6;
+
+bool admitted(const request_event& one)
+{
+    return one.status == 200;
+}
+
+// The contract's token bucket, spent by what was admitted.
+class ideal_bucket {
+  public:
+    explicit ideal_bucket(const contract& terms) : terms_(terms), tokens_(terms.burst) {}
+
+    [[nodiscard]] bool has_token(std::int64_t at_us)
+    {
+        const double passed = static_cast<double>(std::max<std::int64_t>(at_us - last_us_, 0));
+        if (last_us_ != 0) {
+            tokens_ = std::min(terms_.burst, tokens_ + passed * terms_.rate / us_per_s);
+        }
+        last_us_ = std::max(last_us_, at_us);
+        return tokens_ >= 1.0;
+    }
+
+    void spend() { tokens_ -= 1.0; }
+
+  private:
+    contract terms_;
+    double tokens_;
+    std::int64_t last_us_ = 0;
+};
+
+// For windows [start, end]: the number of admitted requests called and answered inside, less
+// rate x length, at its greatest. A segment tree over the sorted call times; adding a request
+// raises every window that starts no later than its call.
+class window_tree {
+  public:
+    window_tree(const std::vector<std::int64_t>& starts, double rate) : starts_(starts)
+    {
+        while (size_ < starts.size()) {
+            size_ *= 2;
+        }
+        raise_.assign(2 * size_, 0.0);
+        most_.assign(2 * size_, -1e300);
+        for (std::size_t place = 0; place < starts.size(); ++place) {
+            most_[size_ + place] = rate * static_cast<double>(starts[place]) / us_per_s;
+        }
+        for (std::size_t node = size_ - 1; node > 0; --node) {
+            most_[node] = std::max(most_[2 * node], most_[2 * node + 1]);
+        }
+    }
+
+    void add(std::int64_t called_us)
+    {
+        const auto end = std::upper_bound(starts_.begin(), starts_.end(), called_us);
+        raise(1, 0, size_, static_cast<std::size_t>(end - starts_.begin()));
+    }
+
+    [[nodiscard]] double most() const { return most_[1]; }
+
+  private:
+    void raise(std::size_t node, std::size_t low, std::size_t high, std::size_t end)
+    {
+        if (end <= low) {
+            return;
+        }
+        if (high <= end) {
+            raise_[node] += 1.0;
+            most_[node] += 1.0;
+            return;
+        }
+        const std::size_t middle = (low + high) / 2;
+        raise(2 * node, low, middle, end);
+        raise(2 * node + 1, middle, high, end);
+        most_[node] = raise_[node] + std::max(most_[2 * node], most_[2 * node + 1]);
+    }
+
+    const std::vector<std::int64_t>& starts_;
+    std::size_t size_ = 1;
+    std::vector<double> raise_;
+    std::vector<double> most_;
+};
+
+double excess_of(const contract& terms, std::vector<const request_event*> requests)
+{
+    std::erase_if(requests, [](const request_event* one) { return !admitted(*one); });
+    if (requests.empty()) {
+        return 0;
+    }
+    const std::int64_t base = requests.front()->called_us;
+    std::vector<std::int64_t> starts;
+    for (const request_event* each : requests) {
+        starts.push_back(each->called_us - base);
+    }
+    std::sort(starts.begin(), starts.end());
+    std::sort(requests.begin(), requests.end(),
+              [](const auto* a, const auto* b) { return a->done_us < b->done_us; });
+    window_tree tree(starts, terms.rate);
+    double worst = 0;
+    for (const request_event* each : requests) {
+        tree.add(each->called_us - base);
+        const double end = terms.rate * static_cast<double>(each->done_us - base) / us_per_s;
+        worst = std::max(worst, tree.most() - end - terms.burst);
+    }
+    return worst;
+}
+
+organisation_measure measure_organisation(const contract& terms,
+                                          std::vector<const request_event*> requests)
+{
+    organisation_measure found;
+    found.organisation = terms.organisation;
+    std::sort(requests.begin(), requests.end(),
+              [](const auto* a, const auto* b) { return a->called_us < b->called_us; });
+    ideal_bucket bucket(terms);
+    for (const request_event* each : requests) {
+        ++found.requests;
+        const bool within = bucket.has_token(each->called_us);
+        if (admitted(*each)) {
+            bucket.spend();
+        }
+        if (within) {
+            ++found.within;
+            found.answered_in_time += admitted(*each) ? 1 : 0;
+            found.refused_wrongly += each->error == "rate_limited" ? 1 : 0;
+        }
+    }
+    found.window_excess = excess_of(terms, std::move(requests));
+    return found;
+}
+
+std::int64_t quantile(std::vector<std::int64_t>& values, double share)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto place = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(place),
+                     values.end());
+    return values[place];
+}
+
+std::map<std::string, std::vector<const request_event*>> by_organisation(const recorded& from)
+{
+    std::map<std::string, std::vector<const request_event*>> sorted;
+    for (const request_event& each : from.requests) {
+        if (each.counted) {
+            sorted[each.organisation].push_back(&each);
+        }
+    }
+    return sorted;
+}
+
+void measure_latency(const recorded& from, measures& into)
+{
+    std::vector<std::int64_t> reads;
+    std::vector<std::int64_t> writes;
+    for (const request_event& each : from.requests) {
+        if (!admitted(each) || !each.counted) {
+            continue;
+        }
+        (each.read ? reads : writes).push_back(each.done_us - each.called_us);
+        if (each.read) {
+            ++into.reads;
+            into.reads_by_replicas += each.role == "replica" ? 1 : 0;
+        }
+    }
+    into.read_median_us = quantile(reads, 0.5);
+    into.read_p99_us = quantile(reads, 0.99);
+    into.write_median_us = quantile(writes, 0.5);
+    into.write_p99_us = quantile(writes, 0.99);
+}
+
+void measure_gaps(const recorded& from, measures& into)
+{
+    std::map<std::string, std::vector<std::int64_t>> good;
+    for (const operation& each : from.operations) {
+        const bool write = each.kind == "write" || each.kind == "add";
+        if (write && each.outcome == "ok") {
+            good[each.database].push_back(each.done_us);
+        }
+    }
+    for (auto& [database, times] : good) {
+        std::sort(times.begin(), times.end());
+        std::int64_t longest = 0;
+        for (std::size_t place = 1; place < times.size(); ++place) {
+            longest = std::max(longest, times[place] - times[place - 1]);
+        }
+        into.databases.push_back({database, longest / us_per_ms});
+    }
+}
+
+} // namespace
+
+measures measure(const recorded& from)
+{
+    measures found;
+    const auto requests = by_organisation(from);
+    for (const contract& each : from.contracts) {
+        const auto own = requests.find(each.organisation);
+        if (own != requests.end()) {
+            found.organisations.push_back(measure_organisation(each, own->second));
+        }
+    }
+    measure_latency(from, found);
+    measure_gaps(from, found);
+    return found;
+}
+
+finding check_rates(const recorded& from)
+{
+    finding found;
+    found.promise = "rate and burst over all instances";
+    const auto requests = by_organisation(from);
+    for (const contract& each : from.contracts) {
+        const auto own = requests.find(each.organisation);
+        if (own == requests.end()) {
+            continue;
+        }
+        found.checked += own->second.size();
+        const double excess = excess_of(each, own->second);
+        if (excess > rounding && found.verdict != verdict::broken) {
+            found.verdict = verdict::broken;
+            found.operation = own->second.front()->operation;
+            found.detail = each.organisation + " got " + std::to_string(excess) +
+                           " requests more than rate and burst in a window";
+        }
+    }
+    if (found.checked > 0 && found.verdict != verdict::broken) {
+        found.verdict = verdict::held;
+    }
+    return found;
+}
+
+} // namespace primrosehead::history
--- /dev/null
+++ b/src/history_operation.cpp
@@ -0,0 +1,226 @@
+#include "history_operation.h"
+
+#include "lab_json.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace primrosehead::history {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string text_of(const json::object& from, std::string_view name)
+{
+    const json::value* found = from.if_contains(name);
+    return found != nullptr && found->is_string() ? std::string(found->get_string())
+                                                  : std::string();
+}
+
+template <class Number>
+Number number_of(const json::object& from, std::string_view name)
+{
+    const json::value* found = from.if_contains(name);
+    boost::system::error_code failed;
+    return found != nullptr && found->is_number() ? found->to_number<Number>(failed) : Number{};
+}
+
+bool flag_of(const json::object& from, std::string_view name)
+{
+    const json::value* found = from.if_contains(name);
+    return found != nullptr && found->is_bool() && found->get_bool();
+}
+
+std::vector<std::string> texts_of(const json::object& from, std::string_view name)
+{
+    std::vector<std::string> read;
+    const json::value* found = from.if_contains(name);
+    if (found != nullptr && found->is_array()) {
+        for (const json::value& each : found->get_array()) {
+            read.emplace_back(each.is_string() ? std::string(each.get_string()) : "");
+        }
+    }
+    return read;
+}
+
+json::array to_array(const std::vector<std::string>& texts)
+{
+    json::array list;
+    for (const std::string& each : texts) {
+        list.emplace_back(each);
+    }
+    return list;
+}
+
+void read_call(const json::object& line, operation& into)
+{
+    into.id = number_of<std::uint64_t>(line, "op");
+    into.session = text_of(line, "session");
+    into.organisation = text_of(line, "organisation");
+    into.database = text_of(line, "database");
+    into.kind = text_of(line, "kind");
+    into.keys = texts_of(line, "keys");
+    into.value = text_of(line, "value");
+    into.called_us = number_of<std::int64_t>(line, "called_us");
+    into.max_age_ms = number_of<std::int64_t>(line, "max_age_ms");
+    into.with_token = flag_of(line, "with_token");
+}
+
+void read_done(const json::object& line, operation& into)
+{
+    into.done_us = number_of<std::int64_t>(line, "done_us");
+    into.outcome = text_of(line, "outcome");
+    into.error = text_of(line, "error");
+    into.status = number_of<unsigned>(line, "status");
+    into.seen = texts_of(line, "seen");
+    into.at = {number_of<std::uint64_t>(line, "term"), number_of<std::uint64_t>(line, "position")};
+    into.served_by = text_of(line, "served_by");
+    into.role = text_of(line, "role");
+    into.request_id = text_of(line, "request_id");
+}
+
+request_event read_request(const json::object& line)
+{
+    request_event read;
+    read.operation = number_of<std::uint64_t>(line, "op");
+    read.organisation = text_of(line, "organisation");
+    read.database = text_of(line, "database");
+    read.counted = flag_of(line, "counted");
+    read.read = flag_of(line, "read");
+    read.called_us = number_of<std::int64_t>(line, "called_us");
+    read.done_us = number_of<std::int64_t>(line, "done_us");
+    read.status = number_of<unsigned>(line, "status");
+    read.error = text_of(line, "error");
+    read.role = text_of(line, "role");
+    read.retry_after_ms = number_of<std::int64_t>(line, "retry_after_ms");
+    return read;
+}
+
+// Adds lines to a history; a `done` finds its `call` by the operation's number.
+class history_reader {
+  public:
+    [[nodiscard]] bool add(const json::object& line)
+    {
+        const std::string event = text_of(line, "event");
+        if (event == "call") {
+            places_[number_of<std::uint64_t>(line, "op")] = read.operations.size();
+            read_call(line, read.operations.emplace_back());
+            return true;
+        }
+        if (event == "done") {
+            const auto place = places_.find(number_of<std::uint64_t>(line, "op"));
+            if (place == places_.end()) {
+                return false;
+            }
+            read_done(line, read.operations[place->second]);
+            return true;
+        }
+        if (event == "request") {
+            read.requests.push_back(read_request(line));
+            return true;
+        }
+        if (event == "contract") {
+            read.contracts.push_back({text_of(line, "organisation"),
+                                      number_of<double>(line, "rate"),
+                                      number_of<double>(line, "burst")});
+            read.keys.push_back(text_of(line, "key"));
+            return true;
+        }
+        return false;
+    }
+
+    recorded read;
+
+  private:
+    std::unordered_map<std::uint64_t, std::size_t> places_;
+};
+
+} // namespace
+
+std::string call_line(const operation& from)
+{
+    return json::serialize(json::object{{"event", "call"},
+                                        {"op", from.id},
+                                        {"session", from.session},
+                                        {"organisation", from.organisation},
+                                        {"database", from.database},
+                                        {"kind", from.kind},
+                                        {"keys", to_array(from.keys)},
+                                        {"value", from.value},
+                                        {"called_us", from.called_us},
+                                        {"max_age_ms", from.max_age_ms},
+                                        {"with_token", from.with_token}});
+}
+
+std::string done_line(const operation& from)
+{
+    return json::serialize(json::object{{"event", "done"},
+                                        {"op", from.id},
+                                        {"done_us", from.done_us},
+                                        {"outcome", from.outcome},
+                                        {"error", from.error},
+                                        {"status", from.status},
+                                        {"seen", to_array(from.seen)},
+                                        {"term", from.at.term},
+                                        {"position", from.at.index},
+                                        {"served_by", from.served_by},
+                                        {"role", from.role},
+                                        {"request_id", from.request_id}});
+}
+
+std::string request_line(const request_event& from)
+{
+    return json::serialize(json::object{{"event", "request"},
+                                        {"op", from.operation},
+                                        {"organisation", from.organisation},
+                                        {"database", from.database},
+                                        {"counted", from.counted},
+                                        {"read", from.read},
+                                        {"called_us", from.called_us},
+                                        {"done_us", from.done_us},
+                                        {"status", from.status},
+                                        {"error", from.error},
+                                        {"role", from.role},
+                                        {"retry_after_ms", from.retry_after_ms}});
+}
+
+std::string contract_line(const contract& from, std::string_view key)
+{
+    return json::serialize(json::object{{"event", "contract"},
+                                        {"organisation", from.organisation},
+                                        {"rate", from.rate},
+                                        {"burst", from.burst},
+                                        {"key", key}});
+}
+
+result<recorded> read_history(std::string_view text)
+{
+    history_reader reader;
+    std::size_t number = 0;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find('\n'), text.size());
+        const std::string_view line = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        ++number;
+        if (line.empty()) {
+            continue;
+        }
+        const result<json::value> parsed = lab::parse_json(line);
+        const bool known =
+            ok(parsed) && value(parsed).is_object() && reader.add(value(parsed).get_object());
+        if (!known) {
+            return error{error_kind::bad_request,
+                         "Line " + std::to_string(number) + " is not a line of a history.",
+                         "Give the file that primrose-load --history wrote."};
+        }
+    }
+    return std::move(reader.read);
+}
+
+} // namespace primrosehead::history
--- /dev/null
+++ b/src/load_plan.cpp
@@ -0,0 +1,152 @@
+#include "load_plan.h"
+
+#include "lab_json.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace primrosehead::load {
+
+namespace {
+
+constexpr std::int64_t most_duration_ms = 3'600'000;
+constexpr std::int64_t most_keys = 100'000;
+constexpr std::int64_t most_sessions = 10'000;
+constexpr double most_rate = 1e6;
+
+organisation_plan read_organisation(lab::object_reader& from)
+{
+    organisation_plan read;
+    read.name = from.text("name");
+    read.key = from.text("key");
+    read.rate = from.number("rate", 0, most_rate);
+    read.burst = from.number("burst", 0, most_rate);
+    read.send_rate = from.number("send_rate", 0, most_rate);
+    read.sessions =
+        static_cast<std::uint32_t>(from.integer("sessions", 1, most_sessions, read.sessions));
+    read.batch = static_cast<std::uint32_t>(from.integer("batch", 1, most_sessions, read.batch));
+    return read;
+}
+
+database_plan read_database(lab::object_reader& from)
+{
+    database_plan read;
+    read.name = from.text("name");
+    read.read_route = from.text("read_route");
+    read.write_route = from.text("write_route");
+    read.stale_route = from.text("stale_route", read.read_route);
+    read.foreign_route = from.text("foreign_route", "");
+    return read;
+}
+
+operation_shares read_shares(lab::object_reader& from, operation_shares fallback)
+{
+    const boost::json::value* found = from.any("operations");
+    if (found == nullptr) {
+        return fallback;
+    }
+    lab::object_reader part(*found, "$.operations");
+    const auto share = [&part](std::string_view name) { return part.number(name, 0, 1, 0.0); };
+    const operation_shares read{share("write"),    share("read"),        share("stale_read"),
+                                share("scan"),     share("transaction"), share("add"),
+                                share("rollback"), share("wrong_key")};
+    if (!ok(part.finish())) {
+        from.fault("operations", "shares from 0 to 1 of known operations");
+    }
+    return read;
+}
+
+fault_plan read_fault(lab::object_reader& from, const std::vector<std::int64_t>& pids)
+{
+    fault_plan read;
+    read.at = clock::duration(from.integer("at_ms", 0, most_duration_ms));
+    read.url = from.text("url", "");
+    if (const boost::json::value* body = from.any("body")) {
+        read.body = boost::json::serialize(*body);
+    }
+    const std::int64_t pid = from.integer("pid", 0, std::numeric_limits<int>::max(), 0);
+    read.pid = static_cast<int>(pid);
+    read.signal = from.text("signal", "");
+    const bool listed = std::find(pids.begin(), pids.end(), pid) != pids.end();
+    if (pid != 0 && !listed) {
+        from.fault("pid", "one of $.pids");
+    }
+    const bool known = read.signal == "KILL" || read.signal == "STOP" || read.signal == "CONT";
+    if (pid != 0 && !known) {
+        from.fault("signal", "KILL, STOP or CONT");
+    }
+    if ((pid != 0) == !read.url.empty()) {
+        from.fault("url", "either a url or a pid");
+    }
+    return read;
+}
+
+std::vector<std::int64_t> read_pids(lab::object_reader& from)
+{
+    std::vector<std::int64_t> read;
+    const boost::json::value* found = from.any("pids");
+    if (found == nullptr) {
+        return read;
+    }
+    if (!found->is_array()) {
+        from.fault("pids", "a list of process numbers");
+        return read;
+    }
+    for (const boost::json::value& each : found->get_array()) {
+        const std::int64_t* pid = each.if_int64();
+        if (pid == nullptr || *pid <= 1) {
+            from.fault("pids", "a list of process numbers above 1");
+            return read;
+        }
+        read.push_back(*pid);
+    }
+    return read;
+}
+
+} // namespace
+
+result<run_plan> parse_plan(std::string_view text)
+{
+    const result<boost::json::value> parsed = lab::parse_json(text);
+    if (!ok(parsed)) {
+        return failure(parsed);
+    }
+    lab::object_reader from(value(parsed), "$");
+    run_plan read;
+    read.duration = clock::duration(from.integer("duration_ms", 1, most_duration_ms));
+    from.objects("entries", [&read](lab::object_reader& one) {
+        read.entries.push_back({one.text("url"), one.number("weight", 0, most_rate, 1.0)});
+    });
+    from.objects("organisations", [&read](lab::object_reader& one) {
+        read.organisations.push_back(read_organisation(one));
+    });
+    from.objects("databases", [&read](lab::object_reader& one) {
+        read.databases.push_back(read_database(one));
+    });
+    const std::vector<std::int64_t> pids = read_pids(from);
+    from.objects("faults",
+                 [&](lab::object_reader& one) { read.faults.push_back(read_fault(one, pids)); });
+    read.shares = read_shares(from, read.shares);
+    read.keys = static_cast<std::uint32_t>(from.integer("keys", 1, most_keys, read.keys));
+    read.timeout = clock::duration(from.integer("timeout_ms", 1, 60'000, read.timeout.count()));
+    read.max_age = clock::duration(from.integer("max_age_ms", 0, 600'000, read.max_age.count()));
+    read.direct = from.boolean("direct", false);
+    if (read.entries.empty()) {
+        from.fault("entries", "at least one entry");
+    }
+    if (read.organisations.empty()) {
+        from.fault("organisations", "at least one organisation");
+    }
+    if (read.databases.empty()) {
+        from.fault("databases", "at least one database");
+    }
+    const status checked = from.finish();
+    if (!ok(checked)) {
+        return failure(checked);
+    }
+    return read;
+}
+
+} // namespace primrosehead::load
--- /dev/null
+++ b/src/load_run.cpp
@@ -0,0 +1,184 @@
+#include "load_run.h"
+
+#include "load_session.h"
+#include "standin_notifier.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <memory>
+
+namespace primrosehead::load {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr clock::duration progress_interval{5'000};
+constexpr clock::duration end_check{20};
+constexpr clock::duration end_limit{15'000}; // for requests under way at the end
+constexpr clock::duration control_timeout{1'000};
+constexpr double ms_per_s = 1'000.0;
+
+int signal_number(const std::string& name)
+{
+    if (name == "KILL") {
+        return SIGKILL;
+    }
+    return name == "STOP" ? SIGSTOP : SIGCONT;
+}
+
+// One run's parts; all on one thread.
+struct load_runner {
+    load_runner(const run_plan& with, std::uint64_t seed,
+                std::function<void(const std::string&)> write_line)
+        : plan(with), context(std::make_shared<run_context>(
+                          run_context{plan, std::mt19937_64(seed), 1, std::move(write_line)}))
+    {
+    }
+
+    const run_plan& plan;
+    net::io_context io{1};
+    std::shared_ptr<run_context> context;
+    std::vector<std::vector<std::unique_ptr<session>>> sessions;
+    run_totals totals;
+    clock::time_point started;
+    std::uint32_t under_way = 0;
+    bool over = false;
+
+    void make_sessions();
+    void offer(std::size_t organisation);
+    net::awaitable<void> work(session& on);
+    net::awaitable<void> arrivals(std::size_t organisation);
+    net::awaitable<void> timeline();
+    net::awaitable<void> post(const fault_plan& step);
+    net::awaitable<void> report();
+    net::awaitable<void> end();
+};
+
+void load_runner::make_sessions()
+{
+    for (const organisation_plan& each : plan.organisations) {
+        auto& own = sessions.emplace_back();
+        for (std::uint32_t number = 0; number < each.sessions; ++number) {
+            own.push_back(
+                std::make_unique<session>(context, each, each.name + "#" + std::to_string(number)));
+        }
+        context->write_line(history::contract_line({each.name, each.rate, each.burst}, each.key));
+    }
+}
+
+net::awaitable<void> load_runner::work(session& on)
+{
+    ++under_way;
+    co_await on.run_one();
+    --under_way;
+}
+
+void load_runner::offer(std::size_t organisation)
+{
+    for (const std::unique_ptr<session>& each : sessions[organisation]) {
+        if (!each->is_busy()) {
+            net::co_spawn(io, work(*each), net::detached);
+            return;
+        }
+    }
+    ++totals.not_offered;
+}
+
+// Poisson arrivals of batches at the organisation's own rate.
+net::awaitable<void> load_runner::arrivals(std::size_t organisation)
+{
+    const organisation_plan& own = plan.organisations[organisation];
+    if (own.send_rate <= 0) {
+        co_return;
+    }
+    std::exponential_distribution<double> gap(own.send_rate / own.batch / ms_per_s);
+    double next_ms = gap(context->random);
+    while (!over) {
+        const clock::time_point due = started + clock::duration(static_cast<std::int64_t>(next_ms));
+        co_await standin::pause_for(due - clock::now());
+        for (std::uint32_t count = 0; count < own.batch && !over; ++count) {
+            offer(organisation);
+        }
+        next_ms += gap(context->random);
+    }
+}
+
+net::awaitable<void> load_runner::post(const fault_plan& step)
+{
+    const clock::time_point deadline = clock::now() + control_timeout;
+    result<std::unique_ptr<http::client>> opened =
+        co_await http::client::connect(step.url, deadline);
+    if (!ok(opened)) {
+        spdlog::warn("load: fault at {} ms not given: {}", step.at.count(),
+                     describe(failure(opened)));
+        co_return;
+    }
+    http::request sent;
+    sent.method = "POST";
+    sent.target = "/control";
+    sent.body = step.body;
+    const result<http::response> answer = co_await value(opened)->call(sent, deadline);
+    const bool crash = step.body.find("crash") != std::string::npos;
+    const bool given = ok(answer) ? value(answer).status == 200 : crash;
+    totals.faults += given ? 1 : 0;
+}
+
+net::awaitable<void> load_runner::timeline()
+{
+    for (const fault_plan& step : plan.faults) {
+        co_await standin::pause_for(started + step.at - clock::now());
+        if (step.pid != 0) {
+            totals.faults += ::kill(step.pid, signal_number(step.signal)) == 0 ? 1 : 0;
+            continue;
+        }
+        co_await post(step);
+    }
+}
+
+net::awaitable<void> load_runner::report()
+{
+    while (!over) {
+        co_await standin::pause_for(progress_interval);
+        spdlog::info("load: {} ms, {} operations, {} not ok, {} faults",
+                     (clock::now() - started).count(), context->operations, context->failed,
+                     totals.faults);
+    }
+}
+
+net::awaitable<void> load_runner::end()
+{
+    co_await standin::pause_for(plan.duration);
+    over = true;
+    const clock::time_point limit = clock::now() + end_limit;
+    while (under_way > 0 && clock::now() < limit) {
+        co_await standin::pause_for(end_check);
+    }
+    io.stop();
+}
+
+} // namespace
+
+run_totals run(const run_plan& plan, std::uint64_t seed,
+               const std::function<void(const std::string& line)>& write_line)
+{
+    load_runner runner(plan, seed, write_line);
+    runner.started = clock::now();
+    runner.make_sessions();
+    for (std::size_t place = 0; place < plan.organisations.size(); ++place) {
+        net::co_spawn(runner.io, runner.arrivals(place), net::detached);
+    }
+    net::co_spawn(runner.io, runner.timeline(), net::detached);
+    net::co_spawn(runner.io, runner.report(), net::detached);
+    net::co_spawn(runner.io, runner.end(), net::detached);
+    runner.io.run();
+    runner.totals.operations = runner.context->operations;
+    runner.totals.failed = runner.context->failed;
+    return runner.totals;
+}
+
+} // namespace primrosehead::load
--- /dev/null
+++ b/src/load_summary.cpp
@@ -0,0 +1,91 @@
+#include "load_summary.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace primrosehead::load {
+
+namespace json = boost::json;
+
+namespace {
+
+double share(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 1.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+json::array organisations(const history::measures& found)
+{
+    json::array list;
+    for (const history::organisation_measure& each : found.organisations) {
+        list.push_back(json::object{{"organisation", each.organisation},
+                                    {"requests", each.requests},
+                                    {"within", each.within},
+                                    {"answered_in_time", share(each.answered_in_time, each.within)},
+                                    {"refused_wrongly", share(each.refused_wrongly, each.within)},
+                                    {"window_excess", each.window_excess}});
+    }
+    return list;
+}
+
+json::object gaps(const history::measures& found)
+{
+    json::object list;
+    for (const history::database_measure& each : found.databases) {
+        list[each.database] = each.longest_write_gap_ms;
+    }
+    return list;
+}
+
+// Counts of answers by kind of error; "ok" for the others.
+json::object kinds(const history::recorded& from)
+{
+    std::map<std::string, std::uint64_t> counted;
+    for (const history::request_event& each : from.requests) {
+        ++counted[each.status == 200 ? "ok" : each.error];
+    }
+    json::object list;
+    for (const auto& [kind, count] : counted) {
+        list[kind] = count;
+    }
+    return list;
+}
+
+} // namespace
+
+std::string summary_json(const history::measures& found, const run_totals& totals,
+                         const history::recorded& from)
+{
+    double worst_served = 1.0;
+    std::uint64_t within = 0;
+    std::uint64_t refused = 0;
+    double excess = 0;
+    for (const history::organisation_measure& each : found.organisations) {
+        worst_served = std::min(worst_served, share(each.answered_in_time, each.within));
+        within += each.within;
+        refused += each.refused_wrongly;
+        excess = std::max(excess, each.window_excess);
+    }
+    return json::serialize(
+        json::object{{"operations", totals.operations},
+                     {"operations_not_ok", totals.failed},
+                     {"not_offered", totals.not_offered},
+                     {"faults", totals.faults},
+                     {"replica_read_share", share(found.reads_by_replicas, found.reads)},
+                     {"longest_write_gap_ms", gaps(found)},
+                     {"worst_served_share", worst_served},
+                     {"wrongly_refused_share", within == 0 ? 0.0 : share(refused, within)},
+                     {"window_excess", excess},
+                     {"read_median_us", found.read_median_us},
+                     {"read_p99_us", found.read_p99_us},
+                     {"write_median_us", found.write_median_us},
+                     {"write_p99_us", found.write_p99_us},
+                     {"kinds", kinds(from)},
+                     {"organisations", organisations(found)}});
+}
+
+} // namespace primrosehead::load
--- /dev/null
+++ b/src/load_summary.h
@@ -0,0 +1,14 @@
+// The JSON summary of a run: the measures of its history.
+#pragma once
+
+#include "history_measures.h"
+#include "load_run.h"
+
+#include <string>
+
+namespace primrosehead::load {
+
+[[nodiscard]] std::string summary_json(const history::measures& found, const run_totals& totals,
+                                       const history::recorded& from);
+
+} // namespace primrosehead::load
--- /dev/null
+++ b/tools/check.cpp
@@ -0,0 +1,109 @@
+// primrose-check: says of each promise whether a history keeps it.
+//
+// Exit code 0: all held or not exercised; 1: one is broken; 2: bad input.
+#include "history_check.h"
+#include "program.h"
+
+#include <primrosehead/settings.h>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <cstdio>
+#include <iostream>
+
+ABSL_FLAG(std::string, history, "", "history that primrose-load wrote");
+ABSL_FLAG(std::vector<std::string>, records, {}, "stand-ins' execution records, with commas");
+ABSL_FLAG(bool, json, false, "print JSON in place of a table");
+
+namespace {
+
+using namespace primrosehead;
+
+void print_table(const std::vector<history::finding>& findings)
+{
+    for (const history::finding& each : findings) {
+        std::printf("%-36s %-14s %8llu", each.promise.c_str(),
+                    std::string(to_string(each.verdict)).c_str(),
+                    static_cast<unsigned long long>(each.checked));
+        if (each.verdict == history::verdict::broken) {
+            std::printf("  operation %llu: %s", static_cast<unsigned long long>(each.operation),
+                        each.detail.c_str());
+        }
+        std::printf("\n");
+    }
+}
+
+void print_json(const std::vector<history::finding>& findings)
+{
+    boost::json::array list;
+    for (const history::finding& each : findings) {
+        list.push_back(boost::json::object{{"promise", each.promise},
+                                           {"verdict", to_string(each.verdict)},
+                                           {"checked", each.checked},
+                                           {"operation", each.operation},
+                                           {"detail", each.detail}});
+    }
+    std::cout << boost::json::serialize(list) << '\n';
+}
+
+result<std::vector<history::finding>> check(const std::string& path,
+                                            const std::vector<std::string>& records)
+{
+    const result<std::string> text = read_file(path);
+    if (!ok(text)) {
+        return failure(text);
+    }
+    const result<history::recorded> recorded = history::read_history(value(text));
+    if (!ok(recorded)) {
+        return failure(recorded);
+    }
+    std::vector<history::finding> findings = history::check_all(value(recorded));
+    history::execution_evidence evidence;
+    for (const std::string& each : records) {
+        const result<std::string> record = read_file(each);
+        if (!ok(record)) {
+            return failure(record);
+        }
+        history::read_record(value(record), value(recorded).keys, evidence);
+    }
+    if (!records.empty()) {
+        findings.push_back(history::check_not_run(value(recorded), evidence));
+        findings.push_back(history::check_no_key(evidence));
+    }
+    return findings;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("Checks a history: primrose-check --history FILE "
+                                 "[--records FILE,FILE...] [--json]");
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return std::string("primrose-check " PRIMROSEHEAD_VERSION "\n"); };
+    absl::SetFlagsUsageConfig(usage);
+    absl::ParseCommandLine(argc, argv);
+    const auto findings = check(absl::GetFlag(FLAGS_history), absl::GetFlag(FLAGS_records));
+    if (!ok(findings)) {
+        complain(describe(failure(findings)));
+        return exit_bad_settings;
+    }
+    if (absl::GetFlag(FLAGS_json)) {
+        print_json(value(findings));
+    }
+    else {
+        print_table(value(findings));
+    }
+    for (const history::finding& each : value(findings)) {
+        if (each.verdict == history::verdict::broken) {
+            return exit_failed;
+        }
+    }
+    return exit_done;
+}
