Announcements keep the promised term on their way to the control leader

Cause of a second kind of primaries changing every second: the gateway's report to the control leader dropped the server's promised term. Ruled out: silence (reports 90 ms old). Tests: the announcement reader, and the gateway's own reports.

--- a/src/gateway_directory.cpp
+++ b/src/gateway_directory.cpp
@@ -65,6 +65,7 @@
     made.mutable_applied()->set_index(info.applied.index);
     made.mutable_received()->set_term(known.received.term);
     made.mutable_received()->set_index(known.received.index);
+    made.set_term(known.promised_term);
     made.set_data_age_ms(static_cast<std::uint64_t>(info.data_age.count()));
     made.set_slots(info.slots);
     made.set_connection_limit(info.connection_limit);
--- a/src/gateway_server.cpp
+++ b/src/gateway_server.cpp
@@ -80,6 +80,7 @@
     info.leaving = report.leaving();
     info.leaving_since = info.reported_at;
     made.received = to_position(report.received());
+    made.promised_term = report.term();
     made.primary_since = info.reported_at;
     made.announced_at = report.age_ms() == 0 ? now : clock::time_point();
     return made;
--- a/src/gateway_server.h
+++ b/src/gateway_server.h
@@ -23,6 +23,7 @@
 struct known_report {
     server_info info;
     log_position received;
+    std::uint64_t promised_term = 0; // the highest that the server has promised
     clock::time_point primary_since; // when it first claimed its present role of primary
     clock::time_point announced_at;  // when it last announced itself here; zero: never
 };
--- /dev/null
+++ b/tests/entry_announcements_test.cpp
@@ -0,0 +1,47 @@
+// Announcements from the wire to the heartbeat's report.
+#include "entry_announcements.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace primrosehead;
+
+namespace {
+
+const std::string announcement =
+    R"({"server":"kura-1-a","database":"kura-1","failure_domain":"fukuoka",)"
+    R"("url":"http://127.0.0.1:1","role":"primary","applied":{"term":4,"index":9},)"
+    R"("received":{"term":4,"index":11},"term":5,"data_age_ms":7,"slots":3,)"
+    R"("connection_limit":20,"leaving":false})";
+
+std::string without(const std::string& text, const std::string& part)
+{
+    std::string changed = text;
+    changed.replace(changed.find(part), part.size(), "");
+    return changed;
+}
+
+} // namespace
+
+TEST_CASE("an announcement is read whole, its promised term too")
+{
+    const result<pb::server_report> report = parse_announcement(announcement);
+    REQUIRE(ok(report));
+    CHECK(value(report).server() == "kura-1-a");
+    CHECK(value(report).term() == 5);
+    CHECK(value(report).received().index() == 11);
+    CHECK(value(report).connection_limit() == 20);
+}
+
+TEST_CASE("an announcement without one of its members is refused by name")
+{
+    const result<pb::server_report> report =
+        parse_announcement(without(announcement, R"("term":5,)"));
+    REQUIRE(!ok(report));
+    CHECK(failure(report).kind == error_kind::bad_request);
+    CHECK(failure(report).message.find("\"term\"") != std::string::npos);
+    CHECK(!ok(parse_announcement("")));
+    CHECK(!ok(parse_announcement("[]")));
+    CHECK(!ok(parse_announcement(R"({"server":7})")));
+}
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -529,13 +529,15 @@
     const clock::time_point now = clock::now() + clock::duration(1'000);
     pb::server_report newer = report_of(one.server);
     newer.mutable_applied()->set_index(50);
+    newer.set_term(6);
     one.entry->heard(newer, now);
     pb::server_report older = report_of(one.server);
     older.mutable_applied()->set_index(40);
     older.set_age_ms(1);
     one.entry->heard(older, now);
     CHECK(one.entry->group(database_name("kura-1")).at(0).applied.index == 50);
-    CHECK(one.entry->announced(now, now).size() == 1);
+    REQUIRE(one.entry->announced(now, now).size() == 1);
+    CHECK(one.entry->announced(now, now).at(0).term() == 6);
     CHECK(one.entry->announced(now + clock::duration(1), now).empty());
     one.entry->forget_silent(clock::duration(500), now + clock::duration(500));
     CHECK(one.entry->group(database_name("kura-1")).size() == 1);
