--- a/src/consensus_replication.cpp
+++ b/src/consensus_replication.cpp
@@ -188,16 +188,13 @@
     const clock::time_point asked_at = from_ms(reply.asked_at_ms());
     to.asked_at = std::max(to.asked_at.value_or(asked_at), asked_at);
     if (!reply.accepted()) {
-        if (!to.snapshot && reply.match_index() + 1 < to.next_index) {
-            to.next_index = std::max(to.match_index, reply.match_index()) + 1;
-            to.sent_at.reset();
-        }
-        send_to(message.from(), to, now);
+        go_back(message.from(), to, reply.match_index(), now);
         return;
     }
-    if (reply.match_index() > to.match_index) {
-        to.match_index = reply.match_index();
+    if (reply.match_index() > log.last_index()) {
+        return; // only a disk that lost what was synced can be behind its followers
     }
+    to.match_index = std::max(to.match_index, reply.match_index());
     if (to.match_index >= to.next_index) {
         to.next_index = to.match_index + 1;
         to.sent_at.reset();
@@ -213,6 +210,20 @@
     }
 }
 
+// Tries an earlier entry. An answer that leads no further back is left to the next heartbeat: a
+// member that lost what it acknowledged would otherwise be sent the same message without end.
+void core::implementation::go_back(const std::string& instance, peer& to, std::uint64_t hint,
+                                   clock::time_point now)
+{
+    const std::uint64_t next = std::max(to.match_index, hint) + 1;
+    if (to.snapshot || next >= to.next_index) {
+        return;
+    }
+    to.next_index = next;
+    to.sent_at.reset();
+    send_to(instance, to, now);
+}
+
 // A new cell's disks are registered once every member holds the registration, so that the loss of
 // some disks can't be taken for a new cell later.
 std::uint64_t core::implementation::majority_index() const
--- a/src/consensus_snapshot.cpp
+++ b/src/consensus_snapshot.cpp
@@ -116,6 +116,9 @@
     if (!to.snapshot || reply.last_index() != to.snapshot->last_index()) {
         return;
     }
+    if (!reply.installed() && reply.received() == to.snapshot_offset) {
+        return; // answers a duplicate; what was sent last is still under way
+    }
     to.sent_at.reset();
     to.snapshot_offset = std::min<std::uint64_t>(reply.received(), to.snapshot->state().size());
     if (reply.installed()) {
--- /dev/null
+++ b/tests/consensus_switch_test.cpp
@@ -0,0 +1,243 @@
+// Each safety mechanism turned off in turn: the same script must break its promise then, and only
+// then.
+#include "consensus_network.h"
+#include "consensus_schedule.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using primrosehead::clock;
+using primrosehead::ok;
+using primrosehead::value;
+using primrosehead::consensus::unsafe_switches;
+using primrosehead::testing::consensus_network;
+using primrosehead::testing::network_options;
+using primrosehead::testing::run_schedule;
+using primrosehead::testing::schedule_options;
+namespace consensus = primrosehead::consensus;
+namespace pb = primrosehead::pb;
+
+namespace {
+
+constexpr std::uint64_t switch_seeds = 40;
+
+network_options with(const unsafe_switches& unsafe)
+{
+    network_options options;
+    options.unsafe = unsafe;
+    options.adopt_disk_after = clock::duration(0);
+    return options;
+}
+
+// The two instances that don't lead.
+std::pair<std::string, std::string> followers(consensus_network& network)
+{
+    const std::string leader = network.current_leader();
+    std::vector<std::string> names = network.names();
+    std::erase(names, leader);
+    return {names.at(0), names.at(1)};
+}
+
+std::uint64_t term_rise_while_cut_off(const unsafe_switches& unsafe)
+{
+    consensus_network network(with(unsafe));
+    network.run_until_leader();
+    const std::uint64_t before = network.highest_term();
+    network.isolate(followers(network).first);
+    network.run(clock::duration(10'000));
+    return network.highest_term() - before;
+}
+
+bool leads_while_cut_off(const unsafe_switches& unsafe)
+{
+    consensus_network network(with(unsafe));
+    const std::string leader = network.run_until_leader();
+    network.isolate(leader);
+    network.run(clock::duration(400));
+    return network.at(leader).core().role() == consensus::role::leader;
+}
+
+std::size_t breaches_after_leader_cut_off(const unsafe_switches& unsafe)
+{
+    consensus_network network(with(unsafe));
+    network.isolate(network.run_until_leader());
+    network.run(clock::duration(3'000));
+    return network.breaches().size();
+}
+
+std::size_t breaches_after_one_link_cut(const unsafe_switches& unsafe)
+{
+    consensus_network network(with(unsafe));
+    const std::string leader = network.run_until_leader();
+    network.cut(leader, followers(network).first);
+    network.run(clock::duration(5'000));
+    return network.breaches().size();
+}
+
+// A committed entry is held by the leader and one follower; the follower's disk is lost, and the
+// leader is cut off.
+std::size_t breaches_after_vote_of_a_lost_disk(const unsafe_switches& unsafe)
+{
+    consensus_network network(with(unsafe));
+    const std::string leader = network.run_until_leader();
+    network.run(clock::duration(200));
+    const auto [holder, behind] = followers(network);
+    network.isolate(behind);
+    network.propose("write");
+    network.run(clock::duration(100));
+    REQUIRE(network.command_committed("write"));
+    network.heal();
+    network.isolate(leader);
+    network.lose_disk(holder);
+    network.restart(holder);
+    network.run(clock::duration(5'000));
+    network.propose("other write");
+    network.run(clock::duration(500));
+    return network.breaches().size();
+}
+
+// A member is added that can't be reached; then one of the old members is lost.
+bool commits_after_adding_an_unreachable_member(const unsafe_switches& unsafe)
+{
+    consensus_network network(with(unsafe));
+    network.run_until_leader();
+    network.run(clock::duration(200));
+    pb::member member;
+    member.set_instance("c4");
+    member.set_disk_id(network.start_new("c4"));
+    network.isolate("c4");
+    static_cast<void>(network.add_member(member));
+    network.run(clock::duration(200));
+    network.crash(followers(network).first);
+    network.propose("write");
+    network.run(clock::duration(250));
+    return network.command_committed("write");
+}
+
+std::size_t random_breaches(const schedule_options& chosen)
+{
+    std::size_t found = 0;
+    for (std::uint64_t seed = 1; seed <= switch_seeds; ++seed) {
+        schedule_options options = chosen;
+        options.seed = seed;
+        found += run_schedule(options).breaches.size();
+    }
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("consensus switch: without pre-vote an instance that is cut off raises the term")
+{
+    CHECK(term_rise_while_cut_off({}) == 0);
+    CHECK(term_rise_while_cut_off({.no_pre_vote = true}) > 0);
+}
+
+TEST_CASE("consensus switch: without check-quorum a leader that is cut off goes on leading")
+{
+    CHECK_FALSE(leads_while_cut_off({}));
+    CHECK(leads_while_cut_off({.no_check_quorum = true}));
+}
+
+TEST_CASE("consensus switch: without the leader's lease two instances are current")
+{
+    CHECK(breaches_after_leader_cut_off({}) == 0);
+    CHECK(breaches_after_leader_cut_off({.no_check_quorum = true}) == 0);
+    CHECK(breaches_after_leader_cut_off({.no_check_quorum = true, .always_current = true}) > 0);
+}
+
+TEST_CASE("consensus switch: votes against a live leader make two instances current")
+{
+    CHECK(breaches_after_one_link_cut({}) == 0);
+    CHECK(breaches_after_one_link_cut({.no_lease_check = true}) > 0);
+}
+
+TEST_CASE("consensus switch: the vote of a lost disk loses a committed entry")
+{
+    CHECK(breaches_after_vote_of_a_lost_disk({}) == 0);
+    CHECK(breaches_after_vote_of_a_lost_disk({.no_disk_check = true}) > 0);
+}
+
+TEST_CASE("consensus switch: a member that votes before it holds anything stops the cell")
+{
+    CHECK(commits_after_adding_an_unreachable_member({}));
+    CHECK_FALSE(commits_after_adding_an_unreachable_member({.no_learner_stage = true}));
+}
+
+TEST_CASE("consensus switch: without syncing, crashes lose committed entries")
+{
+    schedule_options options;
+    CHECK(random_breaches(options) == 0);
+    options.journal.unsafe_skip_sync = true;
+    CHECK(random_breaches(options) > 0);
+}
+
+TEST_CASE("consensus switch: a disk that only claims to sync loses committed entries")
+{
+    schedule_options options;
+    options.disk.ignore_sync = true;
+    CHECK(random_breaches(options) > 0);
+}
+
+namespace {
+
+pb::consensus_message from(const std::string& name, std::uint64_t term)
+{
+    pb::consensus_message message;
+    message.set_from(name);
+    message.set_to("c1");
+    message.set_disk_id("disk-" + name);
+    message.set_term(term);
+    return message;
+}
+
+// c1 leads term 4 and holds an entry of term 2 that c2 holds too, as in figure 8 of the Raft paper.
+// Returns c1's commit index after c2's answer for that entry alone.
+std::uint64_t commit_of_an_older_term(const unsafe_switches& unsafe)
+{
+    consensus::core_settings settings;
+    settings.instance = primrosehead::instance_name("c1");
+    settings.disk_id = "disk-c1";
+    settings.unsafe = unsafe;
+    consensus::persisted stored;
+    stored.hard.set_term(3);
+    pb::log_entry old;
+    old.set_term(2);
+    old.set_index(1);
+    old.set_no_operation(true);
+    stored.entries.push_back(old);
+    for (const std::string name : {"c1", "c2", "c3"}) {
+        pb::member* member = stored.first_members.add_members();
+        member->set_instance(name);
+        member->set_disk_id("disk-" + name);
+        member->set_voter(true);
+    }
+    clock::time_point now{};
+    auto made = consensus::core::create(settings, stored, now);
+    REQUIRE(ok(made));
+    consensus::core& core = value(made);
+    now += settings.election_max;
+    static_cast<void>(core.tick(now));
+    pb::consensus_message vote = from("c2", 4);
+    vote.mutable_vote_answer()->set_granted(true);
+    vote.mutable_vote_answer()->set_pre_vote(true);
+    static_cast<void>(core.receive(vote, now));
+    vote.mutable_vote_answer()->set_pre_vote(false);
+    static_cast<void>(core.receive(vote, now));
+    static_cast<void>(core.written(now));
+    REQUIRE(core.role() == consensus::role::leader);
+    pb::consensus_message answer = from("c2", 4);
+    answer.mutable_append_answer()->set_accepted(true);
+    answer.mutable_append_answer()->set_match_index(1);
+    static_cast<void>(core.receive(answer, now));
+    return core.commit_index();
+}
+
+} // namespace
+
+TEST_CASE("consensus switch: copies of an entry of an older term do not commit it")
+{
+    CHECK(commit_of_an_older_term({}) == 0);
+    CHECK(commit_of_an_older_term({.commit_older_terms = true}) == 1);
+}
--- a/tests/fake_disk.cpp
+++ b/tests/fake_disk.cpp
@@ -74,6 +74,9 @@
         if (found == folder_.files_.end()) {
             return no_file(name);
         }
+        if (!folder_.may_write()) {
+            return full();
+        }
         folder_.files_.erase(found);
         return std::monostate{};
     }
--- a/tests/fake_disk.h
+++ b/tests/fake_disk.h
@@ -17,7 +17,7 @@
 struct disk_faults {
     bool torn_writes = true;  // a crash may leave a part of the last unsynced write
     bool ignore_sync = false; // a disk that claims to have synced
-    std::uint64_t fail_writes_after = UINT64_MAX; // count of writes that succeed
+    std::uint64_t fail_writes_after = UINT64_MAX; // writes, syncs and removals that succeed
 };
 
 // The files of one folder; outlives the processes that open it.
