--- /dev/null
+++ b/tests/history_check_test.cpp
@@ -0,0 +1,284 @@
+#include "history_check.h"
+#include "history_measures.h"
+
+#include <doctest/doctest.h>
+
+using namespace primrosehead;
+using namespace primrosehead::history;
+
+namespace {
+
+// Builds a history one operation after the other; each takes a millisecond.
+class history_builder {
+  public:
+    operation& add(std::string kind, std::string key, std::string value, log_position at)
+    {
+        operation one;
+        one.id = built.operations.size() + 1;
+        one.session = "s";
+        one.database = "d";
+        one.kind = std::move(kind);
+        one.keys = {std::move(key)};
+        one.value = std::move(value);
+        one.with_token = one.kind != "stale_read";
+        one.called_us = now_us_;
+        one.done_us = now_us_ + 1'000;
+        one.outcome = "ok";
+        one.status = 200;
+        one.at = at;
+        now_us_ += 2'000;
+        return built.operations.emplace_back(std::move(one));
+    }
+
+    void write(std::string value, std::uint64_t index)
+    {
+        add("write", "w/d/1", std::move(value), {1, index});
+    }
+
+    operation& read(std::string seen, std::uint64_t index)
+    {
+        operation& one = add("read", "w/d/1", {}, {1, index});
+        one.seen = {std::move(seen)};
+        return one;
+    }
+
+    recorded built;
+
+  private:
+    std::int64_t now_us_ = 1'000'000;
+};
+
+request_event admitted_at(std::int64_t ms, unsigned status)
+{
+    request_event one;
+    one.organisation = "o";
+    one.counted = true;
+    one.called_us = ms * 1'000;
+    one.done_us = ms * 1'000 + 500;
+    one.status = status;
+    one.error = status == 200 ? "" : "rate_limited";
+    return one;
+}
+
+bool is_broken(const finding& found)
+{
+    return found.verdict == verdict::broken;
+}
+
+bool is_held(const finding& found)
+{
+    return found.verdict == verdict::held;
+}
+
+} // namespace
+
+TEST_CASE("history: an empty history exercises no promise")
+{
+    for (const finding& each : check_all(recorded())) {
+        CHECK(each.verdict == verdict::not_exercised);
+    }
+}
+
+TEST_CASE("history: read-your-writes")
+{
+    history_builder good;
+    good.write("w/d#1", 5);
+    good.read("w/d#1", 5);
+    CHECK(is_held(check_read_your_writes(good.built)));
+    history_builder bad;
+    bad.write("w/d#1", 5);
+    bad.read("null", 4);
+    const finding found = check_read_your_writes(bad.built);
+    CHECK(is_broken(found));
+    CHECK(found.operation == 2);
+}
+
+TEST_CASE("history: monotonic reads")
+{
+    history_builder good;
+    good.read("null", 5);
+    good.read("null", 6);
+    CHECK(is_held(check_monotonic_reads(good.built)));
+    good.read("null", 4);
+    CHECK(check_monotonic_reads(good.built).operation == 3);
+}
+
+TEST_CASE("history: an acknowledged write is seen by every later position")
+{
+    history_builder good;
+    good.write("w/d#1", 5);
+    good.write("w/d#2", 6);
+    good.read("w/d#1", 5);
+    good.read("w/d#2", 9);
+    CHECK(is_held(check_acknowledged_kept(good.built)));
+    good.read("w/d#1", 9);
+    CHECK(check_acknowledged_kept(good.built).operation == 5);
+}
+
+TEST_CASE("history: a write of unknown outcome may be seen or not")
+{
+    history_builder either;
+    either.write("w/d#1", 5);
+    operation& unknown = either.add("write", "w/d/1", "w/d#2", {});
+    unknown.outcome = "unknown";
+    either.read("w/d#1", 7);
+    either.read("w/d#2", 7);
+    CHECK(is_held(check_acknowledged_kept(either.built)));
+}
+
+TEST_CASE("history: at most once")
+{
+    history_builder good;
+    good.add("add", "a/d/1", "a/d/1", {1, 5}).seen = {"1"};
+    good.add("read_add", "a/d/1", {}, {1, 6}).seen = {"1"};
+    CHECK(is_held(check_at_most_once(good.built)));
+    good.add("read_add", "a/d/1", {}, {1, 7}).seen = {"2"};
+    CHECK(check_at_most_once(good.built).operation == 3);
+}
+
+TEST_CASE("history: transactions don't mix, and what was rolled back is never seen")
+{
+    history_builder good;
+    good.add("transaction", "s/d/1/0", "s/d/1#1", {1, 5}).seen = {"s/d/1#1"};
+    good.add("rollback", "s/d/1/0", "s/d/1#2", {}).outcome = "no";
+    good.add("scan", "s/d/1/0", {}, {1, 6}).seen = {"s/d/1#1"};
+    CHECK(is_held(check_no_mixing(good.built)));
+    history_builder inside = good;
+    inside.add("transaction", "s/d/1/0", "s/d/1#4", {1, 7}).seen = {"s/d/1#9"};
+    CHECK(check_no_mixing(inside.built).operation == 4);
+    good.add("scan", "s/d/1/0", {}, {1, 8}).seen = {"s/d/1#2"};
+    CHECK(check_no_mixing(good.built).operation == 4);
+}
+
+TEST_CASE("history: a read transaction sees one snapshot")
+{
+    history_builder good;
+    operation& scan = good.add("scan", "s/d/1/0", {}, {1, 6});
+    scan.keys = {"s/d/1/0", "s/d/1/1"};
+    scan.seen = {"s/d/1#1", "s/d/1#1"};
+    CHECK(is_held(check_one_snapshot(good.built)));
+    good.built.operations.front().seen.back() = "s/d/1#2";
+    CHECK(is_broken(check_one_snapshot(good.built)));
+}
+
+TEST_CASE("history: keys and organisations")
+{
+    history_builder good;
+    good.add("wrong_key", "w/d/1", {}, {}).status = 401;
+    good.add("foreign_route", "w/d/1", {}, {}).status = 403;
+    CHECK(is_held(check_organisations(good.built)));
+    good.add("wrong_key", "w/d/1", {}, {}).status = 200;
+    CHECK(check_organisations(good.built).operation == 3);
+}
+
+TEST_CASE("history: whole answers belong to their question")
+{
+    history_builder good;
+    good.read("w/d#1", 5);
+    CHECK(is_held(check_whole_answers(good.built)));
+    good.read("s/d/1#7", 5);
+    CHECK(check_whole_answers(good.built).operation == 2);
+}
+
+TEST_CASE("history: a read is not older than the age it allowed")
+{
+    history_builder good;
+    good.write("w/d#1", 5);
+    operation& fresh = good.add("stale_read", "w/d/1", {}, {1, 4});
+    fresh.max_age_ms = 1'000;
+    CHECK(is_held(check_stated_age(good.built)));
+    operation& old = good.add("stale_read", "w/d/1", {}, {1, 4});
+    old.max_age_ms = 1;
+    CHECK(check_stated_age(good.built).operation == 3);
+}
+
+TEST_CASE("history: \"not run\" is compared with the stand-ins' records")
+{
+    history_builder refused;
+    operation& one = refused.add("write", "w/d/1", "w/d#1", {});
+    one.outcome = "no";
+    execution_evidence evidence;
+    CHECK(is_held(check_not_run(refused.built, evidence)));
+    read_record(R"({"n":1,"body":"{\"statement\":{\"put\":\"w/d/1\",\"value\":\"w/d#1\"}}"})"
+                "\n"
+                R"({"n":1,"changed":true})"
+                "\n",
+                {}, evidence);
+    CHECK(is_broken(check_not_run(refused.built, evidence)));
+}
+
+TEST_CASE("history: a committed transaction's values count as run, an abandoned one's don't")
+{
+    execution_evidence evidence;
+    read_record(
+        R"({"n":1,"body":"{\"statement\":{\"put\":\"k\",\"value\":\"v\"},\"transaction\":\"t\"}"})"
+        "\n"
+        R"({"n":1,"changed":false})"
+        "\n"
+        R"({"n":2,"body":"{\"transaction\":\"t\"}"})"
+        "\n",
+        {}, evidence);
+    CHECK(!evidence.changed.contains("v"));
+    execution_evidence committed;
+    read_record(
+        R"({"n":1,"body":"{\"statement\":{\"put\":\"k\",\"value\":\"v\"},\"transaction\":\"t\"}"})"
+        "\n"
+        R"({"n":2,"body":"{\"transaction\":\"t\"}"})"
+        "\n"
+        R"({"n":2,"changed":true})"
+        "\n",
+        {}, committed);
+    CHECK(committed.changed.contains("v"));
+}
+
+TEST_CASE("history: a caller's key in a record is found")
+{
+    execution_evidence evidence;
+    read_record(R"({"n":1,"headers":[["x","secret"]],"body":""})", {"other"}, evidence);
+    CHECK(is_held(check_no_key(evidence)));
+    read_record(R"({"n":2,"headers":[["x","secret"]],"body":""})", {"secret"}, evidence);
+    CHECK(is_broken(check_no_key(evidence)));
+}
+
+TEST_CASE("history: no window admits more than burst and rate")
+{
+    recorded within;
+    within.contracts = {{"o", 10, 2}};
+    for (const std::int64_t ms : {0, 0, 100, 200, 300, 1'000, 1'000}) {
+        within.requests.push_back(admitted_at(ms, 200));
+    }
+    CHECK(is_held(check_rates(within)));
+    within.requests.push_back(admitted_at(1'001, 200));
+    within.requests.push_back(admitted_at(1'002, 200));
+    CHECK(is_broken(check_rates(within)));
+    CHECK(measure(within).organisations.front().window_excess > 1);
+}
+
+TEST_CASE("history: a refusal is wrong only while the contract has a token left")
+{
+    recorded history;
+    history.contracts = {{"o", 10, 2}};
+    history.requests = {admitted_at(0, 200), admitted_at(1, 200), admitted_at(2, 429),
+                        admitted_at(500, 429)};
+    const organisation_measure found = measure(history).organisations.front();
+    CHECK(found.within == 3);
+    CHECK(found.refused_wrongly == 1);
+}
+
+TEST_CASE("history: what the load tool writes is read back")
+{
+    history_builder one;
+    operation& read = one.read("w/d#1", 5);
+    read.max_age_ms = 7;
+    const std::string text = call_line(read) + "\n" + done_line(read) + "\n" +
+                             request_line(admitted_at(3, 429)) + "\n" +
+                             contract_line({"o", 10, 2}, "secret") + "\n";
+    const result<recorded> back = read_history(text);
+    REQUIRE(ok(back));
+    CHECK(value(back).operations.front().seen == read.seen);
+    CHECK(value(back).operations.front().max_age_ms == 7);
+    CHECK(value(back).requests.front().error == "rate_limited");
+    CHECK(value(back).keys.front() == "secret");
+    CHECK(!ok(read_history("{\"event\":\"done\",\"op\":9}\n")));
+    CHECK(!ok(read_history("nonsense\n")));
+}
--- /dev/null
+++ b/tests/standin_database_test.cpp
@@ -0,0 +1,249 @@
+#include "standin_database.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+using namespace primrosehead;
+using namespace primrosehead::standin;
+
+namespace {
+
+constexpr clock::time_point start{clock::duration(1'000)};
+
+statement put(std::string key, std::string value)
+{
+    return put_statement{std::move(key), boost::json::value(value)};
+}
+
+statement get(std::string key)
+{
+    return get_statement{std::move(key)};
+}
+
+std::string shown(const result<answer>& outcome)
+{
+    REQUIRE(ok(outcome));
+    const boost::json::value& found = value(outcome).result.at("value");
+    return found.is_string() ? std::string(found.get_string()) : "null";
+}
+
+// A server with its storage.
+struct test_server {
+    explicit test_server(std::string name, database_faults faults = {}) : data(name, kept, faults)
+    {
+    }
+    memory_storage kept;
+    database data;
+};
+
+void make_primary(database& data, std::uint64_t term)
+{
+    REQUIRE(ok(data.fence(term)));
+    REQUIRE(ok(data.promote(term, {})));
+}
+
+void make_replica(database& data, std::uint64_t term, std::span<const term_begin> starts = {})
+{
+    REQUIRE(ok(data.follow(term, "primary", starts)));
+}
+
+// One question and its answer; applies what came at once.
+void replicate(database& from, database& to, std::string_view name)
+{
+    const log_question question = to.next_question();
+    from.confirm(name, question);
+    const result<log_batch> batch = from.entries_for(question, 100);
+    REQUIRE(ok(batch));
+    REQUIRE(ok(to.receive(question.term, value(batch), start, start)));
+    to.apply(start, clock::duration(0));
+}
+
+std::uint64_t write(database& to, std::string key, std::string text, std::uint64_t term)
+{
+    const result<answer> outcome = to.write(put(std::move(key), std::move(text)), term, {});
+    REQUIRE(ok(outcome));
+    return value(outcome).at.index;
+}
+
+} // namespace
+
+TEST_CASE("standin: a replaced primary refuses writes, and tests can turn that off")
+{
+    test_server server("a");
+    make_primary(server.data, 1);
+    CHECK(ok(server.data.write(put("k", "v"), 1, {})));
+    REQUIRE(ok(server.data.fence(2)));
+    const result<answer> refused = server.data.write(put("k", "w"), 1, {});
+    REQUIRE(!ok(refused));
+    CHECK(failure(refused).kind == error_kind::wrong_term);
+    CHECK(failure(refused).ran == ran::no);
+    CHECK(!ok(server.data.fence(1)));
+
+    test_server lax("b", database_faults{.ignore_terms = true});
+    make_primary(lax.data, 1);
+    REQUIRE(ok(lax.data.fence(2)));
+    CHECK(ok(lax.data.write(put("k", "w"), 1, {})));
+}
+
+TEST_CASE("standin: a write with an idempotency id that ran answers the same and runs nothing")
+{
+    test_server server("a");
+    make_primary(server.data, 1);
+    const statement add = add_statement{"n", 1};
+    const result<answer> first = server.data.write(add, 1, "q");
+    const result<answer> again = server.data.write(add, 1, "q");
+    REQUIRE(ok(again));
+    CHECK(value(again).at == value(first).at);
+    CHECK(value(again).repeated);
+    CHECK(value(again).result == value(first).result);
+
+    test_server forgetful("b", database_faults{.forget_idempotency = true});
+    make_primary(forgetful.data, 1);
+    REQUIRE(ok(forgetful.data.write(add, 1, "q")));
+    const result<answer> twice = forgetful.data.write(add, 1, "q");
+    CHECK(value(twice).result.at("value").as_int64() == 2);
+}
+
+TEST_CASE("standin: an idempotency record outlives a promotion with its entry, and dies with it")
+{
+    test_server old_primary("a");
+    test_server replica("b");
+    make_primary(old_primary.data, 1);
+    make_replica(replica.data, 1);
+    const statement add = add_statement{"n", 1};
+    REQUIRE(ok(old_primary.data.write(add, 1, "kept")));
+    replicate(old_primary.data, replica.data, "b");
+    REQUIRE(ok(old_primary.data.write(add, 1, "lost")));
+    make_primary(replica.data, 2);
+    const result<answer> kept = replica.data.write(add, 2, "kept");
+    CHECK(value(kept).repeated);
+    const result<answer> lost = replica.data.write(add, 2, "lost");
+    CHECK(!value(lost).repeated);
+    CHECK(value(lost).result.at("value").as_int64() == 2);
+}
+
+TEST_CASE("standin: a divergent tail is dropped, with and without the terms' starts")
+{
+    for (const bool knows_starts : {true, false}) {
+        test_server old_primary("a");
+        test_server replica("b");
+        make_primary(old_primary.data, 1);
+        make_replica(replica.data, 1);
+        write(old_primary.data, "k", "kept", 1);
+        replicate(old_primary.data, replica.data, "b");
+        write(old_primary.data, "k", "lost", 1);
+        const std::uint64_t begun = replica.data.received().index;
+        make_primary(replica.data, 2);
+        write(replica.data, "k", "new", 2);
+        const std::array starts{term_begin{1, 0}, term_begin{2, begun}};
+        const std::span<const term_begin> told(starts);
+        make_replica(old_primary.data, 2, knows_starts ? told : std::span<const term_begin>());
+        for (int questions = 0; questions < 4; ++questions) {
+            replicate(replica.data, old_primary.data, "a");
+        }
+        CHECK(shown(old_primary.data.read(get("k"), std::nullopt)) == "new");
+        CHECK(old_primary.data.received() == replica.data.received());
+    }
+}
+
+TEST_CASE("standin: a write counts as replicated only with the term's first entry")
+{
+    test_server primary("a");
+    test_server replica("b");
+    make_primary(primary.data, 1);
+    make_replica(replica.data, 1);
+    const std::uint64_t index = write(primary.data, "k", "v", 1);
+    CHECK(!primary.data.is_replicated(index));
+    replicate(primary.data, replica.data, "b");
+    CHECK(!primary.data.is_replicated(index));
+    primary.data.confirm("b", replica.data.next_question());
+    CHECK(primary.data.is_replicated(index));
+    make_primary(replica.data, 2);
+    CHECK(!replica.data.is_replicated(index));
+}
+
+TEST_CASE("standin: lag hides received entries, and the age of the data tells it")
+{
+    test_server primary("a");
+    test_server replica("b");
+    make_primary(primary.data, 1);
+    make_replica(replica.data, 1);
+    replicate(primary.data, replica.data, "b");
+    const std::uint64_t index = write(primary.data, "k", "v", 1);
+    const log_question question = replica.data.next_question();
+    const result<log_batch> batch = primary.data.entries_for(question, 100);
+    const clock::time_point later = start + clock::duration(100);
+    REQUIRE(ok(replica.data.receive(1, value(batch), later, later)));
+    const clock::duration lag(500);
+    replica.data.apply(later + clock::duration(499), lag);
+    CHECK(replica.data.received().index == index);
+    CHECK(replica.data.applied().index < index);
+    CHECK(replica.data.data_age(later) == clock::duration(100));
+    const result<answer> early = replica.data.read(get("k"), log_position{1, index});
+    REQUIRE(!ok(early));
+    CHECK(failure(early).kind == error_kind::behind);
+    replica.data.apply(later + lag, lag);
+    CHECK(shown(replica.data.read(get("k"), log_position{1, index})) == "v");
+    CHECK(replica.data.data_age(later + lag) == lag);
+}
+
+TEST_CASE("standin: a read transaction sees the position of its begin throughout")
+{
+    for (const bool unstable : {false, true}) {
+        test_server server("a", database_faults{.unstable_snapshot = unstable});
+        make_primary(server.data, 1);
+        write(server.data, "k", "old", 1);
+        const auto begun = server.data.begin(transaction_mode::read, 7, 1, std::nullopt);
+        REQUIRE(ok(begun));
+        write(server.data, "k", "new", 1);
+        const auto read = server.data.execute(value(begun).transaction, 7, get("k"));
+        CHECK(shown(read) == (unstable ? "new" : "old"));
+    }
+}
+
+TEST_CASE("standin: transactions are bound to their connection and don't mix")
+{
+    for (const bool mixed : {false, true}) {
+        test_server server("a", database_faults{.mix_transactions = mixed});
+        make_primary(server.data, 1);
+        const auto begun = server.data.begin(transaction_mode::write, 7, 1, std::nullopt);
+        REQUIRE(ok(begun));
+        const std::string name = value(begun).transaction;
+        CHECK(!ok(server.data.execute(name, 8, put("k", "foreign"))));
+        REQUIRE(ok(server.data.execute(name, 7, put("k", "mine"))));
+        CHECK(shown(server.data.read(get("k"), std::nullopt)) == (mixed ? "mine" : "null"));
+        server.data.connection_closed(7);
+        CHECK(!ok(server.data.commit(name, 7, 1, {})));
+        CHECK(server.data.open_transactions() == 0);
+    }
+}
+
+TEST_CASE("standin: of two conflicting transactions the first to commit wins")
+{
+    test_server server("a");
+    make_primary(server.data, 1);
+    const statement add = add_statement{"n", 1};
+    const std::string one =
+        value(server.data.begin(transaction_mode::write, 1, 1, std::nullopt)).transaction;
+    const std::string two =
+        value(server.data.begin(transaction_mode::write, 2, 1, std::nullopt)).transaction;
+    REQUIRE(ok(server.data.execute(one, 1, add)));
+    REQUIRE(ok(server.data.execute(two, 2, add)));
+    CHECK(ok(server.data.commit(one, 1, 1, {})));
+    const result<answer> second = server.data.commit(two, 2, 1, {});
+    REQUIRE(!ok(second));
+    CHECK(failure(second).ran == ran::no);
+    CHECK(server.data.read(get("n"), std::nullopt).index() == 0);
+}
+
+TEST_CASE("standin: a fence ends open write transactions")
+{
+    test_server server("a");
+    make_primary(server.data, 1);
+    const std::string name =
+        value(server.data.begin(transaction_mode::write, 1, 1, std::nullopt)).transaction;
+    REQUIRE(ok(server.data.execute(name, 1, put("k", "v"))));
+    REQUIRE(ok(server.data.fence(2)));
+    CHECK(!ok(server.data.commit(name, 1, 1, {})));
+}
