--- a/src/load_plan.cpp
+++ b/src/load_plan.cpp
@@ -27,6 +27,7 @@
     read.sessions =
         static_cast<std::uint32_t>(from.integer("sessions", 1, most_sessions, read.sessions));
     read.batch = static_cast<std::uint32_t>(from.integer("batch", 1, most_sessions, read.batch));
+    read.outsider = from.boolean("outsider", false);
     return read;
 }
 
--- a/src/load_plan.h
+++ b/src/load_plan.h
@@ -24,6 +24,7 @@
     double send_rate = 0; // operations a second
     std::uint32_t sessions = 8;
     std::uint32_t batch = 1; // operations that start at once
+    bool outsider = false;   // may not use the databases' foreign routes, and tries to
 };
 
 struct database_plan {
--- a/src/load_session.cpp
+++ b/src/load_session.cpp
@@ -96,7 +96,8 @@
         co_await add();
     }
     else if (kind == "wrong_key") {
-        const bool foreign = !database().foreign_route.empty() && run_->random() % 2 == 0;
+        const bool foreign =
+            organisation_.outsider && !database().foreign_route.empty() && run_->random() % 2 == 0;
         const std::string which = foreign ? "foreign_route" : "wrong_key";
         co_await intrude(which);
     }
--- a/src/standin_node.h
+++ b/src/standin_node.h
@@ -26,10 +26,9 @@
 
 struct node {
     node(boost::asio::any_io_executor executor, server_settings with,
-         std::unique_ptr<storage> files, database_faults faults, std::uint64_t promised_term,
-         std::vector<log_entry> held)
+         std::unique_ptr<storage> files, std::uint64_t promised_term, std::vector<log_entry> held)
         : settings(std::move(with)), kept(std::move(files)),
-          data(settings.server, *kept, faults, promised_term, std::move(held)),
+          data(settings.server, *kept, settings.faults, promised_term, std::move(held)),
           record(settings.data_folder.empty() ? std::string()
                                               : settings.data_folder + "/record.jsonl"),
           slots(executor, settings.slots), log_changed(executor), role_changed(executor)
--- a/src/standin_server.cpp
+++ b/src/standin_server.cpp
@@ -519,8 +519,7 @@
 }
 
 result<std::unique_ptr<server>> server::start(net::any_io_executor executor,
-                                              const server_settings& settings,
-                                              database_faults faults)
+                                              const server_settings& settings)
 {
     file_storage::contents held;
     std::unique_ptr<storage> kept = std::make_unique<memory_storage>();
@@ -532,7 +531,7 @@
         held = value(opened)->take_contents();
         kept = std::move(value(opened));
     }
-    auto parts = std::make_shared<node>(executor, settings, std::move(kept), faults, held.term,
+    auto parts = std::make_shared<node>(executor, settings, std::move(kept), held.term,
                                         std::move(held.entries));
     const auto body = std::make_shared<implementation>(executor, std::move(parts));
     status opened = body->listen();
--- a/src/standin_server.h
+++ b/src/standin_server.h
@@ -1,7 +1,6 @@
 // The stand-in of a backend server: docs/BACKEND.md over HTTP, with a control port for faults.
 #pragma once
 
-#include "standin_database.h"
 #include "standin_settings.h"
 
 #include <primrosehead/error.h>
@@ -17,8 +16,7 @@
 class server {
   public:
     [[nodiscard]] static result<std::unique_ptr<server>>
-    start(boost::asio::any_io_executor executor, const server_settings& settings,
-          database_faults faults = {});
+    start(boost::asio::any_io_executor executor, const server_settings& settings);
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
--- a/src/standin_settings.cpp
+++ b/src/standin_settings.cpp
@@ -35,6 +35,24 @@
     return read;
 }
 
+database_faults read_faults(lab::object_reader& members)
+{
+    database_faults read;
+    const boost::json::value* found = members.any("faults");
+    if (found == nullptr) {
+        return read;
+    }
+    lab::object_reader part(*found, "$.faults");
+    read.forget_idempotency = part.boolean("forget_idempotency", false);
+    read.mix_transactions = part.boolean("mix_transactions", false);
+    read.ignore_terms = part.boolean("ignore_terms", false);
+    read.unstable_snapshot = part.boolean("unstable_snapshot", false);
+    if (!ok(part.finish())) {
+        members.fault("faults", "an object of known switches");
+    }
+    return read;
+}
+
 void check_group(lab::object_reader& members, const server_settings& read)
 {
     const bool names_itself =
@@ -71,6 +89,7 @@
     read.service = read_delay(members, "service_ms", read.service);
     read.lag = read_delay(members, "lag_ms", read.lag);
     read.data_folder = members.text("data_folder", "");
+    read.faults = read_faults(members);
     read.log = read_log(members);
     check_group(members, read);
     const status checked = members.finish();
--- a/src/standin_settings.h
+++ b/src/standin_settings.h
@@ -1,6 +1,8 @@
 // Settings of the stand-in (docs/BACKEND.md).
 #pragma once
 
+#include "standin_database.h"
+
 #include <primrosehead/clock.h>
 #include <primrosehead/error.h>
 #include <primrosehead/settings.h>
@@ -32,6 +34,7 @@
     clock::duration service{1};
     clock::duration lag{0};
     std::string data_folder; // empty: log and promised term last as long as the process
+    database_faults faults;  // for tests: mechanisms turned off
     log_settings log;
 };
 
