--- a/include/primrosehead/retry.h
+++ b/include/primrosehead/retry.h
@@ -5,6 +5,7 @@
 #include <primrosehead/error.h>
 
 #include <cstdint>
+#include <string_view>
 
 namespace primrosehead {
 
@@ -39,6 +40,8 @@
     give_up_unsafe
 };
 
+[[nodiscard]] std::string_view to_string(retry_decision decision) noexcept;
+
 // Tries again only what certainly did not run or may be repeated, within deadline and budget.
 [[nodiscard]] retry_decision decide_retry(const attempt& last, retry_budget& budget) noexcept;
 
--- a/src/entry_answer.cpp
+++ b/src/entry_answer.cpp
@@ -70,6 +70,8 @@
     http::response answer;
     answer.status = http_status(failure.kind);
     answer.content_type = "application/problem+json";
+    answer.headers.push_back(
+        {std::string(problem_kind_header), std::string(to_string(failure.kind))});
     json::object body{{"kind", to_string(failure.kind)},
                       {"title", failure.message},
                       {"remedy", failure.remedy},
--- a/src/entry_answer.h
+++ b/src/entry_answer.h
@@ -12,6 +12,9 @@
 
 namespace primrosehead {
 
+// Names the kind of an error on its answer.
+inline constexpr std::string_view problem_kind_header = "Primrose-Error";
+
 // HTTP status of a kind of error.
 [[nodiscard]] unsigned http_status(error_kind kind) noexcept;
 
--- a/src/entry_instance.cpp
+++ b/src/entry_instance.cpp
@@ -2,10 +2,12 @@
 #include "entry_announcements.h"
 #include "entry_answer.h"
 #include "entry_follower.h"
+#include "entry_metrics.h"
 #include "entry_pipeline.h"
 #include "primrosehead.pb.h"
 
 #include <primrosehead/bus.h>
+#include <primrosehead/decision_log.h>
 #include <primrosehead/entry.h>
 #include <primrosehead/gateway.h>
 #include <primrosehead/http.h>
@@ -63,7 +65,8 @@
     net::awaitable<void> drain();
     void run_bus();
     void receive(const bus_origin& origin, const pb::envelope& message);
-    [[nodiscard]] std::string metrics_text() const;
+    void operate(const bus_origin& origin, const pb::envelope& message);
+    void begin_drain();
 
     const entry_settings settings;
     const std::uint64_t incarnation = new_incarnation();
@@ -71,6 +74,8 @@
     std::unique_ptr<bus> messages;
     std::shared_ptr<gateway> servers;
     entry_allowances allowances;
+    entry_metrics numbers;
+    std::unique_ptr<decision_log> decisions;
     std::unique_ptr<entry_follower> follower;
     std::unique_ptr<entry_pipeline> pipeline;
     std::shared_ptr<http::listener> callers;
@@ -86,6 +91,11 @@
         return failure(opened);
     }
     messages = std::move(value(opened));
+    result<std::unique_ptr<decision_log>> log = decision_log::open(settings.decision_log);
+    if (!ok(log)) {
+        return failure(log);
+    }
+    decisions = std::move(value(log));
     gateway_settings for_gateway;
     for_gateway.cell = settings.cell;
     for_gateway.instance = settings.instance;
@@ -93,8 +103,8 @@
     servers = gateway::create(context.get_executor(), for_gateway, *messages);
     follower =
         std::make_unique<entry_follower>(settings, incarnation, *messages, *servers, allowances);
-    pipeline =
-        std::make_unique<entry_pipeline>(settings, incarnation, *servers, *follower, allowances);
+    pipeline = std::make_unique<entry_pipeline>(settings, incarnation, *servers, *follower,
+                                                allowances, *decisions, numbers);
     http::listener_settings for_callers;
     for_callers.address = settings.listen;
     for_callers.max_connections = settings.max_connections;
@@ -130,7 +140,8 @@
         co_return ready ? plain_answer(200, "ready\n") : plain_answer(503, "not ready\n");
     }
     if (received.method == "GET" && received.target == "/metrics") {
-        co_return plain_answer(200, metrics_text());
+        co_return plain_answer(
+            200, numbers.text(servers->stats(), callers->connections(), follower->version()));
     }
     http::response answer = co_await pipeline->handle(received);
     answer.close = draining.load();
@@ -152,23 +163,31 @@
     co_return plain_answer(204, "");
 }
 
-std::string entry_instance::implementation::metrics_text() const
+void entry_instance::implementation::operate(const bus_origin& origin, const pb::envelope& message)
 {
-    const gateway_stats stats = servers->stats();
-    std::string text;
-    const auto line = [&](std::string_view name, std::uint64_t number) {
-        text += "primrose_" + std::string(name) + " " + std::to_string(number) + "\n";
-    };
-    line("gateway_run_here_total", stats.run_here);
-    line("gateway_forwarded_total", stats.forwarded);
-    line("gateway_received_total", stats.received);
-    line("gateway_connections_opened_total", stats.connections_opened);
-    line("gateway_connections_open", stats.connections_open);
-    line("gateway_queued", stats.queued);
-    line("gateway_refused_total", stats.refused);
-    line("caller_connections", callers->connections());
-    line("state_version", follower->version());
-    return text;
+    const pb::operator_request& request = message.operate();
+    pb::envelope answer;
+    answer.set_cell(settings.cell.text());
+    answer.set_from(settings.instance.text());
+    answer.set_correlation(message.correlation());
+    pb::operator_reply& reply = *answer.mutable_operate_answer();
+    reply.set_request_id(request.request_id());
+    switch (request.body_case()) {
+    case pb::operator_request::kExplainRequest:
+        reply.set_ok(true);
+        reply.set_text(to_json(decisions->find(request.explain_request())));
+        break;
+    case pb::operator_request::kDrainInstance:
+        reply.set_ok(true);
+        begin_drain();
+        break;
+    default:
+        reply.mutable_error()->set_kind(std::string(to_string(error_kind::bad_request)));
+        reply.mutable_error()->set_message("An entry instance does not answer this.");
+        reply.mutable_error()->set_remedy("Ask a control instance.");
+        reply.mutable_error()->set_ran("no");
+    }
+    messages->reply(origin, answer);
 }
 
 void entry_instance::implementation::receive(const bus_origin& origin, const pb::envelope& message)
@@ -181,6 +200,9 @@
     case pb::envelope::kBackendAnswer:
         servers->receive(origin, message);
         break;
+    case pb::envelope::kOperate:
+        operate(origin, message);
+        break;
     default:
         spdlog::warn("entry: Dropped a message from {} that is not for entry instances.",
                      message.from());
@@ -197,10 +219,17 @@
     }
 }
 
+// Any thread; a second call changes nothing.
+void entry_instance::implementation::begin_drain()
+{
+    if (!draining.exchange(true)) {
+        net::co_spawn(context, drain(), net::detached);
+    }
+}
+
 net::awaitable<void> entry_instance::implementation::drain()
 {
     spdlog::info("entry: Leaving. No new work is taken.");
-    draining.store(true);
     follower->leave();
     net::steady_timer timer(context);
     timer.expires_after(leave_notice);
@@ -221,7 +250,7 @@
     net::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([this](const boost::system::error_code& failed, int) {
         if (!failed) {
-            net::co_spawn(context, drain(), net::detached);
+            begin_drain();
         }
     });
     spdlog::info("entry: Instance {} of cell {} serves {}.", settings.instance.text(),
--- a/src/entry_pipeline.cpp
+++ b/src/entry_pipeline.cpp
@@ -3,16 +3,17 @@
 #include "entry_allowances.h"
 #include "entry_answer.h"
 #include "entry_follower.h"
+#include "entry_metrics.h"
 #include "seal.h"
 
 #include <primrosehead/config.h>
+#include <primrosehead/decision_log.h>
 #include <primrosehead/gateway.h>
 #include <primrosehead/routing.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <spdlog/spdlog.h>
 
 #include <random>
 #include <xxhash.h>
@@ -86,9 +87,10 @@
 
 entry_pipeline::entry_pipeline(const entry_settings& settings, std::uint64_t incarnation,
                                gateway& servers, entry_follower& follower,
-                               entry_allowances& allowances)
+                               entry_allowances& allowances, decision_log& decisions,
+                               entry_metrics& numbers)
     : settings_(settings), incarnation_(incarnation), servers_(servers), follower_(follower),
-      allowances_(allowances), budget_(policy_settings().retry_share, retry_reserve)
+      allowances_(allowances), decisions_(decisions), numbers_(numbers), budget_(policy_settings().retry_share, retry_reserve)
 {
 }
 
@@ -101,7 +103,30 @@
 net::awaitable<http::response> entry_pipeline::handle(const http::request& received)
 {
     const std::string request_id = next_request_id();
-    co_return co_await dispatch(received, request_id);
+    const auto begun = std::chrono::steady_clock::now();
+    http::response answer = co_await dispatch(received, request_id);
+    const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - begun;
+    const std::string_view kind = answer.header_value(problem_kind_header);
+    if (kind.empty()) {
+        numbers_.answered(took.count());
+    }
+    else {
+        numbers_.refused(error_kind_from(kind), took.count());
+    }
+    co_return answer;
+}
+
+void entry_pipeline::note(const std::string& request_id, std::string_view part, std::string choice,
+                          std::string reason)
+{
+    decisions_.note({request_id, to_ms(clock::now()), std::string(part), std::move(choice),
+                     std::move(reason)});
+}
+
+http::response entry_pipeline::refuse(const error& failure, const std::string& request_id)
+{
+    note(request_id, "answer", std::string(to_string(failure.kind)), failure.message);
+    return problem_answer(failure, request_id);
 }
 
 net::awaitable<http::response> entry_pipeline::dispatch(const http::request& received,
@@ -112,7 +137,7 @@
         error refused = make_error(error_kind::bad_request,
                                    received.method + " " + received.target + " is not served.",
                                    "docs/API.md lists the requests.");
-        co_return problem_answer(refused, request_id);
+        co_return refuse(refused, request_id);
     }
     if (target.kind == call_kind::statement) {
         co_return co_await run_statement(received, request_id);
@@ -252,6 +277,7 @@
     if (outcome.admitted) {
         co_return std::monostate{};
     }
+    note(call.request_id, "limits", "refused " + call.organisation.text(), "no tokens granted");
     co_return make_error(error_kind::rate_limited,
                          "Organisation " + call.organisation.text() +
                              " is above its rate and burst.",
@@ -275,13 +301,13 @@
         read.primary = call.group.primary;
         return routing::choose_read(group, read, call.policy, now, random_of_thread());
     }();
+    const std::string wanted = call.organisation.text() + " on " + call.route.database.text();
     if (!ok(chosen)) {
-        spdlog::info("route: {} of {} on {}: none. {}", call.request_id, call.organisation.text(),
-                     call.route.database.text(), failure(chosen).message);
+        note(call.request_id, "route", "none for " + wanted, failure(chosen).message);
         return failure(chosen);
     }
-    spdlog::info("route: {} of {} on {}: {}. {}.", call.request_id, call.organisation.text(),
-                 call.route.database.text(), value(chosen).server.text(), value(chosen).reason);
+    note(call.request_id, "route", value(chosen).server.text() + " for " + wanted,
+         std::string(value(chosen).reason));
     return value(chosen).server.text();
 }
 
@@ -317,14 +343,19 @@
         pb::backend_request sent = work;
         reply_result outcome = co_await servers_.run(std::move(sent), call.deadline);
         if (ok(outcome)) {
+            if (!work.write()) {
+                numbers_.served_by(value(outcome).role() == "replica");
+            }
             co_return outcome;
         }
         const error& failed = failure(outcome);
-        spdlog::info("route: {} failed on {}. {}", call.request_id, value(server),
-                     describe(failed));
-        if (again(call, failed, tries) != retry_decision::again) {
+        const retry_decision decided = again(call, failed, tries);
+        note(call.request_id, "retry", std::string(to_string(decided)),
+             value(server) + ": " + describe(failed));
+        if (decided != retry_decision::again) {
             co_return outcome;
         }
+        numbers_.retried();
         tried.emplace_back(value(server));
     }
 }
@@ -364,21 +395,21 @@
                                                       const std::string& transaction)
 {
     if (!ok(outcome)) {
-        co_return problem_answer(failure(outcome), call.request_id);
+        co_return refuse(failure(outcome), call.request_id);
     }
     const pb::backend_reply& reply = value(outcome);
     const log_position at{reply.at().term(), reply.at().index()};
     if (wrote) {
         const status confirmed = co_await confirm_write(call, at.term);
         if (!ok(confirmed)) {
-            co_return problem_answer(failure(confirmed), call.request_id);
+            co_return refuse(failure(confirmed), call.request_id);
         }
     }
     const status advanced = call.seen.advance(call.route.database, at);
     if (!ok(advanced)) {
         error refused = failure(advanced);
         refused.ran = wrote ? ran::unknown : ran::no;
-        co_return problem_answer(refused, call.request_id);
+        co_return refuse(refused, call.request_id);
     }
     co_return success_answer(reply, transaction, call.seen.seal(settings_.session_secret),
                              call.request_id);
@@ -389,16 +420,16 @@
 {
     result<caller_request> asked = parse_caller_request(received.body, body_kind::statement);
     if (!ok(asked)) {
-        co_return problem_answer(failure(asked), request_id);
+        co_return refuse(failure(asked), request_id);
     }
     result<call_context> prepared = prepare(received, value(asked), request_id);
     if (!ok(prepared)) {
-        co_return problem_answer(failure(prepared), request_id);
+        co_return refuse(failure(prepared), request_id);
     }
     call_context& call = value(prepared);
     const status admitted = co_await admit(call);
     if (!ok(admitted)) {
-        co_return problem_answer(failure(admitted), request_id);
+        co_return refuse(failure(admitted), request_id);
     }
     const bool writes = call.route.access == access::write;
     pb::backend_request work;
@@ -426,11 +457,11 @@
 {
     result<caller_request> asked = parse_caller_request(received.body, body_kind::begin);
     if (!ok(asked)) {
-        co_return problem_answer(failure(asked), request_id);
+        co_return refuse(failure(asked), request_id);
     }
     result<call_context> prepared = prepare(received, value(asked), request_id);
     if (!ok(prepared)) {
-        co_return problem_answer(failure(prepared), request_id);
+        co_return refuse(failure(prepared), request_id);
     }
     call_context& call = value(prepared);
     const bool writes = value(asked).mode == access::write;
@@ -438,11 +469,11 @@
         const error refused = make_error(error_kind::forbidden,
                                          "Route " + call.route.name.text() + " is for reading.",
                                          "Begin the transaction on a route for writing.");
-        co_return problem_answer(refused, request_id);
+        co_return refuse(refused, request_id);
     }
     const status admitted = co_await admit(call);
     if (!ok(admitted)) {
-        co_return problem_answer(failure(admitted), request_id);
+        co_return refuse(failure(admitted), request_id);
     }
     call.route.access = writes ? access::write : access::read;
     pb::backend_request work;
@@ -498,30 +529,30 @@
     result<caller_request> asked = parse_caller_request(
         received.body, is_statement ? body_kind::statement_in_transaction : body_kind::end);
     if (!ok(asked)) {
-        co_return problem_answer(failure(asked), request_id);
+        co_return refuse(failure(asked), request_id);
     }
     result<pb::transaction_ticket> opened = open_ticket(received, target.transaction);
     if (!ok(opened)) {
-        co_return problem_answer(failure(opened), request_id);
+        co_return refuse(failure(opened), request_id);
     }
     const pb::transaction_ticket& ticket = value(opened);
     value(asked).database = database_name(ticket.database());
     value(asked).route = route_name(ticket.route());
     result<call_context> prepared = prepare(received, value(asked), request_id);
     if (!ok(prepared)) {
-        co_return problem_answer(failure(prepared), request_id);
+        co_return refuse(failure(prepared), request_id);
     }
     call_context& call = value(prepared);
     if (call.organisation.text() != ticket.organisation()) {
         const error refused =
             make_error(error_kind::forbidden, "The transaction belongs to another organisation.",
                        "Use the key that began it.");
-        co_return problem_answer(refused, request_id);
+        co_return refuse(refused, request_id);
     }
     if (is_statement) {
         const status admitted = co_await admit(call);
         if (!ok(admitted)) {
-            co_return problem_answer(failure(admitted), request_id);
+            co_return refuse(failure(admitted), request_id);
         }
     }
     pb::backend_request work;
@@ -541,8 +572,9 @@
         work.set_idempotency_id(call.idempotency_id);
     }
     const reply_result outcome = co_await servers_.run(std::move(work), call.deadline);
-    spdlog::info("route: {} of {} on {}: pinned connection. {}.", request_id,
-                 call.organisation.text(), ticket.database(), ok(outcome) ? "done" : "failed");
+    note(request_id, "route", "pinned connection for " + call.organisation.text() + " on " +
+                                  ticket.database(),
+         ok(outcome) ? "done" : describe(failure(outcome)));
     const std::string no_transaction;
     co_return co_await finish(call, outcome, commits && ticket.write(), no_transaction);
 }
--- a/src/entry_pipeline.h
+++ b/src/entry_pipeline.h
@@ -22,8 +22,10 @@
 
 namespace primrosehead {
 
+class decision_log;
 class entry_allowances;
 class entry_follower;
+class entry_metrics;
 class gateway;
 
 // One request under way.
@@ -46,7 +48,8 @@
 class entry_pipeline {
   public:
     entry_pipeline(const entry_settings& settings, std::uint64_t incarnation, gateway& servers,
-                   entry_follower& follower, entry_allowances& allowances);
+                   entry_follower& follower, entry_allowances& allowances, decision_log& decisions,
+                   entry_metrics& numbers);
 
     [[nodiscard]] boost::asio::awaitable<http::response> handle(const http::request& received);
 
@@ -72,6 +75,11 @@
     [[nodiscard]] status read_session(const http::request& received, call_context& call) const;
     boost::asio::awaitable<status> admit(const call_context& call);
 
+    // Keeps one decision for `explain` and logs it.
+    void note(const std::string& request_id, std::string_view part, std::string choice,
+              std::string reason);
+    [[nodiscard]] http::response refuse(const error& failure, const std::string& request_id);
+
     boost::asio::awaitable<reply_result> run_with_retries(call_context& call,
                                                           pb::backend_request& work);
     [[nodiscard]] result<std::string> choose(const call_context& call,
@@ -90,6 +98,8 @@
     gateway& servers_;
     entry_follower& follower_;
     entry_allowances& allowances_;
+    decision_log& decisions_;
+    entry_metrics& numbers_;
     std::atomic<std::uint64_t> next_request_ = 1;
     std::mutex budget_guard_;
     retry_budget budget_;
--- a/src/fleet_service.cpp
+++ b/src/fleet_service.cpp
@@ -158,6 +158,7 @@
         for (const std::string& name : instances.live(now)) {
             const instance_entry& entry = *instances.find(name);
             all[name] = boost::json::object{{"failure_domain", entry.self.failure_domain()},
+                                            {"endpoint", entry.self.endpoint()},
                                             {"state_version", entry.state_version},
                                             {"heard_ms_ago", (now - entry.heard_at).count()},
                                             {"leaving", entry.self.leaving()}};
--- a/src/retry_decide.cpp
+++ b/src/retry_decide.cpp
@@ -70,4 +70,21 @@
     return retry_decision::again;
 }
 
+std::string_view to_string(retry_decision decision) noexcept
+{
+    switch (decision) {
+    case retry_decision::again:
+        return "again";
+    case retry_decision::give_up_answer:
+        return "answered";
+    case retry_decision::give_up_deadline:
+        return "deadline too near";
+    case retry_decision::give_up_budget:
+        return "retry budget spent";
+    case retry_decision::give_up_unsafe:
+        break;
+    }
+    return "may have run";
+}
+
 } // namespace primrosehead
--- a/tools/control.cpp
+++ b/tools/control.cpp
@@ -2,6 +2,7 @@
 #include "program.h"
 
 #include <primrosehead/control.h>
+#include <primrosehead/log.h>
 #include <primrosehead/settings.h>
 
 int main(int count, char** arguments)
@@ -21,6 +22,11 @@
     if (options.check_only) {
         return exit_done;
     }
+    const status logging = set_up_logs(value(settings).log, value(settings).instance.text());
+    if (!ok(logging)) {
+        complain(describe(failure(logging)));
+        return exit_bad_settings;
+    }
     const auto instance = control_instance::open(value(settings));
     if (!ok(instance)) {
         complain(describe(failure(instance)));
