--- /dev/null
+++ b/tests/replica_cell.h
@@ -0,0 +1,70 @@
+// Replicas joined by a perfect network, each over a fake folder.
+#pragma once
+
+#include "fake_disk.h"
+
+#include <primrosehead/replica.h>
+#include <primrosehead/settings.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace primrosehead::testing {
+
+class replica_cell {
+  public:
+    explicit replica_cell(int members, std::uint32_t snapshot_after = 50);
+
+    void run(clock::duration time);
+    std::string run_until_leader(); // empty when none is current in time
+
+    void stop(std::string_view name); // power loss
+    void start(std::string_view name);
+    void lose_disk(std::string_view name);
+    void isolate(std::string_view name) { isolated_.insert(std::string(name)); }
+    void heal() { isolated_.clear(); }
+
+    // Issues a key with this id at the instance; the answer is there once it was given.
+    using answer = std::shared_ptr<std::optional<pb::operator_reply>>;
+    answer issue_key(std::string_view at, std::string_view key_id, std::string_view request_id);
+    answer add_member(std::string_view at, const pb::member& member);
+
+    [[nodiscard]] replica& at(std::string_view name) { return *instances_.find(name)->second.body; }
+    [[nodiscard]] fake_folder& folder(std::string_view name)
+    {
+        return *instances_.find(name)->second.folder;
+    }
+    [[nodiscard]] bool running(std::string_view name)
+    {
+        return instances_.find(name)->second.body != nullptr;
+    }
+    [[nodiscard]] clock::time_point now() const { return now_; }
+    [[nodiscard]] const std::string& failure_text() const { return failure_; }
+
+  private:
+    struct instance {
+        control_settings settings;
+        std::unique_ptr<fake_folder> folder;
+        std::unique_ptr<replica> body;
+        std::string disk_id;
+    };
+
+    void deliver();
+    void check(std::string_view name, const status& done);
+
+    std::map<std::string, instance, std::less<>> instances_;
+    std::deque<pb::consensus_message> messages_;
+    std::set<std::string, std::less<>> isolated_;
+    clock::time_point now_{clock::duration(1'000)};
+    std::uint64_t starts_ = 0;
+    std::string failure_;
+};
+
+} // namespace primrosehead::testing
--- /dev/null
+++ b/tests/replica_test.cpp
@@ -0,0 +1,194 @@
+// Replicas: journal, consensus core and state machine joined.
+#include "replica_cell.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using primrosehead::clock;
+using primrosehead::testing::replica_cell;
+namespace pb = primrosehead::pb;
+
+namespace {
+
+// Issues keys one after the other at the leader, and lets each be committed.
+void issue_many(replica_cell& cell, const std::string& leader, int count)
+{
+    for (int number = 0; number < count; ++number) {
+        const std::string id = std::to_string(number);
+        cell.issue_key(leader, "key" + id, "request " + id);
+        cell.run(clock::duration(10));
+    }
+}
+
+std::string other_than(const std::string& leader)
+{
+    return leader == "c1" ? "c2" : "c1";
+}
+
+} // namespace
+
+TEST_CASE("replica: an answered change is committed and the same everywhere")
+{
+    replica_cell cell(3);
+    const std::string leader = cell.run_until_leader();
+    REQUIRE(!leader.empty());
+    const auto answer = cell.issue_key(leader, "key1", "request 1");
+    CHECK_FALSE(answer->has_value());
+    cell.run(clock::duration(200));
+    REQUIRE(answer->has_value());
+    CHECK((*answer)->ok());
+    CHECK((*answer)->request_id() == "request 1");
+    for (const std::string name : {"c1", "c2", "c3"}) {
+        CHECK(cell.at(name).state().key("key1") != nullptr);
+        CHECK(cell.at(name).state().digest() == cell.at(leader).state().digest());
+    }
+    CHECK(cell.failure_text().empty());
+}
+
+TEST_CASE("replica: a follower answers with the leader's endpoint")
+{
+    replica_cell cell(3);
+    const std::string leader = cell.run_until_leader();
+    cell.run(clock::duration(200));
+    const auto answer = cell.issue_key(other_than(leader), "key1", "request 1");
+    REQUIRE(answer->has_value());
+    CHECK((*answer)->not_leader());
+    CHECK((*answer)->error().ran() == "no");
+    CHECK((*answer)->leader_hint() == cell.at(leader).leader_endpoint());
+    CHECK(!(*answer)->leader_hint().empty());
+}
+
+TEST_CASE("replica: restart after hundreds of changes brings the same state back")
+{
+    replica_cell cell(3, 50);
+    const std::string leader = cell.run_until_leader();
+    issue_many(cell, leader, 430);
+    cell.run(clock::duration(200));
+    const std::uint64_t digest = cell.at(leader).state().digest();
+    const std::uint64_t version = cell.at(leader).state().version();
+    for (const std::string name : {"c1", "c2", "c3"}) {
+        cell.stop(name);
+        CHECK(cell.folder(name).names().size() < 8);
+    }
+    for (const std::string name : {"c1", "c2", "c3"}) {
+        cell.start(name);
+    }
+    REQUIRE(!cell.run_until_leader().empty());
+    cell.run(clock::duration(500));
+    for (const std::string name : {"c1", "c2", "c3"}) {
+        CHECK(cell.at(name).state().digest() == digest);
+        CHECK(cell.at(name).state().version() == version);
+    }
+    CHECK(cell.failure_text().empty());
+}
+
+TEST_CASE("replica: a leader that loses its quorum says that the outcome is unknown")
+{
+    replica_cell cell(3);
+    const std::string leader = cell.run_until_leader();
+    cell.run(clock::duration(200));
+    cell.isolate(leader);
+    const auto answer = cell.issue_key(leader, "key1", "request 1");
+    cell.run(clock::duration(400));
+    REQUIRE(answer->has_value());
+    CHECK_FALSE((*answer)->ok());
+    CHECK((*answer)->error().kind() == "no_quorum");
+    CHECK((*answer)->error().ran() == "unknown");
+    CHECK((*answer)->error().remedy().find("same request id") != std::string::npos);
+    CHECK((*answer)->error().retry_after_ms() > 0);
+}
+
+TEST_CASE("replica: a resend after a lost answer gets the first answer from the next leader")
+{
+    replica_cell cell(3);
+    const std::string first = cell.run_until_leader();
+    const auto answer = cell.issue_key(first, "key1", "request 1");
+    cell.run(clock::duration(100));
+    REQUIRE((answer->has_value() && (*answer)->ok()));
+    const std::uint64_t version = (*answer)->version();
+    cell.stop(first);
+    cell.run(clock::duration(1'000));
+    const std::string second = cell.run_until_leader();
+    REQUIRE(!second.empty());
+    cell.issue_key(second, "key2", "request 2");
+    const auto resent = cell.issue_key(second, "key1", "request 1");
+    cell.run(clock::duration(100));
+    REQUIRE(resent->has_value());
+    CHECK((*resent)->ok());
+    CHECK((*resent)->version() == version);
+}
+
+TEST_CASE("replica: an overwritten proposal never gets the answer of the entry in its place")
+{
+    replica_cell cell(3);
+    const std::string first = cell.run_until_leader();
+    cell.run(clock::duration(200));
+    cell.isolate(first);
+    const auto lost = cell.issue_key(first, "lost", "request 1");
+    cell.run(clock::duration(2'000));
+    const std::string second = cell.run_until_leader();
+    REQUIRE(!second.empty());
+    issue_many(cell, second, 5);
+    cell.heal();
+    cell.run(clock::duration(1'000));
+    REQUIRE(lost->has_value());
+    CHECK((*lost)->error().kind() == "no_quorum");
+    CHECK(cell.at(first).state().key("lost") == nullptr);
+    CHECK(cell.at(first).state().digest() == cell.at(second).state().digest());
+}
+
+TEST_CASE("replica: an instance whose disk was lost holds the state again and votes")
+{
+    replica_cell cell(3, 20);
+    const std::string leader = cell.run_until_leader();
+    issue_many(cell, leader, 100);
+    const std::string lost = other_than(leader);
+    cell.stop(lost);
+    cell.lose_disk(lost);
+    cell.start(lost);
+    cell.run(clock::duration(5'000));
+    CHECK(cell.at(lost).role_name() == "follower");
+    CHECK(cell.at(lost).state().digest() == cell.at(leader).state().digest());
+    cell.stop(leader);
+    cell.run(clock::duration(1'000));
+    CHECK(!cell.run_until_leader().empty());
+    CHECK(cell.failure_text().empty());
+}
+
+TEST_CASE("replica: a second membership change waits for the first")
+{
+    replica_cell cell(3);
+    const std::string leader = cell.run_until_leader();
+    cell.run(clock::duration(200));
+    pb::member member;
+    member.set_instance("c4");
+    member.set_disk_id("disk-c4");
+    member.set_endpoint("tcp://127.0.0.1:4");
+    const auto first = cell.add_member(leader, member);
+    member.set_instance("c5");
+    const auto second = cell.add_member(leader, member);
+    REQUIRE(second->has_value());
+    CHECK((*second)->error().kind() == "version_conflict");
+    cell.run(clock::duration(100));
+    REQUIRE(first->has_value());
+    CHECK((*first)->ok());
+    CHECK(cell.at(leader).members().members_size() == 4);
+}
+
+TEST_CASE("replica: a failing disk stops the instance and the others go on")
+{
+    replica_cell cell(3);
+    const std::string leader = cell.run_until_leader();
+    cell.run(clock::duration(200));
+    cell.folder(leader).fail_writes_after(0);
+    cell.issue_key(leader, "key1", "request 1");
+    CHECK_FALSE(cell.running(leader));
+    CHECK(cell.failure_text().find("storage_failed") != std::string::npos);
+    cell.run(clock::duration(1'000));
+    const std::string next = cell.run_until_leader();
+    REQUIRE(!next.empty());
+    const auto answer = cell.issue_key(next, "key2", "request 2");
+    cell.run(clock::duration(100));
+    CHECK((answer->has_value() && (*answer)->ok()));
+}
