consensus: refuse malformed appends, future echoes and logs newer than the hard state; count traffic

Cause: reading the core for what an unsound message or folder could do. Change: entries with a gap are ignored, an echoed time can't lie in the future, a log of a later term than the hard state is refused.

--- a/src/consensus_core.cpp
+++ b/src/consensus_core.cpp
@@ -31,8 +31,16 @@
     return std::monostate{};
 }
 
-// Drops what the snapshot covers and refuses a gap.
+error damaged(std::string message)
+{
+    return error{error_kind::corrupt_storage, std::move(message),
+                 "Move the data folder away and start again: the instance then joins with a new "
+                 "disk id."};
+}
+
+// Drops what the snapshot covers; refuses a gap, and entries of a term that was never voted in.
 result<std::vector<pb::log_entry>> entries_after(const pb::snapshot_record* snapshot,
+                                                 const pb::hard_state& hard,
                                                  std::vector<pb::log_entry> entries)
 {
     const std::uint64_t covered = snapshot == nullptr ? 0 : snapshot->last_index();
@@ -40,10 +48,13 @@
     std::uint64_t expected = covered;
     for (const pb::log_entry& entry : entries) {
         if (entry.index() != ++expected) {
-            return error{error_kind::corrupt_storage,
-                         "The log jumps to entry " + std::to_string(entry.index()) + " where " +
-                             std::to_string(expected) + " should stand.",
-                         "Move the data folder away and let this instance join again."};
+            return damaged("The log jumps to entry " + std::to_string(entry.index()) + " where " +
+                           std::to_string(expected) + " should stand.");
+        }
+        if (entry.term() > hard.term()) {
+            return damaged("Entry " + std::to_string(entry.index()) + " is of term " +
+                           std::to_string(entry.term()) + ", but the hard state is of term " +
+                           std::to_string(hard.term()) + ".");
         }
     }
     return entries;
@@ -190,7 +201,8 @@
         return failure(checked);
     }
     const pb::snapshot_record* found = stored.snapshot ? &*stored.snapshot : nullptr;
-    result<std::vector<pb::log_entry>> entries = entries_after(found, std::move(stored.entries));
+    result<std::vector<pb::log_entry>> entries =
+        entries_after(found, stored.hard, std::move(stored.entries));
     if (!ok(entries)) {
         return failure(entries);
     }
--- a/src/consensus_core.h
+++ b/src/consensus_core.h
@@ -67,6 +67,7 @@
     void send_append(const std::string& instance, std::uint64_t previous,
                      std::vector<pb::log_entry> entries, clock::time_point now);
     void handle_append(const pb::consensus_message& message, clock::time_point now);
+    static void note_answer(peer& to, clock::time_point asked_at, clock::time_point now);
     void go_back(const std::string& instance, peer& to, std::uint64_t hint, clock::time_point now);
     void handle_append_answer(const pb::consensus_message& message, clock::time_point now);
     void answer_append(const pb::consensus_message& message, bool accepted, std::uint64_t match);
--- a/src/consensus_replication.cpp
+++ b/src/consensus_replication.cpp
@@ -12,6 +12,14 @@
 
 namespace {
 
+// True when the entries follow the one before them without a gap.
+bool well_formed(const pb::append_request& request)
+{
+    std::uint64_t expected = request.previous_index();
+    return std::all_of(request.entries().begin(), request.entries().end(),
+                       [&](const pb::log_entry& entry) { return entry.index() == ++expected; });
+}
+
 // An unanswered message is sent again after this many heartbeat intervals.
 constexpr int resend_heartbeats = 3;
 
@@ -101,6 +109,9 @@
 void core::implementation::handle_append(const pb::consensus_message& message,
                                          clock::time_point now)
 {
+    if (!well_formed(message.append())) {
+        return;
+    }
     if (message.term() < hard.term()) {
         answer_append(message, false, 0);
         return;
@@ -185,8 +196,7 @@
     }
     peer& to = found->second;
     const pb::append_reply& reply = message.append_answer();
-    const clock::time_point asked_at = from_ms(reply.asked_at_ms());
-    to.asked_at = std::max(to.asked_at.value_or(asked_at), asked_at);
+    note_answer(to, from_ms(reply.asked_at_ms()), now);
     if (!reply.accepted()) {
         go_back(message.from(), to, reply.match_index(), now);
         return;
@@ -210,6 +220,12 @@
     }
 }
 
+void core::implementation::note_answer(peer& to, clock::time_point asked_at, clock::time_point now)
+{
+    const clock::time_point asked = std::min(asked_at, now);
+    to.asked_at = std::max(to.asked_at.value_or(asked), asked);
+}
+
 // Tries an earlier entry. An answer that leads no further back is left to the next heartbeat: a
 // member that lost what it acknowledged would otherwise be sent the same message without end.
 void core::implementation::go_back(const std::string& instance, peer& to, std::uint64_t hint,
--- a/src/consensus_snapshot.cpp
+++ b/src/consensus_snapshot.cpp
@@ -111,8 +111,7 @@
     }
     peer& to = found->second;
     const pb::snapshot_reply& reply = message.snapshot_answer();
-    const clock::time_point asked_at = from_ms(reply.asked_at_ms());
-    to.asked_at = std::max(to.asked_at.value_or(asked_at), asked_at);
+    note_answer(to, from_ms(reply.asked_at_ms()), now);
     if (!to.snapshot || reply.last_index() != to.snapshot->last_index()) {
         return;
     }
--- /dev/null
+++ b/tests/consensus_message_test.cpp
@@ -0,0 +1,141 @@
+// Messages with any content: the core answers or ignores them, and keeps what it committed.
+#include <primrosehead/consensus.h>
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+using primrosehead::clock;
+using primrosehead::ok;
+using primrosehead::value;
+namespace consensus = primrosehead::consensus;
+namespace pb = primrosehead::pb;
+
+namespace {
+
+constexpr int message_count = 3'000;
+
+// Draws messages whose numbers are near those in use, so that many are taken in.
+class message_source {
+  public:
+    explicit message_source(std::uint64_t seed) : random_(seed) {}
+
+    pb::consensus_message next()
+    {
+        pb::consensus_message message;
+        message.set_from("c" + std::to_string(1 + below(4)));
+        message.set_to(below(20) == 0 ? "c2" : "c1");
+        message.set_disk_id(below(10) == 0 ? "other" : "disk-" + message.from());
+        message.set_term(below(6));
+        switch (below(6)) {
+        case 0:
+            fill(*message.mutable_vote());
+            break;
+        case 1:
+            message.mutable_vote_answer()->set_pre_vote(below(2) == 0);
+            message.mutable_vote_answer()->set_granted(below(2) == 0);
+            break;
+        case 2:
+            fill(*message.mutable_append());
+            break;
+        case 3:
+            message.mutable_append_answer()->set_accepted(below(2) == 0);
+            message.mutable_append_answer()->set_match_index(below(30));
+            message.mutable_append_answer()->set_asked_at_ms(number() - 10);
+            break;
+        case 4:
+            fill(*message.mutable_snapshot());
+            break;
+        default:
+            message.mutable_snapshot_answer()->set_last_index(below(20));
+            message.mutable_snapshot_answer()->set_received(below(30));
+            message.mutable_snapshot_answer()->set_installed(below(2) == 0);
+            break;
+        }
+        return message;
+    }
+
+    std::uint64_t below(std::uint64_t limit) { return random_() % limit; }
+
+  private:
+    std::int64_t number() { return static_cast<std::int64_t>(below(30)); }
+
+    void fill(pb::vote_request& vote)
+    {
+        vote.set_pre_vote(below(2) == 0);
+        vote.set_last_index(below(20));
+        vote.set_last_term(below(6));
+    }
+
+    void fill(pb::append_request& append)
+    {
+        append.set_previous_index(below(12));
+        append.set_previous_term(below(4));
+        append.set_commit_index(below(20));
+        const std::uint64_t count = below(4);
+        for (std::uint64_t number = 1; number <= count; ++number) {
+            pb::log_entry* entry = append.add_entries();
+            entry->set_index(append.previous_index() + (below(10) == 0 ? below(20) : number));
+            entry->set_term(below(4));
+            entry->set_no_operation(true);
+        }
+    }
+
+    void fill(pb::snapshot_chunk& chunk)
+    {
+        chunk.set_last_index(below(20));
+        chunk.set_last_term(below(4));
+        chunk.set_offset(below(3));
+        chunk.set_data(std::string(below(4), 'x'));
+        chunk.set_last(below(2) == 0);
+    }
+
+    std::mt19937_64 random_;
+};
+
+consensus::core new_core(std::uint64_t seed)
+{
+    consensus::core_settings settings;
+    settings.instance = primrosehead::instance_name("c1");
+    settings.disk_id = "disk-c1";
+    settings.seed = seed;
+    consensus::persisted stored;
+    for (const std::string name : {"c1", "c2", "c3"}) {
+        pb::member* member = stored.first_members.add_members();
+        member->set_instance(name);
+        member->set_disk_id("disk-" + name);
+        member->set_voter(true);
+    }
+    auto made = consensus::core::create(settings, stored, clock::time_point{});
+    REQUIRE(ok(made));
+    return value(std::move(made));
+}
+
+} // namespace
+
+TEST_CASE("consensus: messages of any content neither end the process nor undo a commit")
+{
+    std::uint64_t committed_anywhere = 0;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        consensus::core core = new_core(seed);
+        message_source source(seed);
+        clock::time_point now{};
+        std::uint64_t term = 0;
+        std::uint64_t committed = 0;
+        for (int count = 0; count < message_count; ++count) {
+            now += clock::duration(static_cast<clock::rep>(source.below(20)));
+            static_cast<void>(core.receive(source.next(), now));
+            static_cast<void>(core.written(now));
+            static_cast<void>(core.tick(now));
+            CHECK(core.term() >= term);
+            CHECK(core.commit_index() >= committed);
+            CHECK(core.commit_index() <= core.last_index());
+            term = core.term();
+            committed = core.commit_index();
+        }
+        committed_anywhere += committed;
+    }
+    CHECK(committed_anywhere > 0);
+}
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -321,3 +321,70 @@
     REQUIRE(!ok(made));
     CHECK(failure(made).kind == error_kind::bad_settings);
 }
+
+TEST_CASE("consensus: a log that does not fit the hard state or has a gap is refused")
+{
+    consensus::core_settings settings;
+    settings.instance = primrosehead::instance_name("c1");
+    settings.disk_id = "disk";
+    consensus::persisted stored;
+    stored.hard.set_term(1);
+    pb::log_entry entry;
+    entry.set_index(1);
+    entry.set_term(2);
+    stored.entries.push_back(entry);
+    const auto newer = consensus::core::create(settings, stored, clock::time_point{});
+    REQUIRE(!ok(newer));
+    CHECK(failure(newer).kind == error_kind::corrupt_storage);
+    stored.hard.set_term(2);
+    stored.entries.front().set_index(2);
+    const auto gap = consensus::core::create(settings, stored, clock::time_point{});
+    REQUIRE(!ok(gap));
+    CHECK(failure(gap).kind == error_kind::corrupt_storage);
+}
+
+namespace {
+
+struct traffic {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
+// Messages and bytes between all instances in ten seconds without faults.
+traffic traffic_in_ten_seconds(int members, int commands_per_second)
+{
+    network_options options;
+    options.members = members;
+    options.snapshot_after = 1'000'000;
+    consensus_network network(options);
+    network.run_until_leader();
+    network.run(clock::duration(1'000));
+    const std::uint64_t messages = network.messages_sent();
+    const std::uint64_t bytes = network.bytes_sent();
+    const int pause_ms = commands_per_second == 0 ? 1'000 : 1'000 / commands_per_second;
+    for (int time = 0; time < 10'000; time += pause_ms) {
+        if (commands_per_second > 0) {
+            network.propose(std::string(100, 'x'));
+        }
+        network.run(clock::duration(pause_ms));
+    }
+    return traffic{network.messages_sent() - messages, network.bytes_sent() - bytes};
+}
+
+} // namespace
+
+TEST_CASE("consensus: traffic grows with members and commands as docs/notes/consensus.md says")
+{
+    constexpr std::uint64_t heartbeats = 200; // in ten seconds
+    for (const int members : {1, 3, 5}) {
+        const auto others = static_cast<std::uint64_t>(members - 1);
+        const traffic idle = traffic_in_ten_seconds(members, 0);
+        CHECK(idle.messages <= 2 * others * (heartbeats + 1));
+        CHECK(idle.messages >= 2 * others * (heartbeats - 1));
+        const traffic busy = traffic_in_ten_seconds(members, 20);
+        CHECK(busy.messages <= 2 * others * (heartbeats + 1 + 200));
+        MESSAGE(members << " members: idle " << idle.messages << " messages, " << idle.bytes
+                        << " bytes; 20 commands/s " << busy.messages << " messages, " << busy.bytes
+                        << " bytes in 10 s");
+    }
+}
