Limits: what requests wait for goes before what instances hold ahead

Change: reports say what requests are short of (unmet); beyond that the ledger grants a part of what is left; an instance that got less than it wanted holds 20 ms of demand instead of 100.

--- a/src/limits_account.cpp
+++ b/src/limits_account.cpp
@@ -74,6 +74,7 @@
     given_back_ = std::clamp<std::int64_t>(returned, 0, gone);
     returned_total_ = report.returned_total();
     wanted_ = std::max<std::int64_t>(report.wanted(), 0);
+    unmet_ = std::clamp<std::int64_t>(report.unmet(), 0, wanted_);
     reported_at_ = now;
     return true;
 }
--- a/src/limits_account.h
+++ b/src/limits_account.h
@@ -41,6 +41,7 @@
     [[nodiscard]] std::int64_t held() const noexcept;
 
     [[nodiscard]] std::int64_t wanted() const noexcept { return wanted_; }
+    [[nodiscard]] std::int64_t unmet() const noexcept { return unmet_; }
     [[nodiscard]] clock::time_point reported_at() const noexcept { return reported_at_; }
 
     // Until then the instance certainly does not spend its floor.
@@ -67,6 +68,7 @@
     std::int64_t returned_total_ = 0;
     std::int64_t given_back_ = 0;
     std::int64_t wanted_ = 0;
+    std::int64_t unmet_ = 0;
     clock::time_point reported_at_{};
     clock::time_point lent_until_{};
 };
--- a/src/limits_allowance.cpp
+++ b/src/limits_allowance.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr clock::duration supply{150};         // of demand that an instance likes to hold
+constexpr clock::duration supply{100};       // of demand that an instance likes to hold
+constexpr clock::duration short_supply{20}; // while the leader grants less than that
 constexpr clock::duration spare_time{1'000};   // one request is held ready so long after the last
 constexpr clock::duration renewal_time{250};   // tokens that end sooner are returned for new ones
 constexpr clock::duration idle_interval{400};  // between reports of an idle organisation
@@ -43,8 +44,10 @@
     clock::time_point floor_minted_at;
     clock::time_point floor_from = never; // until then the floor is lent to the leader
     demand recent;
-    std::int64_t unmet = 0; // requests refused since the last report
-    std::int64_t wanted = 0;
+    std::int64_t unmet = 0;  // requests refused since the last report
+    std::int64_t wanted = 0; // of the last report, as is the next
+    std::int64_t wanted_at_once = 0;
+    bool is_short = false; // the last grant was less than wanted
     std::int64_t returned_total = 0;
     std::int64_t used_total = 0;
     clock::time_point reported_at{};
@@ -79,8 +82,9 @@
     [[nodiscard]] std::int64_t supply_wanted(clock::time_point now) const
     {
         const std::int64_t recent_requests = recent.recent(now);
+        const clock::duration time = is_short ? short_supply : supply;
         const std::int64_t ahead =
-            recent_requests * one_request * supply.count() / demand::window.count();
+            recent_requests * one_request * time.count() / demand::window.count();
         const bool is_active =
             recent.last_at() != clock::time_point{} && now - recent.last_at() < spare_time;
         const std::int64_t spare = is_active ? one_request : 0;
@@ -152,7 +156,8 @@
     body_->is_awaiting = false;
     body_->granted.add(amount, asked_at + valid);
     body_->granted.expire(now);
-    if (body_->granted.total() < body_->wanted) {
+    body_->is_short = body_->granted.total() < body_->wanted;
+    if (body_->granted.total() < body_->wanted_at_once) {
         const clock::duration pause = time_for(one_request, body_->amounts.rate);
         body_->quiet_until = now + std::clamp(pause, short_pause_min, short_pause_max);
     }
@@ -165,6 +170,7 @@
     const std::int64_t surplus = std::max<std::int64_t>(body_->granted.total() - body_->wanted, 0);
     const std::int64_t ending = body_->granted.ending_before(now + renewal_time);
     body_->returned_total += body_->granted.take(std::max(surplus, ending));
+    body_->wanted_at_once = body_->unmet * one_request;
     body_->unmet = 0;
     body_->reported_at = now;
     body_->is_awaiting = true;
@@ -172,6 +178,7 @@
     into.set_returned_total(body_->returned_total);
     into.set_wanted(body_->wanted);
     into.set_used_total(body_->used_total);
+    into.set_unmet(body_->wanted_at_once);
 }
 
 bool allowance::is_low(clock::time_point now) const
--- a/src/limits_ledger.cpp
+++ b/src/limits_ledger.cpp
@@ -15,6 +15,7 @@
 
 constexpr clock::duration active_time{300};     // an instance that reported within this counts
 constexpr clock::duration forget_after{60'000}; // a silent instance's account
+constexpr std::int64_t supply_divisor = 2;      // part of the pool that is granted ahead
 constexpr std::int64_t milliseconds_a_second = 1'000;
 
 std::int64_t whole_requests(std::int64_t amount)
@@ -155,13 +156,16 @@
     }
 
     // Max-min fair over the active instances, by what each wants to hold; at least one request
-    // when there is one, so that small contracts are not split into nothing.
+    // when there is one, so that small contracts are not split into nothing. Beyond what requests
+    // wait for, an instance gets a part of what is left, so that little lies idle when it is
+    // scarce.
     [[nodiscard]] std::int64_t share_for(const account& holder, clock::time_point now) const
     {
         const std::int64_t free = pool();
+        const std::vector<const account*> active = active_accounts(now);
         std::vector<std::int64_t> wanted;
         std::int64_t all = free;
-        for (const account* other : active_accounts(now)) {
+        for (const account* other : active) {
             wanted.push_back(std::max(other->wanted(), other->held()));
             all += other->held();
         }
@@ -169,7 +173,11 @@
         const std::int64_t level = fair_level(std::move(wanted), all);
         const std::int64_t fair = std::clamp<std::int64_t>(level - holder.held(), 0, need);
         const std::int64_t least = std::min(need, one_request);
-        return whole_requests(std::min(std::max(fair, least), free));
+        const std::int64_t left = central_.tokens() - holder.unmet();
+        const std::int64_t ahead =
+            left / (supply_divisor * static_cast<std::int64_t>(active.size()));
+        const std::int64_t most = holder.unmet() + std::max<std::int64_t>(ahead, 0);
+        return whole_requests(std::min({std::max(fair, least), std::max(most, least), free}));
     }
 
     [[nodiscard]] std::uint32_t retry_after_ms(const account& holder, clock::time_point now) const
--- a/src/limits_model.cpp
+++ b/src/limits_model.cpp
@@ -294,6 +294,7 @@
         }
         ++result_.offered;
         const bool is_within = ideal_.take(now);
+        result_.beyond += is_within ? 0 : 1;
         if (one.waiting.empty() && one.tokens->take(now)) {
             admit(now);
         }
--- a/src/limits_model.h
+++ b/src/limits_model.h
@@ -50,6 +50,7 @@
     std::uint64_t admitted = 0;
     std::uint64_t refused = 0;
     std::uint64_t wrongly_refused = 0; // one bucket for the whole fleet would have admitted it
+    std::uint64_t beyond = 0;          // that one bucket would have refused
     std::uint64_t waited = 0;          // admitted only after an answer
     std::uint64_t heartbeats = 0;
     std::optional<clock::time_point> breach; // a window that ended here admitted too much
--- a/src/scenario_world.cpp
+++ b/src/scenario_world.cpp
@@ -130,8 +130,11 @@
     text += R"(],"routes":[)";
     for (const std::string& database : databases_) {
         text += text.back() == '[' ? "" : ",";
-        text += R"({"name":"write-)" + database + R"(","database":")" + database +
-                R"(","access":"write"})";
+        text += R"({"name":"write-)";
+        text += database;
+        text += R"(","database":")";
+        text += database;
+        text += R"(","access":"write"})";
     }
     text += R"(],"organisations":[)";
     std::vector<organisation_spec> all = organisations_;
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -13,6 +13,7 @@
 std::vector<instance_name> make_instances(int count)
 {
     std::vector<instance_name> instances;
+    instances.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         instances.emplace_back("entry-" + std::to_string(index));
     }
--- a/tools/limits_lab.cpp
+++ b/tools/limits_lab.cpp
@@ -126,7 +126,9 @@
 struct totals {
     std::uint64_t offered = 0;
     std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
     std::uint64_t wrongly_refused = 0;
+    std::uint64_t beyond = 0;
     std::uint64_t waited = 0;
     std::uint64_t heartbeats = 0;
     std::uint32_t breaches = 0;
@@ -141,7 +143,9 @@
             run_model(settings, make_arrivals(settings, what, absl::GetFlag(FLAGS_load)));
         sum.offered += one.offered;
         sum.admitted += one.admitted;
+        sum.refused += one.refused;
         sum.wrongly_refused += one.wrongly_refused;
+        sum.beyond += one.beyond;
         sum.waited += one.waited;
         sum.heartbeats += one.heartbeats;
         sum.breaches += one.breach ? 1 : 0;
@@ -156,11 +160,14 @@
     const double offered = std::max(1.0, static_cast<double>(sum.offered));
     const double instance_seconds = static_cast<double>(absl::GetFlag(FLAGS_seconds)) *
                                     absl::GetFlag(FLAGS_instances) * absl::GetFlag(FLAGS_seeds);
-    std::printf("%-24.*s %-7s offered %8llu  wrongly refused %7.4f %%  waited %6.3f %%  "
-                "heartbeats/s/instance %5.1f  breaches %u\n",
+    std::printf("%-24.*s %-7s offered %8llu  wrongly refused %7.4f %%  refused %7.4f %%  "
+                "beyond contract %7.4f %%  waited %6.3f %%  heartbeats/s/instance %5.1f  "
+                "breaches %u\n",
                 static_cast<int>(what.name.size()), what.name.data(), is_split ? "split" : "leased",
                 static_cast<unsigned long long>(sum.offered),
                 percent * static_cast<double>(sum.wrongly_refused) / offered,
+                percent * static_cast<double>(sum.refused) / offered,
+                percent * static_cast<double>(sum.beyond) / offered,
                 percent * static_cast<double>(sum.waited) / offered,
                 static_cast<double>(sum.heartbeats) / instance_seconds, sum.breaches);
 }
