--- a/include/primrosehead/consensus.h
+++ b/include/primrosehead/consensus.h
@@ -118,6 +118,9 @@
     [[nodiscard]] std::string leader() const; // instance name, empty when unknown
     [[nodiscard]] const pb::membership& members() const noexcept;
 
+    // True for a new cell until every first member holds the registration of their disks.
+    [[nodiscard]] bool forming() const;
+
     // What a leader knows of a member.
     struct progress {
         std::string instance;
--- a/src/consensus_core.cpp
+++ b/src/consensus_core.cpp
@@ -288,6 +288,11 @@
     return body_->log.members();
 }
 
+bool core::forming() const
+{
+    return body_->forming();
+}
+
 std::vector<core::progress> core::member_progress(clock::time_point now) const
 {
     std::vector<progress> found;
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -291,6 +291,10 @@
     spdlog::info("replica: {} opened disk {} through entry {}, snapshot {}{}",
                  settings.instance.text(), body->disk_id, body->core.last_index(), covered,
                  body->tail_was_cut ? ", torn tail cut" : "");
+    if (body->core.forming()) {
+        spdlog::info("replica: new cell, waits for all {} control instances of the settings",
+                     settings.control.size());
+    }
     return std::unique_ptr<replica>(new replica(std::move(body)));
 }
 
