consensus: show that a vote right after a restart would break the lease

Cause: the wait after a start had no proof of its own. Change: switch vote_at_start and a script in which a voter restarts often while one follower can't reach the leader.

--- a/src/consensus_core.cpp
+++ b/src/consensus_core.cpp
@@ -68,6 +68,9 @@
       random(settings.seed), leader_heard_at(now), commit_index(log.snapshot_index()),
       durable_index(log.last_index())
 {
+    if (settings.unsafe.vote_at_start) {
+        leader_heard_at = now - settings.election_min;
+    }
     restart_election_timer(now);
     members_changed(now);
 }
--- a/tests/consensus_switch_test.cpp
+++ b/tests/consensus_switch_test.cpp
@@ -75,6 +75,21 @@
     return network.breaches().size();
 }
 
+// The leader does not reach one follower; the other one, which it does reach, restarts often.
+std::size_t breaches_while_a_voter_restarts(const unsafe_switches& unsafe)
+{
+    consensus_network network(with(unsafe));
+    const std::string leader = network.run_until_leader();
+    const auto [away, voter] = followers(network);
+    network.cut(leader, away);
+    for (int count = 0; count < 200; ++count) {
+        network.run(clock::duration(20));
+        network.crash(voter);
+        network.restart(voter);
+    }
+    return network.breaches().size();
+}
+
 // A committed entry is held by the leader and one follower; the follower's disk is lost, and the
 // leader is cut off.
 std::size_t breaches_after_vote_of_a_lost_disk(const unsafe_switches& unsafe)
@@ -153,6 +168,12 @@
     CHECK(breaches_after_one_link_cut({.no_lease_check = true}) > 0);
 }
 
+TEST_CASE("consensus switch: a vote right after a restart makes two instances current")
+{
+    CHECK(breaches_while_a_voter_restarts({}) == 0);
+    CHECK(breaches_while_a_voter_restarts({.vote_at_start = true}) > 0);
+}
+
 TEST_CASE("consensus switch: the vote of a lost disk loses a committed entry")
 {
     CHECK(breaches_after_vote_of_a_lost_disk({}) == 0);
