--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -68,6 +68,7 @@
     constexpr int threads = 4;
     constexpr int rounds = 5'000;
     std::vector<std::jthread> running;
+    running.reserve(threads);
     for (int thread = 0; thread < threads; ++thread) {
         running.emplace_back([&] {
             for (int round = 0; round < rounds; ++round) {
