--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -488,6 +488,9 @@
 int drain(const target& to, std::string_view instance)
 {
     const std::vector<std::string> endpoints = entry_endpoints(to, instance);
+    if (endpoints.size() > 1) {
+        return complain(exit_usage, "drain takes one --entry ENDPOINT: that of the instance.");
+    }
     if (endpoints.empty()) {
         return complain(exit_refused, "No live instance " + std::string(instance) +
                                           ". See primrosectl status, or give --entry ENDPOINT.");
@@ -535,6 +538,20 @@
     return found;
 }
 
+// Prints an instance's decisions; false when it has none.
+bool print_decisions(const std::string& text)
+{
+    boost::system::error_code code;
+    const json::value parsed = json::parse(text, code);
+    if (code || !parsed.is_array() || parsed.as_array().empty()) {
+        return false;
+    }
+    for (const json::value& made : parsed.as_array()) {
+        std::cout << json::serialize(made) << '\n';
+    }
+    return true;
+}
+
 // Asks each instance on its own: only the one that took the request knows it.
 bool explain_from_entries(const target& to, std::string_view request_id)
 {
@@ -543,8 +560,7 @@
     for (const std::string& endpoint : entry_endpoints(to, {})) {
         const std::array one{endpoint};
         const operator_outcome outcome = ask(to, one, request, to.request_id + "-explain");
-        if (outcome.state == exchange_state::answered && outcome.reply.ok()) {
-            std::cout << outcome.reply.text() << '\n';
+        if (exit_code(outcome) == exit_done && print_decisions(outcome.reply.text())) {
             return true;
         }
     }
