--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -349,9 +349,13 @@
 int show(const target& to, std::string_view name)
 {
     const operator_outcome outcome = show_environment(to, name);
-    if (exit_code(outcome) != exit_done || absl::GetFlag(FLAGS_json)) {
+    if (exit_code(outcome) != exit_done) {
         return report(to, outcome, {});
     }
+    if (absl::GetFlag(FLAGS_json)) {
+        std::cout << outcome.reply.text() << '\n';
+        return exit_done;
+    }
     const json::object record = parse_object(outcome.reply.text());
     std::cout << "production: version " << number_field(record, "production_version") << '\n'
               << text_field(record, "production_document") << '\n'
@@ -362,6 +366,13 @@
 
 void print_change(const document_change& changed)
 {
+    if (absl::GetFlag(FLAGS_json)) {
+        std::cout << json::serialize(json::object{{"path", changed.path},
+                                                  {"before", changed.before},
+                                                  {"after", changed.after}})
+                  << '\n';
+        return;
+    }
     std::cout << changed.path << ": " << (changed.before.empty() ? "none" : changed.before)
               << " -> " << (changed.after.empty() ? "none" : changed.after) << '\n';
 }
@@ -378,7 +389,7 @@
     if (!ok(changes)) {
         return complain(failure(changes));
     }
-    std::cout << "production version " << number_field(record, "production_version")
+    std::cerr << "production version " << number_field(record, "production_version")
               << " -> trial version " << number_field(record, "trial_version") << ", "
               << value(changes).size() << " changes\n";
     for (const document_change& changed : value(changes)) {
