--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -349,9 +349,13 @@
 int show(const target& to, std::string_view name)
 {
     const operator_outcome outcome = show_environment(to, name);
-    if (exit_code(outcome) != exit_done || absl::GetFlag(FLAGS_json)) {
+    if (exit_code(outcome) != exit_done) {
         return report(to, outcome, {});
     }
+    if (absl::GetFlag(FLAGS_json)) {
+        std::cout << outcome.reply.text() << '\n';
+        return exit_done;
+    }
     const json::object record = parse_object(outcome.reply.text());
     std::cout << "production: version " << number_field(record, "production_version") << '\n'
               << text_field(record, "production_document") << '\n'
@@ -362,6 +366,13 @@
 
 void print_change(const document_change& changed)
 {
+    if (absl::GetFlag(FLAGS_json)) {
+        std::cout << json::serialize(json::object{{"path", changed.path},
+                                                  {"before", changed.before},
+                                                  {"after", changed.after}})
+                  << '\n';
+        return;
+    }
     std::cout << changed.path << ": " << (changed.before.empty() ? "none" : changed.before)
               << " -> " << (changed.after.empty() ? "none" : changed.after) << '\n';
 }
@@ -378,7 +389,7 @@
     if (!ok(changes)) {
         return complain(failure(changes));
     }
-    std::cout << "production version " << number_field(record, "production_version")
+    std::cerr << "production version " << number_field(record, "production_version")
               << " -> trial version " << number_field(record, "trial_version") << ", "
               << value(changes).size() << " changes\n";
     for (const document_change& changed : value(changes)) {
@@ -488,6 +499,9 @@
 int drain(const target& to, std::string_view instance)
 {
     const std::vector<std::string> endpoints = entry_endpoints(to, instance);
+    if (endpoints.size() > 1) {
+        return complain(exit_usage, "drain takes one --entry ENDPOINT: that of the instance.");
+    }
     if (endpoints.empty()) {
         return complain(exit_refused, "No live instance " + std::string(instance) +
                                           ". See primrosectl status, or give --entry ENDPOINT.");
@@ -535,6 +549,20 @@
     return found;
 }
 
+// Prints an instance's decisions; false when it has none.
+bool print_decisions(const std::string& text)
+{
+    boost::system::error_code code;
+    const json::value parsed = json::parse(text, code);
+    if (code || !parsed.is_array() || parsed.as_array().empty()) {
+        return false;
+    }
+    for (const json::value& made : parsed.as_array()) {
+        std::cout << json::serialize(made) << '\n';
+    }
+    return true;
+}
+
 // Asks each instance on its own: only the one that took the request knows it.
 bool explain_from_entries(const target& to, std::string_view request_id)
 {
@@ -543,8 +571,7 @@
     for (const std::string& endpoint : entry_endpoints(to, {})) {
         const std::array one{endpoint};
         const operator_outcome outcome = ask(to, one, request, to.request_id + "-explain");
-        if (outcome.state == exchange_state::answered && outcome.reply.ok()) {
-            std::cout << outcome.reply.text() << '\n';
+        if (exit_code(outcome) == exit_done && print_decisions(outcome.reply.text())) {
             return true;
         }
     }
