Routing: expect a replica's position from its lag and the primary's report

Change: the time at which a replica shows a position is interpolated between its own and the primary's last report; one guess a request; without a primary a replica goes before a refusal.

--- a/include/primrosehead/directory.h
+++ b/include/primrosehead/directory.h
@@ -32,7 +32,6 @@
     server_health health = server_health::up;
     std::uint32_t outstanding = 0;   // requests under way from this instance
     clock::duration latency{0};      // smoothed
-    double advance_rate = 0;         // entries a second by which `applied` grows, smoothed
     clock::time_point leaving_since; // when `leaving` was first heard
 };
 
--- a/include/primrosehead/routing.h
+++ b/include/primrosehead/routing.h
@@ -20,8 +20,9 @@
 // any case and answers `behind` without running, so that a wrong guess costs a round trip only.
 enum class freshness {
     known,      // its last report reaches the position
-    expected,   // its last report, carried on at the rate at which it advanced, reaches it
-    optimistic, // any replica, unless its last report is far behind
+    expected,   // its lag and the primary's last report say that it shows the position by now;
+                // guessed once a request, after a first try only `known` counts
+    optimistic, // any replica
 };
 
 struct read_request {
--- a/src/gateway_server.cpp
+++ b/src/gateway_server.cpp
@@ -16,9 +16,6 @@
 
 namespace {
 
-// Weight of the newest rate in the smoothed rate at which a server's position advances.
-constexpr double smoothing = 0.3;
-
 // A request that timed out sooner tells more of its deadline than of the server.
 constexpr clock::duration shortest_telling_timeout{250};
 
@@ -32,16 +29,6 @@
     return {info.url, info.slots, info.connection_limit};
 }
 
-double advance_rate(const server_info& before, const server_info& after)
-{
-    const auto elapsed = std::chrono::duration<double>(after.reported_at - before.reported_at);
-    if (elapsed.count() <= 0 || after.applied.index < before.applied.index) {
-        return before.advance_rate;
-    }
-    const auto grown = static_cast<double>(after.applied.index - before.applied.index);
-    return before.advance_rate + smoothing * (grown / elapsed.count() - before.advance_rate);
-}
-
 // Kinds of errors that only the server itself answers.
 bool is_answer_of_server(error_kind kind)
 {
@@ -90,7 +77,6 @@
 {
     auto next = std::make_unique<known_report>(read(report, now));
     const bool is_newer = report_.read([&](const known_report& known) {
-        next->info.advance_rate = advance_rate(known.info, next->info);
         if (known.info.leaving) {
             next->info.leaving_since = known.info.leaving_since;
         }
--- a/src/routing_choose.cpp
+++ b/src/routing_choose.cpp
@@ -21,6 +21,9 @@
 // A remote server takes over from a saturated local one when its load is below this share of it.
 constexpr double remote_load_share = 0.5;
 
+// A replica is tried so much before it is expected to show a position.
+constexpr clock::duration guess_margin{20};
+
 // How long a leaving primary still takes writes while its successor is being promoted.
 constexpr clock::duration leaving_grace{2'000};
 constexpr clock::duration longest_primary_silence{1'000}; // then writes are refused at once
@@ -36,7 +39,8 @@
     remote_suspect,
     primary_suspect,
     last_resort,
-    none, // can't serve the request
+    unlikely, // a replica that is most likely behind: better than a refusal
+    none,     // can't serve the request
 };
 
 constexpr std::size_t rank_count = static_cast<std::size_t>(rank::none);
@@ -44,7 +48,8 @@
 constexpr std::array<std::string_view, rank_count> rank_reasons{
     "local_replica",           "remote_replica",           "local_replica_expected",
     "remote_replica_expected", "primary_no_fresh_replica", "local_suspect_replica",
-    "remote_suspect_replica",  "suspect_primary",          "last_resort"};
+    "remote_suspect_replica",  "suspect_primary",          "last_resort",
+    "replica_likely_behind"};
 
 using server_list = boost::container::small_vector<const server_info*, 8>;
 
@@ -72,34 +77,53 @@
     return !replaced && server.data_age + (now - server.reported_at) <= request.max_age;
 }
 
-double expected_index(const server_info& server, clock::time_point now)
+// Where the group's log stood when its primary last reported.
+struct log_head {
+    std::uint64_t index = 0;
+    clock::time_point reported_at;
+};
+
+// When a replica shows the entry `required`, which its last report lacked. Between what the replica
+// showed and what the primary had, entries are taken as written at an even pace, each visible
+// `data_age` after it was written. An entry newer than the primary's report is taken as written
+// right after that report.
+clock::time_point expected_visible_at(const server_info& replica, const log_head& head,
+                                      std::uint64_t required)
 {
-    const auto elapsed = std::chrono::duration<double>(now - server.reported_at);
-    const double grown = server.advance_rate * std::max(0.0, elapsed.count());
-    return static_cast<double>(server.applied.index) + grown;
+    if (required > head.index) {
+        return head.reported_at + replica.data_age;
+    }
+    const clock::duration window = head.reported_at + replica.data_age - replica.reported_at;
+    const auto entries = static_cast<double>(head.index - replica.applied.index);
+    const auto ahead = static_cast<double>(required - replica.applied.index);
+    const double milliseconds = static_cast<double>(window.count()) * ahead / entries;
+    return replica.reported_at + clock::duration(static_cast<std::int64_t>(milliseconds));
 }
 
-bool is_expected(const server_info& server, const read_request& request, clock::time_point now)
+bool is_expected(const server_info& server, const read_request& request, const log_head& head,
+                 clock::time_point now)
 {
     switch (request.freshness) {
     case freshness::known:
         return false;
     case freshness::expected:
-        return expected_index(server, now) >= static_cast<double>(request.minimum.index);
+        return request.tried.empty() &&
+               expected_visible_at(server, head, request.minimum.index) < now + guess_margin;
     case freshness::optimistic:
         return true;
     }
     return false;
 }
 
-rank rank_replica(const server_info& server, const read_request& request, clock::time_point now)
+rank rank_replica(const server_info& server, const read_request& request, const log_head& head,
+                  clock::time_point now)
 {
     if (!is_young_enough(server, request, now)) {
         return rank::none;
     }
     const bool known = reaches(server.applied, request.minimum);
-    if (!known && !is_expected(server, request, now)) {
-        return rank::none;
+    if (!known && !is_expected(server, request, head, now)) {
+        return rank::unlikely;
     }
     const bool local = server.failure_domain == request.here;
     if (server.health == server_health::probing) {
@@ -126,6 +150,17 @@
     }
 }
 
+// Without a primary the head is unknown: nothing is newer than its report.
+log_head find_head(std::span<const server_info> group, const read_request& request)
+{
+    for (const server_info& server : group) {
+        if (is_primary(server, request)) {
+            return {server.applied.index, server.reported_at};
+        }
+    }
+    return {};
+}
+
 // Servers that may serve the request, by rank.
 using ranking = std::array<server_list, rank_count>;
 
@@ -133,6 +168,7 @@
                  const policy_settings& policy, clock::time_point now)
 {
     ranking ranked;
+    const log_head head = find_head(group, request);
     for (const server_info& server : group) {
         if (server.leaving || server.health == server_health::down || was_tried(server, request)) {
             continue;
@@ -141,7 +177,8 @@
         if (!primary && !policy.replica_reads) {
             continue;
         }
-        const rank place = primary ? rank_primary(server) : rank_replica(server, request, now);
+        const rank place =
+            primary ? rank_primary(server) : rank_replica(server, request, head, now);
         if (place != rank::none) {
             ranked[static_cast<std::size_t>(place)].push_back(&server);
         }
