Gateway notes; rebuild the directory only when instances or servers change

Cause: the live list comes with every heartbeat, and each publication waits for all readers. Instances that are gone and silent were pinged for ever; they are forgotten now.

--- a/src/gateway_directory.cpp
+++ b/src/gateway_directory.cpp
@@ -52,6 +52,12 @@
     return *middle;
 }
 
+bool is_same_instance(const instance_address& left, const instance_address& right)
+{
+    return left.name == right.name && left.failure_domain == right.failure_domain &&
+           left.endpoint == right.endpoint;
+}
+
 pb::server_report to_message(const known_report& known, clock::time_point now)
 {
     const server_info& info = known.info;
@@ -153,28 +159,38 @@
 void gateway_directory::forget_silent(clock::duration limit, clock::time_point now)
 {
     const std::lock_guard lock(writer_);
+    const auto is_silent = [&](const auto& entry) {
+        return now - entry.second.server->report().info.reported_at > limit;
+    };
+    const bool any_silent = snapshot_.read(
+        [&](const snapshot& view) { return std::ranges::any_of(view.servers, is_silent); });
+    if (!any_silent) {
+        return;
+    }
     auto next = copy();
-    const std::size_t gone = std::erase_if(next->servers, [&](const auto& entry) {
-        const bool silent = now - entry.second.server->report().info.reported_at > limit;
+    std::erase_if(next->servers, [&](const auto& entry) {
+        const bool silent = is_silent(entry);
         if (silent) {
             spdlog::info("gateway: Server {} is forgotten: no report for {} ms.",
                          entry.first.text(), limit.count());
         }
         return silent;
     });
-    if (gone > 0) {
-        publish(std::move(next));
-    }
+    publish(std::move(next));
 }
 
 void gateway_directory::set_instances(std::span<const instance_address> live)
 {
     const std::lock_guard lock(writer_);
-    auto next = copy();
-    if (next->peers.size() > live.size() + max_gone_instances) {
-        next->peers.clear();
+    const bool is_same = snapshot_.read([&](const snapshot& view) {
+        return std::ranges::equal(view.live, live, is_same_instance);
+    });
+    if (is_same) {
+        return;
     }
+    auto next = copy();
     next->live.assign(live.begin(), live.end());
+    forget_gone(*next);
     for (const instance_address& instance : live) {
         std::shared_ptr<gateway_peer>& peer = next->peers[instance.name];
         if (!peer || peer->address().endpoint != instance.endpoint) {
@@ -184,6 +200,26 @@
     publish(std::move(next));
 }
 
+// Forgets instances that are gone, owe nothing to anyone and gave no sign of life when asked.
+// Others that are gone may still hold transactions.
+void gateway_directory::forget_gone(snapshot& view) const
+{
+    const clock::time_point now = clock::now();
+    const bool too_many = view.peers.size() > view.live.size() + max_gone_instances;
+    std::erase_if(view.peers, [&](const auto& entry) {
+        const gateway_peer& peer = *entry.second;
+        const std::string& endpoint = peer.address().endpoint;
+        const bool in_use = std::ranges::any_of(view.live, [&](const instance_address& instance) {
+            return instance.name == entry.first || instance.endpoint == endpoint;
+        });
+        const bool is_gone = !in_use && peer.is_idle() && (too_many || peer.is_silent(now));
+        if (is_gone) {
+            context_->messages.forget(endpoint);
+        }
+        return is_gone;
+    });
+}
+
 placed_server gateway_directory::find(const server_name& server) const
 {
     return snapshot_.read([&](const snapshot& view) {
--- a/src/gateway_directory.h
+++ b/src/gateway_directory.h
@@ -60,6 +60,7 @@
 
     [[nodiscard]] std::unique_ptr<snapshot> copy() const;
     void publish(std::unique_ptr<snapshot> next);
+    void forget_gone(snapshot& view) const;
     [[nodiscard]] std::vector<gateway_owner> owners(const gateway_server& server,
                                                     const snapshot& view) const;
 
