--- a/src/entry_metrics.cpp
+++ b/src/entry_metrics.cpp
@@ -13,10 +13,10 @@
 
 entry_metrics::entry_metrics()
     : answered_(all_.counter("primrose_answered_total", "Requests answered with 200")),
-      replica_reads_(all_.counter("primrose_reads_total", "Reads by role of the server",
-                                  "role=\"replica\"")),
-      primary_reads_(all_.counter("primrose_reads_total", "Reads by role of the server",
-                                  "role=\"primary\"")),
+      replica_reads_(
+          all_.counter("primrose_reads_total", "Reads by role of the server", "role=\"replica\"")),
+      primary_reads_(
+          all_.counter("primrose_reads_total", "Reads by role of the server", "role=\"primary\"")),
       retries_(all_.counter("primrose_retries_total", "Tries after the first")),
       latency_(all_.latency("primrose_request_ms", "Time to the answer in milliseconds")),
       connections_(all_.gauge("primrose_caller_connections", "Callers' open connections")),
@@ -30,8 +30,8 @@
       gateway_refused_(all_.gauge("primrose_gateway_refused", "Requests refused at a queue"))
 {
     for (std::size_t kind = 0; kind < kinds; ++kind) {
-        refused_.at(kind) = all_.counter("primrose_refused_total", "Requests refused or failed",
-                                         kind_label(kind));
+        refused_.at(kind) =
+            all_.counter("primrose_refused_total", "Requests refused or failed", kind_label(kind));
     }
 }
 
--- a/src/entry_pipeline.cpp
+++ b/src/entry_pipeline.cpp
@@ -90,7 +90,8 @@
                                entry_allowances& allowances, decision_log& decisions,
                                entry_metrics& numbers)
     : settings_(settings), incarnation_(incarnation), servers_(servers), follower_(follower),
-      allowances_(allowances), decisions_(decisions), numbers_(numbers), budget_(policy_settings().retry_share, retry_reserve)
+      allowances_(allowances), decisions_(decisions), numbers_(numbers),
+      budget_(policy_settings().retry_share, retry_reserve)
 {
 }
 
@@ -119,8 +120,8 @@
 void entry_pipeline::note(const std::string& request_id, std::string_view part, std::string choice,
                           std::string reason)
 {
-    decisions_.note({request_id, to_ms(clock::now()), std::string(part), std::move(choice),
-                     std::move(reason)});
+    decisions_.note(
+        {request_id, to_ms(clock::now()), std::string(part), std::move(choice), std::move(reason)});
 }
 
 http::response entry_pipeline::refuse(const error& failure, const std::string& request_id)
@@ -572,8 +573,8 @@
         work.set_idempotency_id(call.idempotency_id);
     }
     const reply_result outcome = co_await servers_.run(std::move(work), call.deadline);
-    note(request_id, "route", "pinned connection for " + call.organisation.text() + " on " +
-                                  ticket.database(),
+    note(request_id, "route",
+         "pinned connection for " + call.organisation.text() + " on " + ticket.database(),
          ok(outcome) ? "done" : describe(failure(outcome)));
     const std::string no_transaction;
     co_return co_await finish(call, outcome, commits && ticket.write(), no_transaction);
--- a/src/limits_allowance.cpp
+++ b/src/limits_allowance.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr clock::duration supply{100};       // of demand that an instance likes to hold
-constexpr clock::duration short_supply{20}; // while the leader grants less than that
+constexpr clock::duration supply{100};         // of demand that an instance likes to hold
+constexpr clock::duration short_supply{20};    // while the leader grants less than that
 constexpr clock::duration spare_time{1'000};   // one request is held ready so long after the last
 constexpr clock::duration renewal_time{250};   // tokens that end sooner are returned for new ones
 constexpr clock::duration idle_interval{400};  // between reports of an idle organisation
