--- a/src/limits_allowance.cpp
+++ b/src/limits_allowance.cpp
@@ -12,13 +12,13 @@
 
 namespace {
 
-constexpr clock::duration supply{100};       // of demand that an instance likes to hold
-constexpr clock::duration short_supply{20}; // while the leader grants less than that
-constexpr clock::duration spare_time{1'000};   // one request is held ready so long after the last
-constexpr clock::duration renewal_time{250};   // tokens that end sooner are returned for new ones
-constexpr clock::duration idle_interval{400};  // between reports of an idle organisation
-constexpr clock::duration answer_timeout{20};  // a report without an answer is made again
-constexpr clock::duration short_pause_min{10}; // after a grant of less than was wanted
+constexpr clock::duration supply{100};        // of demand that an instance likes to hold
+constexpr clock::duration short_supply{20};   // while the leader grants less than that
+constexpr clock::duration spare_time{1'000};  // one request is held ready so long after the last
+constexpr clock::duration renewal_time{250};  // tokens that end sooner are returned for new ones
+constexpr clock::duration idle_interval{400}; // between reports of an idle organisation
+constexpr clock::duration answer_timeout{20}; // a report without an answer is made again
+constexpr clock::duration short_pause_min{4}; // after a grant of less than was wanted
 constexpr clock::duration short_pause_max{100};
 constexpr clock::duration retry_after_max{5'000};
 constexpr std::int64_t milliseconds_a_second = 1'000;
@@ -50,10 +50,12 @@
     bool is_short = false; // the last grant was less than wanted
     std::int64_t returned_total = 0;
     std::int64_t used_total = 0;
+    std::int64_t reported_used = 0;
     clock::time_point reported_at{};
     clock::time_point last_asked_at{};
     bool is_awaiting = false; // a report has no answer yet
     clock::time_point quiet_until{};
+    clock::duration pause = short_pause_min; // after the next grant that leaves requests waiting
 
     void set_terms(const contract& changed, clock::time_point now)
     {
@@ -92,6 +94,17 @@
         return std::max(whole, spare) + unmet * one_request;
     }
 
+    // A grant that leaves requests waiting means an empty pool: asked again at growing intervals.
+    void pause_after_grant(clock::time_point now)
+    {
+        if (granted.total() >= wanted_at_once) {
+            pause = short_pause_min;
+            return;
+        }
+        quiet_until = now + pause;
+        pause = std::min(pause * 2, short_pause_max);
+    }
+
     [[nodiscard]] bool is_waiting_for_answer(clock::time_point now) const
     {
         return is_awaiting && now - reported_at < answer_timeout;
@@ -157,10 +170,7 @@
     body_->granted.add(amount, asked_at + valid);
     body_->granted.expire(now);
     body_->is_short = body_->granted.total() < body_->wanted;
-    if (body_->granted.total() < body_->wanted_at_once) {
-        const clock::duration pause = time_for(one_request, body_->amounts.rate);
-        body_->quiet_until = now + std::clamp(pause, short_pause_min, short_pause_max);
-    }
+    body_->pause_after_grant(now);
 }
 
 void allowance::report(pb::allowance_report& into, clock::time_point now)
@@ -172,6 +182,7 @@
     body_->returned_total += body_->granted.take(std::max(surplus, ending));
     body_->wanted_at_once = body_->unmet * one_request;
     body_->unmet = 0;
+    body_->reported_used = body_->used_total;
     body_->reported_at = now;
     body_->is_awaiting = true;
     into.set_held(body_->granted.total());
@@ -191,8 +202,10 @@
     if (body_->unmet > 0) {
         return true;
     }
+    // While the leader grants less than is wanted, asking again helps only after tokens were used.
+    const bool has_news = !body_->is_short || body_->used_total != body_->reported_used;
     const bool has_demand = body_->recent.recent(now) > 0;
-    return has_demand && body_->held() < body_->supply_wanted(now) / 4;
+    return has_news && has_demand && body_->held() < body_->supply_wanted(now) / 4;
 }
 
 bool allowance::is_due(clock::time_point now) const
--- a/src/limits_ledger.cpp
+++ b/src/limits_ledger.cpp
@@ -172,8 +172,9 @@
         const std::int64_t need = std::max<std::int64_t>(holder.wanted() - holder.held(), 0);
         const std::int64_t level = fair_level(std::move(wanted), all);
         const std::int64_t fair = std::clamp<std::int64_t>(level - holder.held(), 0, need);
-        const std::int64_t least = std::min(need, one_request);
-        const std::int64_t left = central_.tokens() - holder.unmet();
+        const bool is_plenty = free > amounts_.granted_max / 2;
+        const std::int64_t least = std::min(is_plenty ? need : holder.unmet(), one_request);
+        const std::int64_t left = free - holder.unmet();
         const std::int64_t ahead =
             left / (supply_divisor * static_cast<std::int64_t>(active.size()));
         const std::int64_t most = holder.unmet() + std::max<std::int64_t>(ahead, 0);
