--- a/src/scenario_history.h
+++ b/src/scenario_history.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,8 @@
     void answered(leader_answer answer);
     void used(key_use use) { key_uses_.push_back(std::move(use)); }
     void withdrawn(const std::string& key, clock::time_point at) { withdrawals_[key] = at; }
+    // Acknowledged writes of this database may be lost with its primary.
+    void may_lose(std::string database) { may_lose_.insert(std::move(database)); }
     void broke(std::string what) { broken_.push_back(std::move(what)); }
     [[nodiscard]] organisation_record& organisation(const std::string& name);
 
@@ -78,6 +81,7 @@
     std::vector<key_use> key_uses_;
     std::map<std::string, clock::time_point> withdrawals_;
     std::map<std::string, organisation_record> organisations_;
+    std::set<std::string> may_lose_;
     std::vector<std::string> broken_;
 };
 
--- a/src/scenario_world.cpp
+++ b/src/scenario_world.cpp
@@ -102,14 +102,18 @@
     }
 }
 
-void world::add_group(const std::string& database, std::uint32_t servers)
+void world::add_group(const std::string& database, std::uint32_t servers, bool by_primary_alone)
 {
+    const bool waits_for_replica = on_.wait_for_replica && !by_primary_alone;
+    if (by_primary_alone) {
+        history_.may_lose(database);
+    }
     databases_.push_back(database);
     for (std::uint32_t number = 0; number < servers; ++number) {
         const std::string name = database + static_cast<char>('a' + number);
         const std::string domain = next_domain();
         links_.add(name, domain);
-        servers_[name] = std::make_unique<server>(name, database, domain, on_.wait_for_replica);
+        servers_[name] = std::make_unique<server>(name, database, domain, waits_for_replica);
     }
 }
 
--- a/src/scenario_world.h
+++ b/src/scenario_world.h
@@ -45,7 +45,8 @@
 
     void add_controls(std::uint32_t count);
     void add_entries(std::uint32_t count);
-    void add_group(const std::string& database, std::uint32_t servers);
+    // Writes are answered once a replica has them, or by the primary alone.
+    void add_group(const std::string& database, std::uint32_t servers, bool by_primary_alone);
     void add_organisation(organisation_spec organisation);
 
     void run(clock::duration time);
