A refusal after a retry is ran unknown when an earlier try may have run

The first try had timed out with ran unknown, the retry found no primary, and the last refusal alone was answered. Ruled out: the load tool's judgement (one request, the entry's own ran field).

--- a/src/entry_pipeline.cpp
+++ b/src/entry_pipeline.cpp
@@ -330,6 +330,7 @@
 entry_pipeline::run_with_retries(call_context& call, pb::backend_request& work)
 {
     std::vector<server_name> tried;
+    enum ran ran_so_far = ran::no; // a later refusal doesn't undo what an earlier try may have run
     {
         const std::lock_guard lock(budget_guard_);
         budget_.first_try();
@@ -337,7 +338,9 @@
     for (std::uint32_t tries = 1;; ++tries) {
         result<std::string> server = choose(call, tried);
         if (!ok(server)) {
-            co_return failure(server);
+            error refused = failure(server);
+            refused.ran = ran_so_far;
+            co_return refused;
         }
         work.set_server(value(server));
         pb::backend_request sent = work;
@@ -348,11 +351,13 @@
             }
             co_return outcome;
         }
-        const error& failed = failure(outcome);
+        error& failed = std::get<error>(outcome);
         const retry_decision decided = again(call, failed, tries);
         note(call.request_id, "retry", std::string(to_string(decided)),
              value(server) + ": " + describe(failed));
+        ran_so_far = std::max(ran_so_far, failed.ran);
         if (decided != retry_decision::again) {
+            failed.ran = ran_so_far;
             co_return outcome;
         }
         numbers_.retried();
