--- a/src/control_instance.cpp
+++ b/src/control_instance.cpp
@@ -68,6 +68,7 @@
     status run();
     status advance(clock::time_point now);
     void lead(clock::time_point now);
+    [[nodiscard]] bool leads(clock::time_point now) const;
     void take_order_answers();
     status act(const fleet::action& action, clock::time_point now);
     void push_state();
@@ -149,17 +150,22 @@
     messages->send(endpoint, carried);
 }
 
-// The fleet's service lives as long as this instance leads one term.
+// True when this instance may answer as the leader now.
+bool control_instance::implementation::leads(clock::time_point now) const
+{
+    return service && service_term == state->term() && state->is_current(now);
+}
+
+// The fleet's service lives as long as this instance leads one term, also over moments in which its
+// lease has lapsed: what it granted is not forgotten. A new service counts from now, when leases and
+// grants of any earlier leader may still be out.
 void control_instance::implementation::lead(clock::time_point now)
 {
-    if (!state->is_current(now)) {
-        if (service) {
-            spdlog::info("control: Not the leader of term {} any more.", service_term);
-            service.reset();
-        }
-        return;
+    if (service && (service_term != state->term() || state->role_name() != "leader")) {
+        spdlog::info("control: Not the leader of term {} any more.", service_term);
+        service.reset();
     }
-    if (service && service_term == state->term()) {
+    if (service || !state->is_current(now)) {
         return;
     }
     fleet::service_settings for_service;
@@ -167,7 +173,7 @@
     for_service.environment = settings.environment;
     for_service.write_lease = settings.write_lease;
     for_service.grant = settings.grant;
-    service.emplace(for_service, state->elected_at());
+    service.emplace(for_service, now);
     service_term = state->term();
     spdlog::info("control: Leader of term {}.", service_term);
 }
@@ -234,7 +240,7 @@
     }
     lead(now);
     take_order_answers();
-    if (!service) {
+    if (!leads(now)) {
         return std::monostate{};
     }
     for (const fleet::action& action : service->advance(state->state(), now)) {
@@ -242,9 +248,6 @@
         if (!ok(acted)) {
             return acted;
         }
-        if (!service) {
-            break;
-        }
     }
     return std::monostate{};
 }
@@ -257,7 +260,7 @@
     pb::envelope answer = make_envelope();
     pb::heartbeat_reply& reply = *answer.mutable_beat_reply();
     lead(now);
-    if (service) {
+    if (leads(now)) {
         origins[beat.instance()] = origin;
         reply = service->heartbeat(beat, state->state(), now);
         reply.set_is_leader(true);
--- a/src/entry_instance.cpp
+++ b/src/entry_instance.cpp
@@ -103,7 +103,7 @@
     servers = gateway::create(context.get_executor(), for_gateway, *messages);
     follower =
         std::make_unique<entry_follower>(settings, incarnation, *messages, *servers, allowances);
-    pipeline = std::make_unique<entry_pipeline>(settings, incarnation, *servers, *follower,
+    pipeline = std::make_unique<entry_pipeline>(settings, incarnation, servers, *follower,
                                                 allowances, *decisions, numbers);
     http::listener_settings for_callers;
     for_callers.address = settings.listen;
--- a/src/entry_pipeline.cpp
+++ b/src/entry_pipeline.cpp
@@ -4,18 +4,15 @@
 #include "entry_answer.h"
 #include "entry_follower.h"
 #include "entry_metrics.h"
-#include "seal.h"
 
 #include <primrosehead/config.h>
 #include <primrosehead/decision_log.h>
 #include <primrosehead/gateway.h>
-#include <primrosehead/routing.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <random>
 #include <xxhash.h>
 
 namespace primrosehead {
@@ -24,7 +21,6 @@
 
 namespace {
 
-constexpr std::string_view ticket_prefix = "t1.";
 constexpr std::string_view public_organisation = "public"; // callers without a key
 constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr clock::duration grant_wait{3};      // for the answer to a heartbeat
@@ -34,12 +30,6 @@
 constexpr clock::duration term_change_time{200};
 constexpr double retry_reserve = 10; // retries that a quiet instance may make
 
-routing::random_engine& random_of_thread()
-{
-    thread_local routing::random_engine engine(std::random_device{}());
-    return engine;
-}
-
 net::awaitable<void> pause(clock::duration time)
 {
     net::steady_timer timer(co_await net::this_coro::executor, std::chrono::milliseconds(time));
@@ -58,11 +48,6 @@
     return value.starts_with(bearer_prefix) ? value.substr(bearer_prefix.size()) : value;
 }
 
-stage stage_of(const http::request& received)
-{
-    return received.header_value("Primrose-Stage") == "trial" ? stage::trial : stage::production;
-}
-
 bool serves(const route_settings& route, const organisation_name& organisation)
 {
     const auto& allowed = route.organisations;
@@ -86,10 +71,10 @@
 } // namespace
 
 entry_pipeline::entry_pipeline(const entry_settings& settings, std::uint64_t incarnation,
-                               gateway& servers, entry_follower& follower,
+                               std::shared_ptr<gateway> servers, entry_follower& follower,
                                entry_allowances& allowances, decision_log& decisions,
                                entry_metrics& numbers)
-    : settings_(settings), incarnation_(incarnation), servers_(servers), follower_(follower),
+    : settings_(settings), incarnation_(incarnation), servers_(std::move(servers)), follower_(follower),
       allowances_(allowances), decisions_(decisions), numbers_(numbers),
       budget_(policy_settings().retry_share, retry_reserve)
 {
@@ -263,6 +248,20 @@
     return call;
 }
 
+pb::backend_request entry_pipeline::make_work(const call_context& call) const
+{
+    pb::backend_request work;
+    work.set_request_id(call.request_id);
+    work.set_organisation(call.organisation.text());
+    work.set_database(call.route.database.text());
+    work.set_term(call.group.term);
+    work.mutable_minimum()->set_term(call.minimum.term);
+    work.mutable_minimum()->set_index(call.minimum.index);
+    work.set_durability(call.durability == durability::replica ? "replica" : "primary");
+    work.set_weight(call.weight);
+    return work;
+}
+
 // Waits for the answers to a few heartbeats when this instance has no tokens left, then refuses.
 net::awaitable<status> entry_pipeline::admit(const call_context& call)
 {
@@ -285,87 +284,6 @@
                          "Come back after retry_after_ms.", outcome.retry_after);
 }
 
-result<std::string> entry_pipeline::choose(const call_context& call,
-                                           const std::vector<server_name>& tried)
-{
-    const std::vector<server_info> group = servers_.group(call.route.database);
-    const clock::time_point now = clock::now();
-    result<routing::choice> chosen = [&]() -> result<routing::choice> {
-        if (call.route.access == access::write) {
-            return routing::choose_write(group, call.group.primary, now);
-        }
-        routing::read_request read;
-        read.minimum = call.minimum;
-        read.max_age = call.max_age;
-        read.here = settings_.failure_domain;
-        read.tried = tried;
-        read.primary = call.group.primary;
-        return routing::choose_read(group, read, call.policy, now, random_of_thread());
-    }();
-    const std::string wanted = call.organisation.text() + " on " + call.route.database.text();
-    if (!ok(chosen)) {
-        note(call.request_id, "route", "none for " + wanted, failure(chosen).message);
-        return failure(chosen);
-    }
-    note(call.request_id, "route", value(chosen).server.text() + " for " + wanted,
-         std::string(value(chosen).reason));
-    return value(chosen).server.text();
-}
-
-retry_decision entry_pipeline::again(const call_context& call, const error& failed,
-                                     std::uint32_t tries)
-{
-    attempt last;
-    last.failure = failed.kind;
-    last.ran = failed.ran;
-    last.repeatable =
-        call.route.repeatable || call.route.access == access::read || !call.idempotency_id.empty();
-    last.tries = tries;
-    last.now = clock::now();
-    last.deadline = call.deadline;
-    const std::lock_guard lock(budget_guard_);
-    return decide_retry(last, budget_);
-}
-
-net::awaitable<entry_pipeline::reply_result>
-entry_pipeline::run_with_retries(call_context& call, pb::backend_request& work)
-{
-    std::vector<server_name> tried;
-    enum ran ran_so_far = ran::no; // a later refusal doesn't undo what an earlier try may have run
-    {
-        const std::lock_guard lock(budget_guard_);
-        budget_.first_try();
-    }
-    for (std::uint32_t tries = 1;; ++tries) {
-        result<std::string> server = choose(call, tried);
-        if (!ok(server)) {
-            error refused = failure(server);
-            refused.ran = ran_so_far;
-            co_return refused;
-        }
-        work.set_server(value(server));
-        pb::backend_request sent = work;
-        reply_result outcome = co_await servers_.run(std::move(sent), call.deadline);
-        if (ok(outcome)) {
-            if (!work.write()) {
-                numbers_.served_by(value(outcome).role() == "replica");
-            }
-            co_return outcome;
-        }
-        error& failed = std::get<error>(outcome);
-        const retry_decision decided = again(call, failed, tries);
-        note(call.request_id, "retry", std::string(to_string(decided)),
-             value(server) + ": " + describe(failed));
-        ran_so_far = std::max(ran_so_far, failed.ran);
-        if (decided != retry_decision::again) {
-            failed.ran = ran_so_far;
-            co_return outcome;
-        }
-        numbers_.retried();
-        tried.emplace_back(value(server));
-    }
-}
-
 // An acknowledgement leaves only while the lease holds and the term that ran the write is the
 // present one.
 net::awaitable<status> entry_pipeline::confirm_write(const call_context& call, std::uint64_t term)
@@ -438,18 +356,10 @@
         co_return refuse(failure(admitted), request_id);
     }
     const bool writes = call.route.access == access::write;
-    pb::backend_request work;
-    work.set_request_id(request_id);
-    work.set_organisation(call.organisation.text());
-    work.set_database(call.route.database.text());
+    pb::backend_request work = make_work(call);
     work.set_operation(pb::BACKEND_EXECUTE);
     work.set_statement(value(asked).statement);
     work.set_write(writes);
-    work.set_term(call.group.term);
-    work.mutable_minimum()->set_term(call.minimum.term);
-    work.mutable_minimum()->set_index(call.minimum.index);
-    work.set_durability(call.durability == durability::replica ? "replica" : "primary");
-    work.set_weight(call.weight);
     if (writes) {
         work.set_idempotency_id(call.idempotency_id);
     }
@@ -458,131 +368,4 @@
     co_return co_await finish(call, outcome, writes, no_transaction);
 }
 
-net::awaitable<http::response> entry_pipeline::begin(const http::request& received,
-                                                     const std::string& request_id)
-{
-    result<caller_request> asked = parse_caller_request(received.body, body_kind::begin);
-    if (!ok(asked)) {
-        co_return refuse(failure(asked), request_id);
-    }
-    result<call_context> prepared = prepare(received, value(asked), request_id);
-    if (!ok(prepared)) {
-        co_return refuse(failure(prepared), request_id);
-    }
-    call_context& call = value(prepared);
-    const bool writes = value(asked).mode == access::write;
-    if (writes && call.route.access == access::read) {
-        const error refused = make_error(error_kind::forbidden,
-                                         "Route " + call.route.name.text() + " is for reading.",
-                                         "Begin the transaction on a route for writing.");
-        co_return refuse(refused, request_id);
-    }
-    const status admitted = co_await admit(call);
-    if (!ok(admitted)) {
-        co_return refuse(failure(admitted), request_id);
-    }
-    call.route.access = writes ? access::write : access::read;
-    pb::backend_request work;
-    work.set_request_id(request_id);
-    work.set_organisation(call.organisation.text());
-    work.set_database(call.route.database.text());
-    work.set_operation(pb::BACKEND_BEGIN);
-    work.set_write(writes);
-    work.set_term(call.group.term);
-    work.mutable_minimum()->set_term(call.minimum.term);
-    work.mutable_minimum()->set_index(call.minimum.index);
-    work.set_weight(call.weight);
-    const reply_result outcome = co_await run_with_retries(call, work);
-    std::string transaction;
-    if (ok(outcome)) {
-        pb::transaction_ticket ticket;
-        ticket.set_handle(value(outcome).transaction());
-        ticket.set_organisation(call.organisation.text());
-        ticket.set_database(call.route.database.text());
-        ticket.set_route(call.route.name.text());
-        ticket.set_write(writes);
-        ticket.set_term(value(outcome).at().term());
-        ticket.set_trial(call.which == stage::trial);
-        transaction = seal(ticket_prefix, ticket.SerializeAsString(), settings_.session_secret);
-    }
-    const bool acknowledges = false;
-    co_return co_await finish(call, outcome, acknowledges, transaction);
-}
-
-result<pb::transaction_ticket> entry_pipeline::open_ticket(const http::request& received,
-                                                           std::string_view text) const
-{
-    const auto bytes = unseal(ticket_prefix, text, settings_.session_secret);
-    pb::transaction_ticket ticket;
-    if (!bytes || !ticket.ParseFromString(*bytes)) {
-        return make_error(error_kind::unknown_transaction, "There is no such transaction.",
-                          "Use the id that beginning the transaction answered.");
-    }
-    const bool trial = stage_of(received) == stage::trial;
-    if (trial != ticket.trial()) {
-        return make_error(error_kind::unknown_transaction,
-                          "The transaction was begun in another stage.",
-                          "Send the Primrose-Stage header of its beginning.");
-    }
-    return ticket;
-}
-
-net::awaitable<http::response> entry_pipeline::run_in_transaction(const http::request& received,
-                                                                  const call_target& target,
-                                                                  const std::string& request_id)
-{
-    const bool is_statement = target.kind == call_kind::transaction_statement;
-    result<caller_request> asked = parse_caller_request(
-        received.body, is_statement ? body_kind::statement_in_transaction : body_kind::end);
-    if (!ok(asked)) {
-        co_return refuse(failure(asked), request_id);
-    }
-    result<pb::transaction_ticket> opened = open_ticket(received, target.transaction);
-    if (!ok(opened)) {
-        co_return refuse(failure(opened), request_id);
-    }
-    const pb::transaction_ticket& ticket = value(opened);
-    value(asked).database = database_name(ticket.database());
-    value(asked).route = route_name(ticket.route());
-    result<call_context> prepared = prepare(received, value(asked), request_id);
-    if (!ok(prepared)) {
-        co_return refuse(failure(prepared), request_id);
-    }
-    call_context& call = value(prepared);
-    if (call.organisation.text() != ticket.organisation()) {
-        const error refused =
-            make_error(error_kind::forbidden, "The transaction belongs to another organisation.",
-                       "Use the key that began it.");
-        co_return refuse(refused, request_id);
-    }
-    if (is_statement) {
-        const status admitted = co_await admit(call);
-        if (!ok(admitted)) {
-            co_return refuse(failure(admitted), request_id);
-        }
-    }
-    pb::backend_request work;
-    work.set_request_id(request_id);
-    work.set_organisation(call.organisation.text());
-    work.set_database(ticket.database());
-    work.set_transaction(ticket.handle());
-    work.set_write(ticket.write());
-    work.set_term(ticket.term());
-    work.set_durability(call.durability == durability::replica ? "replica" : "primary");
-    work.set_weight(call.weight);
-    const bool commits = target.kind == call_kind::commit;
-    work.set_operation(is_statement ? pb::BACKEND_EXECUTE
-                                    : (commits ? pb::BACKEND_COMMIT : pb::BACKEND_ROLLBACK));
-    work.set_statement(value(asked).statement);
-    if (commits && ticket.write()) {
-        work.set_idempotency_id(call.idempotency_id);
-    }
-    const reply_result outcome = co_await servers_.run(std::move(work), call.deadline);
-    note(request_id, "route",
-         "pinned connection for " + call.organisation.text() + " on " + ticket.database(),
-         ok(outcome) ? "done" : describe(failure(outcome)));
-    const std::string no_transaction;
-    co_return co_await finish(call, outcome, commits && ticket.write(), no_transaction);
-}
-
 } // namespace primrosehead
--- a/src/entry_pipeline.h
+++ b/src/entry_pipeline.h
@@ -17,8 +17,10 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace primrosehead {
 
@@ -47,7 +49,7 @@
 
 class entry_pipeline {
   public:
-    entry_pipeline(const entry_settings& settings, std::uint64_t incarnation, gateway& servers,
+    entry_pipeline(const entry_settings& settings, std::uint64_t incarnation, std::shared_ptr<gateway> servers,
                    entry_follower& follower, entry_allowances& allowances, decision_log& decisions,
                    entry_metrics& numbers);
 
@@ -73,6 +75,8 @@
     [[nodiscard]] status authorise(const http::request& received, const entry_view& view,
                                    call_context& call) const;
     [[nodiscard]] status read_session(const http::request& received, call_context& call) const;
+    // What every request of `call` to a server carries.
+    [[nodiscard]] pb::backend_request make_work(const call_context& call) const;
     boost::asio::awaitable<status> admit(const call_context& call);
 
     // Keeps one decision for `explain` and logs it.
@@ -80,6 +84,11 @@
               std::string reason);
     [[nodiscard]] http::response refuse(const error& failure, const std::string& request_id);
 
+    boost::asio::awaitable<reply_result> run_once(const call_context& call,
+                                                  const pb::backend_request& work);
+    boost::asio::awaitable<reply_result> run_hedged(const call_context& call,
+                                                    const pb::backend_request& work,
+                                                    std::vector<server_name>& tried);
     boost::asio::awaitable<reply_result> run_with_retries(call_context& call,
                                                           pb::backend_request& work);
     [[nodiscard]] result<std::string> choose(const call_context& call,
@@ -95,7 +104,7 @@
 
     const entry_settings& settings_;
     std::uint64_t incarnation_;
-    gateway& servers_;
+    std::shared_ptr<gateway> servers_;
     entry_follower& follower_;
     entry_allowances& allowances_;
     decision_log& decisions_;
--- a/src/entry_request.cpp
+++ b/src/entry_request.cpp
@@ -155,6 +155,11 @@
     return request;
 }
 
+stage stage_of(const http::request& received) noexcept
+{
+    return received.header_value("Primrose-Stage") == "trial" ? stage::trial : stage::production;
+}
+
 call_target parse_target(std::string_view target)
 {
     target = target.substr(0, target.find('?'));
--- a/src/entry_request.h
+++ b/src/entry_request.h
@@ -4,6 +4,7 @@
 #include <primrosehead/clock.h>
 #include <primrosehead/environment.h>
 #include <primrosehead/error.h>
+#include <primrosehead/http.h>
 #include <primrosehead/names.h>
 
 #include <optional>
@@ -36,6 +37,11 @@
     std::string_view transaction; // the caller's transaction id
 };
 
+// Which document of the environment a request uses: the Primrose-Stage header tells.
+enum class stage { production, trial };
+
+[[nodiscard]] stage stage_of(const http::request& received) noexcept;
+
 [[nodiscard]] call_target parse_target(std::string_view target);
 
 } // namespace primrosehead
--- /dev/null
+++ b/src/entry_transactions.cpp
@@ -0,0 +1,138 @@
+// The part of the pipeline that runs transactions: their tickets and their pinned connections.
+#include "entry_answer.h"
+#include "entry_pipeline.h"
+#include "seal.h"
+
+#include <primrosehead/gateway.h>
+
+namespace primrosehead {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr std::string_view ticket_prefix = "t1.";
+
+error refusal_of(error_kind kind, std::string message, std::string remedy)
+{
+    return error{kind, std::move(message), std::move(remedy)};
+}
+
+} // namespace
+
+net::awaitable<http::response> entry_pipeline::begin(const http::request& received,
+                                                     const std::string& request_id)
+{
+    result<caller_request> asked = parse_caller_request(received.body, body_kind::begin);
+    if (!ok(asked)) {
+        co_return refuse(failure(asked), request_id);
+    }
+    result<call_context> prepared = prepare(received, value(asked), request_id);
+    if (!ok(prepared)) {
+        co_return refuse(failure(prepared), request_id);
+    }
+    call_context& call = value(prepared);
+    const bool writes = value(asked).mode == access::write;
+    if (writes && call.route.access == access::read) {
+        const error refused = refusal_of(error_kind::forbidden,
+                                         "Route " + call.route.name.text() + " is for reading.",
+                                         "Begin the transaction on a route for writing.");
+        co_return refuse(refused, request_id);
+    }
+    const status admitted = co_await admit(call);
+    if (!ok(admitted)) {
+        co_return refuse(failure(admitted), request_id);
+    }
+    call.route.access = writes ? access::write : access::read;
+    pb::backend_request work = make_work(call);
+    work.set_operation(pb::BACKEND_BEGIN);
+    work.set_write(writes);
+    const reply_result outcome = co_await run_with_retries(call, work);
+    std::string transaction;
+    if (ok(outcome)) {
+        pb::transaction_ticket ticket;
+        ticket.set_handle(value(outcome).transaction());
+        ticket.set_organisation(call.organisation.text());
+        ticket.set_database(call.route.database.text());
+        ticket.set_route(call.route.name.text());
+        ticket.set_write(writes);
+        ticket.set_term(value(outcome).at().term());
+        ticket.set_trial(call.which == stage::trial);
+        transaction = seal(ticket_prefix, ticket.SerializeAsString(), settings_.session_secret);
+    }
+    const bool acknowledges = false;
+    co_return co_await finish(call, outcome, acknowledges, transaction);
+}
+
+result<pb::transaction_ticket> entry_pipeline::open_ticket(const http::request& received,
+                                                           std::string_view text) const
+{
+    const auto bytes = unseal(ticket_prefix, text, settings_.session_secret);
+    pb::transaction_ticket ticket;
+    if (!bytes || !ticket.ParseFromString(*bytes)) {
+        return refusal_of(error_kind::unknown_transaction, "There is no such transaction.",
+                          "Use the id that beginning the transaction answered.");
+    }
+    const bool trial = stage_of(received) == stage::trial;
+    if (trial != ticket.trial()) {
+        return refusal_of(error_kind::unknown_transaction,
+                          "The transaction was begun in another stage.",
+                          "Send the Primrose-Stage header of its beginning.");
+    }
+    return ticket;
+}
+
+net::awaitable<http::response> entry_pipeline::run_in_transaction(const http::request& received,
+                                                                  const call_target& target,
+                                                                  const std::string& request_id)
+{
+    const bool is_statement = target.kind == call_kind::transaction_statement;
+    result<caller_request> asked = parse_caller_request(
+        received.body, is_statement ? body_kind::statement_in_transaction : body_kind::end);
+    if (!ok(asked)) {
+        co_return refuse(failure(asked), request_id);
+    }
+    result<pb::transaction_ticket> opened = open_ticket(received, target.transaction);
+    if (!ok(opened)) {
+        co_return refuse(failure(opened), request_id);
+    }
+    const pb::transaction_ticket& ticket = value(opened);
+    value(asked).database = database_name(ticket.database());
+    value(asked).route = route_name(ticket.route());
+    result<call_context> prepared = prepare(received, value(asked), request_id);
+    if (!ok(prepared)) {
+        co_return refuse(failure(prepared), request_id);
+    }
+    call_context& call = value(prepared);
+    if (call.organisation.text() != ticket.organisation()) {
+        const error refused =
+            refusal_of(error_kind::forbidden, "The transaction belongs to another organisation.",
+                       "Use the key that began it.");
+        co_return refuse(refused, request_id);
+    }
+    if (is_statement) {
+        const status admitted = co_await admit(call);
+        if (!ok(admitted)) {
+            co_return refuse(failure(admitted), request_id);
+        }
+    }
+    pb::backend_request work = make_work(call);
+    work.set_transaction(ticket.handle());
+    work.set_write(ticket.write());
+    work.set_term(ticket.term());
+    const bool commits = target.kind == call_kind::commit;
+    work.set_operation(is_statement ? pb::BACKEND_EXECUTE
+                                    : (commits ? pb::BACKEND_COMMIT : pb::BACKEND_ROLLBACK));
+    work.set_statement(value(asked).statement);
+    if (commits && ticket.write()) {
+        work.set_idempotency_id(call.idempotency_id);
+    }
+    const reply_result outcome = co_await servers_->run(std::move(work), call.deadline);
+    note(request_id, "route",
+         "pinned connection for " + call.organisation.text() + " on " + ticket.database(),
+         ok(outcome) ? "done" : describe(failure(outcome)));
+    const std::string no_transaction;
+    co_return co_await finish(call, outcome, commits && ticket.write(), no_transaction);
+}
+
+} // namespace primrosehead
--- a/src/entry_view.h
+++ b/src/entry_view.h
@@ -1,6 +1,8 @@
 // What an entry instance's requests read of the replicated state: an immutable snapshot.
 #pragma once
 
+#include "entry_request.h"
+
 #include <primrosehead/environment.h>
 #include <primrosehead/keys.h>
 #include <primrosehead/names.h>
@@ -17,9 +19,6 @@
 
 class state_view;
 
-// Which document of the environment a request uses.
-enum class stage { production, trial };
-
 // The present term of a database group.
 struct group_term {
     std::uint64_t term = 0;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -10,6 +10,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cerrno>
+#include <sys/socket.h>
+
 namespace primrosehead::http {
 
 namespace net = boost::asio;
@@ -122,9 +125,16 @@
     co_return answer;
 }
 
+// An idle connection has nothing to read: bytes or an end mean that the peer closed it or lost step.
 bool client::is_open() const noexcept
 {
-    return body_->open;
+    if (!body_->open) {
+        return false;
+    }
+    char byte = 0;
+    const ssize_t peeked = ::recv(body_->stream.socket().native_handle(), &byte, sizeof byte,
+                                  MSG_PEEK | MSG_DONTWAIT);
+    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 } // namespace primrosehead::http
