--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -152,7 +152,7 @@
         write(log, entries(1, 5, 1));
         write(log, entries(6, 9, 1));
     }
-    folder.flip_bit(first_segment, 8 * 50);
+    folder.flip_bit(first_segment, 400); // in the first record
     const result<journal> opened = journal::open(folder.open(), identity());
     REQUIRE(!ok(opened));
     CHECK(failure(opened).kind == error_kind::corrupt_storage);
@@ -169,7 +169,7 @@
         REQUIRE(ok(log.write_hard_state(hard(1))));
         write(log, entries(1, 5, 1));
     }
-    folder.flip_bit(first_segment, 8 * 60);
+    folder.flip_bit(first_segment, 480); // in the only record
     const result<journal> opened = journal::open(folder.open(), identity());
     REQUIRE(!ok(opened));
     CHECK(failure(opened).kind == error_kind::corrupt_storage);
