Test switches for the state machine's and key table's mechanisms, each seen failing

Cause: the proofs of base versions, resends, terms and withdrawal could not be seen to fail. Change: state_switches (base versions, remembered requests, terms) and key_table::make's check_withdrawn, all on in programs; a test each shows the breach without the mechanism.

--- a/include/primrosehead/keys.h
+++ b/include/primrosehead/keys.h
@@ -42,7 +42,8 @@
     // No key is valid.
     key_table() = default;
 
-    [[nodiscard]] static key_table make(const state_view& state);
+    // `check_withdrawn` is a test switch: without it withdrawn keys stay valid.
+    [[nodiscard]] static key_table make(const state_view& state, bool check_withdrawn = true);
 
     // The organisation whose key `text` is; `error_kind::unauthenticated` when it is missing,
     // malformed, unknown, wrong or withdrawn. Digests are compared in constant time.
@@ -50,6 +51,7 @@
 
   private:
     std::unordered_map<std::string, pb::key_record> keys_;
+    bool check_withdrawn_ = true;
 };
 
 } // namespace primrosehead
--- a/include/primrosehead/state.h
+++ b/include/primrosehead/state.h
@@ -6,6 +6,7 @@
 
 #include <primrosehead/error.h>
 #include <primrosehead/names.h>
+#include <primrosehead/state_switches.h>
 
 #include <cstdint>
 #include <memory>
@@ -32,7 +33,7 @@
 // Applies commands in log order. Deterministic: no clock, no randomness.
 class state_machine {
   public:
-    explicit state_machine(cell_name cell);
+    explicit state_machine(cell_name cell, state_switches switches = {});
     ~state_machine();
     state_machine(state_machine&&) noexcept;
     state_machine& operator=(state_machine&&) noexcept;
@@ -64,6 +65,7 @@
 
   private:
     cell_name cell_;
+    state_switches switches_;
     std::unique_ptr<state_records> records_;
     std::unique_ptr<state_requests> requests_;
 };
--- a/src/keys_table.cpp
+++ b/src/keys_table.cpp
@@ -27,9 +27,10 @@
 
 } // namespace
 
-key_table key_table::make(const state_view& state)
+key_table key_table::make(const state_view& state, bool check_withdrawn)
 {
     key_table made;
+    made.check_withdrawn_ = check_withdrawn;
     for (const pb::key_record* key : state.keys()) {
         made.keys_.emplace(key->key_id(), *key);
     }
@@ -50,7 +51,7 @@
         return refused_key("The key is not known here.",
                            "Send the key as it was issued; a new key is known within seconds.");
     }
-    if (found->second.withdrawn()) {
+    if (check_withdrawn_ && found->second.withdrawn()) {
         return refused_key("The key was withdrawn.", "Ask the operators for another key.");
     }
     return organisation_name(found->second.organisation());
--- a/src/state_commands.cpp
+++ b/src/state_commands.cpp
@@ -46,14 +46,15 @@
         "Look at the present document (primrosectl show) and base the change on it.", current);
 }
 
-pb::operator_reply apply_one(state_records& records, const pb::store_trial& trial)
+pb::operator_reply apply_one(state_records& records, const pb::store_trial& trial,
+                             const state_switches& switches)
 {
     if (!is_name(trial.name())) {
         return bad_name("environment");
     }
     pb::state_record record = draft(records, record_key(environment_prefix, trial.name()));
     pb::environment_record& changed = *record.mutable_environment();
-    if (trial.base_version() != changed.trial_version()) {
+    if (switches.check_base_versions && trial.base_version() != changed.trial_version()) {
         return environment_conflict("The trial document", changed.trial_version(),
                                     trial.base_version());
     }
@@ -90,7 +91,8 @@
     return std::nullopt;
 }
 
-pb::operator_reply apply_one(state_records& records, const pb::promote_environment& promote)
+pb::operator_reply apply_one(state_records& records, const pb::promote_environment& promote,
+                             const state_switches& switches)
 {
     const std::string key = record_key(environment_prefix, promote.name());
     if (records.find(key) == nullptr) {
@@ -99,7 +101,8 @@
     }
     pb::state_record record = draft(records, key);
     pb::environment_record& changed = *record.mutable_environment();
-    if (auto refusal = promotion_refusal(changed, promote)) {
+    auto refusal = promotion_refusal(changed, promote);
+    if (refusal && switches.check_base_versions) {
         return std::move(*refusal);
     }
     changed.set_production_version(changed.trial_version());
@@ -182,14 +185,15 @@
                    "Begin a promotion with a greater term.", current);
 }
 
-pb::operator_reply apply_one(state_records& records, const pb::begin_promotion& begin)
+pb::operator_reply apply_one(state_records& records, const pb::begin_promotion& begin,
+                             const state_switches& switches)
 {
     if (!is_name(begin.database())) {
         return bad_name("database");
     }
     pb::state_record record = draft(records, record_key(group_prefix, begin.database()));
     pb::group_record& group = *record.mutable_group();
-    if (begin.new_term() <= group.term()) {
+    if (switches.check_terms && begin.new_term() <= group.term()) {
         return wrong_term_reply(group.term(), begin.new_term());
     }
     group.set_database(begin.database());
@@ -200,7 +204,8 @@
     return accepted(records.version());
 }
 
-pb::operator_reply apply_one(state_records& records, const pb::finish_promotion& finish)
+pb::operator_reply apply_one(state_records& records, const pb::finish_promotion& finish,
+                             const state_switches& switches)
 {
     const std::string key = record_key(group_prefix, finish.database());
     const pb::state_record* held = records.find(key);
@@ -212,7 +217,7 @@
     if (primary == finish.primary()) {
         return accepted(records.version());
     }
-    if (!primary.empty()) {
+    if (switches.check_terms && !primary.empty()) {
         return refused(error_kind::wrong_term,
                        fmt::format("Term {} has the primary {}.", open_term, primary),
                        "Begin a promotion with a greater term.", open_term);
@@ -230,13 +235,14 @@
 
 } // namespace
 
-pb::operator_reply apply_command(state_records& records, const pb::command& command)
+pb::operator_reply apply_command(state_records& records, const pb::command& command,
+                                 const state_switches& switches)
 {
     switch (command.body_case()) {
     case pb::command::kTrial:
-        return apply_one(records, command.trial());
+        return apply_one(records, command.trial(), switches);
     case pb::command::kPromote:
-        return apply_one(records, command.promote());
+        return apply_one(records, command.promote(), switches);
     case pb::command::kIssue:
         return apply_one(records, command.issue());
     case pb::command::kWithdraw:
@@ -246,9 +252,9 @@
     case pb::command::kRemoveOne:
         return apply_one(records, command.remove_one());
     case pb::command::kBegin:
-        return apply_one(records, command.begin());
+        return apply_one(records, command.begin(), switches);
     case pb::command::kFinish:
-        return apply_one(records, command.finish());
+        return apply_one(records, command.finish(), switches);
     case pb::command::BODY_NOT_SET:
         break;
     }
--- a/src/state_machine.cpp
+++ b/src/state_machine.cpp
@@ -48,8 +48,8 @@
 
 } // namespace
 
-state_machine::state_machine(cell_name cell)
-    : cell_(std::move(cell)), records_(std::make_unique<state_records>()),
+state_machine::state_machine(cell_name cell, state_switches switches)
+    : cell_(std::move(cell)), switches_(switches), records_(std::make_unique<state_records>()),
       requests_(std::make_unique<state_requests>())
 {
 }
@@ -60,8 +60,8 @@
 
 pb::operator_reply state_machine::apply(const pb::command& command)
 {
-    if (command.request_id().empty()) {
-        return apply_command(*records_, command);
+    if (command.request_id().empty() || !switches_.remember_requests) {
+        return apply_command(*records_, command, switches_);
     }
     if (command.request_id().size() > config::max_request_id_bytes) {
         return refused(error_kind::bad_request, "The request id is too long.",
@@ -74,7 +74,7 @@
     pb::request_record first;
     first.set_request_id(command.request_id());
     first.set_body_hash(hash);
-    *first.mutable_reply() = apply_command(*records_, command);
+    *first.mutable_reply() = apply_command(*records_, command, switches_);
     first.mutable_reply()->set_request_id(command.request_id());
     pb::operator_reply reply = first.reply();
     requests_->remember(std::move(first));
--- a/tests/keys_test.cpp
+++ b/tests/keys_test.cpp
@@ -51,10 +51,10 @@
         REQUIRE(machine_.apply(test::make_withdraw(key.record.key_id())).ok());
     }
 
-    [[nodiscard]] key_table table()
+    [[nodiscard]] key_table table(bool check_withdrawn = true)
     {
         (void)view_.apply(machine_.delta_since(view_.version()));
-        return key_table::make(view_);
+        return key_table::make(view_, check_withdrawn);
     }
 
   private:
@@ -101,6 +101,7 @@
     state.withdraw(key);
     check_refused(state.table(), key.text);
     CHECK(failure(state.table().verify(key.text)).message == "The key was withdrawn.");
+    CHECK(ok(state.table(false).verify(key.text))); // without the mechanism the key goes on working
 }
 
 TEST_CASE("keys: wrong, changed, cut and malformed keys are refused")
--- a/tests/state_machine_test.cpp
+++ b/tests/state_machine_test.cpp
@@ -60,6 +60,37 @@
     CHECK(machine.version() == 2);
 }
 
+TEST_CASE("state: without the check of base versions a racing change overwrites the first one")
+{
+    state_switches switches;
+    switches.check_base_versions = false;
+    state_machine machine(cell_name("kyushu"), switches);
+    CHECK(machine.apply(make_trial("kura", 0)).ok());
+    CHECK(machine.apply(make_trial("kura", 0)).ok());
+    CHECK(machine.environment("kura")->trial_version() == 2);
+}
+
+TEST_CASE("state: without remembered requests a resend runs a second time")
+{
+    state_switches switches;
+    switches.remember_requests = false;
+    state_machine machine(cell_name("kyushu"), switches);
+    const pb::command change = with_request(make_trial("kura", 0), "r-1");
+    const pb::operator_reply first = machine.apply(change);
+    CHECK(machine.apply(change).SerializeAsString() != first.SerializeAsString());
+}
+
+TEST_CASE("state: without the check of terms a term gets a second primary")
+{
+    state_switches switches;
+    switches.check_terms = false;
+    state_machine machine(cell_name("kyushu"), switches);
+    CHECK(machine.apply(make_begin("ledger", 1)).ok());
+    CHECK(machine.apply(make_finish("ledger", 1, "s1", 5)).ok());
+    CHECK(machine.apply(make_finish("ledger", 1, "s2", 9)).ok());
+    CHECK(machine.group("ledger")->primary() == "s2");
+}
+
 TEST_CASE("state: a promotion of a trial that was replaced meanwhile is refused")
 {
     state_machine machine = new_machine();
