Failover: a primary whose report doesn't tell its term is no older one

A report without the promised term read as term 0, below the group's, so that a healthy primary would have been replaced every second. Found on reading the plan again; now a test: no change without a told term, a change on another role.

--- a/include/primrosehead/failover.h
+++ b/include/primrosehead/failover.h
@@ -50,7 +50,7 @@
     std::string url;
     clock::time_point heard_at;
     log_position received;
-    std::uint32_t term = 0;
+    std::uint64_t term = 0; // highest promised; 0 when not told
     bool is_primary = false;
     bool leaving = false;
 };
--- a/src/failover_plan.cpp
+++ b/src/failover_plan.cpp
@@ -103,7 +103,8 @@
         if (primary->report.heard_at < settled) {
             return false;
         }
-        return !primary->report.is_primary || primary->report.term < group.term;
+        const bool is_older = primary->report.term != 0 && primary->report.term < group.term;
+        return !primary->report.is_primary || is_older;
     }
 
     [[nodiscard]] bool has_successor(const member* primary, clock::time_point now) const
@@ -374,7 +375,7 @@
     if (report.heard_at >= one.report.heard_at) {
         one.report = report;
     }
-    body_->highest_seen_term = std::max<std::uint64_t>(body_->highest_seen_term, report.term);
+    body_->highest_seen_term = std::max(body_->highest_seen_term, report.term);
 }
 
 void plan::fenced(const server_name& server, std::uint64_t term, log_position received)
--- a/src/fleet_groups.cpp
+++ b/src/fleet_groups.cpp
@@ -20,7 +20,7 @@
     member.url = report.url();
     member.heard_at = server.heard_at;
     member.received = {report.received().term(), report.received().index()};
-    member.term = static_cast<std::uint32_t>(report.term());
+    member.term = report.term();
     member.is_primary = report.role() == "primary";
     member.leaving = report.leaving();
     return member;
--- a/tests/failover_test.cpp
+++ b/tests/failover_test.cpp
@@ -19,6 +19,7 @@
     plan changes{database_name("kura-ledger-1"), settings, now};
     group_view group;
     bool leases_passed = true;
+    bool tells_terms = true; // reports carry the promised term
     std::vector<order> orders;
 
     void heard(const char* server, log_position received, bool leaving = false)
@@ -28,7 +29,7 @@
         report.url = std::string("http://") + server;
         report.heard_at = now;
         report.received = received;
-        report.term = static_cast<std::uint32_t>(group.term);
+        report.term = tells_terms ? group.term : 0;
         report.is_primary = group.primary == report.server;
         report.leaving = leaving;
         changes.heard(report);
@@ -144,6 +145,22 @@
     CHECK(group.group.term == 2);
 }
 
+TEST_CASE("a primary that tells another role is replaced, one that doesn't tell its term is not")
+{
+    bench group;
+    group.start_group();
+    group.tells_terms = false;
+    group.pass(clock::duration(1'500));
+    group.hear_all({1, 9});
+    group.advance();
+    CHECK(group.orders.empty());
+    group.group.primary = server_name("b");
+    group.hear_all({1, 9});
+    group.group.primary = server_name("a");
+    group.advance();
+    CHECK(group.given<failover::close_term>().size() == 1);
+}
+
 TEST_CASE("a silent primary stays while too few others are heard to fence it off")
 {
     bench group;
