--- a/src/scenario_entry.h
+++ b/src/scenario_entry.h
@@ -84,7 +84,6 @@
     std::size_t control_choice_ = 0;
     lease_holder lease_;
     state_view view_;
-    std::uint64_t followed_version_ = 0;
     environment wanted_;
     std::map<std::string, limits::allowance> allowances_;
     std::map<std::string, known_server> servers_;
