Keys are confirmed only with the leader's state taken in; allowances report when due

A heartbeat whose delta was not taken in (a gap, a digest that doesn't match) confirmed the key table all the same, so a withdrawn key could outlive its bound.

--- a/src/entry_allowances.cpp
+++ b/src/entry_allowances.cpp
@@ -62,6 +62,9 @@
     const std::shared_lock lock(guard_);
     for (const auto& [organisation, own] : accounts_) {
         const std::lock_guard account_lock(own->guard);
+        if (!own->tokens.is_due(now)) {
+            continue;
+        }
         pb::allowance_report& report = *into.add_allowances();
         report.set_organisation(organisation.text());
         own->tokens.report(report, now);
--- a/src/entry_follower.cpp
+++ b/src/entry_follower.cpp
@@ -87,7 +87,7 @@
     }
     control_term_ = reply.control_term();
     last_answer_ = now;
-    take_state(reply, now);
+    const bool is_up_to_date = take_state(reply, now);
     if (reply.sequence() == 0) {
         return;
     }
@@ -101,7 +101,9 @@
     lease.renewed(from_ms(reply.asked_at_ms()), clock::duration(reply.lease_ms()));
     const std::int64_t until = to_ms(lease.expires_at());
     lease_until_ms_.store(std::max(lease_until_ms_.load(), until));
-    confirmed_at_ms_.store(std::max(confirmed_at_ms_.load(), reply.asked_at_ms()));
+    if (is_up_to_date) {
+        confirmed_at_ms_.store(std::max(confirmed_at_ms_.load(), reply.asked_at_ms()));
+    }
 }
 
 void entry_follower::follow_hint(const std::string& endpoint)
@@ -113,10 +115,11 @@
     }
 }
 
-void entry_follower::take_state(const pb::heartbeat_reply& reply, clock::time_point now)
+// True when the state here is the leader's at the time of its answer: a key withdrawn before is gone.
+bool entry_follower::take_state(const pb::heartbeat_reply& reply, clock::time_point now)
 {
     if (!reply.has_delta()) {
-        return;
+        return true;
     }
     const follow_outcome outcome = state_.apply(reply.delta());
     if (outcome == follow_outcome::advanced) {
@@ -127,6 +130,7 @@
         spdlog::info("entry: A state delta to version {} was not taken: {}.",
                      reply.delta().to_version(), to_string(outcome));
     }
+    return outcome == follow_outcome::advanced || outcome == follow_outcome::confirmed;
 }
 
 // The new view is in force before the leader hears that it was taken in.
--- a/src/entry_follower.h
+++ b/src/entry_follower.h
@@ -64,7 +64,7 @@
 
   private:
     void send_heartbeat(clock::time_point now);
-    void take_state(const pb::heartbeat_reply& reply, clock::time_point now);
+    bool take_state(const pb::heartbeat_reply& reply, clock::time_point now);
     void take_directory(const pb::heartbeat_reply& reply, clock::time_point now);
     void choose_other_leader();
     void follow_hint(const std::string& endpoint);
