--- a/src/history_check.cpp
+++ b/src/history_check.cpp
@@ -55,6 +55,12 @@
     return one.kind == "write" || one.kind == "transaction";
 }
 
+// Orders positions by term, then index.
+bool is_before(log_position one, log_position other)
+{
+    return one.term < other.term || (one.term == other.term && one.index < other.index);
+}
+
 std::string describe(log_position at)
 {
     return std::to_string(at.term) + "/" + std::to_string(at.index);
@@ -90,8 +96,9 @@
             }
         }
         for (auto& [key, list] : writes_) {
-            std::sort(list.begin(), list.end(),
-                      [](const operation* a, const operation* b) { return a->at < b->at; });
+            std::sort(list.begin(), list.end(), [](const operation* a, const operation* b) {
+                return is_before(a->at, b->at);
+            });
         }
     }
 
@@ -105,7 +112,7 @@
         const std::vector<const operation*>& list = found->second;
         const auto after = std::upper_bound(
             list.begin(), list.end(), at,
-            [](log_position place, const operation* one) { return place < one->at; });
+            [](log_position place, const operation* one) { return is_before(place, one->at); });
         return after == list.begin() ? nullptr : *std::prev(after);
     }
 
@@ -174,11 +181,11 @@
             continue;
         }
         if ((is_read(*each) || each->kind == "scan") && each->with_token && last.index > 0) {
-            judged.check(each->at >= last, *each,
+            judged.check(!is_before(each->at, last), *each,
                          "read at " + describe(each->at) + " after own write at " + describe(last));
         }
         if (is_one_write(*each) || each->kind == "add") {
-            last = std::max(last, each->at);
+            last = std::max(last, each->at, is_before);
         }
     }
     return judged.done();
@@ -197,10 +204,10 @@
             continue;
         }
         if (last.index > 0) {
-            judged.check(each->at >= last, *each,
+            judged.check(!is_before(each->at, last), *each,
                          "at " + describe(each->at) + " after " + describe(last));
         }
-        last = std::max(last, each->at);
+        last = std::max(last, each->at, is_before);
     }
     return judged.done();
 }
@@ -341,9 +348,10 @@
         }
     }
     for (auto& [database, list] : acknowledged) {
-        std::sort(list.begin(), list.end());
+        std::sort(list.begin(), list.end(),
+                  [](const auto& a, const auto& b) { return a.first < b.first; });
         for (std::size_t place = 1; place < list.size(); ++place) {
-            list[place].second = std::max(list[place].second, list[place - 1].second);
+            list[place].second = std::max(list[place].second, list[place - 1].second, is_before);
         }
     }
     for (const operation& each : from.operations) {
@@ -357,7 +365,7 @@
                              [](std::int64_t time, const auto& one) { return time < one.first; });
         const log_position needed =
             after == list.begin() ? log_position{} : std::prev(after)->second;
-        judged.check(each.at >= needed, each,
+        judged.check(!is_before(each.at, needed), each,
                      "read at " + describe(each.at) +
                          ", older than its age allows: " + describe(needed));
     }
--- a/src/history_measures.cpp
+++ b/src/history_measures.cpp
@@ -117,6 +117,7 @@
         base = std::min(base, each->called_us);
     }
     std::vector<std::int64_t> starts;
+    starts.reserve(requests.size());
     for (const request_event* each : requests) {
         starts.push_back(each->called_us - base);
     }
--- a/src/standin_database.cpp
+++ b/src/standin_database.cpp
@@ -93,7 +93,10 @@
 
 std::optional<error> database::refuse_behind(std::optional<log_position> minimum) const
 {
-    if (!minimum || applied() >= *minimum) {
+    const log_position shown = applied();
+    const bool reached = !minimum || shown.term > minimum->term ||
+                         (shown.term == minimum->term && shown.index >= minimum->index);
+    if (reached) {
         return std::nullopt;
     }
     return error{error_kind::behind,
