--- a/src/standin_node.h
+++ b/src/standin_node.h
@@ -25,7 +25,7 @@
 };
 
 struct node {
-    node(boost::asio::any_io_executor executor, server_settings with,
+    node(const boost::asio::any_io_executor& executor, server_settings with,
          std::unique_ptr<storage> files, std::uint64_t promised_term, std::vector<log_entry> held)
         : settings(std::move(with)), kept(std::move(files)),
           data(settings.server, *kept, settings.faults, promised_term, std::move(held)),
--- a/src/standin_server.cpp
+++ b/src/standin_server.cpp
@@ -518,7 +518,7 @@
     }
 }
 
-result<std::unique_ptr<server>> server::start(net::any_io_executor executor,
+result<std::unique_ptr<server>> server::start(const net::any_io_executor& executor,
                                               const server_settings& settings)
 {
     file_storage::contents held;
--- a/src/standin_server.h
+++ b/src/standin_server.h
@@ -16,7 +16,7 @@
 class server {
   public:
     [[nodiscard]] static result<std::unique_ptr<server>>
-    start(boost::asio::any_io_executor executor, const server_settings& settings);
+    start(const boost::asio::any_io_executor& executor, const server_settings& settings);
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
