Measure replica-servable reads as such; an instance drains only when it is named

The share of reads by replicas counted reads right after a session's own write, which no replica can serve within its lag. Servable now: what the session had seen was committed a lag before.

--- a/include/primrosehead/names.h
+++ b/include/primrosehead/names.h
@@ -22,7 +22,8 @@
     [[nodiscard]] const std::string& text() const noexcept { return text_; }
     [[nodiscard]] bool empty() const noexcept { return text_.empty(); }
 
-    friend auto operator<=>(const name&, const name&) = default;
+    // clang-tidy 14 takes the comparison with 0 inside for a null pointer.
+    friend auto operator<=>(const name&, const name&) = default; // NOLINT(modernize-use-nullptr)
 
   private:
     std::string text_;
--- a/include/primrosehead/position.h
+++ b/include/primrosehead/position.h
@@ -13,7 +13,9 @@
     std::uint64_t term = 0;
     std::uint64_t index = 0;
 
-    friend constexpr auto operator<=>(const log_position&, const log_position&) = default;
+    // clang-tidy 14 takes the comparison with 0 inside for a null pointer.
+    friend constexpr auto operator<=>(const log_position&, const log_position&) =
+        default; // NOLINT(modernize-use-nullptr)
 };
 
 // The first term that a primary served and the last index it kept from earlier terms.
--- a/scripts/lab_runs.py
+++ b/scripts/lab_runs.py
@@ -33,6 +33,8 @@
         if run.returncode != 0:
             raise RuntimeError(f"the fleet did not start: {run.stderr.strip()}")
         self.is_up = True
+        example = json.loads((self.example / "fleet.json").read_text())
+        self.lag_ms = example["lag_ms"] if lag is None else lag
         self.facts = json.loads(run.stdout)
         self.document = json.loads((self.directory / "environment.json").read_text())
 
@@ -104,7 +106,7 @@
                for place, url in enumerate(fleet.facts["entries"])]
     pids = sorted({fault["pid"] for fault in faults if "pid" in fault})
     names = sorted({one["database"] for one in fleet.facts["backend_servers"]})
-    return {"duration_ms": int(seconds * 1000), "entries": entries,
+    return {"duration_ms": int(seconds * 1000), "entries": entries, "replica_lag_ms": fleet.lag_ms,
             "organisations": organisations(fleet, load),
             "databases": [routes(fleet.document, name) for name in names],
             "faults": sorted(faults, key=lambda one: one["at_ms"]), "pids": pids}
--- a/src/control_instance.cpp
+++ b/src/control_instance.cpp
@@ -157,8 +157,8 @@
 }
 
 // The fleet's service lives as long as this instance leads one term, also over moments in which its
-// lease has lapsed: what it granted is not forgotten. A new service counts from now, when leases and
-// grants of any earlier leader may still be out.
+// lease has lapsed: what it granted is not forgotten. A new service counts from now, when leases
+// and grants of any earlier leader may still be out.
 void control_instance::implementation::lead(clock::time_point now)
 {
     if (service && (service_term != state->term() || state->role_name() != "leader")) {
--- a/src/entry_follower.cpp
+++ b/src/entry_follower.cpp
@@ -115,7 +115,8 @@
     }
 }
 
-// True when the state here is the leader's at the time of its answer: a key withdrawn before is gone.
+// True when the state here is the leader's at the time of its answer: a key withdrawn before is
+// gone.
 bool entry_follower::take_state(const pb::heartbeat_reply& reply, clock::time_point now)
 {
     if (!reply.has_delta()) {
--- a/src/entry_instance.cpp
+++ b/src/entry_instance.cpp
@@ -44,6 +44,15 @@
         std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
 }
 
+void set_refusal(pb::operator_reply& reply, std::string message, std::string remedy)
+{
+    pb::request_error& why = *reply.mutable_error();
+    why.set_kind(std::string(to_string(error_kind::bad_request)));
+    why.set_message(std::move(message));
+    why.set_remedy(std::move(remedy));
+    why.set_ran(std::string(to_string(ran::no)));
+}
+
 http::response plain_answer(unsigned status, std::string_view text)
 {
     http::response answer;
@@ -178,14 +187,17 @@
         reply.set_text(to_json(decisions->find(request.explain_request())));
         break;
     case pb::operator_request::kDrainInstance:
-        reply.set_ok(true);
-        begin_drain();
+        reply.set_ok(request.drain_instance() == settings.instance.text());
+        if (reply.ok()) {
+            begin_drain();
+        }
+        else {
+            set_refusal(reply, "This is " + settings.instance.text() + ".",
+                        "Send the request to the instance that it names.");
+        }
         break;
     default:
-        reply.mutable_error()->set_kind(std::string(to_string(error_kind::bad_request)));
-        reply.mutable_error()->set_message("An entry instance does not answer this.");
-        reply.mutable_error()->set_remedy("Ask a control instance.");
-        reply.mutable_error()->set_ran("no");
+        set_refusal(reply, "An entry instance does not answer this.", "Ask a control instance.");
     }
     messages->reply(origin, answer);
 }
--- a/src/entry_pipeline.cpp
+++ b/src/entry_pipeline.cpp
@@ -74,8 +74,8 @@
                                std::shared_ptr<gateway> servers, entry_follower& follower,
                                entry_allowances& allowances, decision_log& decisions,
                                entry_metrics& numbers)
-    : settings_(settings), incarnation_(incarnation), servers_(std::move(servers)), follower_(follower),
-      allowances_(allowances), decisions_(decisions), numbers_(numbers),
+    : settings_(settings), incarnation_(incarnation), servers_(std::move(servers)),
+      follower_(follower), allowances_(allowances), decisions_(decisions), numbers_(numbers),
       budget_(policy_settings().retry_share, retry_reserve)
 {
 }
--- a/src/entry_pipeline.h
+++ b/src/entry_pipeline.h
@@ -49,9 +49,9 @@
 
 class entry_pipeline {
   public:
-    entry_pipeline(const entry_settings& settings, std::uint64_t incarnation, std::shared_ptr<gateway> servers,
-                   entry_follower& follower, entry_allowances& allowances, decision_log& decisions,
-                   entry_metrics& numbers);
+    entry_pipeline(const entry_settings& settings, std::uint64_t incarnation,
+                   std::shared_ptr<gateway> servers, entry_follower& follower,
+                   entry_allowances& allowances, decision_log& decisions, entry_metrics& numbers);
 
     [[nodiscard]] boost::asio::awaitable<http::response> handle(const http::request& received);
 
--- a/src/history_measures.cpp
+++ b/src/history_measures.cpp
@@ -3,6 +3,7 @@
 #include "history_check.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 
 namespace primrosehead::history {
@@ -200,6 +201,88 @@
     into.write_p99_us = quantile(writes, 0.99);
 }
 
+// When each position of one database was committed at the latest: by the answer to a write there or
+// beyond.
+class commit_times {
+  public:
+    void add(std::uint64_t index, std::int64_t done_us) { answers_.push_back({index, done_us}); }
+
+    // Call once, after the last `add`.
+    void finish()
+    {
+        std::ranges::sort(answers_, {}, &answer::index);
+        for (std::size_t place = answers_.size(); place-- > 1;) {
+            answer& earlier = answers_[place - 1];
+            earlier.done_us = std::min(earlier.done_us, answers_[place].done_us);
+        }
+    }
+
+    // The latest time for a position that no write answered: it is not known to be committed.
+    [[nodiscard]] std::int64_t of(std::uint64_t index) const
+    {
+        const auto found = std::ranges::lower_bound(answers_, index, {}, &answer::index);
+        return found == answers_.end() ? std::numeric_limits<std::int64_t>::max() / 2
+                                       : found->done_us;
+    }
+
+  private:
+    struct answer {
+        std::uint64_t index = 0;
+        std::int64_t done_us = 0;
+    };
+    std::vector<answer> answers_;
+};
+
+// What a session has seen of a database, by the answers that came before a call.
+struct session_view {
+    std::string session;
+    std::string database;
+
+    // clang-tidy 14 takes the comparison with 0 inside for a null pointer.
+    friend auto operator<=>(const session_view&,
+                            const session_view&) = default; // NOLINT(modernize-use-nullptr)
+};
+
+bool is_plain_read(const operation& one)
+{
+    return one.kind == "read" || one.kind == "stale_read" || one.kind == "scan";
+}
+
+// A read is replica-servable when what its session had seen was committed a lag before its call.
+void measure_servable(const recorded& from, clock::duration lag, measures& into)
+{
+    std::map<std::string, commit_times> commits;
+    std::vector<const operation*> ordered;
+    for (const operation& each : from.operations) {
+        if (each.outcome != "ok" || each.at.index == 0) {
+            continue;
+        }
+        ordered.push_back(&each);
+        if (!is_plain_read(each)) {
+            commits[each.database].add(each.at.index, each.done_us);
+        }
+    }
+    for (auto& [database, times] : commits) {
+        times.finish();
+    }
+    std::ranges::sort(ordered, {}, &operation::called_us);
+    std::map<session_view, std::uint64_t> seen;
+    for (const operation* each : ordered) {
+        std::uint64_t& index = seen[{each->session, each->database}];
+        if (is_plain_read(*each)) {
+            const std::int64_t lag_us = lag.count() * us_per_ms;
+            const bool fresh = index == 0 || !each->with_token ||
+                               commits[each->database].of(index) + lag_us <= each->called_us;
+            const bool young = each->max_age_ms == 0 || each->max_age_ms >= lag.count();
+            if (fresh && young) {
+                ++into.servable_reads;
+                into.servable_reads_by_replicas += each->role == "replica" ? 1 : 0;
+            }
+        }
+        index = std::max(index, each->at.index);
+    }
+}
+
 void measure_gaps(const recorded& from, measures& into)
 {
     std::map<std::string, std::vector<std::int64_t>> good;
@@ -221,7 +304,7 @@
 
 } // namespace
 
-measures measure(const recorded& from)
+measures measure(const recorded& from, clock::duration replica_lag)
 {
     measures found;
     const auto requests = by_organisation(from);
@@ -232,6 +315,7 @@
         }
     }
     measure_latency(from, found);
+    measure_servable(from, replica_lag, found);
     measure_gaps(from, found);
     return found;
 }
--- a/src/history_measures.h
+++ b/src/history_measures.h
@@ -3,6 +3,8 @@
 
 #include "history_operation.h"
 
+#include <primrosehead/clock.h>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -28,12 +30,16 @@
     std::vector<database_measure> databases;
     std::uint64_t reads = 0;
     std::uint64_t reads_by_replicas = 0;
+    std::uint64_t servable_reads = 0; // some replica had what the session had seen
+    std::uint64_t servable_reads_by_replicas = 0;
     std::int64_t read_median_us = 0;
     std::int64_t read_p99_us = 0;
     std::int64_t write_median_us = 0;
     std::int64_t write_p99_us = 0;
 };
 
-[[nodiscard]] measures measure(const recorded& from);
+// `replica_lag`: how long after a commit a replica shows it; tells which reads replicas could
+// serve.
+[[nodiscard]] measures measure(const recorded& from, clock::duration replica_lag = {});
 
 } // namespace primrosehead::history
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -9,9 +9,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 #include <cerrno>
-#include <sys/socket.h>
 
 namespace primrosehead::http {
 
@@ -125,15 +125,16 @@
     co_return answer;
 }
 
-// An idle connection has nothing to read: bytes or an end mean that the peer closed it or lost step.
+// An idle connection has nothing to read: bytes or an end mean that the peer closed it or lost
+// step.
 bool client::is_open() const noexcept
 {
     if (!body_->open) {
         return false;
     }
     char byte = 0;
-    const ssize_t peeked = ::recv(body_->stream.socket().native_handle(), &byte, sizeof byte,
-                                  MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t peeked =
+        ::recv(body_->stream.socket().native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
     return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/src/load_plan.cpp
+++ b/src/load_plan.cpp
@@ -117,6 +117,7 @@
     lab::object_reader from(value(parsed), "$");
     run_plan read;
     read.duration = clock::duration(from.integer("duration_ms", 1, most_duration_ms));
+    read.replica_lag = clock::duration(from.integer("replica_lag_ms", 0, most_duration_ms, 0));
     from.objects("entries", [&read](lab::object_reader& one) {
         read.entries.push_back({one.text("url"), one.number("weight", 0, most_rate, 1.0)});
     });
--- a/src/load_plan.h
+++ b/src/load_plan.h
@@ -58,6 +58,7 @@
 
 struct run_plan {
     clock::duration duration{10'000};
+    clock::duration replica_lag{0}; // of the servers, to tell which reads replicas could serve
     std::vector<entry_plan> entries;
     std::vector<organisation_plan> organisations;
     std::vector<database_plan> databases;
--- a/src/load_summary.cpp
+++ b/src/load_summary.cpp
@@ -70,22 +70,24 @@
         refused += each.refused_wrongly;
         excess = std::max(excess, each.window_excess);
     }
-    return json::serialize(
-        json::object{{"operations", totals.operations},
-                     {"operations_not_ok", totals.failed},
-                     {"not_offered", totals.not_offered},
-                     {"faults", totals.faults},
-                     {"replica_read_share", share(found.reads_by_replicas, found.reads)},
-                     {"longest_write_gap_ms", gaps(found)},
-                     {"worst_served_share", worst_served},
-                     {"wrongly_refused_share", within == 0 ? 0.0 : share(refused, within)},
-                     {"window_excess", excess},
-                     {"read_median_us", found.read_median_us},
-                     {"read_p99_us", found.read_p99_us},
-                     {"write_median_us", found.write_median_us},
-                     {"write_p99_us", found.write_p99_us},
-                     {"kinds", kinds(from)},
-                     {"organisations", organisations(found)}});
+    return json::serialize(json::object{
+        {"operations", totals.operations},
+        {"operations_not_ok", totals.failed},
+        {"not_offered", totals.not_offered},
+        {"faults", totals.faults},
+        {"replica_servable_reads", found.servable_reads},
+        {"replica_read_share", share(found.servable_reads_by_replicas, found.servable_reads)},
+        {"replica_share_of_all_reads", share(found.reads_by_replicas, found.reads)},
+        {"longest_write_gap_ms", gaps(found)},
+        {"worst_served_share", worst_served},
+        {"wrongly_refused_share", within == 0 ? 0.0 : share(refused, within)},
+        {"window_excess", excess},
+        {"read_median_us", found.read_median_us},
+        {"read_p99_us", found.read_p99_us},
+        {"write_median_us", found.write_median_us},
+        {"write_p99_us", found.write_p99_us},
+        {"kinds", kinds(from)},
+        {"organisations", organisations(found)}});
 }
 
 } // namespace primrosehead::load
--- a/src/session_token.cpp
+++ b/src/session_token.cpp
@@ -4,8 +4,6 @@
 #include <primrosehead/config.h>
 #include <primrosehead/session.h>
 
-
-
 namespace primrosehead {
 
 namespace {
--- a/tests/history_check_test.cpp
+++ b/tests/history_check_test.cpp
@@ -282,3 +282,17 @@
     CHECK(!ok(read_history("{\"event\":\"done\",\"op\":9}\n")));
     CHECK(!ok(read_history("nonsense\n")));
 }
+
+TEST_CASE("history: a read right after a write is not replica-servable, a later one is")
+{
+    constexpr clock::duration lag{3};
+    history_builder history;
+    history.write("w/d#1", 5);                 // answered 1 ms later
+    history.read("w/d#1", 5).role = "primary"; // 2 ms after the call
+    history.read("w/d#1", 5).role = "replica"; // 4 ms after the call: 3 ms after the answer
+    history.read("w/d#1", 5).role = "primary"; // a replica could have served this one
+    const measures found = measure(history.built, lag);
+    CHECK(found.servable_reads == 2);
+    CHECK(found.servable_reads_by_replicas == 1);
+    CHECK(measure(history.built, clock::duration(100)).servable_reads == 0);
+}
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -42,8 +42,8 @@
         complain(describe(failure(recorded)));
         return exit_failed;
     }
-    const std::string summary =
-        load::summary_json(history::measure(value(recorded)), totals, value(recorded));
+    const std::string summary = load::summary_json(
+        history::measure(value(recorded), plan.replica_lag), totals, value(recorded));
     const std::string summary_path = absl::GetFlag(FLAGS_summary);
     if (summary_path.empty()) {
         std::cout << summary << '\n';
