--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -288,10 +288,10 @@
 std::shared_ptr<gateway> gateway::create(net::any_io_executor executor, gateway_settings settings,
                                          bus& messages)
 {
-    auto context =
-        std::make_shared<gateway_context>(executor, std::move(settings), messages, draw_number());
-    auto body = std::make_shared<implementation>(std::move(context));
-    net::co_spawn(executor, implementation::check_regularly(body), net::detached);
+    auto context = std::make_shared<gateway_context>(std::move(executor), std::move(settings),
+                                                     messages, draw_number());
+    auto body = std::make_shared<implementation>(context);
+    net::co_spawn(context->executor, implementation::check_regularly(body), net::detached);
     return std::shared_ptr<gateway>(new gateway(std::move(body)));
 }
 
