--- a/tests/bus_test.cpp
+++ b/tests/bus_test.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <string>
 #include <zmq.h>
 
 using namespace primrosehead;
@@ -23,6 +24,15 @@
     return {public_key.data(), secret_key.data()};
 }
 
+// An endpoint whose port was free a moment ago.
+std::string free_endpoint()
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context,
+                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return "tcp://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
 // Asks over `client` and counts the answers of `server`, which echoes the correlation.
 int count_answers(bus& client, bus& server, std::string_view endpoint)
 {
@@ -47,27 +57,29 @@
 
 TEST_CASE("an answer comes back over the connection of its question")
 {
-    auto server = bus::open("tcp://127.0.0.1:45871", std::nullopt);
+    const std::string endpoint = free_endpoint();
+    auto server = bus::open(endpoint, std::nullopt);
     auto client = bus::open("", std::nullopt);
     REQUIRE(ok(server));
     REQUIRE(ok(client));
-    CHECK(count_answers(*value(client), *value(server), "tcp://127.0.0.1:45871") == 1);
+    CHECK(count_answers(*value(client), *value(server), endpoint) == 1);
 }
 
 TEST_CASE("only holders of the fleet's key pair can talk on the bus")
 {
     const bus_key_settings key = make_key();
-    auto server = bus::open("tcp://127.0.0.1:45872", key);
+    const std::string endpoint = free_endpoint();
+    auto server = bus::open(endpoint, key);
     auto friendly = bus::open("", key);
     REQUIRE(ok(server));
     REQUIRE(ok(friendly));
-    CHECK(count_answers(*value(friendly), *value(server), "tcp://127.0.0.1:45872") == 1);
+    CHECK(count_answers(*value(friendly), *value(server), endpoint) == 1);
 
     bus_key_settings stranger_key = make_key();
     auto stranger = bus::open("", stranger_key);
     REQUIRE(ok(stranger));
     pb::envelope question;
-    value(stranger)->send("tcp://127.0.0.1:45872", question);
+    value(stranger)->send(endpoint, question);
     int heard = 0;
     for (int i = 0; i < 20; ++i) {
         value(stranger)->poll(turn, [](const bus_origin&, const pb::envelope&) {});
