--- /dev/null
+++ b/src/ctl_cell.cpp
@@ -0,0 +1,114 @@
+#include "ctl_cell.h"
+
+#include <absl/flags/declare.h>
+#include <absl/flags/flag.h>
+#include <boost/json.hpp>
+
+#include <array>
+#include <iostream>
+
+ABSL_DECLARE_FLAG(std::vector<std::string>, entry);
+
+namespace primrosehead::ctl {
+
+namespace json = boost::json;
+
+namespace {
+
+pb::operator_request status_request()
+{
+    pb::operator_request request;
+    request.set_status(true);
+    return request;
+}
+
+// The leader's status; while none leads, that of any control instance that answers.
+operator_outcome ask_status(const target& to)
+{
+    operator_outcome first = ask(to, to.control, status_request(), to.request_id + "-status");
+    const std::string leader = first.reply.leader_hint();
+    if (first.state != exchange_state::answered || !first.reply.not_leader() || leader.empty()) {
+        return first;
+    }
+    const std::array endpoints{leader};
+    operator_outcome second =
+        ask(to, endpoints, status_request(), to.request_id + "-leader-status");
+    return second.state == exchange_state::answered ? second : first;
+}
+
+} // namespace
+
+int status_of_cell(const target& to)
+{
+    const operator_outcome outcome = ask_status(to);
+    if (exit_code(outcome) != exit_done) {
+        return complain(exit_unknown, "No control instance answered. Check --control and --cell.");
+    }
+    if (outcome.reply.not_leader()) {
+        (void)complain(exit_done, "No control instance leads just now; this may be out of date.");
+    }
+    std::cout << outcome.reply.text() << '\n';
+    return exit_done;
+}
+
+std::vector<std::string> entry_endpoints(const target& to, std::string_view instance)
+{
+    std::vector<std::string> given = absl::GetFlag(FLAGS_entry);
+    if (!given.empty()) {
+        return given;
+    }
+    const json::object status = parse_object(ask_status(to).reply.text());
+    const json::value* fleet = status.if_contains("fleet");
+    const json::value* all = fleet != nullptr && fleet->is_object()
+                                 ? fleet->as_object().if_contains("instances")
+                                 : nullptr;
+    if (all == nullptr || !all->is_object()) {
+        return {};
+    }
+    std::vector<std::string> found;
+    for (const auto& entry : all->as_object()) {
+        const std::string_view name(entry.key());
+        if (entry.value().is_object() && (instance.empty() || name == instance)) {
+            const std::string endpoint = text_field(entry.value().as_object(), "endpoint");
+            found.push_back(endpoint);
+        }
+    }
+    std::erase(found, std::string());
+    return found;
+}
+
+int drain(const target& to, std::string_view instance)
+{
+    const std::vector<std::string> endpoints = entry_endpoints(to, instance);
+    if (endpoints.size() > 1) {
+        return complain(exit_usage, "drain takes one --entry ENDPOINT: that of the instance.");
+    }
+    if (endpoints.empty()) {
+        return complain(exit_refused, "No live instance " + std::string(instance) +
+                                          ". See primrosectl status, or give --entry ENDPOINT.");
+    }
+    pb::operator_request request;
+    request.set_drain_instance(std::string(instance));
+    return report(to, ask(to, endpoints, request, to.request_id),
+                  std::string(instance) + " takes no new work.");
+}
+
+int add_member(const target& to, arguments of)
+{
+    pb::operator_request request;
+    pb::member& added = *request.mutable_add_member();
+    added.set_instance(std::string(of[0]));
+    added.set_disk_id(std::string(of[1]));
+    added.set_endpoint(std::string(of[2]));
+    return report(to, ask_control(to, request),
+                  added.instance() + " is a member; it votes once it holds everything.");
+}
+
+int remove_member(const target& to, std::string_view instance)
+{
+    pb::operator_request request;
+    request.set_remove_member(std::string(instance));
+    return report(to, ask_control(to, request), std::string(instance) + " is no member any more.");
+}
+
+} // namespace primrosehead::ctl
--- /dev/null
+++ b/src/ctl_environments.cpp
@@ -0,0 +1,180 @@
+#include "ctl_environments.h"
+
+#include "operator_diff.h"
+
+#include <primrosehead/environment.h>
+
+#include <absl/flags/declare.h>
+#include <absl/flags/flag.h>
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <iostream>
+#include <optional>
+
+ABSL_DECLARE_FLAG(std::string, base_version);
+ABSL_DECLARE_FLAG(bool, json);
+
+namespace primrosehead::ctl {
+
+namespace json = boost::json;
+
+namespace {
+
+// The record of an environment as JSON.
+operator_outcome show_environment(const target& to, std::string_view name)
+{
+    pb::operator_request request;
+    request.set_show_environment(std::string(name));
+    return ask(to, to.control, request, to.request_id + "-show");
+}
+
+// --base-version; nothing when it is not given.
+result<std::optional<std::uint64_t>> base_version_flag()
+{
+    const std::string text = absl::GetFlag(FLAGS_base_version);
+    if (text.empty()) {
+        return std::optional<std::uint64_t>();
+    }
+    std::uint64_t version = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stopped, code] = std::from_chars(text.data(), end, version);
+    if (code != std::errc() || stopped != end) {
+        return error{error_kind::bad_request, "--base-version is not a number.",
+                     "Give the version that primrosectl show names.", ran::no,
+                     clock::duration::zero()};
+    }
+    return std::optional(version);
+}
+
+// The version to base a trial on: the flag's, or the one that is shown now.
+result<std::uint64_t> trial_base(const target& to, std::string_view name)
+{
+    const auto given = base_version_flag();
+    if (!ok(given)) {
+        return failure(given);
+    }
+    if (value(given)) {
+        return *value(given);
+    }
+    const operator_outcome shown = show_environment(to, name);
+    if (shown.state != exchange_state::answered) {
+        return error{error_kind::no_quorum, "The present version can't be read.",
+                     "Try again, or give --base-version.", ran::no, clock::duration::zero()};
+    }
+    return shown.reply.ok() ? number_field(parse_object(shown.reply.text()), "trial_version") : 0;
+}
+
+void print_change(const document_change& changed)
+{
+    if (absl::GetFlag(FLAGS_json)) {
+        std::cout << json::serialize(json::object{{"path", changed.path},
+                                                  {"before", changed.before},
+                                                  {"after", changed.after}})
+                  << '\n';
+        return;
+    }
+    std::cout << changed.path << ": " << (changed.before.empty() ? "none" : changed.before)
+              << " -> " << (changed.after.empty() ? "none" : changed.after) << '\n';
+}
+
+} // namespace
+
+int check_document(std::string_view path)
+{
+    const result<std::string> text = read_file(path);
+    if (!ok(text)) {
+        return complain(failure(text));
+    }
+    const result<environment> parsed = parse_environment(value(text));
+    if (!ok(parsed)) {
+        return complain(failure(parsed));
+    }
+    std::cout << "The document is valid: " << value(parsed).databases.size() << " databases, "
+              << value(parsed).routes.size() << " routes, " << value(parsed).organisations.size()
+              << " organisations.\n";
+    return exit_done;
+}
+
+int store_trial(const target& to, std::string_view name, std::string_view path)
+{
+    const result<std::string> text = read_file(path);
+    if (!ok(text)) {
+        return complain(failure(text));
+    }
+    const result<environment> parsed = parse_environment(value(text));
+    if (!ok(parsed)) {
+        return complain(failure(parsed));
+    }
+    const result<std::uint64_t> base = trial_base(to, name);
+    if (!ok(base)) {
+        return complain(failure(base),
+                        failure(base).kind == error_kind::no_quorum ? exit_refused : exit_usage);
+    }
+    pb::command body;
+    body.mutable_trial()->set_name(std::string(name));
+    body.mutable_trial()->set_base_version(value(base));
+    body.mutable_trial()->set_document(value(text));
+    return change(to, body,
+                  "Trial version " + std::to_string(value(base) + 1) + " of " + std::string(name) +
+                      " is stored.");
+}
+
+int promote(const target& to, std::string_view name)
+{
+    const auto base = base_version_flag();
+    if (!ok(base)) {
+        return complain(failure(base));
+    }
+    if (!value(base)) {
+        return complain(exit_usage,
+                        "promote needs --base-version N: the trial version to promote (see show).");
+    }
+    pb::command body;
+    body.mutable_promote()->set_name(std::string(name));
+    body.mutable_promote()->set_base_version(*value(base));
+    return change(to, body,
+                  "Version " + std::to_string(*value(base)) + " of " + std::string(name) +
+                      " is in production.");
+}
+
+int show(const target& to, std::string_view name)
+{
+    const operator_outcome outcome = show_environment(to, name);
+    if (exit_code(outcome) != exit_done) {
+        return report(to, outcome, {});
+    }
+    if (absl::GetFlag(FLAGS_json)) {
+        std::cout << outcome.reply.text() << '\n';
+        return exit_done;
+    }
+    const json::object record = parse_object(outcome.reply.text());
+    std::cout << "production: version " << number_field(record, "production_version") << '\n'
+              << text_field(record, "production_document") << '\n'
+              << "trial: version " << number_field(record, "trial_version") << '\n'
+              << text_field(record, "trial_document") << '\n';
+    return exit_done;
+}
+
+int diff(const target& to, std::string_view name)
+{
+    const operator_outcome outcome = show_environment(to, name);
+    if (exit_code(outcome) != exit_done) {
+        return report(to, outcome, {});
+    }
+    const json::object record = parse_object(outcome.reply.text());
+    const auto changes = diff_documents(text_field(record, "production_document"),
+                                        text_field(record, "trial_document"));
+    if (!ok(changes)) {
+        return complain(failure(changes));
+    }
+    std::cerr << "production version " << number_field(record, "production_version")
+              << " -> trial version " << number_field(record, "trial_version") << ", "
+              << value(changes).size() << " changes\n";
+    for (const document_change& changed : value(changes)) {
+        print_change(changed);
+    }
+    return exit_done;
+}
+
+} // namespace primrosehead::ctl
--- /dev/null
+++ b/src/ctl_explain.cpp
@@ -0,0 +1,100 @@
+#include "ctl_explain.h"
+
+#include "ctl_cell.h"
+
+#include <absl/flags/declare.h>
+#include <absl/flags/flag.h>
+#include <boost/json.hpp>
+
+#include <array>
+#include <fstream>
+#include <iostream>
+
+ABSL_DECLARE_FLAG(std::vector<std::string>, decision_log);
+
+namespace primrosehead::ctl {
+
+namespace json = boost::json;
+
+namespace {
+
+// Prints the lines of a decision log that carry the request's id.
+bool explain_from_file(const std::string& path, std::string_view request_id)
+{
+    std::ifstream file(path);
+    if (!file) {
+        (void)complain(exit_usage, "Can't read the decision log " + path + ".");
+        return false;
+    }
+    bool found = false;
+    std::string line;
+    while (std::getline(file, line)) {
+        if (text_field(parse_object(line), "request") == request_id) {
+            std::cout << line << '\n';
+            found = true;
+        }
+    }
+    return found;
+}
+
+// Prints an instance's decisions; false when it has none.
+bool print_decisions(const std::string& text)
+{
+    boost::system::error_code code;
+    const json::value parsed = json::parse(text, code);
+    if (code || !parsed.is_array() || parsed.as_array().empty()) {
+        return false;
+    }
+    for (const json::value& made : parsed.as_array()) {
+        std::cout << json::serialize(made) << '\n';
+    }
+    return true;
+}
+
+// Asks each instance on its own: only the one that took the request knows it.
+bool explain_from_entries(const target& to, std::string_view request_id)
+{
+    pb::operator_request request;
+    request.set_explain_request(std::string(request_id));
+    for (const std::string& endpoint : entry_endpoints(to, {})) {
+        const std::array one{endpoint};
+        const operator_outcome outcome = ask(to, one, request, to.request_id + "-explain");
+        if (exit_code(outcome) == exit_done && print_decisions(outcome.reply.text())) {
+            return true;
+        }
+    }
+    return false;
+}
+
+int explained(bool found, std::string_view request_id)
+{
+    if (found) {
+        return exit_done;
+    }
+    return complain(exit_refused, "No decision for " + std::string(request_id) +
+                                      " was found. Decisions in memory are bounded: name the "
+                                      "instance's file with --decision-log.");
+}
+
+} // namespace
+
+int explain_files(std::string_view request_id)
+{
+    bool found = false;
+    for (const std::string& path : absl::GetFlag(FLAGS_decision_log)) {
+        found = explain_from_file(path, request_id) || found;
+    }
+    return explained(found, request_id);
+}
+
+bool has_decision_files()
+{
+    return !absl::GetFlag(FLAGS_decision_log).empty();
+}
+
+int explain(const target& to, std::string_view request_id)
+{
+    return explained(explain_from_entries(to, request_id), request_id);
+}
+
+} // namespace primrosehead::ctl
--- /dev/null
+++ b/src/ctl_keys.cpp
@@ -0,0 +1,54 @@
+#include "ctl_keys.h"
+
+#include <primrosehead/keys.h>
+
+#include <absl/flags/declare.h>
+#include <absl/flags/flag.h>
+#include <boost/json.hpp>
+
+#include <iostream>
+
+ABSL_DECLARE_FLAG(bool, json);
+
+namespace primrosehead::ctl {
+
+namespace json = boost::json;
+
+int issue_key(const target& to, std::string_view organisation)
+{
+    const result<issued_key> key = make_key(organisation_name(organisation), system_random);
+    if (!ok(key)) {
+        return complain(failure(key), exit_refused);
+    }
+    pb::operator_request request;
+    *request.mutable_change()->mutable_issue()->mutable_key() = value(key).record;
+    const operator_outcome outcome = ask_control(to, request);
+    const int code = exit_code(outcome);
+    if (code == exit_unknown) {
+        return complain(code, "The outcome is unknown: no answer came in time. Withdraw the key " +
+                                  value(key).record.key_id() + " and issue another.");
+    }
+    if (code != exit_done) {
+        return report(to, outcome, {});
+    }
+    if (absl::GetFlag(FLAGS_json)) {
+        json::object shown = outcome_json(to, outcome);
+        shown["key_id"] = value(key).record.key_id();
+        shown["organisation"] = organisation;
+        shown["key"] = value(key).text;
+        std::cout << json::serialize(shown) << '\n';
+    }
+    else {
+        std::cout << value(key).text << '\n';
+    }
+    return code;
+}
+
+int withdraw_key(const target& to, std::string_view key_id)
+{
+    pb::command body;
+    body.mutable_withdraw()->set_key_id(std::string(key_id));
+    return change(to, body, "Key " + std::string(key_id) + " is withdrawn.");
+}
+
+} // namespace primrosehead::ctl
--- /dev/null
+++ b/src/ctl_keys.h
@@ -0,0 +1,11 @@
+// Commands on callers' keys.
+#pragma once
+
+#include "ctl_target.h"
+
+namespace primrosehead::ctl {
+
+[[nodiscard]] int issue_key(const target& to, std::string_view organisation);
+[[nodiscard]] int withdraw_key(const target& to, std::string_view key_id);
+
+} // namespace primrosehead::ctl
--- /dev/null
+++ b/src/ctl_target.cpp
@@ -0,0 +1,190 @@
+#include "ctl_target.h"
+
+#include "state_replies.h"
+
+#include <primrosehead/keys.h>
+
+#include <absl/flags/declare.h>
+#include <absl/flags/flag.h>
+#include <absl/strings/escaping.h>
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <iostream>
+
+ABSL_DECLARE_FLAG(std::string, config);
+ABSL_DECLARE_FLAG(std::string, cell);
+ABSL_DECLARE_FLAG(std::vector<std::string>, control);
+ABSL_DECLARE_FLAG(std::string, request_id);
+ABSL_DECLARE_FLAG(std::int64_t, timeout_ms);
+ABSL_DECLARE_FLAG(bool, json);
+
+namespace primrosehead::ctl {
+
+namespace json = boost::json;
+
+namespace {
+
+result<operator_settings> read_settings()
+{
+    const std::string path = absl::GetFlag(FLAGS_config);
+    if (!path.empty()) {
+        const result<std::string> text = read_file(path);
+        return ok(text) ? parse_operator_settings(value(text)) : failure(text);
+    }
+    json::array control;
+    for (const std::string& endpoint : absl::GetFlag(FLAGS_control)) {
+        const std::string name = "control-" + std::to_string(control.size() + 1);
+        control.push_back(json::object{{"name", name}, {"endpoint", endpoint}});
+    }
+    const json::object settings{{"cell", absl::GetFlag(FLAGS_cell)}, {"control", control}};
+    return parse_operator_settings(json::serialize(settings));
+}
+
+operator_outcome unreachable(const error& failed)
+{
+    operator_outcome outcome;
+    outcome.state = exchange_state::answered;
+    outcome.reply = refused(failed);
+    return outcome;
+}
+
+std::string outcome_text(const target& to, const operator_outcome& outcome)
+{
+    if (outcome.state == exchange_state::unknown) {
+        return "The outcome is unknown: no answer came in time. Send it again with --request-id " +
+               to.request_id + ": it runs at most once.";
+    }
+    if (outcome.state == exchange_state::not_run) {
+        return "Not run: no control instance leads just now. Try again; see primrosectl status.";
+    }
+    return describe(from_message(outcome.reply.error()));
+}
+
+} // namespace
+
+int complain(int code, std::string_view text)
+{
+    std::cerr << "primrosectl: " << text << '\n';
+    return code;
+}
+
+int complain(const error& failed, int code)
+{
+    return complain(code, describe(failed));
+}
+
+std::string random_hex(std::size_t size)
+{
+    std::string bytes(size, '\0');
+    (void)system_random({reinterpret_cast<unsigned char*>(bytes.data()), size});
+    return absl::BytesToHexString(bytes);
+}
+
+result<target> read_target()
+{
+    constexpr std::size_t request_id_bytes = 12;
+    result<operator_settings> settings = read_settings();
+    if (!ok(settings)) {
+        return failure(settings);
+    }
+    target made;
+    made.settings = value(std::move(settings));
+    for (const control_address& address : made.settings.control) {
+        made.control.push_back(address.endpoint);
+    }
+    made.request_id = absl::GetFlag(FLAGS_request_id);
+    if (made.request_id.empty()) {
+        made.request_id = "ctl-" + random_hex(request_id_bytes);
+    }
+    made.limit = clock::duration(absl::GetFlag(FLAGS_timeout_ms));
+    return made;
+}
+
+operator_outcome ask(const target& to, std::span<const std::string> endpoints,
+                     pb::operator_request request, std::string_view request_id)
+{
+    exchange_timing timing;
+    timing.limit = to.limit;
+    result<operator_link> link = operator_link::open(to.settings.cell, to.settings.bus_key, timing);
+    if (!ok(link)) {
+        return unreachable(failure(link));
+    }
+    request.set_request_id(std::string(request_id));
+    return value(link).ask(endpoints, request);
+}
+
+operator_outcome ask_control(const target& to, const pb::operator_request& request)
+{
+    return ask(to, to.control, request, to.request_id);
+}
+
+int exit_code(const operator_outcome& outcome)
+{
+    switch (outcome.state) {
+    case exchange_state::answered:
+        return outcome.reply.ok() ? exit_done : exit_refused;
+    case exchange_state::not_run:
+        return exit_refused;
+    case exchange_state::under_way:
+    case exchange_state::unknown:
+        break;
+    }
+    return exit_unknown;
+}
+
+json::object outcome_json(const target& to, const operator_outcome& outcome)
+{
+    json::object shown{{"ok", exit_code(outcome) == exit_done},
+                       {"request_id", to.request_id},
+                       {"version", outcome.reply.version()}};
+    if (exit_code(outcome) != exit_done) {
+        shown["kind"] =
+            outcome.state == exchange_state::unknown ? "unknown" : outcome.reply.error().kind();
+        shown["message"] = outcome_text(to, outcome);
+    }
+    return shown;
+}
+
+int report(const target& to, const operator_outcome& outcome, const std::string& done)
+{
+    const int code = exit_code(outcome);
+    if (absl::GetFlag(FLAGS_json)) {
+        std::cout << json::serialize(outcome_json(to, outcome)) << '\n';
+    }
+    else if (code == exit_done) {
+        std::cout << done << '\n';
+    }
+    return code == exit_done ? code : complain(code, outcome_text(to, outcome));
+}
+
+int change(const target& to, const pb::command& body, const std::string& done)
+{
+    pb::operator_request request;
+    *request.mutable_change() = body;
+    return report(to, ask_control(to, request), done);
+}
+
+json::object parse_object(const std::string& text)
+{
+    boost::system::error_code code;
+    const json::value parsed = json::parse(text, code);
+    return !code && parsed.is_object() ? parsed.as_object() : json::object();
+}
+
+std::uint64_t number_field(const json::object& from, std::string_view name)
+{
+    const json::value* found = from.if_contains(name);
+    boost::system::error_code code;
+    return found == nullptr ? 0 : found->to_number<std::uint64_t>(code);
+}
+
+std::string text_field(const json::object& from, std::string_view name)
+{
+    const json::value* found = from.if_contains(name);
+    return found != nullptr && found->is_string()
+               ? std::string(std::string_view(found->as_string()))
+               : std::string();
+}
+
+} // namespace primrosehead::ctl
