--- a/tests/bus_test.cpp
+++ b/tests/bus_test.cpp
@@ -3,6 +3,8 @@
 
 #include <primrosehead/bus.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
 #include <array>
--- a/tests/standin_database_test.cpp
+++ b/tests/standin_database_test.cpp
@@ -11,9 +11,9 @@
 
 constexpr clock::time_point start{clock::duration(1'000)};
 
-statement put(std::string key, std::string value)
+statement put(std::string key, std::string_view value)
 {
-    return put_statement{std::move(key), boost::json::value(value)};
+    return put_statement{std::move(key), boost::json::value(boost::json::string(value))};
 }
 
 statement get(std::string key)
@@ -30,7 +30,8 @@
 
 // A server with its storage.
 struct test_server {
-    explicit test_server(std::string name, database_faults faults = {}) : data(name, kept, faults)
+    explicit test_server(std::string name, database_faults faults = {})
+        : data(std::move(name), kept, faults)
     {
     }
     memory_storage kept;
@@ -59,7 +60,7 @@
     to.apply(start, clock::duration(0));
 }
 
-std::uint64_t write(database& to, std::string key, std::string text, std::uint64_t term)
+std::uint64_t write(database& to, std::string key, std::string_view text, std::uint64_t term)
 {
     const result<answer> outcome = to.write(put(std::move(key), std::move(text)), term, {});
     REQUIRE(ok(outcome));
