--- a/tests/standin_database_test.cpp
+++ b/tests/standin_database_test.cpp
@@ -62,7 +62,7 @@
 
 std::uint64_t write(database& to, std::string key, std::string_view text, std::uint64_t term)
 {
-    const result<answer> outcome = to.write(put(std::move(key), std::move(text)), term, {});
+    const result<answer> outcome = to.write(put(std::move(key), text), term, {});
     REQUIRE(ok(outcome));
     return value(outcome).at.index;
 }
