--- a/scripts/lab_runs.py
+++ b/scripts/lab_runs.py
@@ -36,6 +36,7 @@
         example = json.loads((self.example / "fleet.json").read_text())
         self.lag_ms = example["lag_ms"] if lag is None else lag
         self.facts = json.loads(run.stdout)
+        time.sleep(SETTLE_SECONDS)  # replicas have followed their primary for their lag
         self.document = json.loads((self.directory / "environment.json").read_text())
 
     def down(self):
--- a/src/routing_choose.cpp
+++ b/src/routing_choose.cpp
@@ -21,8 +21,11 @@
 // A remote server takes over from a saturated local one when its load is below this share of it.
 constexpr double remote_load_share = 0.5;
 
-// A replica is tried so much before it is expected to show a position.
-constexpr clock::duration guess_margin{20};
+// A replica is tried so much before it is expected to show a position: a fifth of its lag, within
+// these bounds. The expectation is as rough as reports are old; a wrong guess costs a round trip.
+constexpr clock::duration least_guess_margin{20};
+constexpr clock::duration most_guess_margin{100};
+constexpr int guess_margin_divisor = 5;
 
 // How long a leaving primary still takes writes while its successor is being promoted.
 constexpr clock::duration leaving_grace{2'000};
@@ -100,6 +103,12 @@
     return replica.reported_at + clock::duration(static_cast<std::int64_t>(milliseconds));
 }
 
+clock::duration guess_margin_of(const server_info& replica)
+{
+    return std::clamp(replica.data_age / guess_margin_divisor, least_guess_margin,
+                      most_guess_margin);
+}
+
 bool is_expected(const server_info& server, const read_request& request, const log_head& head,
                  clock::time_point now)
 {
@@ -107,8 +116,8 @@
     case freshness::known:
         return false;
     case freshness::expected:
-        return request.tried.empty() &&
-               expected_visible_at(server, head, request.minimum.index) < now + guess_margin;
+        return request.tried.empty() && expected_visible_at(server, head, request.minimum.index) <
+                                            now + guess_margin_of(server);
     case freshness::optimistic:
         return true;
     }
