--- a/src/program.cpp
+++ b/src/program.cpp
@@ -1,14 +1,15 @@
 #include "program.h"
 
+#include "command_line.h"
+
 #include <primrosehead/error.h>
 #include <primrosehead/settings.h>
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 
 #include <iostream>
+#include <span>
+#include <vector>
 
 ABSL_FLAG(std::string, config, "", "JSON settings file (docs/CONFIG.md)");
 ABSL_FLAG(bool, check_config, false, "check the settings and exit");
@@ -17,9 +18,27 @@
 
 namespace {
 
-std::string version_text()
+constexpr std::string_view flags_text = R"(
+  --config FILE     JSON settings file (docs/CONFIG.md)
+  --check-config    check the settings and exit
+  --help, --version
+Exit codes: 0 done, 1 failed, 2 bad command line or settings.
+)";
+
+// Prints what --help or --version ask for.
+bool print_information(std::span<const std::string_view> given, std::string_view usage)
 {
-    return "primrosehead " PRIMROSEHEAD_VERSION "\n";
+    for (const std::string_view argument : given) {
+        if (argument == "--help" || argument == "-h") {
+            std::cout << usage << '\n' << flags_text;
+            return true;
+        }
+        if (argument == "--version") {
+            std::cout << "primrosehead " PRIMROSEHEAD_VERSION "\n";
+            return true;
+        }
+    }
+    return false;
 }
 
 } // namespace
@@ -29,17 +48,28 @@
     std::cerr << text << '\n';
 }
 
+void complain(const error& failure)
+{
+    complain(describe(failure));
+}
+
 program_options read_command_line(int count, char** arguments, std::string_view usage)
 {
-    absl::FlagsUsageConfig configuration;
-    configuration.version_string = version_text;
-    absl::SetFlagsUsageConfig(configuration);
-    absl::SetProgramUsageMessage(absl::string_view(usage.data(), usage.size()));
-    const std::vector<char*> rest = absl::ParseCommandLine(count, arguments);
+    const std::vector<std::string_view> given(arguments + 1, arguments + count);
     program_options options;
+    if (print_information(given, usage)) {
+        options.exit_code = exit_done;
+        return options;
+    }
+    std::vector<std::string_view> rest;
+    const status parsed = parse_flags(given, rest);
+    if (!ok(parsed)) {
+        complain(failure(parsed));
+        return options;
+    }
     options.check_only = absl::GetFlag(FLAGS_check_config);
-    if (rest.size() > 1) {
-        complain("Unexpected argument \"" + std::string(rest[1]) + "\". See --help.");
+    if (!rest.empty()) {
+        complain("Unexpected argument \"" + std::string(rest[0]) + "\". See --help.");
         return options;
     }
     const std::string path = absl::GetFlag(FLAGS_config);
@@ -49,7 +79,7 @@
     }
     result<std::string> text = read_file(path);
     if (!ok(text)) {
-        complain(describe(failure(text)));
+        complain(failure(text));
         return options;
     }
     options.config_text = std::move(value(text));
--- a/src/program.h
+++ b/src/program.h
@@ -1,6 +1,9 @@
 // The command line that all servers share: --config, --check-config, --help, --version.
 #pragma once
 
+#include <primrosehead/error.h>
+#include <primrosehead/log.h>
+
 #include <string>
 #include <string_view>
 
@@ -14,14 +17,46 @@
 struct program_options {
     std::string config_text; // of the --config file
     bool check_only = false;
-    bool is_valid = false; // false: the reason was printed; exit with exit_bad_settings
+    bool is_valid = false; // false: the reason, or the help, was printed; exit with `exit_code`
+    int exit_code = exit_bad_settings;
 };
 
 // Reads the command line and the settings file.
 [[nodiscard]] program_options read_command_line(int count, char** arguments,
                                                 std::string_view usage);
 
-// Prints "NAME: TEXT" on standard error.
+// Prints a line on standard error.
 void complain(std::string_view text);
+void complain(const error& failure);
+
+// The main function of a server: `parse` reads the settings, `name` gives the process's name for
+// the logs, `run` serves until it is told to stop. Returns the exit code.
+template <class Parse, class Name, class Run>
+int run_server(int count, char** arguments, std::string_view usage, Parse parse, Name name, Run run)
+{
+    const program_options options = read_command_line(count, arguments, usage);
+    if (!options.is_valid) {
+        return options.exit_code;
+    }
+    const auto settings = parse(options.config_text);
+    if (!ok(settings)) {
+        complain(failure(settings));
+        return exit_bad_settings;
+    }
+    if (options.check_only) {
+        return exit_done;
+    }
+    const status logging = set_up_logs(value(settings).log, name(value(settings)));
+    if (!ok(logging)) {
+        complain(failure(logging));
+        return exit_bad_settings;
+    }
+    const status outcome = run(value(settings));
+    if (!ok(outcome)) {
+        complain(failure(outcome));
+        return exit_failed;
+    }
+    return exit_done;
+}
 
 } // namespace primrosehead
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -62,7 +62,7 @@
                           "Runs a plan of load and faults: primrose-load --config PLAN --seed N "
                           "--history FILE --summary FILE");
     if (!options.is_valid) {
-        return exit_bad_settings;
+        return options.exit_code;
     }
     const result<load::run_plan> plan = load::parse_plan(options.config_text);
     if (!ok(plan)) {
