Limits: a refused request waits for the one answer that tells of it

Now a request counts once, waits for the answer to the first heartbeat made after it (50 ms at most), and is refused at once when the last answer said that nothing is left or no leader is heard; asking wakes the bus thread.

--- a/include/primrosehead/bus.h
+++ b/include/primrosehead/bus.h
@@ -45,6 +45,9 @@
     // Closes the connection to a peer that is gone. Any thread.
     void forget(std::string_view endpoint);
 
+    // Ends a `poll` that waits. Any thread.
+    void wake();
+
     // Waits until a message is here or `timeout` passed, sends what is queued, and hands every
     // received message to `handle`. One thread only.
     void poll(clock::duration timeout, const handler& handle);
--- a/include/primrosehead/limits.h
+++ b/include/primrosehead/limits.h
@@ -43,6 +43,14 @@
     // Takes one request's tokens. `false`: none here just now.
     [[nodiscard]] bool take(clock::time_point now);
 
+    // The same for a request that `take` refused before and that waited for a grant since: it is
+    // not counted as demand again.
+    [[nodiscard]] bool take_waiting(clock::time_point now);
+
+    // True while the leader's last answer says that there is nothing to grant: waiting for the next
+    // one does not help.
+    [[nodiscard]] bool is_exhausted(clock::time_point now) const;
+
     // When `take` may succeed again, were no grant to come.
     [[nodiscard]] clock::duration retry_after(clock::time_point now) const;
 
--- a/src/bus.cpp
+++ b/src/bus.cpp
@@ -113,6 +113,7 @@
     void answer_authentication();
     void* dealer(const std::string& endpoint);
     void enqueue(outgoing message);
+    void wake_up() const;
     void flush();
     void send_one(const outgoing& message);
     void receive_router(const handler& handle);
@@ -231,6 +232,11 @@
         }
         queued.push_back(std::move(message));
     }
+    wake_up();
+}
+
+void bus::implementation::wake_up() const
+{
     const std::uint64_t one = 1;
     [[maybe_unused]] const auto written = write(wake, &one, sizeof one);
 }
@@ -352,6 +358,11 @@
     body_->enqueue(outgoing{std::string(endpoint), {}, {}, true});
 }
 
+void bus::wake()
+{
+    body_->wake_up();
+}
+
 void bus::poll(clock::duration timeout, const handler& handle)
 {
     body_->flush();
--- a/src/entry_allowances.cpp
+++ b/src/entry_allowances.cpp
@@ -39,7 +39,7 @@
 }
 
 entry_allowances::admission entry_allowances::take(const organisation_name& organisation,
-                                                   clock::time_point now)
+                                                   bool waited, clock::time_point now)
 {
     const std::shared_lock lock(guard_);
     const auto found = accounts_.find(organisation);
@@ -49,8 +49,9 @@
     account& own = *found->second;
     const std::lock_guard account_lock(own.guard);
     admission outcome;
-    outcome.admitted = own.tokens.take(now);
+    outcome.admitted = waited ? own.tokens.take_waiting(now) : own.tokens.take(now);
     outcome.is_low = own.tokens.is_low(now);
+    outcome.is_exhausted = own.tokens.is_exhausted(now);
     if (!outcome.admitted) {
         outcome.retry_after = own.tokens.retry_after(now);
     }
--- a/src/entry_allowances.h
+++ b/src/entry_allowances.h
@@ -26,7 +26,8 @@
     // What became of one request's admission.
     struct admission {
         bool admitted = false;
-        bool is_low = false; // a heartbeat should ask for more now
+        bool is_low = false;       // a heartbeat should ask for more now
+        bool is_exhausted = false; // waiting for a grant does not help now
         clock::duration retry_after{0};
     };
 
@@ -34,7 +35,9 @@
     void change(const environment& document, std::uint32_t instances, clock::time_point now);
 
     // Takes one request's tokens. An organisation without a contract is admitted.
-    [[nodiscard]] admission take(const organisation_name& organisation, clock::time_point now);
+    // `waited`: it was refused before and waited for a grant since.
+    [[nodiscard]] admission take(const organisation_name& organisation, bool waited,
+                                 clock::time_point now);
 
     void report(pb::heartbeat& into, clock::time_point now);
     void granted(const pb::heartbeat_reply& reply, clock::time_point now);
--- a/src/entry_follower.cpp
+++ b/src/entry_follower.cpp
@@ -56,8 +56,8 @@
     pb::heartbeat& beat = *message.mutable_beat();
     beat.set_instance(settings_.instance.text());
     beat.set_incarnation(incarnation_);
-    beat.set_sequence(++sequence_);
-    beat.set_answered_sequence(answered_);
+    beat.set_sequence(sequence_.fetch_add(1) + 1);
+    beat.set_answered_sequence(answered_.load());
     beat.set_asked_at_ms(to_ms(now));
     beat.set_state_version(state_.asked_version());
     beat.set_state_digest(state_.digest());
@@ -91,9 +91,10 @@
     if (reply.sequence() == 0) {
         return;
     }
-    answered_ = std::max(answered_, reply.sequence());
     take_directory(reply, now);
     allowances_.granted(reply, now);
+    heard_at_ms_.store(to_ms(now));
+    answered_.store(std::max(answered_.load(), reply.sequence()));
     if (state_.version() == 0) {
         return;
     }
@@ -111,7 +112,7 @@
     if (!endpoint.empty() && endpoint != leader_) {
         spdlog::debug("entry: Following the control leader at {}.", endpoint);
         leader_ = endpoint;
-        asked_soon_.store(true, std::memory_order_relaxed);
+        ask_soon();
     }
 }
 
@@ -167,6 +168,18 @@
     }
 }
 
+void entry_follower::ask_soon()
+{
+    if (!asked_soon_.exchange(true)) {
+        messages_.wake();
+    }
+}
+
+bool entry_follower::hears_leader(clock::time_point now) const noexcept
+{
+    return to_ms(now) - heard_at_ms_.load() <= leader_patience.count();
+}
+
 bool entry_follower::holds_lease(clock::time_point now) const noexcept
 {
     return to_ms(now) < lease_until_ms_.load();
--- a/src/entry_follower.h
+++ b/src/entry_follower.h
@@ -39,7 +39,19 @@
     void receive(const pb::envelope& message, clock::time_point now);
 
     // Asks for a heartbeat before the next is due, because tokens run low. Any thread.
-    void ask_soon() noexcept { asked_soon_.store(true, std::memory_order_relaxed); }
+    void ask_soon();
+
+    // The sequence of the first heartbeat that is made after this call. Any thread.
+    [[nodiscard]] std::uint64_t next_sequence() const noexcept { return sequence_.load() + 1; }
+
+    // True once the leader's answer to that heartbeat, or to a later one, was taken in. Any thread.
+    [[nodiscard]] bool is_answered(std::uint64_t sequence) const noexcept
+    {
+        return answered_.load() >= sequence;
+    }
+
+    // False when the leader has been silent for longer than an answer takes. Any thread.
+    [[nodiscard]] bool hears_leader(clock::time_point now) const noexcept;
 
     // Tells the control leader that this instance is leaving. Any thread.
     void leave() noexcept { leaving_.store(true); }
@@ -80,14 +92,15 @@
     rcu_cell<entry_view> view_;
     std::string leader_;
     std::size_t next_control_ = 0;
-    std::uint64_t sequence_ = 0;
-    std::uint64_t answered_ = 0;
     std::uint64_t control_term_ = 0;
     clock::time_point last_sent_{};
     clock::time_point last_answer_{};
     clock::time_point last_report_{};
     bool confirm_ = false; // the leader waits to hear that a new version was taken in
 
+    std::atomic<std::uint64_t> sequence_ = 0; // of the last heartbeat
+    std::atomic<std::uint64_t> answered_ = 0; // the last one whose answer was taken in
+    std::atomic<std::int64_t> heard_at_ms_ = 0;
     std::atomic<std::int64_t> lease_until_ms_ = 0;
     std::atomic<std::int64_t> confirmed_at_ms_ = 0;
     std::atomic<std::uint64_t> version_ = 0;
--- a/src/entry_pipeline.cpp
+++ b/src/entry_pipeline.cpp
@@ -23,8 +23,8 @@
 
 constexpr std::string_view public_organisation = "public"; // callers without a key
 constexpr std::string_view bearer_prefix = "Bearer ";
-constexpr clock::duration grant_wait{3};      // for the answer to a heartbeat
-constexpr int grant_waits = 4;                // before a refusal is final
+constexpr clock::duration grant_pause{1}; // between looks for the answer to a heartbeat
+constexpr clock::duration longest_grant_wait{50};
 constexpr clock::duration confirm_pause{5};   // between looks at the lease
 constexpr clock::duration catch_up_time{100}; // for a state version that a caller has seen
 constexpr clock::duration term_change_time{200};
@@ -262,14 +262,24 @@
     return work;
 }
 
-// Waits for the answers to a few heartbeats when this instance has no tokens left, then refuses.
+// With no tokens here, waits for the answer to a heartbeat that tells of this request; that answer
+// is final. Refuses at once when the last one said that there is nothing to grant, and when the
+// control leader is not heard.
 net::awaitable<status> entry_pipeline::admit(const call_context& call)
 {
-    entry_allowances::admission outcome = allowances_.take(call.organisation, clock::now());
-    for (int i = 0; i < grant_waits && !outcome.admitted; ++i) {
-        follower_.ask_soon();
-        co_await pause(grant_wait);
-        outcome = allowances_.take(call.organisation, clock::now());
+    clock::time_point now = clock::now();
+    const clock::time_point limit = std::min(call.deadline, now + longest_grant_wait);
+    entry_allowances::admission outcome = allowances_.take(call.organisation, false, now);
+    const std::uint64_t telling = follower_.next_sequence();
+    bool answered = !follower_.hears_leader(now);
+    while (!outcome.admitted && !outcome.is_exhausted && !answered && now < limit) {
+        if (outcome.is_low) {
+            follower_.ask_soon();
+        }
+        co_await pause(grant_pause);
+        now = clock::now();
+        answered = follower_.is_answered(telling);
+        outcome = allowances_.take(call.organisation, true, now);
     }
     if (outcome.is_low) {
         follower_.ask_soon();
--- a/src/limits_allowance.cpp
+++ b/src/limits_allowance.cpp
@@ -132,16 +132,30 @@
 {
     body_->bring_up(now);
     body_->recent.record(now);
-    if (body_->held() < one_request) {
+    if (!take_waiting(now)) {
         ++body_->unmet;
         return false;
     }
+    return true;
+}
+
+bool allowance::take_waiting(clock::time_point now)
+{
+    body_->bring_up(now);
+    if (body_->held() < one_request) {
+        return false;
+    }
     const std::int64_t taken = body_->granted.take(one_request);
     body_->floor.take(one_request - taken);
     body_->used_total += one_request;
     return true;
 }
 
+bool allowance::is_exhausted(clock::time_point now) const
+{
+    return is_static_split(body_->terms) || now < body_->quiet_until;
+}
+
 clock::duration allowance::retry_after(clock::time_point now) const
 {
     body_->bring_up(now);
