--- a/src/entry_follower.cpp
+++ b/src/entry_follower.cpp
@@ -32,13 +32,18 @@
         choose_other_leader();
         last_answer_ = now;
     }
-    const bool asked = confirm_ || asked_soon_.load(std::memory_order_relaxed);
-    const clock::duration pause = asked ? shortest_pause : heartbeat_period;
-    if (now - last_sent_ >= pause) {
+    if (until_due(now) == clock::duration::zero()) {
         send_heartbeat(now);
     }
 }
 
+clock::duration entry_follower::until_due(clock::time_point now) const noexcept
+{
+    const bool asked = confirm_ || asked_soon_.load();
+    const clock::duration pause = asked ? shortest_pause : heartbeat_period;
+    return std::max(clock::duration::zero(), last_sent_ + pause - now);
+}
+
 void entry_follower::choose_other_leader()
 {
     leader_ = settings_.control[next_control_ % settings_.control.size()].endpoint;
@@ -47,7 +52,7 @@
 
 void entry_follower::send_heartbeat(clock::time_point now)
 {
-    asked_soon_.store(false, std::memory_order_relaxed);
+    asked_soon_.store(false);
     confirm_ = false;
     last_sent_ = now;
     pb::envelope message;
--- a/src/entry_follower.h
+++ b/src/entry_follower.h
@@ -32,9 +32,12 @@
     entry_follower(const entry_settings& settings, std::uint64_t incarnation, bus& messages,
                    gateway& servers, entry_allowances& allowances);
 
-    // Sends what is due. Called on the bus's thread every few milliseconds.
+    // Sends what is due. The bus's thread.
     void tick(clock::time_point now);
 
+    // How long until `tick` has something to do; zero when it has now. The bus's thread.
+    [[nodiscard]] clock::duration until_due(clock::time_point now) const noexcept;
+
     // A `beat_reply`. The bus's thread.
     void receive(const pb::envelope& message, clock::time_point now);
 
--- a/src/entry_instance.cpp
+++ b/src/entry_instance.cpp
@@ -33,7 +33,7 @@
 
 namespace {
 
-constexpr clock::duration bus_turn{5};
+constexpr clock::duration longest_bus_turn{50};
 constexpr std::chrono::milliseconds leave_notice{1'000}; // for the balancer to see /readyz
 constexpr std::chrono::milliseconds drain_turn{20};
 
@@ -225,7 +225,8 @@
 {
     while (!stopped.load()) {
         follower->tick(clock::now());
-        messages->poll(bus_turn, [this](const bus_origin& origin, const pb::envelope& message) {
+        const clock::duration turn = std::min(longest_bus_turn, follower->until_due(clock::now()));
+        messages->poll(turn, [this](const bus_origin& origin, const pb::envelope& message) {
             receive(origin, message);
         });
     }
