--- a/include/primrosehead/retry.h
+++ b/include/primrosehead/retry.h
@@ -14,6 +14,9 @@
   public:
     retry_budget(double share, double reserve) noexcept;
 
+    // Retries allowed a first try from now on.
+    void change(double share) noexcept { share_ = share; }
+
     void first_try() noexcept;
     [[nodiscard]] bool take() noexcept;
 
--- a/src/entry_attempts.cpp
+++ b/src/entry_attempts.cpp
@@ -171,6 +171,7 @@
     enum ran ran_so_far = ran::no; // a later refusal doesn't undo what an earlier try may have run
     {
         const std::lock_guard lock(budget_guard_);
+        budget_.change(call.policy.retry_share);
         budget_.first_try();
     }
     for (std::uint32_t tries = 1;; ++tries) {
--- a/src/entry_follower.cpp
+++ b/src/entry_follower.cpp
@@ -50,6 +50,15 @@
     ++next_control_;
 }
 
+void entry_follower::describe_self(pb::instance_record& into) const
+{
+    into.set_instance(settings_.instance.text());
+    into.set_failure_domain(settings_.failure_domain.text());
+    into.set_endpoint(settings_.bus_endpoint);
+    into.set_http_url("http://" + settings_.listen);
+    into.set_leaving(leaving_.load());
+}
+
 void entry_follower::send_heartbeat(clock::time_point now)
 {
     asked_soon_.store(false);
@@ -66,12 +75,7 @@
     beat.set_asked_at_ms(to_ms(now));
     beat.set_state_version(state_.asked_version());
     beat.set_state_digest(state_.digest());
-    pb::instance_record& self = *beat.mutable_self();
-    self.set_instance(settings_.instance.text());
-    self.set_failure_domain(settings_.failure_domain.text());
-    self.set_endpoint(settings_.bus_endpoint);
-    self.set_http_url("http://" + settings_.listen);
-    self.set_leaving(leaving_.load());
+    describe_self(*beat.mutable_self());
     for (pb::server_report& report : servers_.announced(last_report_ - report_overlap, now)) {
         *beat.add_servers() = std::move(report);
     }
--- a/src/entry_follower.h
+++ b/src/entry_follower.h
@@ -20,6 +20,7 @@
 namespace primrosehead::pb {
 class envelope;
 class heartbeat_reply;
+class instance_record;
 } // namespace primrosehead::pb
 
 namespace primrosehead {
@@ -78,6 +79,7 @@
     [[nodiscard]] std::uint64_t version() const noexcept { return version_.load(); }
 
   private:
+    void describe_self(pb::instance_record& into) const;
     void send_heartbeat(clock::time_point now);
     bool take_state(const pb::heartbeat_reply& reply, clock::time_point now);
     void take_directory(const pb::heartbeat_reply& reply, clock::time_point now);
--- a/src/entry_request.cpp
+++ b/src/entry_request.cpp
@@ -174,7 +174,7 @@
     }
     const std::string_view rest = target.substr(transactions_path.size());
     const std::size_t slash = rest.rfind('/');
-    if (slash == 0 || slash == std::string_view::npos) {
+    if (!rest.starts_with('/') || slash <= 1) {
         return {};
     }
     const std::string_view transaction = rest.substr(1, slash - 1);
--- /dev/null
+++ b/tests/entry_request_test.cpp
@@ -0,0 +1,103 @@
+// Callers' requests and servers' announcements: typed errors for whatever bytes come.
+#include "entry_announcements.h"
+#include "entry_request.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <random>
+#include <string>
+
+using namespace primrosehead;
+
+namespace {
+
+constexpr std::string_view statement_text =
+    R"({"database":"kura-1","route":"kura-1.look-up","statement":{"get":"bay-7"},)"
+    R"("max_age_ms":500,"timeout_ms":800})";
+
+// Changes, drops or doubles a few bytes.
+std::string damaged(std::string_view text, std::mt19937& random)
+{
+    std::string changed(text);
+    const auto count = random() % 6;
+    for (unsigned i = 0; i < count && !changed.empty(); ++i) {
+        const std::size_t place = random() % changed.size();
+        switch (random() % 3) {
+        case 0:
+            changed[place] = static_cast<char>(random());
+            break;
+        case 1:
+            changed.erase(place, 1 + random() % 8);
+            break;
+        default:
+            changed.insert(place, changed.substr(place, 1 + random() % 8));
+        }
+    }
+    return changed;
+}
+
+} // namespace
+
+TEST_CASE("request: a statement is read whole")
+{
+    const auto read = parse_caller_request(statement_text, body_kind::statement);
+    REQUIRE(ok(read));
+    CHECK(value(read).database.text() == "kura-1");
+    CHECK(value(read).route.text() == "kura-1.look-up");
+    CHECK(value(read).statement == R"({"get":"bay-7"})");
+    CHECK(value(read).max_age == clock::duration(500));
+    CHECK(value(read).timeout == clock::duration(800));
+}
+
+TEST_CASE("request: what is wrong is named")
+{
+    constexpr std::array bad{R"({"route":"r","statement":{}})",
+                             R"({"database":7,"route":"r","statement":{}})",
+                             R"({"database":"d","route":"r","statement":"text"})",
+                             R"({"database":"d","route":"r","statement":{},"timeout_ms":-1})",
+                             R"({"database":"d","route":"r","statement":{},"timeout_ms":60001})",
+                             R"({"database":"d","route":"r","statement":{},"extra":1})",
+                             "[]",
+                             "{"};
+    for (const char* const text : bad) {
+        const auto read = parse_caller_request(text, body_kind::statement);
+        REQUIRE(!ok(read));
+        CHECK(failure(read).kind == error_kind::bad_request);
+        CHECK(!failure(read).message.empty());
+        CHECK(!failure(read).remedy.empty());
+    }
+    CHECK(
+        !ok(parse_caller_request(R"({"database":"d","route":"r","mode":"x"})", body_kind::begin)));
+    CHECK(ok(parse_caller_request("", body_kind::end)));
+}
+
+TEST_CASE("request: targets")
+{
+    CHECK(parse_target("/v1/statements").kind == call_kind::statement);
+    CHECK(parse_target("/v1/transactions").kind == call_kind::begin);
+    const call_target commit = parse_target("/v1/transactions/t1.a.b/commit");
+    CHECK(commit.kind == call_kind::commit);
+    CHECK(commit.transaction == "t1.a.b");
+    for (const std::string_view other : {"", "/", "/v1/transactions/", "/v1/transactions//commit",
+                                         "/v1/transactions/x/unknown", "/v2/statements"}) {
+        CHECK(parse_target(other).kind == call_kind::unknown);
+    }
+}
+
+TEST_CASE("request: any bytes give a typed error or a request")
+{
+    std::mt19937 random(20'261'204);
+    int read_well = 0;
+    for (int i = 0; i < 20'000; ++i) {
+        const std::string text = damaged(statement_text, random);
+        const auto read = parse_caller_request(text, body_kind::statement);
+        read_well += ok(read) ? 1 : 0;
+        if (!ok(read)) {
+            CHECK(failure(read).kind == error_kind::bad_request);
+        }
+        (void)parse_announcement(text);
+        (void)parse_target(text);
+    }
+    CHECK(read_well > 0);
+}
--- a/tests/retry_test.cpp
+++ b/tests/retry_test.cpp
@@ -89,3 +89,16 @@
     CHECK(decide_retry(failed_attempt(error_kind::overloaded, ran::no, false), empty) ==
           retry_decision::give_up_budget);
 }
+
+TEST_CASE("retry: a changed share counts from the next first try on")
+{
+    retry_budget budget(0, 1);
+    CHECK(budget.take());
+    budget.first_try();
+    CHECK(!budget.take());
+    budget.change(0.5);
+    budget.first_try();
+    CHECK(!budget.take());
+    budget.first_try();
+    CHECK(budget.take());
+}
