Gateway: look at a warm connection before it is used, not after its last answer

Cause: the peek for a connection that the peer closed ran once, right after an answer, and its outcome was kept; `take` handed out idle connections without looking. Ruled out: the client's own check, which is right (new test: it sees a closed idle connection). Not measured: how many writes after a killed primary this keeps from ending as "may have run".

--- a/src/gateway_connection.cpp
+++ b/src/gateway_connection.cpp
@@ -43,13 +43,13 @@
     const http::response& response = value(received);
     gateway_wire::answer answer =
         gateway_wire::decode(request, response.status, response.body, check_);
-    usable_ = answer.is_whole && link_->is_open();
+    usable_ = answer.is_whole;
     co_return std::move(answer.outcome);
 }
 
 bool gateway_connection::is_usable() const noexcept
 {
-    return usable_;
+    return usable_ && link_->is_open();
 }
 
 } // namespace primrosehead
--- a/src/gateway_pool.cpp
+++ b/src/gateway_pool.cpp
@@ -84,10 +84,12 @@
 net::awaitable<result<gateway_pool::taken_connection>>
 gateway_pool::take(clock::time_point deadline)
 {
-    if (!idle_.empty()) {
+    while (!idle_.empty()) {
         taken_connection warm{std::move(idle_.back().link), true};
         idle_.pop_back();
-        co_return warm;
+        if (warm.link->is_usable()) {
+            co_return warm;
+        }
     }
     if (*open_ >= capacity()) {
         co_return no_place("Every connection to the backend server is in use.", retry_after_full);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -132,3 +133,36 @@
     CHECK(answered);
     CHECK(server->is_idle());
 }
+
+TEST_CASE("a client sees before use that the peer has closed an idle connection")
+{
+    net::io_context context;
+    auto opened = http::listener::open(context.get_executor(), {.address = "127.0.0.1:0"}, echo);
+    REQUIRE(ok(opened));
+    const auto server = value(opened);
+    bool open_after_answer = false;
+    bool open_after_close = true;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            auto connected =
+                co_await http::client::connect(url_of(*server), clock::now() + patience);
+            REQUIRE(ok(connected));
+            const http::request sent{"GET", "/idle"};
+            auto answer = co_await value(connected)->call(sent, clock::now() + patience);
+            REQUIRE(ok(answer));
+            open_after_answer = value(connected)->is_open();
+            server->close();
+            net::steady_timer timer(context);
+            for (int turn = 0; turn < 500 && open_after_close; ++turn) {
+                timer.expires_after(std::chrono::milliseconds(10));
+                co_await timer.async_wait(net::use_awaitable);
+                open_after_close = value(connected)->is_open();
+            }
+            context.stop();
+        },
+        net::detached);
+    context.run_for(std::chrono::seconds(10));
+    CHECK(open_after_answer);
+    CHECK(!open_after_close);
+}
