--- a/include/primrosehead/clock.h
+++ b/include/primrosehead/clock.h
@@ -1,14 +1,16 @@
-// The one clock of the system: monotonic, in milliseconds.
+// The one clock of the system: it never goes back, in milliseconds.
 //
 // Decisions never read it; they take a `clock::time_point` as an argument.
 #pragma once
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace primrosehead {
 
-// A std::chrono clock over the machine's monotonic time.
+// A std::chrono clock over the time since the machine's start, suspension included: a lease must not
+// outlive a suspension that its keeper lived through.
 struct clock {
     using rep = std::int64_t;
     using period = std::milli;
@@ -18,8 +20,10 @@
 
     [[nodiscard]] static time_point now() noexcept
     {
-        const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-        return time_point(std::chrono::duration_cast<duration>(since_start));
+        std::timespec reading{};
+        clock_gettime(CLOCK_BOOTTIME, &reading);
+        return time_point(std::chrono::duration_cast<duration>(
+            std::chrono::seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec)));
     }
 };
 
--- a/include/primrosehead/config.h
+++ b/include/primrosehead/config.h
@@ -22,12 +22,19 @@
 inline constexpr std::size_t max_answer_bytes = 4 * mebibyte;
 inline constexpr std::size_t max_servers_per_instance = 256;
 
+// The session line protocol.
+inline constexpr std::size_t max_line_bytes = mebibyte;
+inline constexpr std::size_t max_session_values = 64;
+inline constexpr std::size_t max_session_statements = 256;
+inline constexpr std::size_t max_connection_statements = 64;
+
 // Queues.
 inline constexpr std::size_t max_queued_per_server = 512;
 inline constexpr std::size_t max_bus_queue = 65'536;
 
 // Replicated state.
 inline constexpr std::size_t max_document_bytes = mebibyte;
+inline constexpr std::size_t max_published_bytes = 4 * mebibyte;
 inline constexpr std::size_t max_remembered_requests = 4'096;
 inline constexpr std::size_t max_request_id_bytes = 128;
 inline constexpr std::size_t max_tombstones = 1'024;
--- a/include/primrosehead/state.h
+++ b/include/primrosehead/state.h
@@ -20,6 +20,7 @@
 class instance_record;
 class key_record;
 class operator_reply;
+class published_record;
 class state_delta;
 class state_record;
 } // namespace primrosehead::pb
@@ -61,6 +62,7 @@
     [[nodiscard]] const pb::group_record* group(std::string_view database) const;
     [[nodiscard]] const pb::instance_record* instance(std::string_view name) const;
     [[nodiscard]] const pb::key_record* key(std::string_view key_id) const;
+    [[nodiscard]] const pb::published_record* published(std::string_view name) const;
     [[nodiscard]] const state_records& records() const noexcept;
 
   private:
--- a/src/bus.cpp
+++ b/src/bus.cpp
@@ -22,7 +22,11 @@
 constexpr int queue_messages = 10'000;
 constexpr int reconnect_ms = 50;
 constexpr int reconnect_max_ms = 500;
-constexpr int handshake_ms = 2'000;
+constexpr int handshake_ms = 1'000;
+constexpr int connect_ms = 1'000;
+// A connection can fall silent without a reset; it is made anew after these two.
+constexpr int ping_ms = 1'000;
+constexpr int ping_answer_ms = 1'000;
 constexpr int max_message_bytes = 16 * 1024 * 1024;
 constexpr int max_messages_per_turn = 1'000;
 constexpr std::size_t curve_key_length = 40;
@@ -58,6 +62,9 @@
     set_option(socket, ZMQ_RECONNECT_IVL, reconnect_ms);
     set_option(socket, ZMQ_RECONNECT_IVL_MAX, reconnect_max_ms);
     set_option(socket, ZMQ_HANDSHAKE_IVL, handshake_ms);
+    set_option(socket, ZMQ_CONNECT_TIMEOUT, connect_ms);
+    set_option(socket, ZMQ_HEARTBEAT_IVL, ping_ms);
+    set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, ping_answer_ms);
     const std::int64_t limit = max_message_bytes;
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &limit, sizeof limit);
 }
--- /dev/null
+++ b/src/bus_runner.cpp
@@ -0,0 +1,42 @@
+#include "bus_runner.h"
+
+#include "primrosehead.pb.h"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace primrosehead {
+
+namespace {
+
+constexpr clock::duration longest_turn{1'000}; // sends and stops wake the bus earlier
+
+} // namespace
+
+bus_runner::bus_runner(std::unique_ptr<bus> messages, boost::asio::any_io_executor executor,
+                       handler handle)
+    : messages_(std::move(messages)), executor_(std::move(executor)),
+      handle_(std::make_shared<handler>(std::move(handle))), thread_([this] { run(); })
+{
+}
+
+bus_runner::~bus_runner()
+{
+    stopped_.store(true);
+    messages_->wake();
+    thread_.join();
+}
+
+void bus_runner::run()
+{
+    while (!stopped_.load()) {
+        messages_->poll(longest_turn, [this](const bus_origin& origin, const pb::envelope& message) {
+            boost::asio::post(executor_, [handle = handle_, origin, message] {
+                (*handle)(origin, message);
+            });
+        });
+    }
+}
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/bus_runner.h
@@ -0,0 +1,38 @@
+// Runs a bus on a thread of its own and hands its messages to one executor.
+#pragma once
+
+#include <primrosehead/bus.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace primrosehead {
+
+class bus_runner {
+  public:
+    using handler = std::function<void(const bus_origin& origin, const pb::envelope& message)>;
+
+    // `handle` is called on `executor`, in the order in which messages came.
+    bus_runner(std::unique_ptr<bus> messages, boost::asio::any_io_executor executor,
+               handler handle);
+    ~bus_runner();
+    bus_runner(const bus_runner&) = delete;
+    bus_runner& operator=(const bus_runner&) = delete;
+
+    [[nodiscard]] bus& messages() noexcept { return *messages_; }
+
+  private:
+    void run();
+
+    std::unique_ptr<bus> messages_;
+    boost::asio::any_io_executor executor_;
+    std::shared_ptr<handler> handle_;
+    std::atomic<bool> stopped_ = false;
+    std::thread thread_;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/cell_directory.cpp
@@ -0,0 +1,101 @@
+#include "cell_directory.h"
+
+namespace primrosehead::cell {
+
+namespace {
+
+// A deregistered server is remembered so long, so that a late announcement doesn't bring it back.
+constexpr clock::duration gone_kept{60'000};
+// A crashed server announces nothing; one that is cut off may still serve instances.
+constexpr clock::duration silence_kept{30'000};
+
+bool is_newer(const pb::server_announcement& told, const pb::server_announcement& known)
+{
+    if (told.born_ms() != known.born_ms() && told.born_ms() != 0 && known.born_ms() != 0) {
+        return told.born_ms() > known.born_ms();
+    }
+    if (told.gone() != known.gone()) {
+        // Deregistration carries no sequence of its own and ends the incarnation.
+        return told.gone() || told.born_ms() > known.born_ms();
+    }
+    return told.sequence() > known.sequence();
+}
+
+// True when both say the same of what instances route by.
+bool is_same(const pb::server_announcement& left, const pb::server_announcement& right)
+{
+    return left.group() == right.group() && left.address() == right.address() &&
+           left.failure_domain() == right.failure_domain() && left.slots() == right.slots() &&
+           left.leaving() == right.leaving() && left.gone() == right.gone() &&
+           left.is_primary() == right.is_primary() && left.born_ms() == right.born_ms();
+}
+
+} // namespace
+
+bool directory::heard(const pb::server_announcement& announcement, clock::time_point now)
+{
+    const clock::time_point heard_at = now - clock::duration(announcement.age_ms());
+    const auto found = entries_.find(announcement.server());
+    if (found == entries_.end()) {
+        if (announcement.gone()) {
+            return false;
+        }
+        entries_.emplace(announcement.server(), directory_entry{announcement, heard_at});
+        ++revision_;
+        return true;
+    }
+    directory_entry& entry = found->second;
+    if (!is_newer(announcement, entry.said)) {
+        return false;
+    }
+    pb::server_announcement next = announcement;
+    if (next.gone()) {
+        // Deregistration names the server alone.
+        next = entry.said;
+        next.set_gone(true);
+        next.set_leaving(true);
+    }
+    const bool changed = !is_same(next, entry.said);
+    entry = directory_entry{std::move(next), heard_at};
+    revision_ += changed ? 1 : 0;
+    return changed;
+}
+
+std::vector<pb::server_announcement> directory::servers(clock::time_point now) const
+{
+    std::vector<pb::server_announcement> all;
+    all.reserve(entries_.size());
+    for (const auto& [name, entry] : entries_) {
+        all.push_back(entry.said);
+        all.back().set_age_ms(static_cast<std::uint32_t>((now - entry.heard_at).count()));
+    }
+    return all;
+}
+
+std::vector<const directory_entry*> directory::group(std::string_view name) const
+{
+    std::vector<const directory_entry*> members;
+    for (const auto& [server, entry] : entries_) {
+        if (entry.said.group() == name && !entry.said.gone()) {
+            members.push_back(&entry);
+        }
+    }
+    return members;
+}
+
+const directory_entry* directory::find(std::string_view server) const
+{
+    const auto found = entries_.find(server);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+void directory::forget_old(clock::time_point now)
+{
+    const std::size_t dropped = std::erase_if(entries_, [now](const auto& item) {
+        const directory_entry& entry = item.second;
+        return now - entry.heard_at > (entry.said.gone() ? gone_kept : silence_kept);
+    });
+    revision_ += dropped > 0 ? 1 : 0;
+}
+
+} // namespace primrosehead::cell
--- /dev/null
+++ b/src/cell_metrics.h
@@ -0,0 +1,40 @@
+// The metrics of a cell instance on an address of their own.
+#pragma once
+
+#include "event_log.h"
+
+#include <primrosehead/error.h>
+#include <primrosehead/http.h>
+#include <primrosehead/metrics.h>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace primrosehead::cell {
+
+class metrics_server {
+  public:
+    // An empty address serves nothing.
+    [[nodiscard]] static result<std::unique_ptr<metrics_server>>
+    open(boost::asio::any_io_executor executor, std::string_view address);
+
+    void set(std::uint64_t term, std::uint64_t version, std::uint32_t followers, bool leads,
+             const event_log& events);
+
+  private:
+    metrics_server();
+
+    metrics all_;
+    counter_id term_;
+    counter_id version_;
+    counter_id followers_;
+    counter_id leads_;
+    counter_id log_lines_;
+    counter_id log_dropped_;
+    std::shared_ptr<http::listener> listener_;
+};
+
+} // namespace primrosehead::cell
--- /dev/null
+++ b/src/cell_orders.h
@@ -0,0 +1,72 @@
+// Carries out a leader's questions and orders to backend servers and the platform, and collects the
+// answers.
+#pragma once
+
+#include "cell_service.h"
+#include "event_log.h"
+#include "line_dialect.h"
+#include "promotion_port.h"
+#include "promotion_probe.h"
+
+#include <primrosehead/clock.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace primrosehead::cell {
+
+class orders {
+  public:
+    orders(boost::asio::any_io_executor executor, const line_dialect& dialect,
+           promotion::port& platform, event_log& events, std::string holder);
+
+    void carry_out(const group_action& due);
+
+    // Hands what was answered since to the plans.
+    void give_answers(service& to, clock::time_point now);
+
+    // Answers on their way belong to a service before.
+    void forget_answers();
+
+    // Closes connections that no check uses any more.
+    void close_idle(clock::time_point now);
+
+  private:
+    using answer = std::function<void(promotion::plan& plan, clock::time_point now)>;
+    struct collected {
+        std::string group;
+        answer give;
+    };
+
+    [[nodiscard]] std::shared_ptr<promotion::probe> probe_for(const std::string& purpose,
+                                                              const std::string& group,
+                                                              const std::string& server,
+                                                              const std::string& address);
+    boost::asio::awaitable<void> check_lead(std::string group, promotion::check_lead what);
+    boost::asio::awaitable<void> check_status(std::string group, promotion::check_status what);
+    boost::asio::awaitable<void> pause(std::string group, promotion::pause_replica what);
+    boost::asio::awaitable<void> demote(std::string group, promotion::demote_primary what);
+    boost::asio::awaitable<void> resume(std::string group, promotion::resume_replica what);
+    boost::asio::awaitable<void> call(std::string group, promotion::call_platform what);
+    void note_order(std::string_view group, std::string_view order, std::string_view server,
+                    const promotion::status_answer& told);
+    void collect(const std::string& group, answer give);
+
+    boost::asio::any_io_executor executor_;
+    const line_dialect& dialect_;
+    promotion::port& platform_;
+    event_log& events_;
+    std::string holder_;
+    std::map<std::string, std::shared_ptr<promotion::probe>, std::less<>> probes_;
+    std::vector<collected> answers_;
+    std::uint64_t generation_ = 0;
+};
+
+} // namespace primrosehead::cell
--- /dev/null
+++ b/src/cell_service.cpp
@@ -0,0 +1,154 @@
+#include "cell_service.h"
+
+#include <algorithm>
+
+namespace primrosehead::cell {
+
+namespace {
+
+// Announcement intervals after which every live server was heard: one interval, jitter, one retry.
+constexpr int intervals_until_complete = 2;
+constexpr clock::duration live_within{1'500}; // several follow requests of an instance
+
+std::vector<promotion::member> members_of(const directory& servers, std::string_view group)
+{
+    std::vector<promotion::member> members;
+    for (const directory_entry* entry : servers.group(group)) {
+        members.push_back({entry->said.server(), entry->said.address(), entry->said.leaving(),
+                           entry->said.is_primary(), entry->said.born_ms()});
+    }
+    return members;
+}
+
+promotion::decision_record record_of(const state_machine& state, std::string_view group)
+{
+    const pb::group_record* const stored = state.group(group);
+    return stored == nullptr ? promotion::decision_record{}
+                             : promotion::decision_record{stored->term(), stored->primary()};
+}
+
+} // namespace
+
+service::service(service_settings settings, std::uint64_t term, clock::time_point elected_at)
+    : settings_(settings), term_(term), elected_at_(elected_at),
+      shares_(elected_at, settings.instance_lease)
+{
+}
+
+bool service::is_complete(clock::time_point now) const
+{
+    return now - elected_at_ >= settings_.announcement_interval * intervals_until_complete;
+}
+
+std::uint32_t service::live_instances(clock::time_point now) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(instances_.begin(), instances_.end(), [&](const auto& item) {
+            return now - item.second.heard_at < live_within;
+        }));
+}
+
+promotion::plan* service::find(std::string_view group)
+{
+    const auto found = plans_.find(group);
+    return found == plans_.end() ? nullptr : &found->second;
+}
+
+void service::take_sightings(const pb::follow_request& asked, clock::time_point now)
+{
+    for (const pb::group_sighting& told : asked.sightings()) {
+        promotion::plan* const plan = find(told.group());
+        if (plan == nullptr) {
+            continue;
+        }
+        promotion::sighting seen;
+        seen.server = told.server();
+        if (told.reached_ms_ago() >= 0) {
+            seen.reached_ago = clock::duration(told.reached_ms_ago());
+        }
+        seen.failing_for = clock::duration(told.failing_for_ms());
+        plan->sighted(asked.instance(), seen, now);
+    }
+}
+
+pb::follow_reply service::follow(const pb::follow_request& asked, const state_machine& state,
+                                 const directory& servers, clock::time_point now)
+{
+    pb::follow_reply reply;
+    reply.set_is_leader(true);
+    reply.set_sequence(asked.sequence());
+    reply.set_asked_at_ms(asked.asked_at_ms());
+    reply.set_control_term(term_);
+    instance& from = instances_[asked.instance()];
+    if (from.incarnation != asked.incarnation()) {
+        shares_.forget(asked.instance()); // of the process before
+        from = instance{asked.incarnation(), 0, now};
+    }
+    if (asked.sequence() <= from.sequence) {
+        reply.set_sequence(0); // late or repeated: renews nothing
+        return reply;
+    }
+    from.sequence = asked.sequence();
+    from.heard_at = now;
+    take_sightings(asked, now);
+    for (const pb::share_report& told : asked.shares()) {
+        pb::share_grant& grant = *reply.add_shares();
+        grant.set_organisation(told.organisation());
+        grant.set_share_ppm(shares_.report(told.organisation(), asked.instance(),
+                                           asked.incarnation(), told.share_ppm(),
+                                           told.demand_per_s(), now));
+    }
+    if (const pb::published_record* const newest = state.published(document_name)) {
+        reply.set_document_version(newest->version());
+        if (newest->version() > asked.document_version()) {
+            *reply.mutable_document() = *newest;
+        }
+    }
+    reply.set_directory_revision(servers.revision());
+    if (asked.control_term() != term_ || asked.directory_revision() != servers.revision()) {
+        for (pb::server_announcement& server : servers.servers(now)) {
+            *reply.add_servers() = std::move(server);
+        }
+        reply.set_directory_complete(is_complete(now));
+    }
+    for (const auto& [group, plan] : plans_) {
+        if (!plan.primary().empty()) {
+            pb::group_lead& lead = *reply.add_leads();
+            lead.set_group(group);
+            lead.set_server(plan.primary());
+            lead.set_term(plan.lead_position().term);
+        }
+    }
+    reply.set_live_instances(live_instances(now));
+    return reply;
+}
+
+std::vector<group_action> service::advance(const document* present, const state_machine& state,
+                                           const directory& servers, clock::time_point now)
+{
+    std::vector<group_action> actions;
+    shares_.expire(now);
+    std::erase_if(instances_, [&](const auto& item) {
+        return now - item.second.heard_at > settings_.instance_lease;
+    });
+    // Until every live server was heard, a decision could overlook a replica that holds commits.
+    if (present == nullptr || !is_complete(now)) {
+        return actions;
+    }
+    for (const document_group& group : present->content().groups) {
+        auto found = plans_.find(group.name);
+        if (found == plans_.end()) {
+            found = plans_
+                        .emplace(group.name,
+                                 promotion::plan(group.name, promotion::plan_settings{}, now))
+                        .first;
+        }
+        for (promotion::action& what : found->second.advance(
+                 members_of(servers, group.name), record_of(state, group.name), now)) {
+            actions.push_back({group.name, std::move(what)});
+        }
+    }
+    return actions;
+}
+
+} // namespace primrosehead::cell
--- /dev/null
+++ b/src/cell_service.h
@@ -0,0 +1,80 @@
+// What the leader of the cell instances does for pooler instances: confirms the newest document,
+// tells the directory, splits limits, and watches over each group's primary. Pure.
+#pragma once
+
+#include "cell_directory.h"
+#include "cell_shares.h"
+#include "document.h"
+#include "primrosehead.pb.h"
+#include "promotion_plan.h"
+
+#include <primrosehead/clock.h>
+#include <primrosehead/state.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace primrosehead::cell {
+
+// The name under which the operators' document is published.
+inline constexpr std::string_view document_name = "production";
+
+struct service_settings {
+    clock::duration instance_lease{3'500};        // an instance may act on its last answer so long
+    clock::duration announcement_interval{1'200}; // of backend servers
+};
+
+struct group_action {
+    std::string group;
+    promotion::action what;
+};
+
+// Exists while its instance leads one term.
+class service {
+  public:
+    service(service_settings settings, std::uint64_t term, clock::time_point elected_at);
+
+    // Answers an instance. The caller fills in `control_endpoints`.
+    [[nodiscard]] pb::follow_reply follow(const pb::follow_request& asked,
+                                          const state_machine& state, const directory& servers,
+                                          clock::time_point now);
+
+    // What has become due for the groups that `present` names.
+    [[nodiscard]] std::vector<group_action> advance(const document* present,
+                                                    const state_machine& state,
+                                                    const directory& servers,
+                                                    clock::time_point now);
+
+    // Null when no document names the group.
+    [[nodiscard]] promotion::plan* find(std::string_view group);
+    [[nodiscard]] const std::map<std::string, promotion::plan, std::less<>>& plans() const noexcept
+    {
+        return plans_;
+    }
+    [[nodiscard]] std::uint64_t term() const noexcept { return term_; }
+    [[nodiscard]] std::uint32_t live_instances(clock::time_point now) const;
+
+  private:
+    struct instance {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        clock::time_point heard_at;
+    };
+
+    [[nodiscard]] bool is_complete(clock::time_point now) const;
+    void take_sightings(const pb::follow_request& asked, clock::time_point now);
+
+    service_settings settings_;
+    std::uint64_t term_;
+    clock::time_point elected_at_;
+    shares shares_;
+    std::map<std::string, instance, std::less<>> instances_;
+    std::map<std::string, promotion::plan, std::less<>> plans_;
+};
+
+} // namespace primrosehead::cell
--- /dev/null
+++ b/src/cell_shares.h
@@ -0,0 +1,58 @@
+// Splits each organisation's rate and burst over the pooler instances by their demand, at the
+// control leader. Pure.
+//
+// An instance spends within its share until its lease ends, so that limits go on through elections.
+// The shares that may be in use at once never pass one: a share rises only by what others have
+// confirmed to have given up, or what a lease that ended gave back.
+#pragma once
+
+#include <primrosehead/clock.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace primrosehead::cell {
+
+inline constexpr std::uint32_t whole_share = 1'000'000; // millionths
+
+class shares {
+  public:
+    // `elected_at`: before one `lease` has passed, an earlier leader's shares may be in use unseen.
+    shares(clock::time_point elected_at, clock::duration lease);
+
+    // An instance holds `held` and sees `demand` operations a second, in a report of `incarnation`.
+    // Returns the share that it is to use from now on.
+    [[nodiscard]] std::uint32_t report(std::string_view organisation, std::string_view instance,
+                                       std::uint64_t incarnation, std::uint32_t held, double demand,
+                                       clock::time_point now);
+
+    // All shares of the instance end: its process is over.
+    void forget(std::string_view instance);
+
+    // Drops instances whose lease ended.
+    void expire(clock::time_point now);
+
+  private:
+    struct holding {
+        std::uint64_t incarnation = 0;
+        std::uint32_t in_use = 0;  // what the instance may be spending by, at most
+        std::uint32_t granted = 0; // what it was told last
+        double demand = 0;         // smoothed
+        clock::time_point heard_at;
+    };
+    struct account {
+        std::map<std::string, holding, std::less<>> holdings;
+    };
+
+    [[nodiscard]] std::uint32_t wanted(const account& of, const holding& own) const;
+    [[nodiscard]] std::uint32_t free_in(const account& of, clock::time_point now) const;
+
+    clock::time_point elected_at_;
+    clock::duration lease_;
+    std::map<std::string, account, std::less<>> accounts_;
+};
+
+} // namespace primrosehead::cell
--- /dev/null
+++ b/src/deployment_settings.h
@@ -0,0 +1,53 @@
+// Settings of the programs that serve a published document: pooler and cell instances
+// (docs/CONFIG.md).
+#pragma once
+
+#include <primrosehead/clock.h>
+#include <primrosehead/error.h>
+#include <primrosehead/settings.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace primrosehead {
+
+// What both programs have in common.
+struct deployment_settings {
+    cell_name cell{"main"};
+    std::string instance;
+    failure_domain_name failure_domain;
+    std::string host;                  // own IP
+    std::uint16_t bus_port = 0;        // of every instance's bus
+    std::vector<std::string> control;  // IP:PORT of some cell instances' interface
+    std::string metrics_listen;        // IP:PORT; empty: none
+    clock::duration revocation{5'000}; // a withdrawn key must not work for longer
+    clock::duration grace{6'000};      // from the request to stop to the kill
+    log_settings log;
+};
+
+struct pooler_settings : deployment_settings {
+    std::string listen;           // IP:PORT for callers
+    std::string readiness_listen; // IP:PORT for the balancer's probe
+    std::uint32_t max_connections = 4'000;
+};
+
+struct cell_settings : deployment_settings {
+    std::string listen; // IP:PORT for servers and operators
+    std::string data_folder;
+    bool is_first_start = false; // of the whole system, with empty disks
+    std::string platform;        // IP:PORT of the platform's calls; empty: none
+    clock::duration announcement_interval{1'200};
+};
+
+[[nodiscard]] result<pooler_settings> parse_pooler_settings(std::string_view text);
+[[nodiscard]] result<cell_settings> parse_cell_settings(std::string_view text);
+
+// The bus endpoint of the instance on `host`.
+[[nodiscard]] std::string bus_endpoint_of(std::string_view host, std::uint16_t bus_port);
+
+// "10.0.0.1" of "10.0.0.1:8462".
+[[nodiscard]] std::string_view host_of(std::string_view address) noexcept;
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/document.cpp
@@ -0,0 +1,103 @@
+#include "document.h"
+
+#include <fmt/format.h>
+
+#include <set>
+#include <utility>
+
+namespace primrosehead {
+
+namespace {
+
+error contradiction(std::string message, std::string remedy)
+{
+    return error{error_kind::bad_request, std::move(message), std::move(remedy)};
+}
+
+template <class Table, class Key>
+auto find_in(const Table& table, const Key& key) -> decltype(table.begin()->second)
+{
+    const auto found = table.find(key);
+    return found == table.end() ? nullptr : found->second;
+}
+
+} // namespace
+
+status document::index()
+{
+    for (const document_group& group : content_.groups) {
+        if (group.name.empty() || !groups_.emplace(group.name, &group).second) {
+            return contradiction(fmt::format("The service \"{}\" is named twice or not at all.",
+                                             group.name),
+                                 "Give every service a name of its own.");
+        }
+    }
+    std::set<std::pair<std::string_view, std::string_view>> places;
+    for (const document_route& route : content_.routes) {
+        if (!groups_.contains(route.group)) {
+            return contradiction(fmt::format("Route \"{}\" names the unknown service \"{}\".",
+                                             route.name, route.group),
+                                 "Add the service or correct its name.");
+        }
+        if (route.statement_timeout <= clock::duration::zero()) {
+            return contradiction(fmt::format("Route \"{}\" has no statement timeout.", route.name),
+                                 "Set a timeout above 0 ms.");
+        }
+        if (!places.emplace(route.database, route.path_prefix).second) {
+            return contradiction(fmt::format("Two routes serve \"{}\" at \"{}\".", route.database,
+                                             route.path_prefix),
+                                 "Keep one of them.");
+        }
+        routes_.emplace(route.database, &route);
+    }
+    for (const document_organisation& organisation : content_.organisations) {
+        if (organisation.name.empty() ||
+            !organisations_.emplace(organisation.name, &organisation).second) {
+            return contradiction(fmt::format("The organisation \"{}\" is named twice or not at all.",
+                                             organisation.name),
+                                 "Give every organisation a name of its own.");
+        }
+        for (const std::string& key : organisation.keys) {
+            const auto held = keys_.emplace(key, &organisation);
+            if (!held.second && held.first->second != &organisation) {
+                return contradiction(fmt::format("Organisations \"{}\" and \"{}\" share a key.",
+                                                 held.first->second->name, organisation.name),
+                                     "Issue each organisation keys of its own.");
+            }
+        }
+    }
+    return std::monostate{};
+}
+
+result<std::shared_ptr<const document>> document::make(document_content content)
+{
+    // The indexes point into the content, so it is indexed where it stays.
+    std::shared_ptr<document> made(new document(std::move(content)));
+    const status indexed = made->index();
+    if (!ok(indexed)) {
+        return failure(indexed);
+    }
+    return std::shared_ptr<const document>(std::move(made));
+}
+
+const document_route* document::route(std::string_view database) const
+{
+    return find_in(routes_, database);
+}
+
+const document_organisation* document::holder(std::string_view key) const
+{
+    return find_in(keys_, key);
+}
+
+const document_group* document::group(std::string_view name) const
+{
+    return find_in(groups_, name);
+}
+
+const document_organisation* document::organisation(std::string_view name) const
+{
+    return find_in(organisations_, name);
+}
+
+} // namespace primrosehead
--- a/src/entry_attempts.cpp
+++ b/src/entry_attempts.cpp
@@ -1,4 +1,5 @@
 // The part of the pipeline that tries servers: choice, retries, and hedged reads.
+#include "clock_timer.h"
 #include "entry_metrics.h"
 #include "entry_pipeline.h"
 
@@ -67,7 +68,7 @@
 net::awaitable<void> wait_for(read_race& race, clock::time_point until)
 {
     while (!race.is_over() && clock::now() < until) {
-        race.changed.expires_at(std::chrono::steady_clock::time_point(until.time_since_epoch()));
+        race.changed.expires_at(steady(until));
         co_await race.changed.async_wait(no_throw);
     }
 }
--- a/src/gateway_timer.cpp
+++ b/src/gateway_timer.cpp
@@ -1,5 +1,7 @@
 #include "gateway_timer.h"
 
+#include "clock_timer.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -9,7 +11,7 @@
 
 net::awaitable<void> wait_until(net::steady_timer& timer, clock::time_point time)
 {
-    timer.expires_at(std::chrono::steady_clock::time_point(time.time_since_epoch()));
+    timer.expires_at(steady(time));
     co_await timer.async_wait(net::as_tuple(net::use_awaitable));
 }
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,3 +1,4 @@
+#include "clock_timer.h"
 #include "http_address.h"
 
 #include <primrosehead/config.h>
@@ -24,11 +25,6 @@
 
 using beast_request = beast::http::request<beast::http::string_body>;
 
-std::chrono::steady_clock::time_point steady(clock::time_point time)
-{
-    return std::chrono::steady_clock::time_point(time.time_since_epoch());
-}
-
 error link_failure(const beast::error_code& cause, enum ran ran)
 {
     if (cause == beast::error::timeout) {
--- /dev/null
+++ b/src/line_answer.h
@@ -0,0 +1,64 @@
+// What a backend server answers over the session line protocol, and its reader.
+#pragma once
+
+#include "line_dialect.h"
+
+#include <primrosehead/position.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace primrosehead {
+
+enum class session_state { idle, in_transaction, failed_transaction };
+
+// The whole answer to one query. `is_error` tells which of `signature` and `code` is set.
+struct line_answer {
+    std::vector<std::string> rows;
+    std::string signature; // "-" when no statement ran
+    std::string code;
+    std::string text; // of an error
+    bool is_error = false;
+    session_state state = session_state::idle;
+    std::optional<log_position> position; // of the server's log
+};
+
+// Reads a server's lines into answers.
+class line_answer_reader {
+  public:
+    explicit line_answer_reader(const line_dialect& dialect) : dialect_(&dialect) {}
+
+    enum class progress { more, answered, malformed };
+
+    // Takes one line without its end. `answered`: `take` gives the finished answer.
+    [[nodiscard]] progress feed(std::string_view line);
+    [[nodiscard]] line_answer take();
+
+  private:
+    [[nodiscard]] progress finish(std::string_view fields);
+
+    const line_dialect* dialect_;
+    line_answer draft_;
+};
+
+// "TERM.NUMBER"; none for "-" and anything else.
+[[nodiscard]] std::optional<log_position> parse_position(std::string_view text) noexcept;
+[[nodiscard]] std::string format_position(const std::optional<log_position>& position);
+
+// A server's answer to the status statement.
+struct server_status {
+    bool is_primary = false;
+    std::uint64_t term = 0;
+    log_position received;
+    std::uint64_t term_held = 0;
+    std::uint64_t lag_ms = 0;
+    std::uint32_t busy = 0;
+    std::uint32_t connections = 0;
+};
+[[nodiscard]] std::optional<server_status> parse_status(std::string_view row,
+                                                        std::string_view primary_word);
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/line_connection.h
@@ -0,0 +1,88 @@
+// One connection to a backend server over the session line protocol.
+#pragma once
+
+#include "line_answer.h"
+#include "line_dialect.h"
+
+#include <primrosehead/clock.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace primrosehead {
+
+// Why a connection could not be opened.
+enum class open_failure_kind {
+    refused,   // nothing listens there, or the connection was reset
+    timed_out, // no answer
+    answered,  // the server answered with an error code
+};
+struct open_failure {
+    open_failure_kind kind = open_failure_kind::refused;
+    std::string code;
+};
+
+// The answers to the queries of one exchange, as far as they came. With `is_broken` or
+// `has_timed_out` the connection can't be used again.
+struct line_exchange {
+    std::vector<line_answer> answers;
+    bool is_broken = false;
+    bool has_timed_out = false;
+
+    [[nodiscard]] bool is_whole() const noexcept { return !is_broken && !has_timed_out; }
+};
+
+class line_connection {
+  public:
+    using open_result = std::variant<std::unique_ptr<line_connection>, open_failure>;
+
+    // Connects to "IP:PORT" and sends the startup line, which ends in CR LF.
+    // `startup` is a named variable: g++ 12 copies aggregates of awaited calls bit by bit.
+    [[nodiscard]] static boost::asio::awaitable<open_result>
+    open(boost::asio::any_io_executor executor, const line_dialect& dialect,
+         const std::string& address, const std::string& startup, clock::time_point deadline);
+
+    // Sends queries and reads as many answers.
+    [[nodiscard]] boost::asio::awaitable<line_exchange>
+    exchange(const std::string& queries, std::size_t count, clock::time_point deadline);
+
+    // False when the server closed the connection while it was idle, or sent something unasked.
+    [[nodiscard]] bool is_usable();
+
+    // The log position that the server told last.
+    [[nodiscard]] const std::optional<log_position>& position() const noexcept { return position_; }
+
+    ~line_connection();
+    line_connection(const line_connection&) = delete;
+    line_connection& operator=(const line_connection&) = delete;
+
+  private:
+    line_connection(boost::asio::any_io_executor executor, const line_dialect& dialect);
+
+    void arm(clock::time_point deadline);
+    void disarm();
+    [[nodiscard]] boost::asio::awaitable<void> read_answers(std::size_t count, line_exchange& into);
+    [[nodiscard]] bool take_lines(std::size_t count, line_exchange& into);
+    [[nodiscard]] bool feed_line(std::string_view line, line_exchange& into);
+
+    const line_dialect& dialect_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    std::shared_ptr<bool> expired_ = std::make_shared<bool>(false);
+    line_answer_reader reader_;
+    std::string buffer_;
+    std::size_t consumed_ = 0;
+    std::optional<log_position> position_;
+};
+
+} // namespace primrosehead
--- /dev/null
+++ b/src/pooler_connection.h
@@ -0,0 +1,29 @@
+// A pooled connection and what the server keeps for it between operations.
+#pragma once
+
+#include "line_connection.h"
+
+#include <primrosehead/clock.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace primrosehead::pooler {
+
+struct pooled_server;
+
+// Values of a session by name, as the server holds them.
+using session_values = std::map<std::string, std::string, std::less<>>;
+
+struct pooled_connection {
+    std::unique_ptr<line_connection> link;
+    std::shared_ptr<pooled_server> server;
+    std::string organisation;
+    session_values values;
+    std::set<std::string, std::less<>> prepared; // by the pool's own names
+    clock::time_point used_at;
+};
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_execution.cpp
@@ -0,0 +1,594 @@
+#include "pooler_execution.h"
+
+#include "clock_timer.h"
+#include "event_log.h"
+#include "pooler_metrics.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace primrosehead::pooler {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+
+constexpr std::uint32_t max_attempts = 4;
+// An operation that can't begin within this part of its objective is refused, so that its caller
+// can try another instance in time.
+constexpr int wait_part_of_objective = 4;
+// A read that is silent for longer than this is tried elsewhere; the usual latency counts besides.
+constexpr clock::duration read_patience{250};
+constexpr double read_patience_latencies = 6;
+// Beginning a transaction takes no slot, so only a server that is down or cut off is silent.
+constexpr clock::duration begin_patience{400};
+// Between tries at a server whose queue is full.
+constexpr clock::duration busy_pause{10};
+// Callers should come back after a change of primary, or when connections are free again.
+constexpr clock::duration primary_retry_after{500};
+constexpr clock::duration crowded_retry_after{100};
+// Observations are made some time after they were asked for; older reads need a little more.
+constexpr clock::duration freshness_margin{10};
+
+double since_ms(clock::time_point start, clock::time_point now)
+{
+    return static_cast<double>((now - start).count());
+}
+
+net::awaitable<void> pause(net::any_io_executor executor, clock::duration time)
+{
+    net::steady_timer timer(executor, time);
+    co_await timer.async_wait(no_throw);
+}
+
+} // namespace
+
+execution::~execution()
+{
+    roll_back();
+}
+
+line_answer execution::failed(std::string_view code, std::string text) const
+{
+    line_answer answer;
+    answer.is_error = true;
+    answer.code = code;
+    answer.text = std::move(text);
+    return answer;
+}
+
+line_answer execution::refusal(acquire_failure why, const operation& under) const
+{
+    switch (why) {
+    case acquire_failure::no_primary:
+        return failed(shared_.dialect.busy,
+                      fmt::format("not run: {} has no reachable primary; retry after {} ms",
+                                  under.route->group, primary_retry_after.count()));
+    case acquire_failure::no_server:
+        return failed(shared_.dialect.busy,
+                      fmt::format("not run: no server of {} can serve this; retry after {} ms",
+                                  under.route->group, primary_retry_after.count()));
+    case acquire_failure::crowded:
+    case acquire_failure::none:
+        break;
+    }
+    return failed(shared_.dialect.busy,
+                  fmt::format("not run: the servers of {} are busy; retry after {} ms",
+                              under.route->group, crowded_retry_after.count()));
+}
+
+void execution::note_retry(const operation& under, const server_statement& what,
+                           std::string_view server, std::string_view why)
+{
+    shared_.numbers.retried();
+    shared_.events.detail("route", "retry")
+        .field("id", what.id)
+        .field("route", under.route->name)
+        .field("server", server)
+        .field("reason", why)
+        .field("attempt", static_cast<std::int64_t>(attempts_));
+}
+
+connection_request execution::request_for(const operation& under, server_need need,
+                                          clock::time_point deadline) const
+{
+    connection_request request;
+    request.group = under.route->group;
+    request.organisation = under.organisation;
+    request.need = need;
+    request.priority = under.route->priority;
+    request.values = &session_.values;
+    request.excluded = excluded_;
+    request.deadline = std::min(
+        deadline, clock::now() + under.route->latency_objective / wait_part_of_objective);
+    return request;
+}
+
+// The position that a read must see; none when only the primary can tell.
+std::optional<log_position> execution::minimum_for(const operation& under, clock::time_point now)
+{
+    const document_route& route = *under.route;
+    if (route.consistency == route_consistency::latest || prefers_primary_) {
+        return std::nullopt;
+    }
+    std::optional<log_position> minimum =
+        shared_.connections.freshness_of(route.group)
+            .covering(now - route.max_staleness + freshness_margin);
+    if (minimum && route.consistency == route_consistency::read_your_writes &&
+        session_.last_commit) {
+        minimum = std::max(*minimum, *session_.last_commit);
+    }
+    return minimum;
+}
+
+void execution::note_commit(const line_answer& answer, pooled_server& server,
+                            clock::time_point sent_at)
+{
+    const clock::time_point now = clock::now();
+    primary_guess& primary = shared_.connections.primary_of(server.group);
+    if (answer.position) {
+        session_.last_commit = answer.position;
+        primary.led(server.id, answer.position->term, now);
+        shared_.connections.freshness_of(server.group).observed(*answer.position, sent_at);
+    }
+    primary.wrote(now);
+    server.note_success();
+}
+
+// What an error of a read, which never counts twice, means.
+execution::attempt execution::judge_read(pooled_server& server, line_answer answer)
+{
+    const line_dialect& words = shared_.dialect;
+    const clock::time_point now = clock::now();
+    if (!answer.is_error) {
+        server.note_success();
+        server.behind_count = 0;
+        return {verdict::final, std::move(answer)};
+    }
+    if (answer.code == words.behind) {
+        server.note_behind(now);
+        prefers_primary_ = true;
+        return {verdict::retry, std::move(answer)};
+    }
+    if (answer.code == words.busy || answer.code == words.statement_failed) {
+        excluded_.push_back(server.id);
+        return {verdict::retry, std::move(answer)};
+    }
+    const bool is_transient = answer.code == words.unknown_statement ||
+                              answer.code == words.wrong_server || answer.code == words.read_only;
+    return {is_transient ? verdict::retry : verdict::final, std::move(answer)};
+}
+
+// Begins a transaction that only a primary begins. False: `outcome` says why not.
+net::awaitable<bool> execution::begin_as_primary(pooled_connection& connection,
+                                                 const preparation& before,
+                                                 const server_statement& what,
+                                                 clock::time_point deadline, attempt& outcome)
+{
+    pooled_server& server = *connection.server;
+    const clock::time_point asked_at = clock::now();
+    const std::string queries = fmt::format("{}{} - {}\r\n", before.queries, shared_.dialect.query,
+                                            shared_.dialect.begin);
+    const clock::time_point until = std::min(deadline, asked_at + begin_patience);
+    line_exchange begun = co_await connection.link->exchange(queries, before.count + 1, until);
+    const clock::time_point now = clock::now();
+    if (!begun.is_whole()) {
+        shared_.connections.suspect(server, !begun.has_timed_out, now);
+        outcome = {verdict::retry, failed(shared_.dialect.busy, "not run: the primary is silent")};
+        co_return false;
+    }
+    if (!all_done(begun.answers, before.count)) {
+        outcome = {verdict::retry, std::move(begun.answers.front())};
+        co_return false;
+    }
+    line_answer& answer = begun.answers.back();
+    if (answer.is_error) {
+        if (answer.code == shared_.dialect.read_only) {
+            shared_.connections.primary_of(server.group).denied(server.id, now);
+        }
+        outcome = {verdict::retry, std::move(answer)};
+        co_return false;
+    }
+    note_prepared(connection, session_, what.needed, false);
+    if (answer.position) {
+        shared_.connections.primary_of(server.group).led(server.id, answer.position->term, now);
+        shared_.connections.freshness_of(server.group).observed(*answer.position, asked_at);
+    }
+    co_return true;
+}
+
+net::awaitable<execution::attempt>
+execution::read_at_primary(std::unique_ptr<pooled_connection> connection, const operation& /*under*/,
+                           const server_statement& what, clock::time_point deadline)
+{
+    const std::shared_ptr<pooled_server> server = connection->server;
+    const preparation before =
+        prepare_connection(*connection, session_, what.needed, false, shared_.dialect);
+    attempt outcome;
+    const bool begun =
+        co_await begin_as_primary(*connection, before, what, deadline, outcome);
+    if (!begun) {
+        shared_.connections.release(std::move(connection), false);
+        co_return outcome;
+    }
+    const std::string queries =
+        fmt::format("{0} {1} {2}\r\n{0} - {3}\r\n", shared_.dialect.query, what.id, what.text,
+                    shared_.dialect.rollback);
+    const clock::time_point sent_at = clock::now();
+    shared_.connections.started(*server);
+    line_exchange done = co_await connection->link->exchange(queries, 2, deadline);
+    const clock::time_point now = clock::now();
+    shared_.connections.finished(*server, since_ms(sent_at, now), now);
+    const bool is_clean = done.is_whole() && !done.answers.back().is_error;
+    shared_.connections.release(std::move(connection), is_clean);
+    if (done.answers.empty()) {
+        shared_.connections.suspect(*server, !done.has_timed_out, now);
+        co_return attempt{verdict::retry,
+                          failed(shared_.dialect.timed_out, "the primary did not answer in time")};
+    }
+    co_return judge_read(*server, std::move(done.answers.front()));
+}
+
+net::awaitable<execution::attempt>
+execution::read_at_replica(std::unique_ptr<pooled_connection> connection, const operation& /*under*/,
+                           const server_statement& what, log_position minimum,
+                           clock::time_point deadline)
+{
+    const std::shared_ptr<pooled_server> server = connection->server;
+    const preparation before =
+        prepare_connection(*connection, session_, what.needed, false, shared_.dialect);
+    const std::string queries =
+        fmt::format("{}{} {} {} {} {}\r\n", before.queries, shared_.dialect.query, what.id,
+                    shared_.dialect.after, format_position(minimum), what.text);
+    const clock::time_point sent_at = clock::now();
+    const auto usual = static_cast<std::int64_t>(server->expected_latency_ms(sent_at) *
+                                                 read_patience_latencies);
+    const clock::time_point until =
+        std::min(deadline, sent_at + std::max(read_patience, clock::duration(usual)));
+    shared_.connections.started(*server);
+    line_exchange done =
+        co_await connection->link->exchange(queries, before.count + 1, until);
+    const clock::time_point now = clock::now();
+    shared_.connections.finished(*server, since_ms(sent_at, now), now);
+    const bool is_prepared = all_done(done.answers, before.count);
+    if (is_prepared && done.is_whole()) {
+        note_prepared(*connection, session_, what.needed, false);
+    }
+    shared_.connections.release(std::move(connection), is_prepared && done.is_whole());
+    if (!done.is_whole() && done.answers.size() <= before.count) {
+        shared_.connections.suspect(*server, !done.has_timed_out, now);
+        excluded_.push_back(server->id);
+        co_return attempt{verdict::retry,
+                          failed(shared_.dialect.timed_out, "the server did not answer in time")};
+    }
+    if (!is_prepared) {
+        excluded_.push_back(server->id);
+        co_return attempt{verdict::retry, std::move(done.answers.front())};
+    }
+    co_return judge_read(*server, std::move(done.answers.back()));
+}
+
+net::awaitable<execution::attempt>
+execution::write_at_primary(std::unique_ptr<pooled_connection> connection,
+                            const operation& /*under*/, const server_statement& what,
+                            clock::time_point deadline)
+{
+    const line_dialect& words = shared_.dialect;
+    const std::shared_ptr<pooled_server> server = connection->server;
+    const preparation before =
+        prepare_connection(*connection, session_, what.needed, false, words);
+    const std::string queries =
+        fmt::format("{}{} {} {}\r\n", before.queries, words.query, what.id, what.text);
+    const clock::time_point sent_at = clock::now();
+    shared_.connections.started(*server);
+    line_exchange done =
+        co_await connection->link->exchange(queries, before.count + 1, deadline);
+    const clock::time_point now = clock::now();
+    shared_.connections.finished(*server, since_ms(sent_at, now), now);
+    const bool is_prepared = all_done(done.answers, before.count);
+    const bool is_clean = is_prepared && done.is_whole();
+    if (is_clean) {
+        note_prepared(*connection, session_, what.needed, false);
+    }
+    shared_.connections.release(std::move(connection), is_clean);
+    if (done.answers.size() <= before.count) {
+        shared_.connections.suspect(*server, !done.has_timed_out, now);
+        shared_.connections.primary_of(server->group).write_failed(sent_at);
+        co_return attempt{verdict::final,
+                          failed(words.unknown_outcome,
+                                 "the primary did not answer; the write may have taken effect")};
+    }
+    line_answer answer = std::move(done.answers.back());
+    if (!answer.is_error) {
+        note_commit(answer, *server, sent_at);
+        co_return attempt{verdict::final, std::move(answer)};
+    }
+    if (answer.code == words.read_only) {
+        shared_.connections.primary_of(server->group).denied(server->id, now);
+        co_return attempt{verdict::retry, std::move(answer)};
+    }
+    if (answer.code == words.timed_out) {
+        shared_.connections.primary_of(server->group).write_failed(sent_at);
+    }
+    const bool has_not_run = answer.code == words.busy ||
+                             answer.code == words.unknown_statement ||
+                             answer.code == words.wrong_server;
+    co_return attempt{has_not_run ? verdict::retry : verdict::final, std::move(answer)};
+}
+
+net::awaitable<line_answer> execution::run_single(const operation& under,
+                                                  const server_statement& what)
+{
+    const clock::time_point deadline = clock::now() + under.route->statement_timeout;
+    excluded_.clear();
+    prefers_primary_ = false;
+    attempt last{verdict::retry, refusal(acquire_failure::crowded, under)};
+    for (attempts_ = 1; attempts_ <= max_attempts && clock::now() < deadline; ++attempts_) {
+        const std::optional<log_position> minimum =
+            what.is_write ? std::nullopt : minimum_for(under, clock::now());
+        connection_request request =
+            request_for(under, minimum ? server_need::any : server_need::primary, deadline);
+        acquired got = co_await shared_.connections.acquire(request);
+        if (!got.connection) {
+            if (minimum && got.failure == acquire_failure::no_server) {
+                prefers_primary_ = true;
+                continue;
+            }
+            co_return refusal(got.failure, under);
+        }
+        last_server_ = got.connection->server->id;
+        if (what.is_write) {
+            last = co_await write_at_primary(std::move(got.connection), under, what, deadline);
+        }
+        else if (minimum) {
+            last = co_await read_at_replica(std::move(got.connection), under, what, *minimum,
+                                            deadline);
+        }
+        else {
+            last = co_await read_at_primary(std::move(got.connection), under, what, deadline);
+        }
+        if (last.what == verdict::final) {
+            break;
+        }
+        note_retry(under, what, last_server_, last.answer.code);
+        if (last.answer.code == shared_.dialect.busy) {
+            co_await pause(shared_.executor, busy_pause);
+        }
+    }
+    co_return std::move(last.answer);
+}
+
+void execution::begin(const operation& under, bool read_only)
+{
+    under_ = under;
+    is_open_ = true;
+    is_read_only_ = read_only;
+    has_written_ = false;
+    excluded_.clear();
+    prefers_primary_ = false;
+}
+
+net::awaitable<execution::attempt>
+execution::begin_on(std::unique_ptr<pooled_connection> connection, const server_statement& first,
+                    std::optional<log_position> minimum, clock::time_point deadline)
+{
+    const line_dialect& words = shared_.dialect;
+    const std::shared_ptr<pooled_server> server = connection->server;
+    const preparation before =
+        prepare_connection(*connection, session_, first.needed, false, words);
+    attempt outcome;
+    if (!minimum) {
+        const bool begun =
+            co_await begin_as_primary(*connection, before, first, deadline, outcome);
+        if (begun) {
+            connection_ = std::move(connection);
+        }
+        else {
+            shared_.connections.release(std::move(connection), false);
+        }
+        co_return outcome;
+    }
+    const std::string queries =
+        fmt::format("{}{} - {} {} {} {}\r\n", before.queries, words.query, words.after,
+                    format_position(minimum), words.begin, words.read);
+    const clock::time_point until = std::min(deadline, clock::now() + begin_patience);
+    line_exchange begun =
+        co_await connection->link->exchange(queries, before.count + 1, until);
+    const clock::time_point now = clock::now();
+    if (!begun.is_whole()) {
+        shared_.connections.release(std::move(connection), false);
+        shared_.connections.suspect(*server, !begun.has_timed_out, now);
+        excluded_.push_back(server->id);
+        co_return attempt{verdict::retry, failed(words.busy, "not run: the server is silent")};
+    }
+    const bool is_prepared = all_done(begun.answers, before.count);
+    if (is_prepared) {
+        note_prepared(*connection, session_, first.needed, false);
+    }
+    if (!is_prepared || begun.answers.back().is_error) {
+        shared_.connections.release(std::move(connection), is_prepared);
+        attempt refused = judge_read(*server, std::move(begun.answers.back()));
+        refused.what = verdict::retry; // nothing has run
+        co_return refused;
+    }
+    server->behind_count = 0;
+    connection_ = std::move(connection);
+    co_return outcome;
+}
+
+// Takes the transaction's connection; the answer when it could not.
+net::awaitable<std::optional<line_answer>>
+execution::open_transaction(const server_statement& first)
+{
+    const clock::time_point deadline = clock::now() + under_.route->statement_timeout;
+    line_answer last = refusal(acquire_failure::crowded, under_);
+    for (attempts_ = 1; attempts_ <= max_attempts && clock::now() < deadline; ++attempts_) {
+        const std::optional<log_position> minimum =
+            is_read_only_ ? minimum_for(under_, clock::now()) : std::nullopt;
+        connection_request request =
+            request_for(under_, minimum ? server_need::any : server_need::primary, deadline);
+        acquired got = co_await shared_.connections.acquire(request);
+        if (!got.connection) {
+            if (minimum && got.failure == acquire_failure::no_server) {
+                prefers_primary_ = true;
+                continue;
+            }
+            co_return refusal(got.failure, under_);
+        }
+        last_server_ = got.connection->server->id;
+        attempt begun = co_await begin_on(std::move(got.connection), first, minimum, deadline);
+        if (connection_) {
+            co_return std::nullopt;
+        }
+        note_retry(under_, first, last_server_, begun.answer.code);
+        last = std::move(begun.answer);
+    }
+    co_return last;
+}
+
+net::awaitable<line_answer> execution::run(const server_statement& what)
+{
+    const line_dialect& words = shared_.dialect;
+    if (!connection_) {
+        std::optional<line_answer> refused = co_await open_transaction(what);
+        if (refused) {
+            is_open_ = false;
+            co_return std::move(*refused);
+        }
+    }
+    const std::shared_ptr<pooled_server> server = connection_->server;
+    const clock::time_point deadline = clock::now() + under_.route->statement_timeout;
+    line_exchange done;
+    while (true) {
+        const preparation before =
+            prepare_connection(*connection_, session_, what.needed, true, words);
+        const std::string queries =
+            fmt::format("{}{} {} {}\r\n", before.queries, words.query, what.id, what.text);
+        const clock::time_point sent_at = clock::now();
+        shared_.connections.started(*server);
+        done = co_await connection_->link->exchange(queries, before.count + 1, deadline);
+        const clock::time_point now = clock::now();
+        shared_.connections.finished(*server, since_ms(sent_at, now), now);
+        if (!done.is_whole() || !all_done(done.answers, before.count)) {
+            shared_.connections.release(std::move(connection_), false);
+            if (!done.is_whole()) {
+                shared_.connections.suspect(*server, !done.has_timed_out, now);
+            }
+            is_open_ = false;
+            co_return failed(words.aborted,
+                             "rolled back: the connection to the server failed; begin again");
+        }
+        note_prepared(*connection_, session_, what.needed, true);
+        const line_answer& answer = done.answers.back();
+        const bool may_wait = answer.is_error && answer.code == words.busy &&
+                              answer.state == session_state::in_transaction &&
+                              now + busy_pause * 2 < deadline;
+        if (!may_wait) {
+            break;
+        }
+        co_await pause(shared_.executor, busy_pause);
+    }
+    line_answer answer = std::move(done.answers.back());
+    has_written_ = has_written_ || what.is_write;
+    if (answer.is_error) {
+        if (answer.code == words.read_only && !is_read_only_) {
+            shared_.connections.primary_of(server->group).denied(server->id, clock::now());
+        }
+        roll_back();
+    }
+    co_return answer;
+}
+
+net::awaitable<line_answer> execution::commit(const std::string& id)
+{
+    const line_dialect& words = shared_.dialect;
+    server_statement what;
+    what.id = id;
+    what.text = words.commit;
+    if (!connection_) {
+        std::optional<line_answer> refused = co_await open_transaction(what);
+        if (refused) {
+            is_open_ = false;
+            co_return std::move(*refused);
+        }
+    }
+    const std::shared_ptr<pooled_server> server = connection_->server;
+    const clock::time_point deadline = clock::now() + under_.route->statement_timeout;
+    const std::string queries = fmt::format("{} {} {}\r\n", words.query, id, words.commit);
+    line_exchange done;
+    clock::time_point sent_at;
+    while (true) {
+        sent_at = clock::now();
+        shared_.connections.started(*server);
+        done = co_await connection_->link->exchange(queries, 1, deadline);
+        const clock::time_point now = clock::now();
+        shared_.connections.finished(*server, since_ms(sent_at, now), now);
+        const bool may_wait = done.is_whole() && done.answers.front().is_error &&
+                              done.answers.front().code == words.busy &&
+                              done.answers.front().state == session_state::in_transaction &&
+                              now + busy_pause * 2 < deadline;
+        if (!may_wait) {
+            break;
+        }
+        co_await pause(shared_.executor, busy_pause);
+    }
+    is_open_ = false;
+    if (done.answers.empty()) {
+        shared_.connections.release(std::move(connection_), false);
+        shared_.connections.suspect(*server, !done.has_timed_out, clock::now());
+        shared_.connections.primary_of(server->group).write_failed(sent_at);
+        co_return failed(words.unknown_outcome,
+                         "the server did not answer; the transaction may have taken effect");
+    }
+    line_answer answer = std::move(done.answers.front());
+    const bool is_clean = done.is_whole() && answer.state == session_state::idle;
+    shared_.connections.release(std::move(connection_), is_clean);
+    if (!answer.is_error && has_written_) {
+        note_commit(answer, *server, sent_at);
+    }
+    if (answer.is_error && answer.code == words.read_only) {
+        shared_.connections.primary_of(server->group).denied(server->id, clock::now());
+    }
+    if (answer.is_error && answer.code == words.timed_out) {
+        shared_.connections.primary_of(server->group).write_failed(sent_at);
+    }
+    co_return answer;
+}
+
+namespace {
+
+// Rolls back behind the caller's back and gives the connection on.
+net::awaitable<void> reset_connection(context& shared,
+                                      std::unique_ptr<pooled_connection> connection)
+{
+    constexpr clock::duration rollback_timeout{500};
+    const std::string queries =
+        fmt::format("{} - {}\r\n", shared.dialect.query, shared.dialect.rollback);
+    const line_exchange done = co_await connection->link->exchange(
+        queries, 1, clock::now() + rollback_timeout);
+    const bool is_clean = done.is_whole() && !done.answers.front().is_error &&
+                          done.answers.front().state == session_state::idle;
+    shared.connections.release(std::move(connection), is_clean);
+}
+
+} // namespace
+
+void execution::roll_back()
+{
+    is_open_ = false;
+    if (connection_) {
+        net::co_spawn(shared_.executor, reset_connection(shared_, std::move(connection_)),
+                      net::detached);
+    }
+}
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_execution.h
@@ -0,0 +1,122 @@
+// Runs a session's statements at backend servers: which server, which connection, what to try
+// again, and what to tell the caller. One thread.
+//
+// A single statement that certainly did not run is tried again elsewhere within the route's timeout.
+// Until its COMMIT is sent, a transaction whose connection fails has kept nothing.
+#pragma once
+
+#include "document.h"
+#include "line_answer.h"
+#include "pooler_context.h"
+#include "pooler_pool.h"
+#include "pooler_state.h"
+
+#include <primrosehead/clock.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace primrosehead::pooler {
+
+// What an operation runs under; fixed at its beginning.
+struct operation {
+    std::shared_ptr<const document> terms; // keeps `route` alive
+    const document_route* route = nullptr;
+    std::string organisation;
+    clock::time_point began_at;
+};
+
+// A statement for a server: `text` has the pool's names in place of the session's.
+struct server_statement {
+    std::string id;
+    std::string text;
+    bool is_write = false;
+    const prepared_statement* needed = nullptr; // must be prepared on the connection
+};
+
+class execution {
+  public:
+    execution(context& shared, session_state_values& session) : shared_(shared), session_(session)
+    {
+    }
+    ~execution();
+    execution(const execution&) = delete;
+    execution& operator=(const execution&) = delete;
+
+    // A statement outside a transaction.
+    [[nodiscard]] boost::asio::awaitable<line_answer> run_single(const operation& under,
+                                                                 const server_statement& what);
+
+    // A transaction takes its connection at its first statement.
+    void begin(const operation& under, bool read_only);
+    [[nodiscard]] bool is_open() const noexcept { return is_open_; }
+    [[nodiscard]] const operation& transaction() const noexcept { return under_; }
+    [[nodiscard]] boost::asio::awaitable<line_answer> run(const server_statement& what);
+    [[nodiscard]] boost::asio::awaitable<line_answer> commit(const std::string& id);
+
+    // Rolls back and gives the connection back, without waiting.
+    void roll_back();
+
+    // The server that ran the last statement, and how often it was tried, for the log.
+    [[nodiscard]] const std::string& last_server() const noexcept { return last_server_; }
+    [[nodiscard]] std::uint32_t attempts() const noexcept { return attempts_; }
+
+  private:
+    enum class verdict { final, retry };
+    struct attempt {
+        verdict what = verdict::final;
+        line_answer answer;
+    };
+
+    [[nodiscard]] boost::asio::awaitable<attempt>
+    read_at_primary(std::unique_ptr<pooled_connection> connection, const operation& under,
+                    const server_statement& what, clock::time_point deadline);
+    [[nodiscard]] boost::asio::awaitable<attempt>
+    read_at_replica(std::unique_ptr<pooled_connection> connection, const operation& under,
+                    const server_statement& what, log_position minimum,
+                    clock::time_point deadline);
+    [[nodiscard]] boost::asio::awaitable<attempt>
+    write_at_primary(std::unique_ptr<pooled_connection> connection, const operation& under,
+                     const server_statement& what, clock::time_point deadline);
+    [[nodiscard]] boost::asio::awaitable<std::optional<line_answer>>
+    open_transaction(const server_statement& first);
+    [[nodiscard]] boost::asio::awaitable<attempt>
+    begin_on(std::unique_ptr<pooled_connection> connection, const server_statement& first,
+             std::optional<log_position> minimum, clock::time_point deadline);
+    [[nodiscard]] boost::asio::awaitable<bool>
+    begin_as_primary(pooled_connection& connection, const preparation& before,
+                     const server_statement& what, clock::time_point deadline, attempt& outcome);
+
+    [[nodiscard]] std::optional<log_position> minimum_for(const operation& under,
+                                                          clock::time_point now);
+    [[nodiscard]] connection_request request_for(const operation& under, server_need need,
+                                                 clock::time_point deadline) const;
+    [[nodiscard]] line_answer refusal(acquire_failure why, const operation& under) const;
+    [[nodiscard]] line_answer failed(std::string_view code, std::string text) const;
+    [[nodiscard]] attempt judge_read(pooled_server& server, line_answer answer);
+    void note_retry(const operation& under, const server_statement& what, std::string_view server,
+                    std::string_view why);
+    void note_commit(const line_answer& answer, pooled_server& server, clock::time_point sent_at);
+
+    context& shared_;
+    session_state_values& session_;
+
+    bool is_open_ = false;
+    bool is_read_only_ = false;
+    bool has_written_ = false;
+    operation under_;
+    std::unique_ptr<pooled_connection> connection_;
+
+    std::vector<std::string> excluded_;
+    bool prefers_primary_ = false;
+    std::string last_server_;
+    std::uint32_t attempts_ = 0;
+};
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_follower.cpp
@@ -0,0 +1,217 @@
+#include "pooler_follower.h"
+
+#include "document_codec.h"
+#include "event_log.h"
+#include "pooler_pool.h"
+#include "primrosehead.pb.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace primrosehead::pooler {
+
+namespace {
+
+// Documents are in force everywhere within a few of these; each costs the leader some bytes.
+constexpr clock::duration follow_interval{200};
+constexpr clock::duration shortest_interval{20}; // after an answer that changed something
+// An answer takes some milliseconds; then another cell instance is asked.
+constexpr clock::duration leader_patience{500};
+// A withdrawn key must not work for longer than the bound: the rest is for requests under way.
+constexpr int lease_tenths = 7;
+
+} // namespace
+
+follower::follower(const pooler_settings& settings, std::uint64_t incarnation,
+                   document_parser parser, pool& connections, event_log& events)
+    : settings_(settings), incarnation_(incarnation), parser_(std::move(parser)),
+      connections_(connections), events_(events),
+      lease_(settings.revocation * lease_tenths / 10)
+{
+    set_seeds(settings.control);
+}
+
+void follower::set_seeds(const std::vector<std::string>& addresses)
+{
+    seeds_.clear();
+    for (const std::string& address : addresses) {
+        seeds_.insert(bus_endpoint_of(host_of(address), settings_.bus_port));
+    }
+}
+
+limiter* follower::limits_of(std::string_view organisation)
+{
+    const auto found = limits_.find(organisation);
+    return found == limits_.end() ? nullptr : &found->second;
+}
+
+// Instances that once were members are asked, and the ones that the settings name.
+void follower::choose_other_leader()
+{
+    std::set<std::string> all = endpoints_;
+    all.insert(seeds_.begin(), seeds_.end());
+    if (all.empty()) {
+        return;
+    }
+    auto next = all.upper_bound(leader_);
+    leader_ = next == all.end() ? *all.begin() : *next;
+}
+
+void follower::tick(clock::time_point now)
+{
+    const bool is_silent = now - std::max(heard_at_, chosen_at_) > leader_patience;
+    if (leader_.empty() || is_silent) {
+        if (hears_leader_) {
+            events_.decision("control", "leader_lost")
+                .field("leader", leader_)
+                .field("silent_ms", (now - heard_at_).count());
+            hears_leader_ = false;
+        }
+        choose_other_leader();
+        chosen_at_ = now;
+        asks_again_ = true;
+    }
+    const clock::duration interval = asks_again_ ? shortest_interval : follow_interval;
+    if (now - sent_at_ >= interval) {
+        send(now);
+    }
+}
+
+void follower::send(clock::time_point now)
+{
+    if (messages_ == nullptr || leader_.empty()) {
+        return;
+    }
+    asks_again_ = false;
+    sent_at_ = now;
+    pb::envelope message;
+    message.set_cell(settings_.cell.text());
+    message.set_from(settings_.instance);
+    pb::follow_request& asked = *message.mutable_follow();
+    asked.set_instance(settings_.instance);
+    asked.set_incarnation(incarnation_);
+    asked.set_sequence(++sequence_);
+    asked.set_asked_at_ms(to_ms(now));
+    asked.set_document_version(document_ ? document_->version() : 0);
+    asked.set_control_term(control_term_);
+    asked.set_directory_revision(directory_revision_);
+    asked.set_leaving(is_leaving_);
+    for (auto& [organisation, limits] : limits_) {
+        pb::share_report& report = *asked.add_shares();
+        report.set_organisation(organisation);
+        report.set_share_ppm(limits.share());
+        report.set_demand_per_s(is_leaving_ ? 0 : limits.demand(now));
+    }
+    for (const std::string& group : connections_.groups()) {
+        const primary_sighting seen = connections_.primary_of(group).sighting(now);
+        if (seen.server.empty()) {
+            continue;
+        }
+        pb::group_sighting& told = *asked.add_sightings();
+        told.set_group(group);
+        told.set_server(seen.server);
+        told.set_reached_ms_ago(seen.reached_ago ? seen.reached_ago->count() : -1);
+        told.set_failing_for_ms(seen.failing_for.count());
+    }
+    messages_->send(leader_, message);
+}
+
+void follower::receive(const pb::follow_reply& reply, clock::time_point now)
+{
+    if (!reply.is_leader()) {
+        const bool is_other = !reply.leader_hint().empty() && reply.leader_hint() != leader_;
+        if (is_other && reply.sequence() == sequence_) {
+            leader_ = reply.leader_hint();
+            chosen_at_ = now;
+            asks_again_ = true;
+        }
+        return;
+    }
+    if (reply.sequence() == 0 || reply.sequence() <= answered_ ||
+        reply.control_term() < control_term_) {
+        return;
+    }
+    answered_ = reply.sequence();
+    heard_at_ = now;
+    if (!hears_leader_) {
+        hears_leader_ = true;
+        events_.decision("control", "leader_found")
+            .field("leader", leader_)
+            .field("term", static_cast<std::int64_t>(reply.control_term()));
+    }
+    if (reply.has_document()) {
+        take_document(reply.document(), now);
+    }
+    take_directory(reply, now);
+    for (const pb::share_grant& grant : reply.shares()) {
+        if (limiter* const own = limits_of(grant.organisation())) {
+            own->set_share(grant.share_ppm(), now);
+        }
+    }
+    // The version was the newest one when the leader answered, so it was when this was asked.
+    if (document_ && document_->version() >= reply.document_version()) {
+        confirmed_at_ = std::max(confirmed_at_, from_ms(reply.asked_at_ms()));
+    }
+}
+
+void follower::take_document(const pb::published_record& record, clock::time_point now)
+{
+    if (document_ && record.version() <= document_->version()) {
+        return;
+    }
+    const result<std::string> text = unpack_document(record);
+    if (!ok(text)) {
+        events_.decision("document", "unreadable").field("error", describe(failure(text)));
+        return;
+    }
+    result<std::shared_ptr<const document>> parsed = parser_(value(text));
+    if (!ok(parsed)) {
+        events_.decision("document", "unreadable").field("error", describe(failure(parsed)));
+        return;
+    }
+    document_ = value(std::move(parsed));
+    events_.decision("document", "in_force")
+        .field("version", static_cast<std::int64_t>(document_->version()))
+        .field("routes", static_cast<std::int64_t>(document_->content().routes.size()));
+    apply_limits(now);
+    asks_again_ = true;
+}
+
+void follower::apply_limits(clock::time_point now)
+{
+    std::erase_if(limits_,
+                  [&](const auto& item) { return document_->organisation(item.first) == nullptr; });
+    for (const document_organisation& organisation : document_->content().organisations) {
+        limits_.try_emplace(organisation.name, now)
+            .first->second.change(organisation.rate, organisation.burst);
+    }
+    for (const document_group& group : document_->content().groups) {
+        connections_.set_limits(group.name, group.connection_limit, instances_);
+    }
+}
+
+void follower::take_directory(const pb::follow_reply& reply, clock::time_point now)
+{
+    if (reply.servers_size() > 0) {
+        const std::vector<pb::server_announcement> servers(reply.servers().begin(),
+                                                           reply.servers().end());
+        connections_.set_servers(servers, reply.directory_complete(), now);
+        // A directory that may still lack servers is asked for again.
+        if (reply.directory_complete()) {
+            control_term_ = reply.control_term();
+            directory_revision_ = reply.directory_revision();
+        }
+    }
+    for (const pb::group_lead& lead : reply.leads()) {
+        connections_.primary_of(lead.group()).told(lead.server(), lead.term(), now);
+    }
+    if (reply.control_endpoints_size() > 0) {
+        endpoints_ = {reply.control_endpoints().begin(), reply.control_endpoints().end()};
+    }
+    if (reply.live_instances() != instances_ && reply.live_instances() > 0 && document_) {
+        instances_ = reply.live_instances();
+        apply_limits(now);
+    }
+}
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_follower.h
@@ -0,0 +1,101 @@
+// A pooler instance's link to the cell's leader: the document and its confirmation, shares of limits,
+// the directory of backend servers, sightings of primaries. One thread.
+#pragma once
+
+#include "deployment_settings.h"
+#include "document.h"
+#include "pooler_limits.h"
+
+#include <primrosehead/bus.h>
+#include <primrosehead/clock.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace primrosehead::pb {
+class follow_reply;
+class published_record;
+} // namespace primrosehead::pb
+
+namespace primrosehead {
+class event_log;
+}
+
+namespace primrosehead::pooler {
+
+class pool;
+
+class follower {
+  public:
+    follower(const pooler_settings& settings, std::uint64_t incarnation, document_parser parser,
+             pool& connections, event_log& events);
+
+    // Where messages go out.
+    void use(bus& messages) noexcept { messages_ = &messages; }
+
+    // Sends what is due; call every 20 ms or so.
+    void tick(clock::time_point now);
+    void receive(const pb::follow_reply& reply, clock::time_point now);
+
+    // Other addresses of cell instances, from a reload.
+    void set_seeds(const std::vector<std::string>& addresses);
+    void leave() noexcept { is_leaving_ = true; }
+
+    // Null until one is known.
+    [[nodiscard]] const std::shared_ptr<const document>& present() const noexcept
+    {
+        return document_;
+    }
+
+    // False when keys may have been withdrawn without this instance having heard.
+    [[nodiscard]] bool is_confirmed(clock::time_point now) const noexcept
+    {
+        return document_ != nullptr && now - confirmed_at_ < lease_;
+    }
+    [[nodiscard]] clock::time_point confirmed_at() const noexcept { return confirmed_at_; }
+
+    // Null for an organisation without limits.
+    [[nodiscard]] limiter* limits_of(std::string_view organisation);
+
+  private:
+    void send(clock::time_point now);
+    void choose_other_leader();
+    void take_document(const pb::published_record& record, clock::time_point now);
+    void apply_limits(clock::time_point now);
+    void take_directory(const pb::follow_reply& reply, clock::time_point now);
+
+    pooler_settings settings_;
+    std::uint64_t incarnation_;
+    document_parser parser_;
+    pool& connections_;
+    event_log& events_;
+    bus* messages_ = nullptr;
+    clock::duration lease_;
+
+    std::shared_ptr<const document> document_;
+    std::map<std::string, limiter, std::less<>> limits_;
+    clock::time_point confirmed_at_{};
+
+    std::set<std::string> endpoints_;
+    std::set<std::string> seeds_;
+    std::string leader_;
+    clock::time_point sent_at_{};
+    clock::time_point heard_at_{};
+    clock::time_point chosen_at_{};
+    bool hears_leader_ = false;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t answered_ = 0;
+    std::uint64_t control_term_ = 0;     // whose directory is held
+    std::uint64_t directory_revision_ = 0;
+    std::uint32_t instances_ = 1;
+    bool is_leaving_ = false;
+    bool asks_again_ = false;
+};
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_freshness.cpp
@@ -0,0 +1,53 @@
+#include "pooler_freshness.h"
+
+#include <algorithm>
+
+namespace primrosehead::pooler {
+
+namespace {
+
+constexpr clock::duration kept{10'000};   // above the staleness bound of any route
+constexpr clock::duration distance{20};   // closer ones are joined into the earlier one
+
+} // namespace
+
+void freshness::observed(log_position at, clock::time_point asked_at)
+{
+    if (!observations_.empty() && at.term < observations_.back().at.term) {
+        return; // an answer from before a change of primary
+    }
+    while (!observations_.empty() && asked_at - observations_.front().asked_at > kept) {
+        observations_.pop_front();
+    }
+    if (observations_.empty()) {
+        observations_.push_back({asked_at, at});
+        return;
+    }
+    observation& last = observations_.back();
+    if (asked_at < last.asked_at) {
+        return; // answers overtook each other; the later one covers more
+    }
+    if (observations_.size() > 1 &&
+        asked_at - observations_[observations_.size() - 2].asked_at < distance) {
+        last = {asked_at, std::max(last.at, at)};
+        return;
+    }
+    observations_.push_back({asked_at, std::max(last.at, at)});
+}
+
+std::optional<log_position> freshness::covering(clock::time_point since) const
+{
+    const auto found =
+        std::lower_bound(observations_.begin(), observations_.end(), since,
+                         [](const observation& each, clock::time_point time) {
+                             return each.asked_at < time;
+                         });
+    return found == observations_.end() ? std::nullopt : std::optional(found->at);
+}
+
+std::optional<clock::time_point> freshness::newest() const
+{
+    return observations_.empty() ? std::nullopt : std::optional(observations_.back().asked_at);
+}
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_freshness.h
@@ -0,0 +1,35 @@
+// Which log position a read must see, from what was observed of the group's primary. Pure.
+//
+// A server that led when it was asked holds every commit acknowledged before the question. So a read
+// that may miss commits younger than a bound needs the position of any observation within the bound;
+// the oldest such asks the least of replicas.
+#pragma once
+
+#include <primrosehead/clock.h>
+#include <primrosehead/position.h>
+
+#include <deque>
+#include <optional>
+
+namespace primrosehead::pooler {
+
+class freshness {
+  public:
+    // A server that led, asked at `asked_at`, told the position of its log.
+    void observed(log_position at, clock::time_point asked_at);
+
+    // A position that covers every commit acknowledged before `since`; none when nothing that was
+    // observed tells.
+    [[nodiscard]] std::optional<log_position> covering(clock::time_point since) const;
+
+    [[nodiscard]] std::optional<clock::time_point> newest() const;
+
+  private:
+    struct observation {
+        clock::time_point asked_at;
+        log_position at;
+    };
+    std::deque<observation> observations_; // rising in both
+};
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_instance.cpp
@@ -0,0 +1,440 @@
+#include "pooler_instance.h"
+
+#include "bus_runner.h"
+#include "clock_timer.h"
+#include "event_log.h"
+#include "http_address.h"
+#include "pooler_context.h"
+#include "pooler_follower.h"
+#include "pooler_metrics.h"
+#include "pooler_pool.h"
+#include "pooler_session.h"
+#include "primrosehead.pb.h"
+#include "settings_watch.h"
+
+#include <primrosehead/bus.h>
+#include <primrosehead/http.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <unistd.h>
+#include <utility>
+
+namespace primrosehead::pooler {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+namespace {
+
+constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+
+constexpr clock::duration tick_interval{25};
+constexpr clock::duration housekeeping_interval{200};
+// Reads within a staleness bound need an observation of the primary that is some time old: often
+// enough for the shortest bounds, seldom enough not to cost.
+constexpr clock::duration observe_after{350};
+constexpr clock::duration observe_timeout{400};
+constexpr int listen_backlog = 512;
+// The balancer takes an instance out after two probes a second apart; until then it sends sessions.
+constexpr clock::duration balancer_notices{2'300};
+// Idle sessions are closed over some time, so that their callers don't return all at once.
+constexpr clock::duration closing_time{700};
+constexpr clock::duration drain_turn{50};
+// Cut off from control for longer than its lease, an instance hands its sessions to others.
+constexpr clock::duration unconfirmed_before_closing{1'000};
+
+std::uint64_t new_incarnation()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+}
+
+http::response plain(unsigned status, std::string text)
+{
+    http::response made;
+    made.status = status;
+    made.content_type = "text/plain";
+    made.body = std::move(text);
+    return made;
+}
+
+constexpr unsigned ok_status = 200;
+constexpr unsigned unavailable_status = 503;
+
+} // namespace
+
+class instance::implementation {
+  public:
+    implementation(const pooler_settings& with, std::string path, platform_parts with_parts)
+        : settings(with), parts(std::move(with_parts)), events(STDOUT_FILENO, with.instance),
+          watch(std::move(path)), acceptor(context),
+          connections(context.get_executor(), parts.dialect, events,
+                      with.failure_domain.text()),
+          control(with, new_incarnation(), parts.parse_document, connections, events),
+          shared{context.get_executor(), parts.dialect, connections, control, events, numbers}
+    {
+        route_spdlog(events, with.log.level);
+    }
+
+    status open();
+    void run();
+
+  private:
+    [[nodiscard]] status listen();
+    [[nodiscard]] status serve_probes();
+    net::awaitable<void> accept_loop();
+    net::awaitable<void> run_session(std::shared_ptr<session> of, std::uint64_t number);
+    net::awaitable<void> tick_loop();
+    net::awaitable<void> observe(std::string group, std::unique_ptr<pooled_connection> through);
+    net::awaitable<void> drain();
+    void keep_house(clock::time_point now);
+    void close_idle_sessions(std::size_t at_most);
+    void watch_readiness(clock::time_point now);
+    void reload();
+    [[nodiscard]] bool is_ready() const;
+
+    const pooler_settings settings;
+    platform_parts parts;
+    event_log events;
+    settings_watch watch;
+    net::io_context context{1};
+    tcp::acceptor acceptor;
+    instance_metrics numbers;
+    pool connections;
+    follower control;
+    pooler::context shared;
+    std::unique_ptr<bus_runner> messages;
+    std::shared_ptr<http::listener> readiness;
+    std::shared_ptr<http::listener> metrics_listener;
+    std::map<std::uint64_t, std::shared_ptr<session>> sessions;
+    std::uint64_t next_session = 1;
+    clock::time_point housekept_at{};
+    std::map<std::string, clock::time_point> observed_at;
+    bool is_draining = false;
+    bool was_ready = false;
+};
+
+bool instance::implementation::is_ready() const
+{
+    return !is_draining && control.is_confirmed(clock::now());
+}
+
+status instance::implementation::listen()
+{
+    const result<tcp::endpoint> endpoint = http::parse_address(settings.listen);
+    if (!ok(endpoint)) {
+        return failure(endpoint);
+    }
+    boost::system::error_code failed;
+    acceptor.open(value(endpoint).protocol(), failed);
+    if (!failed) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+    }
+    if (!failed) {
+        acceptor.bind(value(endpoint), failed);
+    }
+    if (!failed) {
+        acceptor.listen(listen_backlog, failed);
+    }
+    if (failed) {
+        return error{error_kind::bad_settings,
+                     "Can't listen on " + settings.listen + ": " + failed.message() + ".",
+                     "Set $.listen to a free address of this machine."};
+    }
+    return std::monostate{};
+}
+
+status instance::implementation::serve_probes()
+{
+    http::listener_settings listening;
+    listening.address = settings.readiness_listen;
+    result<std::shared_ptr<http::listener>> probed = http::listener::open(
+        context.get_executor(), listening,
+        [this](const http::request&) -> net::awaitable<http::response> {
+            const bool ready = is_ready();
+            co_return plain(ready ? ok_status : unavailable_status,
+                            ready ? "ready\n" : "not ready\n");
+        });
+    if (!ok(probed)) {
+        return failure(probed);
+    }
+    readiness = value(probed);
+    if (settings.metrics_listen.empty()) {
+        return std::monostate{};
+    }
+    listening.address = settings.metrics_listen;
+    result<std::shared_ptr<http::listener>> metered = http::listener::open(
+        context.get_executor(), listening,
+        [this](const http::request&) -> net::awaitable<http::response> {
+            const std::uint64_t version = control.present() ? control.present()->version() : 0;
+            const std::int64_t age = (clock::now() - control.confirmed_at()).count();
+            std::string text =
+                numbers.text(connections.stats(), static_cast<std::uint32_t>(sessions.size()),
+                             version, age, events);
+            co_return plain(ok_status, std::move(text));
+        });
+    if (!ok(metered)) {
+        return failure(metered);
+    }
+    metrics_listener = value(metered);
+    return std::monostate{};
+}
+
+status instance::implementation::open()
+{
+    result<std::unique_ptr<bus>> opened =
+        bus::open(bus_endpoint_of(settings.host, settings.bus_port), std::nullopt);
+    if (!ok(opened)) {
+        return failure(opened);
+    }
+    messages = std::make_unique<bus_runner>(
+        std::move(value(opened)), context.get_executor(),
+        [this](const bus_origin&, const pb::envelope& message) {
+            if (message.cell() == settings.cell.text() && message.has_follow_answer()) {
+                control.receive(message.follow_answer(), clock::now());
+            }
+        });
+    control.use(messages->messages());
+    const status listens = listen();
+    return ok(listens) ? serve_probes() : listens;
+}
+
+net::awaitable<void> instance::implementation::run_session(std::shared_ptr<session> of,
+                                                           std::uint64_t number)
+{
+    co_await of->run();
+    sessions.erase(number);
+}
+
+net::awaitable<void> instance::implementation::accept_loop()
+{
+    constexpr clock::duration pause_after_failure{50}; // out of descriptors: some will close
+    while (acceptor.is_open()) {
+        auto [failed, socket] = co_await acceptor.async_accept(no_throw);
+        if (failed) {
+            if (!acceptor.is_open()) {
+                co_return;
+            }
+            events.decision("session", "accept_failed").field("error", failed.message());
+            net::steady_timer timer(context, pause_after_failure);
+            co_await timer.async_wait(no_throw);
+            continue;
+        }
+        if (sessions.size() >= settings.max_connections) {
+            events.decision("session", "too_many_sessions")
+                .field("sessions", static_cast<std::int64_t>(sessions.size()));
+            continue; // closes it
+        }
+        boost::system::error_code ignored; // without it small answers are only later
+        socket.set_option(tcp::no_delay(true), ignored);
+        const std::uint64_t number = next_session++;
+        auto made = std::make_shared<session>(shared, std::move(socket), number);
+        sessions.emplace(number, made);
+        net::co_spawn(context, run_session(made, number), net::detached);
+    }
+}
+
+// Asks the primary for its position through a connection that is idle anyway.
+net::awaitable<void>
+instance::implementation::observe(std::string group, std::unique_ptr<pooled_connection> through)
+{
+    const std::shared_ptr<pooled_server> server = through->server;
+    const line_dialect& words = parts.dialect;
+    const std::string queries = fmt::format("{0} - {1}\r\n{0} - {2}\r\n", words.query, words.begin,
+                                            words.rollback);
+    const clock::time_point asked_at = clock::now();
+    const line_exchange done =
+        co_await through->link->exchange(queries, 2, asked_at + observe_timeout);
+    const clock::time_point now = clock::now();
+    const bool leads = !done.answers.empty() && !done.answers.front().is_error;
+    if (leads && done.answers.front().position) {
+        connections.primary_of(group).led(server->id, done.answers.front().position->term, now);
+        connections.freshness_of(group).observed(*done.answers.front().position, asked_at);
+        server->note_success();
+    }
+    else if (!done.answers.empty() && done.answers.front().code == words.read_only) {
+        connections.primary_of(group).denied(server->id, now);
+    }
+    const bool is_clean = done.is_whole() && leads && !done.answers.back().is_error;
+    connections.release(std::move(through), is_clean);
+    if (!done.is_whole()) {
+        connections.suspect(*server, !done.has_timed_out, now);
+    }
+}
+
+void instance::implementation::close_idle_sessions(std::size_t at_most)
+{
+    for (const auto& [number, each] : sessions) {
+        if (at_most == 0) {
+            return;
+        }
+        at_most -= each->close_if_idle() ? 1 : 0;
+    }
+}
+
+void instance::implementation::watch_readiness(clock::time_point now)
+{
+    const bool ready = is_ready();
+    if (ready != was_ready) {
+        was_ready = ready;
+        events.decision("process", ready ? "ready" : "not_ready")
+            .field("draining", is_draining)
+            .field("confirmed_ms_ago", (now - control.confirmed_at()).count());
+    }
+    const clock::duration lease = settings.revocation;
+    const bool is_cut_off = control.present() != nullptr &&
+                            now - control.confirmed_at() > lease + unconfirmed_before_closing;
+    if (is_cut_off && !is_draining) {
+        constexpr std::size_t closed_a_turn = 8;
+        close_idle_sessions(closed_a_turn);
+    }
+}
+
+void instance::implementation::keep_house(clock::time_point now)
+{
+    if (now - housekept_at < housekeeping_interval) {
+        return;
+    }
+    housekept_at = now;
+    connections.keep_house(now);
+    watch_readiness(now);
+    reload();
+    for (const std::string& group : connections.groups()) {
+        const std::optional<clock::time_point> newest = connections.freshness_of(group).newest();
+        const bool is_due = !newest || now - *newest > observe_after;
+        if (!is_due || now - observed_at[group] < observe_after) {
+            continue;
+        }
+        std::unique_ptr<pooled_connection> idle = connections.idle_at_primary(group, now);
+        if (idle) {
+            observed_at[group] = now;
+            net::co_spawn(context, observe(group, std::move(idle)), net::detached);
+        }
+    }
+}
+
+void instance::implementation::reload()
+{
+    const std::optional<std::string> text = watch.changed();
+    if (!text) {
+        return;
+    }
+    const result<pooler_settings> read = parse_pooler_settings(*text);
+    if (!ok(read)) {
+        events.decision("process", "reload_refused").field("error", describe(failure(read)));
+        return;
+    }
+    control.set_seeds(value(read).control);
+    events.decision("process", "reload")
+        .field("control", static_cast<std::int64_t>(value(read).control.size()));
+}
+
+net::awaitable<void> instance::implementation::tick_loop()
+{
+    net::steady_timer timer(context);
+    while (true) {
+        const clock::time_point now = clock::now();
+        control.tick(now);
+        keep_house(now);
+        timer.expires_after(tick_interval);
+        co_await timer.async_wait(no_throw);
+    }
+}
+
+// Goes on serving until the balancer has noticed, then closes idle sessions; open transactions have
+// half of the grace time.
+net::awaitable<void> instance::implementation::drain()
+{
+    const clock::time_point began_at = clock::now();
+    is_draining = true;
+    control.leave();
+    events.decision("process", "drain")
+        .field("sessions", static_cast<std::int64_t>(sessions.size()));
+    net::steady_timer timer(context);
+    timer.expires_at(steady(began_at + balancer_notices));
+    co_await timer.async_wait(no_throw);
+    const auto turns = static_cast<std::size_t>(closing_time / drain_turn);
+    const std::size_t closed_a_turn = sessions.size() / turns + 1;
+    const clock::time_point transactions_end = began_at + settings.grace / 2;
+    const clock::time_point end = began_at + settings.grace * 5 / 6;
+    while (!sessions.empty() && clock::now() < end) {
+        const bool is_late = clock::now() >= transactions_end;
+        if (is_late) {
+            boost::system::error_code ignored; // new sessions would not be served any more
+            acceptor.close(ignored);
+            for (const auto& [number, each] : sessions) {
+                each->abort_transaction("this instance is stopping");
+            }
+        }
+        close_idle_sessions(is_late ? sessions.size() : closed_a_turn);
+        timer.expires_after(drain_turn);
+        co_await timer.async_wait(no_throw);
+    }
+    events.decision("process", "stop")
+        .field("sessions", static_cast<std::int64_t>(sessions.size()))
+        .field("took_ms", (clock::now() - began_at).count());
+    context.stop();
+}
+
+void instance::implementation::run()
+{
+    net::signal_set stops(context, SIGTERM, SIGINT);
+    stops.async_wait([this](const boost::system::error_code& failed, int) {
+        if (!failed) {
+            net::co_spawn(context, drain(), net::detached);
+        }
+    });
+    net::signal_set reloads(context, SIGHUP);
+    std::function<void()> wait_for_reload = [&] {
+        reloads.async_wait([&](const boost::system::error_code& failed, int) {
+            if (!failed) {
+                watch.look_now();
+                wait_for_reload();
+            }
+        });
+    };
+    wait_for_reload();
+    events.decision("process", "start")
+        .field("listen", settings.listen)
+        .field("failure_domain", settings.failure_domain.text())
+        .field("version", PRIMROSEHEAD_VERSION);
+    net::co_spawn(context, accept_loop(), net::detached);
+    net::co_spawn(context, tick_loop(), net::detached);
+    context.run();
+    messages.reset();
+}
+
+instance::instance(std::unique_ptr<implementation> body) : body_(std::move(body)) {}
+instance::~instance() = default;
+
+result<std::unique_ptr<instance>> instance::open(const pooler_settings& settings,
+                                                 std::string settings_path, platform_parts parts)
+{
+    auto body =
+        std::make_unique<implementation>(settings, std::move(settings_path), std::move(parts));
+    const status opened = body->open();
+    if (!ok(opened)) {
+        return failure(opened);
+    }
+    return std::unique_ptr<instance>(new instance(std::move(body)));
+}
+
+void instance::run()
+{
+    body_->run();
+}
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_limits.cpp
@@ -0,0 +1,86 @@
+#include "pooler_limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace primrosehead::pooler {
+
+namespace {
+
+constexpr double millionths_of_one = 1e6;
+constexpr double ms_per_s = 1'000;
+// Demand is averaged over this: long enough for small organisations, short enough for a shift.
+constexpr double demand_time_ms = 1'000;
+constexpr clock::duration longest_retry{5'000};
+
+} // namespace
+
+void limiter::change(double rate, double burst) noexcept
+{
+    rate_ = rate;
+    burst_ = burst;
+    tokens_ = std::min(tokens_, capacity());
+}
+
+double limiter::capacity() const noexcept
+{
+    const double part = burst_ * share_ / millionths_of_one;
+    // A small share must still let one operation pass.
+    return share_ == 0 ? 0 : std::max(part, 1.0);
+}
+
+void limiter::refill(clock::time_point now) noexcept
+{
+    const double passed_ms = static_cast<double>((now - refilled_at_).count());
+    refilled_at_ = now;
+    tokens_ += rate_ * share_ / millionths_of_one * passed_ms / ms_per_s;
+    tokens_ = std::min(tokens_, capacity());
+}
+
+void limiter::set_share(std::uint32_t millionths, clock::time_point now) noexcept
+{
+    refill(now);
+    share_ = millionths;
+    if (is_fresh_ && share_ > 0) {
+        // Nobody spent this share before: a new cell, or what others gave up full.
+        tokens_ = capacity();
+        is_fresh_ = false;
+    }
+    tokens_ = std::min(tokens_, capacity());
+}
+
+bool limiter::take(clock::time_point now) noexcept
+{
+    ++asked_;
+    refill(now);
+    if (tokens_ < 1) {
+        return false;
+    }
+    tokens_ -= 1;
+    return true;
+}
+
+clock::duration limiter::retry_after() const noexcept
+{
+    const double per_ms = rate_ * share_ / millionths_of_one / ms_per_s;
+    if (per_ms <= 0) {
+        return longest_retry;
+    }
+    const auto wait = static_cast<std::int64_t>(std::ceil((1 - tokens_) / per_ms));
+    return std::clamp(clock::duration(wait), clock::duration(1), longest_retry);
+}
+
+double limiter::demand(clock::time_point now) noexcept
+{
+    const double passed_ms = static_cast<double>((now - counted_at_).count());
+    if (passed_ms > 0) {
+        const double weight = 1 - std::exp(-passed_ms / demand_time_ms);
+        const double rate = asked_ * ms_per_s / passed_ms;
+        demand_ += weight * (rate - demand_);
+        asked_ = 0;
+        counted_at_ = now;
+    }
+    return demand_;
+}
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_limits.h
@@ -0,0 +1,47 @@
+// One organisation's rate and burst at this instance: its share of the fleet's (cell_shares.h).
+// Pure.
+#pragma once
+
+#include <primrosehead/clock.h>
+
+#include <cstdint>
+
+namespace primrosehead::pooler {
+
+class limiter {
+  public:
+    explicit limiter(clock::time_point now) : refilled_at_(now), counted_at_(now) {}
+
+    // The fleet's rate and burst, in operations.
+    void change(double rate, double burst) noexcept;
+
+    // This instance's share, in millionths.
+    void set_share(std::uint32_t millionths, clock::time_point now) noexcept;
+    [[nodiscard]] std::uint32_t share() const noexcept { return share_; }
+
+    // Takes one operation's token.
+    [[nodiscard]] bool take(clock::time_point now) noexcept;
+
+    // When a token will be there.
+    [[nodiscard]] clock::duration retry_after() const noexcept;
+
+    // Operations a second that were asked for, smoothed.
+    [[nodiscard]] double demand(clock::time_point now) noexcept;
+
+  private:
+    void refill(clock::time_point now) noexcept;
+    [[nodiscard]] double capacity() const noexcept;
+
+    double rate_ = 0;
+    double burst_ = 0;
+    std::uint32_t share_ = 0;
+    double tokens_ = 0;
+    clock::time_point refilled_at_;
+    bool is_fresh_ = true; // no share yet
+
+    std::uint32_t asked_ = 0;
+    double demand_ = 0;
+    clock::time_point counted_at_;
+};
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_pool.cpp
@@ -0,0 +1,476 @@
+#include "pooler_pool.h"
+
+#include "clock_timer.h"
+#include "event_log.h"
+#include "pooler_placement.h"
+#include "primrosehead.pb.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace primrosehead::pooler {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+
+// A server that answers at all greets within its queue for slots.
+constexpr clock::duration open_timeout{600};
+// Beyond its fair part of a server's connections an instance gives idle ones back this soon.
+constexpr clock::duration idle_beyond_part{400};
+constexpr clock::duration idle_longest{8'000};
+// Connections above the fair part that an instance may open while others need fewer.
+constexpr std::uint32_t above_fair_part = 1;
+// Statements that an instance runs at once at a server: more only queue there.
+constexpr std::uint32_t running_per_slot = 1;
+
+} // namespace
+
+struct pool::waiter {
+    waiter(const net::any_io_executor& executor, connection_request& asked)
+        : request(asked), woken(executor)
+    {
+    }
+    connection_request& request;
+    net::steady_timer woken;
+    std::optional<choice> given;
+    acquire_failure why = acquire_failure::none;
+};
+
+pool::pool(net::any_io_executor executor, const line_dialect& dialect, event_log& events,
+           std::string failure_domain)
+    : executor_(std::move(executor)), dialect_(dialect), events_(events),
+      failure_domain_(std::move(failure_domain))
+{
+}
+
+pool::~pool() = default;
+
+pool::group_state& pool::group(std::string_view name)
+{
+    const auto found = groups_.find(name);
+    return found != groups_.end() ? found->second
+                                  : groups_.emplace(std::string(name), group_state{}).first->second;
+}
+
+primary_guess& pool::primary_of(std::string_view name)
+{
+    return group(name).primary;
+}
+
+freshness& pool::freshness_of(std::string_view name)
+{
+    return group(name).fresh;
+}
+
+std::vector<std::string> pool::groups() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, of] : groups_) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+void pool::drop_idle(pooled_server& server)
+{
+    server.open -= static_cast<std::uint32_t>(server.idle.size());
+    server.idle.clear();
+}
+
+void pool::refresh_primary(group_state& of)
+{
+    std::vector<primary_guess::known_server> known;
+    for (const auto& [id, server] : of.servers) {
+        known.push_back({id, server->claims_primary});
+    }
+    of.primary.servers(std::move(known));
+}
+
+void pool::set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
+                       clock::time_point /*now*/)
+{
+    std::map<std::string, bool, std::less<>> listed;
+    for (const pb::server_announcement& told : servers) {
+        if (told.gone()) {
+            continue;
+        }
+        listed.emplace(told.server(), true);
+        std::shared_ptr<pooled_server>& server = group(told.group()).servers[told.server()];
+        const bool is_restarted = server && server->born_ms != told.born_ms();
+        if (!server || server->address != told.address() || is_restarted) {
+            if (server) {
+                server->is_gone = true;
+                drop_idle(*server);
+            }
+            server = std::make_shared<pooled_server>();
+            server->id = told.server();
+            server->group = told.group();
+            server->address = told.address();
+            server->born_ms = told.born_ms();
+        }
+        server->slots = std::max(1U, told.slots());
+        server->is_local = told.failure_domain() == failure_domain_;
+        server->is_leaving = told.leaving();
+        server->claims_primary = told.is_primary();
+    }
+    for (auto& [name, of] : groups_) {
+        std::erase_if(of.servers, [&](auto& item) {
+            const bool was_listed = listed.contains(item.first);
+            const bool is_gone =
+                !was_listed &&
+                (is_complete ||
+                 std::any_of(servers.begin(), servers.end(), [&](const auto& told) {
+                     return told.gone() && told.server() == item.first;
+                 }));
+            if (is_gone) {
+                item.second->is_gone = true;
+                drop_idle(*item.second);
+            }
+            return is_gone;
+        });
+        refresh_primary(of);
+        dispatch(of);
+    }
+}
+
+void pool::set_limits(std::string_view name, std::uint32_t connection_limit,
+                      std::uint32_t instances)
+{
+    group_state& of = group(name);
+    of.connection_limit = connection_limit;
+    of.instances = std::max(1U, instances);
+}
+
+std::uint32_t pool::open_limit(const group_state& of, const pooled_server& server,
+                               clock::time_point now) const
+{
+    const std::uint32_t fair = std::max(1U, of.connection_limit / of.instances);
+    const std::uint32_t limit = fair + above_fair_part;
+    return now < server.crowded_until ? std::min(limit, server.crowded_limit) : limit;
+}
+
+std::vector<std::shared_ptr<pooled_server>> pool::candidates(const group_state& of,
+                                                             const connection_request& request,
+                                                             clock::time_point now,
+                                                             acquire_failure& why) const
+{
+    std::vector<std::shared_ptr<pooled_server>> found;
+    if (request.need == server_need::primary) {
+        const std::string lead = of.primary.guess(now);
+        const auto known = of.servers.find(lead);
+        if (known == of.servers.end() || of.primary.is_lost(now) ||
+            known->second->is_avoided(now)) {
+            why = acquire_failure::no_primary;
+            return found;
+        }
+        found.push_back(known->second);
+        return found;
+    }
+    for (const auto& [id, server] : of.servers) {
+        const bool was_tried = std::find(request.excluded.begin(), request.excluded.end(), id) !=
+                               request.excluded.end();
+        if (!was_tried && !server->is_avoided(now) && !server->is_behind(now) &&
+            !server->is_leaving) {
+            found.push_back(server);
+        }
+    }
+    if (found.empty()) {
+        why = acquire_failure::no_server;
+    }
+    return found;
+}
+
+std::unique_ptr<pooled_connection> pool::take_idle(pooled_server& server,
+                                                   const connection_request& request)
+{
+    const auto is_own = [&](const std::unique_ptr<pooled_connection>& each) {
+        return each->organisation == request.organisation;
+    };
+    const auto matches = [&](const std::unique_ptr<pooled_connection>& each) {
+        return is_own(each) && request.values != nullptr && each->values == *request.values;
+    };
+    // The one used last comes first, so that the others fall idle and can be closed.
+    auto found = std::find_if(server.idle.rbegin(), server.idle.rend(), matches);
+    if (found == server.idle.rend()) {
+        found = std::find_if(server.idle.rbegin(), server.idle.rend(), is_own);
+    }
+    if (found == server.idle.rend()) {
+        return nullptr;
+    }
+    std::unique_ptr<pooled_connection> taken = std::move(*found);
+    server.idle.erase(std::next(found).base());
+    return taken;
+}
+
+void pool::close_oldest_foreign(pooled_server& server, std::string_view organisation)
+{
+    auto oldest = server.idle.end();
+    for (auto each = server.idle.begin(); each != server.idle.end(); ++each) {
+        const bool is_foreign = (*each)->organisation != organisation;
+        if (is_foreign && (oldest == server.idle.end() || (*each)->used_at < (*oldest)->used_at)) {
+            oldest = each;
+        }
+    }
+    if (oldest != server.idle.end()) {
+        server.idle.erase(oldest);
+        --server.open;
+    }
+}
+
+std::optional<pool::choice> pool::choose(group_state& of, const connection_request& request,
+                                         clock::time_point now, acquire_failure& why)
+{
+    const std::vector<std::shared_ptr<pooled_server>> servers =
+        candidates(of, request, now, why);
+    std::vector<placement_server> views;
+    views.reserve(servers.size());
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const pooled_server& server = *servers[i];
+        placement_server view;
+        view.index = i;
+        view.is_local = server.is_local;
+        view.slots = server.slots;
+        view.open = server.open;
+        view.limit = open_limit(of, server, now);
+        view.running = server.running;
+        view.running_limit = server.slots * running_per_slot;
+        view.latency_ms = server.expected_latency_ms(now);
+        for (const std::unique_ptr<pooled_connection>& each : server.idle) {
+            if (each->organisation != request.organisation) {
+                ++view.idle_foreign;
+            }
+            else if (request.values != nullptr && each->values == *request.values) {
+                ++view.idle_matching;
+            }
+            else {
+                ++view.idle_own;
+            }
+        }
+        views.push_back(view);
+    }
+    const std::optional<placement> best = place(views);
+    if (!best) {
+        return std::nullopt;
+    }
+    choice made;
+    made.server = servers[best->index];
+    if (best->how == connection_choice::matching || best->how == connection_choice::own) {
+        made.connection = take_idle(*made.server, request);
+        ++stats_.reused;
+        return made;
+    }
+    if (best->how == connection_choice::replaced) {
+        close_oldest_foreign(*made.server, request.organisation);
+        ++stats_.replaced;
+    }
+    ++made.server->open; // reserved
+    return made;
+}
+
+net::awaitable<std::unique_ptr<pooled_connection>>
+pool::open(std::shared_ptr<pooled_server> server, const connection_request& request,
+           clock::time_point deadline)
+{
+    const std::string startup =
+        fmt::format("{} {} {} {}\r\n", dialect_.startup, server->group,
+                    request.organisation.empty() ? "-" : request.organisation, server->id);
+    const std::string address = server->address;
+    ++stats_.opened;
+    line_connection::open_result opened =
+        co_await line_connection::open(executor_, dialect_, address, startup, deadline);
+    const clock::time_point now = clock::now();
+    if (auto* const link = std::get_if<std::unique_ptr<line_connection>>(&opened)) {
+        server->note_success();
+        auto made = std::make_unique<pooled_connection>();
+        made->link = std::move(*link);
+        made->server = server;
+        made->organisation = request.organisation;
+        made->used_at = now;
+        co_return made;
+    }
+    const open_failure& why = std::get<open_failure>(opened);
+    --server->open;
+    ++stats_.open_failures;
+    events_.decision("pool", "open_failed")
+        .field("server", server->id)
+        .field("group", server->group)
+        .field("result", why.kind == open_failure_kind::answered    ? std::string_view(why.code)
+                         : why.kind == open_failure_kind::timed_out ? "no answer"
+                                                                    : "refused")
+        .field("open", static_cast<std::int64_t>(server->open));
+    if (why.kind == open_failure_kind::answered && why.code == dialect_.too_many) {
+        ++stats_.crowded;
+        server->note_crowded(now);
+    }
+    else if (why.kind == open_failure_kind::answered && why.code == dialect_.busy) {
+        server->note_latency(static_cast<double>(open_timeout.count()), now);
+    }
+    else {
+        suspect(*server, why.kind == open_failure_kind::refused, now);
+    }
+    co_return nullptr;
+}
+
+// Waiting operations go by priority, then in the order in which they came.
+void pool::enqueue(group_state& of, waiter& waits)
+{
+    const auto place = std::find_if(of.waiting.begin(), of.waiting.end(), [&](const waiter* each) {
+        return each->request.priority > waits.request.priority;
+    });
+    of.waiting.insert(place, &waits);
+}
+
+void pool::dispatch(group_state& of)
+{
+    const clock::time_point now = clock::now();
+    for (auto each = of.waiting.begin(); each != of.waiting.end();) {
+        waiter& waits = **each;
+        acquire_failure why = acquire_failure::none;
+        waits.given = choose(of, waits.request, now, why);
+        if (!waits.given && why == acquire_failure::none) {
+            ++each;
+            continue;
+        }
+        waits.why = why;
+        each = of.waiting.erase(each);
+        waits.woken.cancel();
+    }
+}
+
+net::awaitable<void> pool::wait(group_state& of, waiter& waits)
+{
+    ++stats_.waited;
+    waits.woken.expires_at(steady(waits.request.deadline));
+    co_await waits.woken.async_wait(no_throw);
+    of.waiting.remove(&waits);
+}
+
+net::awaitable<acquired> pool::acquire(connection_request& request)
+{
+    group_state& of = group(request.group);
+    acquired outcome;
+    while (true) {
+        waiter waits(executor_, request);
+        enqueue(of, waits);
+        dispatch(of);
+        const bool is_waiting = !waits.given && waits.why == acquire_failure::none;
+        if (is_waiting) {
+            co_await wait(of, waits);
+        }
+        if (!waits.given) {
+            outcome.failure =
+                waits.why == acquire_failure::none ? acquire_failure::crowded : waits.why;
+            co_return outcome;
+        }
+        if (waits.given->connection && waits.given->connection->link->is_usable()) {
+            outcome.connection = std::move(waits.given->connection);
+            co_return outcome;
+        }
+        const std::shared_ptr<pooled_server> server = waits.given->server;
+        if (waits.given->connection) {
+            waits.given->connection.reset(); // the server closed it; open another in its place
+        }
+        outcome.connection =
+            co_await open(server, request, clock::now() + open_timeout);
+        if (outcome.connection) {
+            co_return outcome;
+        }
+        dispatch(of);
+        if (clock::now() >= request.deadline) {
+            outcome.failure = acquire_failure::crowded;
+            co_return outcome;
+        }
+    }
+}
+
+void pool::release(std::unique_ptr<pooled_connection> connection, bool is_clean)
+{
+    const std::shared_ptr<pooled_server> server = connection->server;
+    const bool is_kept = is_clean && !server->is_gone && !server->is_leaving;
+    if (is_kept) {
+        connection->used_at = clock::now();
+        server->idle.push_back(std::move(connection));
+    }
+    else {
+        connection.reset();
+        --server->open;
+    }
+    dispatch(group(server->group));
+}
+
+void pool::finished(pooled_server& server, double milliseconds, clock::time_point now)
+{
+    --server.running;
+    server.note_latency(milliseconds, now);
+    // The connection itself is given back by `release`, which hands it on.
+}
+
+void pool::suspect(pooled_server& server, bool refused, clock::time_point now)
+{
+    server.note_failure(now, refused);
+    drop_idle(server);
+    group_state& of = group(server.group);
+    of.primary.unreachable(server.id, now);
+    events_.decision("pool", "server_avoided")
+        .field("server", server.id)
+        .field("group", server.group)
+        .field("failures", static_cast<std::int64_t>(server.failures))
+        .field("for_ms", (server.avoid_until - now).count());
+}
+
+std::unique_ptr<pooled_connection> pool::idle_at_primary(std::string_view name,
+                                                         clock::time_point now)
+{
+    group_state& of = group(name);
+    const auto found = of.servers.find(of.primary.guess(now));
+    if (found == of.servers.end() || found->second->idle.empty()) {
+        return nullptr;
+    }
+    std::unique_ptr<pooled_connection> taken = std::move(found->second->idle.back());
+    found->second->idle.pop_back();
+    if (!taken->link->is_usable()) {
+        --found->second->open;
+        return nullptr;
+    }
+    return taken;
+}
+
+void pool::keep_house(clock::time_point now)
+{
+    for (auto& [name, of] : groups_) {
+        const std::uint32_t fair = std::max(1U, of.connection_limit / of.instances);
+        for (auto& [id, server] : of.servers) {
+            pooled_server& each = *server;
+            std::uint32_t excess = each.open > fair ? each.open - fair : 0;
+            const std::size_t closed = std::erase_if(each.idle, [&](const auto& connection) {
+                const clock::duration unused = now - connection->used_at;
+                const bool is_excess = excess > 0 && unused > idle_beyond_part;
+                excess -= is_excess ? 1 : 0;
+                return is_excess || unused > idle_longest || each.is_leaving;
+            });
+            each.open -= static_cast<std::uint32_t>(closed);
+        }
+        dispatch(of);
+    }
+}
+
+pool_stats pool::stats() const
+{
+    pool_stats now = stats_;
+    for (const auto& [name, of] : groups_) {
+        now.waiting += static_cast<std::uint32_t>(of.waiting.size());
+        for (const auto& [id, server] : of.servers) {
+            now.open += server->open;
+        }
+    }
+    return now;
+}
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_primary.cpp
@@ -0,0 +1,130 @@
+#include "pooler_primary.h"
+
+#include <algorithm>
+
+namespace primrosehead::pooler {
+
+namespace {
+
+// A server that refused may have been promoted since.
+constexpr clock::duration denial_valid{150};
+// Unreachable for so long: callers are told at once instead of waiting for a connection.
+constexpr clock::duration lost_after{300};
+
+} // namespace
+
+void primary_guess::servers(std::vector<known_server> known)
+{
+    known_ = std::move(known);
+    const auto is_known = [this](std::string_view server) {
+        return std::any_of(known_.begin(), known_.end(),
+                           [&](const known_server& each) { return each.server == server; });
+    };
+    if (!is_known(current_)) {
+        current_.clear();
+        failing_since_.reset();
+        write_failing_since_.reset();
+    }
+    std::erase_if(denied_at_, [&](const auto& item) { return !is_known(item.first); });
+}
+
+void primary_guess::told(std::string_view server, std::uint64_t term, clock::time_point now)
+{
+    if (term < term_ || server == current_ || !may_lead(server, now)) {
+        return;
+    }
+    if (term == term_ && !current_.empty()) {
+        return; // what this instance saw itself is newer
+    }
+    term_ = term;
+    current_ = server;
+    failing_since_.reset();
+    write_failing_since_.reset();
+}
+
+void primary_guess::led(std::string_view server, std::uint64_t term, clock::time_point now)
+{
+    if (term < term_) {
+        return;
+    }
+    if (current_ != server) {
+        write_failing_since_.reset();
+    }
+    term_ = term;
+    current_ = server;
+    reached_at_ = now;
+    failing_since_.reset();
+    denied_at_.erase(std::string(server));
+}
+
+void primary_guess::denied(std::string_view server, clock::time_point now)
+{
+    denied_at_.insert_or_assign(std::string(server), now);
+    if (current_ == server) {
+        current_.clear();
+        failing_since_.reset();
+        write_failing_since_.reset();
+    }
+}
+
+void primary_guess::wrote(clock::time_point /*now*/)
+{
+    write_failing_since_.reset();
+}
+
+void primary_guess::write_failed(clock::time_point sent_at)
+{
+    if (!write_failing_since_) {
+        write_failing_since_ = sent_at;
+    }
+}
+
+void primary_guess::unreachable(std::string_view server, clock::time_point now)
+{
+    if (server == current_ && !failing_since_) {
+        failing_since_ = now;
+    }
+}
+
+bool primary_guess::may_lead(std::string_view server, clock::time_point now) const
+{
+    const auto found = denied_at_.find(server);
+    return found == denied_at_.end() || now - found->second >= denial_valid;
+}
+
+std::string primary_guess::guess(clock::time_point now) const
+{
+    if (!current_.empty()) {
+        return current_;
+    }
+    for (const bool claims : {true, false}) {
+        for (const known_server& each : known_) {
+            if (each.claims_primary == claims && may_lead(each.server, now)) {
+                return each.server;
+            }
+        }
+    }
+    return {};
+}
+
+bool primary_guess::is_lost(clock::time_point now) const
+{
+    return failing_since_ && now - *failing_since_ >= lost_after;
+}
+
+primary_sighting primary_guess::sighting(clock::time_point now) const
+{
+    primary_sighting seen;
+    seen.server = current_;
+    if (reached_at_) {
+        seen.reached_ago = now - *reached_at_;
+    }
+    for (const auto& since : {failing_since_, write_failing_since_}) {
+        if (since) {
+            seen.failing_for = std::max(seen.failing_for, now - *since);
+        }
+    }
+    return seen;
+}
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_server.cpp
@@ -0,0 +1,65 @@
+#include "pooler_server.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace primrosehead::pooler {
+
+namespace {
+
+constexpr double latency_weight = 0.2;         // of a new measurement
+constexpr double usual_latency_ms = 20;        // of a server that nothing was heard of
+constexpr double forget_latency_ms = 3'000;    // a slow server is tried again after some of these
+constexpr clock::duration first_avoidance{100};
+constexpr clock::duration longest_avoidance{1'500};
+constexpr clock::duration crowded_time{500};   // others give idle connections back within this
+constexpr clock::duration first_behind{40};
+constexpr clock::duration longest_behind{640};
+
+clock::duration doubled(clock::duration first, std::uint32_t times, clock::duration most)
+{
+    constexpr std::uint32_t max_doublings = 10;
+    return std::min(most, first * (1U << std::min(times, max_doublings)));
+}
+
+} // namespace
+
+void pooled_server::note_latency(double milliseconds, clock::time_point now)
+{
+    latency_ms = expected_latency_ms(now);
+    latency_ms += latency_weight * (milliseconds - latency_ms);
+    latency_at = now;
+}
+
+double pooled_server::expected_latency_ms(clock::time_point now) const
+{
+    const double age_ms = static_cast<double>((now - latency_at).count());
+    return usual_latency_ms + (latency_ms - usual_latency_ms) * std::exp(-age_ms / forget_latency_ms);
+}
+
+void pooled_server::note_success()
+{
+    failures = 0;
+    avoid_until = clock::time_point{};
+}
+
+void pooled_server::note_failure(clock::time_point now, bool refused)
+{
+    const clock::duration first = refused ? first_avoidance : first_avoidance * 3;
+    avoid_until = now + doubled(first, failures, longest_avoidance);
+    ++failures;
+}
+
+void pooled_server::note_crowded(clock::time_point now)
+{
+    crowded_limit = std::max(open, 1U);
+    crowded_until = now + crowded_time;
+}
+
+void pooled_server::note_behind(clock::time_point now)
+{
+    behind_until = now + doubled(first_behind, behind_count, longest_behind);
+    ++behind_count;
+}
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_server.h
@@ -0,0 +1,56 @@
+// A backend server as one instance uses it.
+#pragma once
+
+#include "pooler_connection.h"
+
+#include <primrosehead/clock.h>
+#include <primrosehead/error.h>
+#include <primrosehead/position.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace primrosehead::pooler {
+
+struct pooled_server {
+    // As announced.
+    std::string id;
+    std::string group;
+    std::string address;
+    std::uint32_t slots = 1;
+    bool is_local = false;
+    bool is_leaving = false;
+    bool claims_primary = false;
+    std::uint64_t born_ms = 0;
+    bool is_gone = false;
+
+    // Connections of this instance.
+    std::vector<std::unique_ptr<pooled_connection>> idle;
+    std::uint32_t open = 0;    // idle, in use and being opened
+    std::uint32_t running = 0; // statements
+
+    // What was seen of it.
+    double latency_ms = 20;             // of recent statements
+    clock::time_point latency_at{};     // when it was updated
+    std::uint32_t failures = 0;         // in a row
+    clock::time_point avoid_until{};    // after failures
+    std::uint32_t crowded_limit = 0;    // the server refused more connections than these
+    clock::time_point crowded_until{};
+    std::uint32_t behind_count = 0;     // reads in a row that it was too far behind for
+    clock::time_point behind_until{};
+
+    void note_latency(double milliseconds, clock::time_point now);
+    void note_success();
+    void note_failure(clock::time_point now, bool refused);
+    void note_crowded(clock::time_point now);
+    void note_behind(clock::time_point now);
+
+    // The latency to expect now: what was measured long ago counts less.
+    [[nodiscard]] double expected_latency_ms(clock::time_point now) const;
+    [[nodiscard]] bool is_avoided(clock::time_point now) const { return now < avoid_until; }
+    [[nodiscard]] bool is_behind(clock::time_point now) const { return now < behind_until; }
+};
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_session.h
@@ -0,0 +1,85 @@
+// One caller's session: reads its lines, keeps its values, prepared statements and transaction, and
+// answers. One thread.
+#pragma once
+
+#include "line_statement.h"
+#include "pooler_context.h"
+#include "pooler_execution.h"
+#include "pooler_state.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace primrosehead::pooler {
+
+class session : public std::enable_shared_from_this<session> {
+  public:
+    session(context& shared, boost::asio::ip::tcp::socket socket, std::uint64_t number);
+
+    // Serves until the caller leaves or the session is closed.
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+    // Closes the session if nothing is under way: a caller that finds it closed loses nothing.
+    bool close_if_idle();
+
+    // Ends an open transaction whose caller rests; its next statement hears of it.
+    void abort_transaction(std::string_view reason);
+
+    [[nodiscard]] bool is_busy() const noexcept { return is_busy_; }
+    [[nodiscard]] bool is_in_transaction() const noexcept { return execution_.is_open(); }
+
+  private:
+    enum class read_result { line, closed, too_large };
+
+    [[nodiscard]] boost::asio::awaitable<read_result> read_line(std::string& line);
+    [[nodiscard]] boost::asio::awaitable<bool> start();
+    [[nodiscard]] boost::asio::awaitable<bool> serve(const std::string& line);
+    [[nodiscard]] boost::asio::awaitable<line_answer> answer(const std::string& id,
+                                                             std::string_view text);
+    [[nodiscard]] boost::asio::awaitable<line_answer>
+    run_statement(const std::string& id, const line_statement& statement, std::string_view text);
+    [[nodiscard]] boost::asio::awaitable<line_answer> end_transaction(const std::string& id,
+                                                                      bool commit);
+    [[nodiscard]] line_answer begin_transaction(bool read_only);
+    [[nodiscard]] line_answer change_state(const line_statement& statement);
+    [[nodiscard]] std::optional<line_answer> admit(operation& into);
+    [[nodiscard]] std::optional<line_answer> check_key() const;
+    [[nodiscard]] std::optional<line_answer> translate(const line_statement& statement,
+                                                       std::string_view text,
+                                                       server_statement& into) const;
+    [[nodiscard]] line_answer done() const;
+    [[nodiscard]] line_answer failed(std::string_view code, std::string text) const;
+    void note(const std::string& id, std::string_view text, const line_answer& answer,
+              clock::time_point began_at);
+    void write_answer(const line_answer& answer);
+    [[nodiscard]] boost::asio::awaitable<bool> flush();
+    void watch_idle_transaction();
+
+    context& shared_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer idle_timer_;
+    std::uint64_t number_;
+
+    std::string input_;
+    std::size_t consumed_ = 0;
+    std::string output_;
+    bool is_busy_ = true; // until the first answer
+    bool is_closed_ = false;
+
+    std::string database_;
+    std::string key_;
+    session_state_values state_;
+    execution execution_;
+    bool has_failed_ = false; // the transaction; it waits for its end
+    std::string failure_reason_;
+};
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/pooler_state.cpp
@@ -0,0 +1,84 @@
+#include "pooler_state.h"
+
+#include <primrosehead/config.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace primrosehead::pooler {
+
+namespace {
+
+void add_query(preparation& to, const line_dialect& dialect, std::string_view text)
+{
+    fmt::format_to(std::back_inserter(to.queries), "{} - {}\r\n", dialect.query, text);
+    ++to.count;
+}
+
+// True when the connection holds a value that the session never set: it can't be unset alone.
+bool needs_discard(const pooled_connection& connection, const session_state_values& session,
+                   const prepared_statement* needed)
+{
+    const bool has_foreign_value =
+        std::any_of(connection.values.begin(), connection.values.end(), [&](const auto& item) {
+            return !session.values.contains(item.first);
+        });
+    const bool is_full = needed != nullptr &&
+                         connection.prepared.size() >= config::max_connection_statements &&
+                         !connection.prepared.contains(needed->pool_name);
+    return has_foreign_value || is_full;
+}
+
+} // namespace
+
+std::string pool_name_of(bool is_write, std::string_view shape)
+{
+    return fmt::format("{}{:016x}", is_write ? 'w' : 'r', XXH3_64bits(shape.data(), shape.size()));
+}
+
+preparation prepare_connection(const pooled_connection& connection,
+                               const session_state_values& session,
+                               const prepared_statement* needed, bool in_transaction,
+                               const line_dialect& dialect)
+{
+    preparation made;
+    const bool discards = !in_transaction && needs_discard(connection, session, needed);
+    if (discards) {
+        add_query(made, dialect, dialect.discard);
+    }
+    for (const auto& [name, value] : session.values) {
+        const auto held = connection.values.find(name);
+        if (discards || held == connection.values.end() || held->second != value) {
+            add_query(made, dialect, fmt::format("{} {} {}", dialect.set, name, value));
+        }
+    }
+    if (needed != nullptr && (discards || !connection.prepared.contains(needed->pool_name))) {
+        add_query(made, dialect,
+                  fmt::format("{} {} {} {}", dialect.prepare, needed->pool_name,
+                              needed->is_write ? dialect.write : dialect.read, needed->shape));
+    }
+    return made;
+}
+
+void note_prepared(pooled_connection& connection, const session_state_values& session,
+                   const prepared_statement* needed, bool in_transaction)
+{
+    if (!in_transaction && needs_discard(connection, session, needed)) {
+        connection.prepared.clear();
+    }
+    connection.values = session.values;
+    if (needed != nullptr) {
+        connection.prepared.insert(needed->pool_name);
+    }
+}
+
+bool all_done(std::span<const line_answer> answers, std::size_t count)
+{
+    return answers.size() >= count &&
+           std::none_of(answers.begin(), answers.begin() + static_cast<std::ptrdiff_t>(count),
+                        [](const line_answer& each) { return each.is_error; });
+}
+
+} // namespace primrosehead::pooler
--- /dev/null
+++ b/src/promotion_plan.cpp
@@ -0,0 +1,547 @@
+#include "promotion_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace primrosehead::promotion {
+
+namespace {
+
+constexpr clock::duration resume_check{1'000}; // after a promotion, and as often after that
+
+} // namespace
+
+plan::plan(std::string group, plan_settings settings, clock::time_point now)
+    : group_(std::move(group)), settings_(settings), steady_since_(now), phase_began_(now)
+{
+}
+
+plan::server_view& plan::view(std::string_view server)
+{
+    const auto found = views_.find(server);
+    return found != views_.end() ? found->second
+                                 : views_.emplace(std::string(server), server_view{}).first->second;
+}
+
+const member* plan::find(std::string_view server) const
+{
+    const auto found = std::find_if(members_.begin(), members_.end(),
+                                    [&](const member& each) { return each.server == server; });
+    return found == members_.end() ? nullptr : &*found;
+}
+
+std::string_view plan::phase() const noexcept
+{
+    switch (phase_) {
+    case phase_kind::steady:
+        return "steady";
+    case phase_kind::committing:
+        return "committing";
+    case phase_kind::fencing:
+        return "fencing";
+    case phase_kind::calling:
+        return "calling";
+    case phase_kind::confirming:
+        return "confirming";
+    }
+    return "unknown";
+}
+
+void plan::leads(std::string_view server, log_position at, clock::time_point asked_at,
+                 clock::time_point now)
+{
+    view(server).failing_since.reset();
+    newest_term_ = std::max(newest_term_, at.term);
+    if (at.term < lead_position_.term) {
+        return;
+    }
+    if (primary_ != server) {
+        primary_ = server;
+        steady_since_ = now;
+    }
+    lead_asked_at_ = std::max(lead_asked_at_, asked_at);
+    lead_position_ = std::max(lead_position_, at);
+    if (member_left_at_ && asked_at >= *member_left_at_) {
+        required_ = std::max(required_, lead_position_);
+        member_left_at_.reset();
+    }
+}
+
+void plan::does_not_lead(std::string_view server, clock::time_point /*now*/)
+{
+    view(server).failing_since.reset();
+    if (primary_ == server) {
+        primary_.clear();
+    }
+}
+
+void plan::unreachable(std::string_view server, bool refused, clock::time_point now)
+{
+    server_view& of = view(server);
+    if (!of.failing_since) {
+        of.failing_since = now;
+    }
+    of.refused = refused;
+}
+
+void plan::status_of(std::string_view server, const server_status& status,
+                     clock::time_point asked_at, clock::time_point /*now*/)
+{
+    server_view& of = view(server);
+    of.failing_since.reset();
+    of.status = status;
+    of.status_asked_at = std::max(of.status_asked_at, asked_at);
+    newest_term_ = std::max(newest_term_, status.term);
+}
+
+void plan::paused(std::string_view server, const server_status& status, clock::time_point now)
+{
+    if (phase_ != phase_kind::fencing) {
+        return;
+    }
+    status_of(server, status, now, now);
+    server_view& of = view(server);
+    if (!status.is_primary && status.term_held != 0) {
+        of.paused_at = status.received;
+    }
+}
+
+void plan::demoted(std::string_view server, const server_status& status, clock::time_point now)
+{
+    if (phase_ != phase_kind::fencing) {
+        return;
+    }
+    status_of(server, status, now, now);
+    if (!status.is_primary) {
+        view(server).demoted_at = status.received;
+    }
+}
+
+void plan::call_answered(std::string_view server, std::uint64_t number, call_outcome outcome,
+                         clock::time_point /*now*/)
+{
+    if (number != number_ || server != candidate_) {
+        return;
+    }
+    call_accepted_ = call_accepted_ || outcome == call_outcome::accepted;
+    call_refused_ = outcome == call_outcome::refused;
+}
+
+void plan::sighted(std::string_view instance, const sighting& seen, clock::time_point now)
+{
+    instances_.insert_or_assign(std::string(instance), instance_view{seen, now});
+}
+
+// A member that left, or came back without its log, may have been the one that received commits.
+void plan::watch_members(const std::vector<member>& members)
+{
+    const auto left = [&](const member& before) {
+        return std::none_of(members.begin(), members.end(), [&](const member& each) {
+            return each.server == before.server && each.born_ms == before.born_ms;
+        });
+    };
+    if (std::any_of(members_.begin(), members_.end(), left)) {
+        member_left_at_ = std::max(lead_asked_at_ + clock::duration(1),
+                                   member_left_at_.value_or(clock::time_point{}));
+        required_ = std::max(required_, lead_position_);
+    }
+    members_ = members;
+}
+
+void plan::check(const member& which, clock::duration every, clock::time_point now)
+{
+    server_view& of = view(which.server);
+    if (now - of.lead_checked_at >= every) {
+        of.lead_checked_at = now;
+        actions_.emplace_back(check_lead{which.server, which.address});
+    }
+}
+
+void plan::ask_status(const member& which, clock::duration every, clock::time_point now)
+{
+    server_view& of = view(which.server);
+    if (now - of.status_checked_at >= every) {
+        of.status_checked_at = now;
+        actions_.emplace_back(check_status{which.server, which.address});
+    }
+}
+
+// Checks those that say they lead; where nobody says so, everyone.
+void plan::look_for_primary(clock::time_point now)
+{
+    const bool any = std::any_of(members_.begin(), members_.end(),
+                                 [](const member& each) { return each.claims_primary; });
+    for (const member& each : members_) {
+        if (each.claims_primary || !any) {
+            check(each, settings_.check_every, now);
+        }
+    }
+}
+
+bool plan::is_dead(clock::time_point now) const
+{
+    const auto found = views_.find(primary_);
+    if (found == views_.end() || !found->second.failing_since) {
+        return false;
+    }
+    for (const auto& [instance, known] : instances_) {
+        const bool is_fresh = now - known.heard_at < settings_.sighting_valid;
+        if (is_fresh && known.seen.server == primary_ && known.seen.reached_ago &&
+            *known.seen.reached_ago < settings_.sighting_valid) {
+            return false;
+        }
+    }
+    const clock::duration failing = now - *found->second.failing_since;
+    const bool refused_long = found->second.refused && failing >= settings_.refused_after;
+    return refused_long || now - lead_asked_at_ >= settings_.dead_after;
+}
+
+// Most of the instances that need the primary can't use it, although it may be up.
+bool plan::is_failing_for_instances(clock::time_point now) const
+{
+    std::size_t failing = 0;
+    std::size_t served = 0;
+    for (const auto& [instance, known] : instances_) {
+        if (now - known.heard_at >= settings_.sighting_valid || known.seen.server != primary_) {
+            continue;
+        }
+        if (known.seen.failing_for >= settings_.failing_after) {
+            ++failing;
+        }
+        else if (known.seen.reached_ago && *known.seen.reached_ago < settings_.failing_after) {
+            ++served;
+        }
+    }
+    return failing > served;
+}
+
+bool plan::has_successor() const
+{
+    return std::any_of(members_.begin(), members_.end(), [&](const member& each) {
+        const auto found = views_.find(each.server);
+        const bool answers = found != views_.end() && !found->second.failing_since;
+        return each.server != primary_ && !each.is_leaving && answers;
+    });
+}
+
+std::string plan::reason_to_change(clock::time_point now) const
+{
+    if (primary_.empty()) {
+        return {};
+    }
+    const member* const lead = find(primary_);
+    if (lead == nullptr) {
+        return "the primary deregistered";
+    }
+    if (is_dead(now)) {
+        return "the primary does not answer";
+    }
+    if (now - steady_since_ < settings_.settle) {
+        return {};
+    }
+    if (lead->is_leaving && has_successor()) {
+        return "the primary is leaving";
+    }
+    return is_failing_for_instances(now) ? "most instances can't use the primary" : "";
+}
+
+void plan::start(const decision_record& record, std::string reason, clock::time_point now)
+{
+    number_ = record.number + 1;
+    phase_ = phase_kind::committing;
+    phase_began_ = now;
+    old_primary_ = primary_;
+    for (const member& each : members_) {
+        if (old_primary_.empty() && each.claims_primary) {
+            old_primary_ = each.server;
+        }
+    }
+    candidate_.clear();
+    is_candidate_paused_ = false;
+    is_reaffirmed_ = false;
+    others_paused_since_.reset();
+    call_accepted_ = false;
+    call_refused_ = false;
+    for (auto& [server, of] : views_) {
+        of.paused_at.reset();
+        of.demoted_at.reset();
+        of.status.reset();
+        of.ordered_at = clock::time_point{};
+        of.status_checked_at = clock::time_point{};
+    }
+    actions_.emplace_back(begin_decision{number_, std::move(reason)});
+}
+
+// A pause ends with a promotion of the group; one that outlived it would keep commits from being
+// acknowledged. No earlier promotion can still be carried out once the present one is confirmed.
+void plan::resume_left_paused(const decision_record& record, clock::time_point now)
+{
+    if (record.primary.empty() && record.number > 0) {
+        return;
+    }
+    if (now - steady_since_ < resume_check || primary_.empty()) {
+        return;
+    }
+    for (const member& each : members_) {
+        if (each.server == primary_) {
+            continue;
+        }
+        server_view& of = view(each.server);
+        if (!of.status) {
+            ask_status(each, resume_check, now);
+        }
+        else if (of.status->term_held != 0 && now - of.ordered_at >= resume_check) {
+            of.ordered_at = now;
+            of.status.reset();
+            actions_.emplace_back(resume_replica{each.server, each.address});
+        }
+    }
+}
+
+void plan::advance_steady(const decision_record& record, clock::time_point now)
+{
+    if (record.number > 0 && record.primary.empty()) {
+        // A leader before this one left a decision unfinished; its call may still be carried out.
+        // Whoever leads now is confirmed under a higher number, which ends that call.
+        look_for_primary(now);
+        const bool leads_now = !primary_.empty() && lead_asked_at_ >= phase_began_;
+        if (leads_now || now - phase_began_ >= settings_.dead_after) {
+            start(record, "an earlier decision was interrupted", now);
+            is_reaffirmed_ = leads_now;
+        }
+        return;
+    }
+    if (primary_.empty()) {
+        look_for_primary(now);
+        return;
+    }
+    const std::string reason = reason_to_change(now);
+    if (!reason.empty()) {
+        start(record, reason, now);
+        return;
+    }
+    const member* const lead = find(primary_);
+    check(*lead, settings_.check_every, now);
+    for (const member& each : members_) {
+        if (each.claims_primary && each.server != primary_) {
+            check(each, settings_.check_every, now);
+        }
+    }
+    resume_left_paused(record, now);
+}
+
+// The most advanced replica that answers; one that stays is better than one that leaves.
+void plan::choose_candidate(clock::time_point now)
+{
+    const auto rank = [&](const member& each) {
+        return std::pair(!each.is_leaving, view(each.server).status->received);
+    };
+    const member* best = nullptr;
+    bool all_answered = true;
+    for (const member& each : members_) {
+        if (each.server == old_primary_) {
+            continue;
+        }
+        const server_view& of = view(each.server);
+        if (!of.status || of.failing_since) {
+            all_answered = false;
+            continue;
+        }
+        if (best == nullptr || rank(each) > rank(*best)) {
+            best = &each;
+        }
+    }
+    if (best != nullptr && (all_answered || now - phase_began_ >= settings_.status_wait)) {
+        candidate_ = best->server;
+    }
+}
+
+void plan::pause_others(clock::time_point now)
+{
+    for (const member& each : members_) {
+        server_view& of = view(each.server);
+        const bool spared = each.server == old_primary_ ||
+                            (each.server == candidate_ && !is_candidate_paused_);
+        if (spared || of.paused_at || now - of.ordered_at < settings_.order_again) {
+            continue;
+        }
+        of.ordered_at = now;
+        actions_.emplace_back(pause_replica{each.server, each.address, newest_term_ + 1});
+    }
+}
+
+bool plan::others_are_paused() const
+{
+    return std::all_of(members_.begin(), members_.end(), [&](const member& each) {
+        if (each.server == old_primary_ || each.server == candidate_) {
+            return true;
+        }
+        const auto found = views_.find(each.server);
+        return found != views_.end() && found->second.paused_at.has_value();
+    });
+}
+
+bool plan::holds_all(std::string_view server) const
+{
+    const auto own = views_.find(server);
+    if (own == views_.end() || !own->second.status || own->second.status->received < required_) {
+        return false;
+    }
+    return std::all_of(views_.begin(), views_.end(), [&](const auto& item) {
+        const std::optional<log_position>& at = item.second.paused_at;
+        return !at || own->second.status->received >= *at;
+    });
+}
+
+// Where a replica can't be paused, a primary that was demoted gives no more acknowledgements either,
+// and its own log holds all that it gave.
+void plan::demote_instead(clock::time_point now)
+{
+    const member* const old = find(old_primary_);
+    if (old == nullptr) {
+        return;
+    }
+    server_view& of = view(old_primary_);
+    if (!of.demoted_at && now - of.ordered_at >= settings_.order_again) {
+        of.ordered_at = now;
+        actions_.emplace_back(demote_primary{old->server, old->address, newest_term_ + 1});
+    }
+}
+
+bool plan::may_promote(clock::time_point now)
+{
+    const server_view& old = view(old_primary_);
+    if (old.demoted_at) {
+        if (view(candidate_).status->received >= *old.demoted_at) {
+            return true;
+        }
+        if (now - phase_began_ >= settings_.confirm_within && find(old_primary_) != nullptr) {
+            candidate_ = old_primary_; // nobody else holds its commits
+            return true;
+        }
+    }
+    if (!others_are_paused()) {
+        return false;
+    }
+    if (!others_paused_since_) {
+        others_paused_since_ = now;
+    }
+    if (holds_all(candidate_)) {
+        return true;
+    }
+    if (now - *others_paused_since_ >= settings_.catch_up_wait) {
+        is_candidate_paused_ = true; // then all are, and the most advanced one is taken
+    }
+    return false;
+}
+
+void plan::advance_fencing(clock::time_point now)
+{
+    if (is_reaffirmed_) {
+        candidate_ = old_primary_;
+        call(now);
+        return;
+    }
+    for (const member& each : members_) {
+        if (each.server != old_primary_) {
+            ask_status(each, settings_.order_again / 2, now);
+        }
+    }
+    if (candidate_.empty() || find(candidate_) == nullptr) {
+        candidate_.clear();
+        choose_candidate(now);
+        if (candidate_.empty()) {
+            return;
+        }
+    }
+    if (is_candidate_paused_ && view(candidate_).paused_at && others_are_paused()) {
+        choose_candidate(now);
+    }
+    pause_others(now);
+    if (!others_are_paused() && now - phase_began_ >= settings_.unreachable_after) {
+        demote_instead(now);
+    }
+    if (may_promote(now)) {
+        call(now);
+    }
+}
+
+void plan::call(clock::time_point now)
+{
+    if (phase_ != phase_kind::calling) {
+        phase_ = phase_kind::calling;
+        phase_began_ = now;
+    }
+    called_at_ = now;
+    actions_.emplace_back(call_platform{candidate_, number_});
+}
+
+void plan::advance_call(const decision_record& record, clock::time_point now)
+{
+    const member* const next = find(candidate_);
+    if (call_refused_ || next == nullptr) {
+        start(record, "the platform refused the promotion", now);
+        return;
+    }
+    check(*next, settings_.order_again / 2, now);
+    if (primary_ == candidate_ && lead_asked_at_ >= phase_began_) {
+        actions_.emplace_back(
+            finish_decision{candidate_, next->address, number_, lead_position_});
+        phase_ = phase_kind::confirming;
+        phase_began_ = now;
+        return;
+    }
+    const bool is_silent = call_accepted_ && now - phase_began_ >= settings_.confirm_within;
+    if (is_silent && view(candidate_).failing_since) {
+        start(record, "the promoted server does not answer", now);
+        return;
+    }
+    const clock::duration again = call_accepted_ ? settings_.confirm_within : settings_.call_again;
+    if (now - called_at_ >= again) {
+        call(now);
+    }
+}
+
+std::vector<action> plan::advance(const std::vector<member>& members, const decision_record& record,
+                                  clock::time_point now)
+{
+    actions_.clear();
+    watch_members(members);
+    switch (phase_) {
+    case phase_kind::steady:
+        advance_steady(record, now);
+        break;
+    case phase_kind::committing:
+        if (record.number >= number_ && record.primary.empty()) {
+            number_ = record.number;
+            phase_ = phase_kind::fencing;
+            phase_began_ = now;
+            advance_fencing(now);
+        }
+        else if (now - phase_began_ >= settings_.call_again) {
+            start(record, "the decision was not committed in time", now);
+        }
+        break;
+    case phase_kind::fencing:
+        advance_fencing(now);
+        break;
+    case phase_kind::calling:
+        advance_call(record, now);
+        break;
+    case phase_kind::confirming:
+        if (record.number == number_ && !record.primary.empty()) {
+            phase_ = phase_kind::steady;
+            steady_since_ = now;
+            for (auto& [server, of] : views_) {
+                of.status.reset();
+            }
+        }
+        else if (now - phase_began_ >= settings_.call_again) {
+            phase_ = phase_kind::calling; // the commit was lost with a term: finish again
+        }
+        break;
+    }
+    return std::exchange(actions_, {});
+}
+
+} // namespace primrosehead::promotion
--- /dev/null
+++ b/src/promotion_plan.h
@@ -0,0 +1,215 @@
+// Replaces the primary of a database group whose promotions a platform carries out. Pure: what
+// servers, instances and the platform answer goes in, actions come out.
+//
+// A commit is acknowledged once one replica received it, so a server may lead without loss when
+// every acknowledgement that may still be given needs it, and it holds all that were given. The plan
+// pauses every other replica, waits until the candidate holds what they hold, and orders the
+// promotion under a number that was committed for this decision alone: the platform refuses calls
+// with a lower number, also those that it carries out late.
+#pragma once
+
+#include "line_answer.h"
+
+#include <primrosehead/clock.h>
+#include <primrosehead/position.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace primrosehead::promotion {
+
+// A server of the group that has not deregistered.
+struct member {
+    std::string server;
+    std::string address;
+    bool is_leaving = false;
+    bool claims_primary = false;
+    std::uint64_t born_ms = 0;
+};
+
+// What the replicated state says of the group's latest decision.
+struct decision_record {
+    std::uint64_t number = 0; // 0: none yet
+    std::string primary;      // empty while it is under way
+};
+
+// Find out whether the server leads: a transaction that only a primary begins.
+struct check_lead {
+    std::string server;
+    std::string address;
+};
+struct check_status {
+    std::string server;
+    std::string address;
+};
+struct pause_replica {
+    std::string server;
+    std::string address;
+    std::uint64_t term = 0;
+};
+struct demote_primary {
+    std::string server;
+    std::string address;
+    std::uint64_t term = 0;
+};
+struct resume_replica {
+    std::string server;
+    std::string address;
+};
+// Commit a new decision.
+struct begin_decision {
+    std::uint64_t number = 0;
+    std::string reason;
+};
+// Ask the platform to promote.
+struct call_platform {
+    std::string server;
+    std::uint64_t number = 0;
+};
+// Commit that the server leads.
+struct finish_decision {
+    std::string server;
+    std::string address;
+    std::uint64_t number = 0;
+    log_position position;
+};
+
+using action = std::variant<check_lead, check_status, pause_replica, demote_primary, resume_replica,
+                            begin_decision, call_platform, finish_decision>;
+
+enum class call_outcome { accepted, refused, unknown };
+
+// What an instance reports of the primary.
+struct sighting {
+    std::string server;
+    std::optional<clock::duration> reached_ago; // it acted as the primary
+    clock::duration failing_for{0};
+};
+
+struct plan_settings {
+    clock::duration check_every{250};
+    // Two checks without an answer, each given up after 400 ms.
+    clock::duration dead_after{900};
+    // A refused connection is sure: nothing listens. Two checks rule out a restart.
+    clock::duration refused_after{350};
+    // A sighting this fresh contradicts the control leader's own failing checks.
+    clock::duration sighting_valid{600};
+    // Longer than a statement timeout: one write that failed may have been an honest one.
+    clock::duration failing_after{1'500};
+    clock::duration order_again{250};
+    clock::duration status_wait{300};   // for more statuses than the first, to choose among
+    clock::duration catch_up_wait{400}; // for the candidate to hold what the paused hold
+    clock::duration unreachable_after{800};
+    clock::duration call_again{700};
+    clock::duration confirm_within{2'500};
+    clock::duration settle{1'500}; // after a change of primary, before the next unforced one
+};
+
+class plan {
+  public:
+    plan(std::string group, plan_settings settings, clock::time_point now);
+
+    // Answers of servers. `asked_at`: when the question was sent.
+    void leads(std::string_view server, log_position at, clock::time_point asked_at,
+               clock::time_point now);
+    void does_not_lead(std::string_view server, clock::time_point now);
+    void unreachable(std::string_view server, bool refused, clock::time_point now);
+    void status_of(std::string_view server, const server_status& status, clock::time_point asked_at,
+                   clock::time_point now);
+    void paused(std::string_view server, const server_status& status, clock::time_point now);
+    void demoted(std::string_view server, const server_status& status, clock::time_point now);
+
+    void call_answered(std::string_view server, std::uint64_t number, call_outcome outcome,
+                       clock::time_point now);
+    void sighted(std::string_view instance, const sighting& seen, clock::time_point now);
+
+    [[nodiscard]] std::vector<action> advance(const std::vector<member>& members,
+                                              const decision_record& record,
+                                              clock::time_point now);
+
+    // The server that was seen leading last; empty when none is known.
+    [[nodiscard]] const std::string& primary() const noexcept { return primary_; }
+    [[nodiscard]] log_position lead_position() const noexcept { return lead_position_; }
+    [[nodiscard]] std::string_view phase() const noexcept;
+
+  private:
+    enum class phase_kind { steady, committing, fencing, calling, confirming };
+
+    struct server_view {
+        clock::time_point lead_checked_at{};
+        clock::time_point status_checked_at{};
+        clock::time_point ordered_at{};
+        std::optional<clock::time_point> failing_since;
+        bool refused = false;
+        std::optional<server_status> status;
+        clock::time_point status_asked_at{};
+        std::optional<log_position> paused_at;  // in this decision
+        std::optional<log_position> demoted_at; // in this decision
+        std::uint64_t born_ms = 0;
+    };
+    struct instance_view {
+        sighting seen;
+        clock::time_point heard_at;
+    };
+
+    server_view& view(std::string_view server);
+    [[nodiscard]] const member* find(std::string_view server) const;
+    void watch_members(const std::vector<member>& members);
+    void advance_steady(const decision_record& record, clock::time_point now);
+    void look_for_primary(clock::time_point now);
+    void resume_left_paused(const decision_record& record, clock::time_point now);
+    [[nodiscard]] std::string reason_to_change(clock::time_point now) const;
+    [[nodiscard]] bool is_dead(clock::time_point now) const;
+    [[nodiscard]] bool is_failing_for_instances(clock::time_point now) const;
+    [[nodiscard]] bool has_successor() const;
+    void start(const decision_record& record, std::string reason, clock::time_point now);
+    void advance_fencing(clock::time_point now);
+    void choose_candidate(clock::time_point now);
+    void pause_others(clock::time_point now);
+    [[nodiscard]] bool may_promote(clock::time_point now);
+    [[nodiscard]] bool others_are_paused() const;
+    [[nodiscard]] bool holds_all(std::string_view server) const;
+    void demote_instead(clock::time_point now);
+    void call(clock::time_point now);
+    void advance_call(const decision_record& record, clock::time_point now);
+    void check(const member& which, clock::duration every, clock::time_point now);
+    void ask_status(const member& which, clock::duration every, clock::time_point now);
+
+    std::string group_;
+    plan_settings settings_;
+    phase_kind phase_ = phase_kind::steady;
+    std::vector<member> members_;
+    std::map<std::string, server_view, std::less<>> views_;
+    std::map<std::string, instance_view, std::less<>> instances_;
+    std::vector<action> actions_;
+
+    std::string primary_;
+    clock::time_point lead_asked_at_{};
+    log_position lead_position_;
+    std::uint64_t newest_term_ = 0;
+    clock::time_point steady_since_;
+
+    // A replica left while this group's commits may have been at it and the primary alone: whoever
+    // is promoted must hold what the primary held afterwards.
+    std::optional<clock::time_point> member_left_at_;
+    log_position required_;
+
+    std::uint64_t number_ = 0; // of the decision under way
+    std::string old_primary_;
+    std::string candidate_;
+    bool is_candidate_paused_ = false;
+    bool is_reaffirmed_ = false; // the present primary is called for again
+    clock::time_point phase_began_;
+    std::optional<clock::time_point> others_paused_since_;
+    clock::time_point called_at_{};
+    bool call_accepted_ = false;
+    bool call_refused_ = false;
+};
+
+} // namespace primrosehead::promotion
--- /dev/null
+++ b/src/promotion_probe.cpp
@@ -0,0 +1,109 @@
+#include "promotion_probe.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace primrosehead::promotion {
+
+namespace net = boost::asio;
+
+namespace {
+
+// Far above a round trip and the server's cost of a new connection, far below a statement timeout.
+constexpr clock::duration probe_timeout{400};
+
+// Who connects, where no organisation does.
+constexpr std::string_view probe_name = "primrosehead";
+
+} // namespace
+
+probe::probe(net::any_io_executor executor, const line_dialect& dialect, std::string group,
+             std::string server, std::string address)
+    : executor_(std::move(executor)), dialect_(dialect), group_(std::move(group)),
+      server_(std::move(server)), address_(std::move(address))
+{
+}
+
+net::awaitable<probe_result> probe::connect(clock::time_point deadline)
+{
+    if (connection_ && connection_->is_usable()) {
+        co_return probe_result::answered;
+    }
+    connection_.reset();
+    const std::string startup =
+        fmt::format("{} {} {} {}\r\n", dialect_.startup, group_, probe_name, server_);
+    line_connection::open_result opened =
+        co_await line_connection::open(executor_, dialect_, address_, startup, deadline);
+    if (const auto* const failed = std::get_if<open_failure>(&opened)) {
+        // Any error code shows that the process is up, but not that it is usable.
+        co_return failed->kind == open_failure_kind::refused ? probe_result::refused
+                                                             : probe_result::silent;
+    }
+    connection_ = std::move(std::get<std::unique_ptr<line_connection>>(opened));
+    co_return probe_result::answered;
+}
+
+net::awaitable<line_exchange> probe::exchange(const std::string& queries, std::size_t count,
+                                              clock::time_point deadline)
+{
+    line_exchange outcome = co_await connection_->exchange(queries, count, deadline);
+    if (!outcome.is_whole()) {
+        connection_.reset();
+    }
+    co_return outcome;
+}
+
+net::awaitable<lead_answer> probe::check_lead()
+{
+    is_busy_ = true;
+    used_at_ = clock::now();
+    const clock::time_point deadline = used_at_ + probe_timeout;
+    lead_answer answer;
+    answer.result = co_await connect(deadline);
+    if (answer.result == probe_result::answered) {
+        const std::string begin = fmt::format("{} - {}\r\n{} - {}\r\n", dialect_.query,
+                                              dialect_.begin, dialect_.query, dialect_.rollback);
+        const line_exchange outcome = co_await exchange(begin, 2, deadline);
+        if (outcome.answers.empty()) {
+            answer.result =
+                outcome.has_timed_out ? probe_result::silent : probe_result::refused;
+        }
+        else if (outcome.answers.front().is_error) {
+            answer.result = outcome.answers.front().code == dialect_.read_only
+                                ? probe_result::not_primary
+                                : probe_result::silent;
+        }
+        else if (outcome.answers.front().position) {
+            answer.position = *outcome.answers.front().position;
+        }
+    }
+    is_busy_ = false;
+    co_return answer;
+}
+
+net::awaitable<status_answer> probe::ask(const std::string& statement)
+{
+    is_busy_ = true;
+    used_at_ = clock::now();
+    const clock::time_point deadline = used_at_ + probe_timeout;
+    status_answer answer;
+    answer.result = co_await connect(deadline);
+    if (answer.result == probe_result::answered) {
+        const std::string query = fmt::format("{} - {}\r\n", dialect_.query, statement);
+        const line_exchange outcome = co_await exchange(query, 1, deadline);
+        answer.result = probe_result::silent;
+        if (!outcome.answers.empty() && !outcome.answers.front().rows.empty()) {
+            const std::optional<server_status> told =
+                parse_status(outcome.answers.front().rows.front(), dialect_.primary_role);
+            if (told) {
+                answer.result = probe_result::answered;
+                answer.status = *told;
+            }
+        }
+    }
+    is_busy_ = false;
+    co_return answer;
+}
+
+} // namespace primrosehead::promotion
--- a/src/standin_notifier.cpp
+++ b/src/standin_notifier.cpp
@@ -1,5 +1,7 @@
 #include "standin_notifier.h"
 
+#include "clock_timer.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -16,7 +18,7 @@
 
 net::awaitable<void> notifier::wait_until(clock::time_point deadline)
 {
-    const std::chrono::steady_clock::time_point expiry(deadline.time_since_epoch());
+    const std::chrono::steady_clock::time_point expiry = steady(deadline);
     const auto place = waiting_.emplace(waiting_.end(), executor_, expiry);
     co_await place->async_wait(no_throw);
     waiting_.erase(place);
--- a/src/state_commands.cpp
+++ b/src/state_commands.cpp
@@ -178,6 +178,31 @@
     return accepted(records.version());
 }
 
+// The highest version counts: an older one is acknowledged and changes nothing.
+pb::operator_reply apply_one(state_records& records, const pb::published_record& publish)
+{
+    if (!is_name(publish.name())) {
+        return bad_name("document");
+    }
+    pb::state_record record = draft(records, record_key(published_prefix, publish.name()));
+    const pb::published_record& held = record.published();
+    if (publish.version() < held.version()) {
+        return accepted(held.version());
+    }
+    if (publish.version() == held.version()) {
+        if (publish.content_hash() == held.content_hash()) {
+            return accepted(held.version());
+        }
+        return refused(error_kind::version_conflict,
+                       fmt::format("Version {} holds another document.", held.version()),
+                       "Read the present document and publish under a higher version.",
+                       held.version());
+    }
+    *record.mutable_published() = publish;
+    records.change(std::move(record));
+    return accepted(publish.version());
+}
+
 pb::operator_reply wrong_term_reply(std::uint64_t current, std::uint64_t asked)
 {
     return refused(error_kind::wrong_term,
@@ -255,6 +280,8 @@
         return apply_one(records, command.begin(), switches);
     case pb::command::kFinish:
         return apply_one(records, command.finish(), switches);
+    case pb::command::kPublish:
+        return apply_one(records, command.publish());
     case pb::command::BODY_NOT_SET:
         break;
     }
--- a/src/state_machine.cpp
+++ b/src/state_machine.cpp
@@ -180,6 +180,12 @@
     return found == nullptr ? nullptr : &found->key_value();
 }
 
+const pb::published_record* state_machine::published(std::string_view name) const
+{
+    const pb::state_record* found = records_->find(record_key(published_prefix, name));
+    return found == nullptr ? nullptr : &found->published();
+}
+
 const state_records& state_machine::records() const noexcept
 {
     return *records_;
--- a/src/state_records.h
+++ b/src/state_records.h
@@ -78,6 +78,7 @@
 inline constexpr std::string_view key_prefix = "key/";
 inline constexpr std::string_view group_prefix = "group/";
 inline constexpr std::string_view instance_prefix = "instance/";
+inline constexpr std::string_view published_prefix = "published/";
 inline constexpr std::string_view request_prefix = "request/";
 
 [[nodiscard]] std::string record_key(std::string_view prefix, std::string_view name);
