--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -459,6 +459,12 @@
     }
     server_orders->give_answers(*leading, now);
     keep_membership(now);
+    for (const pb::command& command : leading->registrations(state->state(), now)) {
+        status proposed = state->propose(command, now, [](const pb::operator_reply&) {});
+        if (!ok(proposed)) {
+            return proposed;
+        }
+    }
     for (const group_action& due :
          leading->advance(present.get(), state->state(), servers, now)) {
         status acted = act(due, now);
@@ -792,7 +798,7 @@
         .field("instance", instance_on(settings.host))
         .field("listen", settings.listen)
         .field("first_start", settings.is_first_start)
-        .field("version", PRIMROSEHEAD_VERSION);
+        .field("version", std::string_view(PRIMROSEHEAD_VERSION));
     net::co_spawn(context, tick_loop(), net::detached);
     context.run();
     messages.reset();
--- a/src/cell_orders.cpp
+++ b/src/cell_orders.cpp
@@ -52,16 +52,15 @@
 {
 }
 
-std::shared_ptr<promotion::probe> orders::probe_for(const std::string& purpose,
-                                                    const std::string& group,
+std::shared_ptr<promotion::probe> orders::probe_for(const std::string& group,
                                                     const std::string& server,
                                                     const std::string& address)
 {
-    std::shared_ptr<promotion::probe>& found = probes_[purpose + server];
+    std::shared_ptr<promotion::probe>& found = probes_[server];
     if (!found || found->address() != address) {
         found = std::make_shared<promotion::probe>(executor_, dialect_, group, server, address);
     }
-    return found->is_busy() ? nullptr : found;
+    return found;
 }
 
 void orders::collect(const std::string& group, answer give)
@@ -98,16 +97,14 @@
         .field("group", group)
         .field("server", server)
         .field("result", name_of(told.result))
+        .field("code", told.code)
         .field("received", format_position(told.status.received))
         .field("term_held", static_cast<std::int64_t>(told.status.term_held));
 }
 
 net::awaitable<void> orders::check_lead(std::string group, promotion::check_lead what)
 {
-    const auto probe = probe_for("check ", group, what.server, what.address);
-    if (!probe) {
-        co_return;
-    }
+    const auto probe = probe_for(group, what.server, what.address);
     const std::uint64_t generation = generation_;
     const clock::time_point asked_at = clock::now();
     const promotion::lead_answer told = co_await probe->check_lead();
@@ -133,10 +130,7 @@
 
 net::awaitable<void> orders::check_status(std::string group, promotion::check_status what)
 {
-    const auto probe = probe_for("status ", group, what.server, what.address);
-    if (!probe) {
-        co_return;
-    }
+    const auto probe = probe_for(group, what.server, what.address);
     const std::uint64_t generation = generation_;
     const clock::time_point asked_at = clock::now();
     const std::string statement(dialect_.status);
@@ -157,10 +151,7 @@
 
 net::awaitable<void> orders::pause(std::string group, promotion::pause_replica what)
 {
-    const auto probe = probe_for("order ", group, what.server, what.address);
-    if (!probe) {
-        co_return;
-    }
+    const auto probe = probe_for(group, what.server, what.address);
     const std::uint64_t generation = generation_;
     const std::string statement = fmt::format("{} {}", dialect_.pause, what.term);
     const promotion::status_answer told = co_await probe->ask(statement);
@@ -175,10 +166,7 @@
 
 net::awaitable<void> orders::demote(std::string group, promotion::demote_primary what)
 {
-    const auto probe = probe_for("order ", group, what.server, what.address);
-    if (!probe) {
-        co_return;
-    }
+    const auto probe = probe_for(group, what.server, what.address);
     const std::uint64_t generation = generation_;
     const std::string statement = fmt::format("{} {}", dialect_.step_down, what.term);
     const promotion::status_answer told = co_await probe->ask(statement);
@@ -193,10 +181,7 @@
 
 net::awaitable<void> orders::resume(std::string group, promotion::resume_replica what)
 {
-    const auto probe = probe_for("order ", group, what.server, what.address);
-    if (!probe) {
-        co_return;
-    }
+    const auto probe = probe_for(group, what.server, what.address);
     const std::string statement(dialect_.resume);
     const promotion::status_answer told = co_await probe->ask(statement);
     note_order(group, "resume", what.server, told);
--- a/src/cell_orders.h
+++ b/src/cell_orders.h
@@ -45,8 +45,7 @@
         answer give;
     };
 
-    [[nodiscard]] std::shared_ptr<promotion::probe> probe_for(const std::string& purpose,
-                                                              const std::string& group,
+    [[nodiscard]] std::shared_ptr<promotion::probe> probe_for(const std::string& group,
                                                               const std::string& server,
                                                               const std::string& address);
     boost::asio::awaitable<void> check_lead(std::string group, promotion::check_lead what);
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -1,5 +1,7 @@
 #include "cell_service.h"
 
+#include "state_records.h"
+
 #include <algorithm>
 
 namespace primrosehead::cell {
@@ -8,6 +10,7 @@
 
 // Announcement intervals after which every live server was heard: one interval, jitter, one retry.
 constexpr int intervals_until_complete = 2;
+constexpr clock::duration register_again{500};
 constexpr clock::duration live_within{1'500}; // several follow requests of an instance
 
 std::vector<promotion::member> members_of(const directory& servers, std::string_view group)
@@ -82,7 +85,7 @@
     instance& from = instances_[asked.instance()];
     if (from.incarnation != asked.incarnation()) {
         shares_.forget(asked.instance()); // of the process before
-        from = instance{asked.incarnation(), 0, now};
+        from = instance{asked.incarnation(), 0, now, {}, {}};
     }
     if (asked.sequence() <= from.sequence) {
         reply.set_sequence(0); // late or repeated: renews nothing
@@ -90,13 +93,17 @@
     }
     from.sequence = asked.sequence();
     from.heard_at = now;
+    from.failure_domain = asked.failure_domain();
     take_sightings(asked, now);
+    const bool is_registered = state.instance(asked.instance()) != nullptr;
     for (const pb::share_report& told : asked.shares()) {
         pb::share_grant& grant = *reply.add_shares();
         grant.set_organisation(told.organisation());
-        grant.set_share_ppm(shares_.report(told.organisation(), asked.instance(),
-                                           asked.incarnation(), told.share_ppm(),
-                                           told.demand_per_s(), now));
+        grant.set_share_ppm(is_registered
+                                ? shares_.report(told.organisation(), asked.instance(),
+                                                 asked.incarnation(), told.share_ppm(),
+                                                 told.demand_per_s(), now)
+                                : told.share_ppm());
     }
     if (const pb::published_record* const newest = state.published(document_name)) {
         reply.set_document_version(newest->version());
@@ -123,6 +130,28 @@
     return reply;
 }
 
+std::vector<pb::command> service::registrations(const state_machine& state, clock::time_point now)
+{
+    std::vector<pb::command> commands;
+    std::vector<std::string> registered;
+    for (const pb::state_record* record : state.records().with_prefix(instance_prefix)) {
+        registered.push_back(record->instance().instance());
+    }
+    shares_.expect(std::move(registered));
+    for (auto& [name, each] : instances_) {
+        if (state.instance(name) != nullptr || now - each.registered_at < register_again) {
+            continue;
+        }
+        each.registered_at = now;
+        pb::command command;
+        pb::instance_record& record = *command.mutable_register_one()->mutable_instance();
+        record.set_instance(name);
+        record.set_failure_domain(each.failure_domain);
+        commands.push_back(std::move(command));
+    }
+    return commands;
+}
+
 std::vector<group_action> service::advance(const document* present, const state_machine& state,
                                            const directory& servers, clock::time_point now)
 {
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -57,6 +57,10 @@
         return plans_;
     }
     [[nodiscard]] std::uint64_t term() const noexcept { return term_; }
+    // Instances to be registered in the replicated state before they get shares.
+    [[nodiscard]] std::vector<pb::command> registrations(const state_machine& state,
+                                                         clock::time_point now);
+
     [[nodiscard]] std::uint32_t live_instances(clock::time_point now) const;
 
   private:
@@ -64,6 +68,8 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         clock::time_point heard_at;
+        clock::time_point registered_at{}; // proposed
+        std::string failure_domain;
     };
 
     [[nodiscard]] bool is_complete(clock::time_point now) const;
--- a/src/cell_shares.cpp
+++ b/src/cell_shares.cpp
@@ -32,7 +32,10 @@
 
 std::uint32_t shares::free_in(const account& of, clock::time_point now) const
 {
-    if (now - elected_at_ < lease_) {
+    const bool all_heard = std::all_of(
+        expected_.begin(), expected_.end(),
+        [this](const std::string& instance) { return heard_.contains(instance); });
+    if (now - elected_at_ < lease_ && !all_heard) {
         return 0;
     }
     std::uint64_t used = 0;
@@ -46,6 +49,7 @@
                              std::uint64_t incarnation, std::uint32_t held, double demand,
                              clock::time_point now)
 {
+    heard_.emplace(instance);
     auto found = accounts_.find(organisation);
     if (found == accounts_.end()) {
         found = accounts_.emplace(std::string(organisation), account{}).first;
--- a/src/cell_shares.h
+++ b/src/cell_shares.h
@@ -12,7 +12,9 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <set>
 #include <string_view>
+#include <vector>
 
 namespace primrosehead::cell {
 
@@ -29,6 +31,10 @@
                                        std::uint64_t incarnation, std::uint32_t held, double demand,
                                        clock::time_point now);
 
+    // Instances that an earlier leader may have granted shares to. Before all of them were heard,
+    // and within one lease of the election, nothing is free.
+    void expect(std::vector<std::string> instances) { expected_ = std::move(instances); }
+
     // All shares of the instance end: its process is over.
     void forget(std::string_view instance);
 
@@ -53,6 +59,8 @@
     clock::time_point elected_at_;
     clock::duration lease_;
     std::map<std::string, account, std::less<>> accounts_;
+    std::vector<std::string> expected_;
+    std::set<std::string, std::less<>> heard_; // since the election
 };
 
 } // namespace primrosehead::cell
--- a/src/deployment_settings.cpp
+++ b/src/deployment_settings.cpp
@@ -31,6 +31,7 @@
 constexpr std::string_view pooler_text = R"(,
   "listen": {"type": "string", "minLength": 1, "description": "IP:PORT for callers"},
   "readiness_listen": {"type": "string", "minLength": 1, "description": "IP:PORT for the balancer's probe"},
+  "limit_tolerance": {"type": "number", "minimum": 0, "description": "operations, 0 or more"},
   "max_connections": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"}
 )";
 
@@ -92,6 +93,7 @@
     read_field(from, "listen", settings.listen);
     read_field(from, "readiness_listen", settings.readiness_listen);
     read_field(from, "max_connections", settings.max_connections);
+    read_field(from, "limit_tolerance", settings.limit_tolerance);
     return settings;
 }
 
--- a/src/deployment_settings.h
+++ b/src/deployment_settings.h
@@ -31,6 +31,7 @@
     std::string listen;           // IP:PORT for callers
     std::string readiness_listen; // IP:PORT for the balancer's probe
     std::uint32_t max_connections = 4'000;
+    double limit_tolerance = 0; // operations of an organisation beyond its rate and burst
 };
 
 struct cell_settings : deployment_settings {
--- a/src/pooler_context.h
+++ b/src/pooler_context.h
@@ -28,6 +28,7 @@
     follower& control;
     event_log& events;
     instance_metrics& numbers;
+    bool closes_sessions = false; // the instance is stopping: sessions end after their operation
 };
 
 } // namespace primrosehead::pooler
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -19,6 +19,8 @@
 constexpr clock::duration leader_patience{500};
 // A withdrawn key must not work for longer than the bound: the rest is for requests under way.
 constexpr int lease_tenths = 7;
+// Instances that join or leave change the parts while they are in use.
+constexpr double tolerance_used = 0.7;
 
 } // namespace
 
@@ -96,6 +98,7 @@
     asked.set_control_term(control_term_);
     asked.set_directory_revision(directory_revision_);
     asked.set_leaving(is_leaving_);
+    asked.set_failure_domain(settings_.failure_domain.text());
     for (auto& [organisation, limits] : limits_) {
         pb::share_report& report = *asked.add_shares();
         report.set_organisation(organisation);
@@ -183,7 +186,8 @@
                   [&](const auto& item) { return document_->organisation(item.first) == nullptr; });
     for (const document_organisation& organisation : document_->content().organisations) {
         limits_.try_emplace(organisation.name, now)
-            .first->second.change(organisation.rate, organisation.burst);
+            .first->second.change(organisation.rate, organisation.burst,
+                                  settings_.limit_tolerance * tolerance_used / instances_);
     }
     for (const document_group& group : document_->content().groups) {
         connections_.set_limits(group.name, group.connection_limit, instances_);
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -366,6 +366,7 @@
     net::steady_timer timer(context);
     timer.expires_at(steady(began_at + balancer_notices));
     co_await timer.async_wait(no_throw);
+    shared.closes_sessions = true;
     const auto turns = static_cast<std::size_t>(closing_time / drain_turn);
     const std::size_t closed_a_turn = sessions.size() / turns + 1;
     const clock::time_point transactions_end = began_at + settings.grace / 2;
@@ -410,7 +411,7 @@
     events.decision("process", "start")
         .field("listen", settings.listen)
         .field("failure_domain", settings.failure_domain.text())
-        .field("version", PRIMROSEHEAD_VERSION);
+        .field("version", std::string_view(PRIMROSEHEAD_VERSION));
     net::co_spawn(context, accept_loop(), net::detached);
     net::co_spawn(context, tick_loop(), net::detached);
     context.run();
--- a/src/pooler_limits.cpp
+++ b/src/pooler_limits.cpp
@@ -15,16 +15,17 @@
 
 } // namespace
 
-void limiter::change(double rate, double burst) noexcept
+void limiter::change(double rate, double burst, double tolerated) noexcept
 {
     rate_ = rate;
     burst_ = burst;
+    tolerated_ = tolerated;
     tokens_ = std::min(tokens_, capacity());
 }
 
 double limiter::capacity() const noexcept
 {
-    const double part = burst_ * share_ / millionths_of_one;
+    const double part = burst_ * share_ / millionths_of_one + tolerated_;
     // A small share must still let one operation pass.
     return share_ == 0 ? 0 : std::max(part, 1.0);
 }
--- a/src/pooler_limits.h
+++ b/src/pooler_limits.h
@@ -12,8 +12,9 @@
   public:
     explicit limiter(clock::time_point now) : refilled_at_(now), counted_at_(now) {}
 
-    // The fleet's rate and burst, in operations.
-    void change(double rate, double burst) noexcept;
+    // The fleet's rate and burst, in operations, and what the contract tolerates for being counted
+    // at many instances: operations on top of every burst, of which this instance may use a part.
+    void change(double rate, double burst, double tolerated) noexcept;
 
     // This instance's share, in millionths.
     void set_share(std::uint32_t millionths, clock::time_point now) noexcept;
@@ -34,6 +35,7 @@
 
     double rate_ = 0;
     double burst_ = 0;
+    double tolerated_ = 0;
     std::uint32_t share_ = 0;
     double tokens_ = 0;
     clock::time_point refilled_at_;
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -27,6 +27,8 @@
 constexpr clock::duration idle_longest{8'000};
 // Connections above the fair part that an instance may open while others need fewer.
 constexpr std::uint32_t above_fair_part = 1;
+// Kept free at every server for the control leader and the one before it.
+constexpr std::uint32_t control_connections = 2;
 // Statements that an instance runs at once at a server: more only queue there.
 constexpr std::uint32_t running_per_slot = 1;
 
@@ -144,7 +146,8 @@
                       std::uint32_t instances)
 {
     group_state& of = group(name);
-    of.connection_limit = connection_limit;
+    of.connection_limit =
+        connection_limit > control_connections ? connection_limit - control_connections : 1;
     of.instances = std::max(1U, instances);
 }
 
@@ -165,8 +168,7 @@
     if (request.need == server_need::primary) {
         const std::string lead = of.primary.guess(now);
         const auto known = of.servers.find(lead);
-        if (known == of.servers.end() || of.primary.is_lost(now) ||
-            known->second->is_avoided(now)) {
+        if (known == of.servers.end() || known->second->is_avoided(now)) {
             why = acquire_failure::no_primary;
             return found;
         }
--- a/src/pooler_primary.cpp
+++ b/src/pooler_primary.cpp
@@ -8,8 +8,6 @@
 
 // A server that refused may have been promoted since.
 constexpr clock::duration denial_valid{150};
-// Unreachable for so long: callers are told at once instead of waiting for a connection.
-constexpr clock::duration lost_after{300};
 
 } // namespace
 
@@ -107,11 +105,6 @@
     return {};
 }
 
-bool primary_guess::is_lost(clock::time_point now) const
-{
-    return failing_since_ && now - *failing_since_ >= lost_after;
-}
-
 primary_sighting primary_guess::sighting(clock::time_point now) const
 {
     primary_sighting seen;
--- a/src/pooler_primary.h
+++ b/src/pooler_primary.h
@@ -49,9 +49,6 @@
     // Empty when nobody is known that may lead.
     [[nodiscard]] std::string guess(clock::time_point now) const;
 
-    // True when the guess has failed for a while: writes can't be served now.
-    [[nodiscard]] bool is_lost(clock::time_point now) const;
-
     [[nodiscard]] primary_sighting sighting(clock::time_point now) const;
 
   private:
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -503,6 +503,8 @@
             break;
         }
         goes_on = co_await serve(line);
+        const bool may_end = !execution_.is_open() && !has_failed_;
+        goes_on = goes_on && !(shared_.closes_sessions && may_end);
     }
     is_busy_ = false;
     execution_.roll_back();
--- a/src/promotion_plan.cpp
+++ b/src/promotion_plan.cpp
@@ -323,8 +323,9 @@
     const member* const lead = find(primary_);
     check(*lead, settings_.check_every, now);
     for (const member& each : members_) {
-        if (each.claims_primary && each.server != primary_) {
-            check(each, settings_.check_every, now);
+        if (each.server != primary_) {
+            check(each, each.claims_primary ? settings_.check_every : settings_.check_replica_every,
+                  now);
         }
     }
     resume_left_paused(record, now);
--- a/src/promotion_plan.h
+++ b/src/promotion_plan.h
@@ -94,6 +94,8 @@
 
 struct plan_settings {
     clock::duration check_every{250};
+    // Keeps a connection open to every replica: in a failover there may be none to get.
+    clock::duration check_replica_every{1'000};
     // Two checks without an answer, each given up after 400 ms.
     clock::duration dead_after{900};
     // A refused connection is sure: nothing listens. Two checks rule out a restart.
--- a/src/promotion_probe.cpp
+++ b/src/promotion_probe.cpp
@@ -1,5 +1,8 @@
 #include "promotion_probe.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 #include <utility>
@@ -25,6 +28,17 @@
 {
 }
 
+net::awaitable<void> probe::take_turn()
+{
+    constexpr clock::duration turn{5};
+    while (is_busy_) {
+        net::steady_timer timer(executor_, turn);
+        co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+    }
+    is_busy_ = true;
+    used_at_ = clock::now();
+}
+
 net::awaitable<probe_result> probe::connect(clock::time_point deadline)
 {
     if (connection_ && connection_->is_usable()) {
@@ -37,6 +51,7 @@
         co_await line_connection::open(executor_, dialect_, address_, startup, deadline);
     if (const auto* const failed = std::get_if<open_failure>(&opened)) {
         // Any error code shows that the process is up, but not that it is usable.
+        open_code_ = failed->code;
         co_return failed->kind == open_failure_kind::refused ? probe_result::refused
                                                              : probe_result::silent;
     }
@@ -56,8 +71,7 @@
 
 net::awaitable<lead_answer> probe::check_lead()
 {
-    is_busy_ = true;
-    used_at_ = clock::now();
+    co_await take_turn();
     const clock::time_point deadline = used_at_ + probe_timeout;
     lead_answer answer;
     answer.result = co_await connect(deadline);
@@ -73,6 +87,7 @@
             answer.result = outcome.answers.front().code == dialect_.read_only
                                 ? probe_result::not_primary
                                 : probe_result::silent;
+            answer.position = outcome.answers.front().position.value_or(log_position{});
         }
         else if (outcome.answers.front().position) {
             answer.position = *outcome.answers.front().position;
@@ -84,12 +99,14 @@
 
 net::awaitable<status_answer> probe::ask(const std::string& statement)
 {
-    is_busy_ = true;
-    used_at_ = clock::now();
+    co_await take_turn();
     const clock::time_point deadline = used_at_ + probe_timeout;
     status_answer answer;
     answer.result = co_await connect(deadline);
-    if (answer.result == probe_result::answered) {
+    if (answer.result != probe_result::answered) {
+        answer.code = open_code_;
+    }
+    else {
         const std::string query = fmt::format("{} - {}\r\n", dialect_.query, statement);
         const line_exchange outcome = co_await exchange(query, 1, deadline);
         answer.result = probe_result::silent;
@@ -101,6 +118,9 @@
                 answer.status = *told;
             }
         }
+        else if (!outcome.answers.empty()) {
+            answer.code = outcome.answers.front().code;
+        }
     }
     is_busy_ = false;
     co_return answer;
--- a/src/promotion_probe.h
+++ b/src/promotion_probe.h
@@ -22,6 +22,7 @@
 struct status_answer {
     probe_result result = probe_result::silent;
     server_status status;
+    std::string code; // of an error that the server answered
 };
 
 class probe {
@@ -30,6 +31,7 @@
           std::string server, std::string address);
 
     // Begins and rolls back a transaction that only a primary begins. Takes no slot.
+    // One question at a time; a second one waits.
     [[nodiscard]] boost::asio::awaitable<lead_answer> check_lead();
 
     // `statement`: status, pause, resume or step-down, which all answer with the status.
@@ -52,6 +54,9 @@
     std::string server_;
     std::string address_;
     std::unique_ptr<line_connection> connection_;
+    std::string open_code_; // why the server refused the last connection
+    [[nodiscard]] boost::asio::awaitable<void> take_turn();
+
     bool is_busy_ = false;
     clock::time_point used_at_{};
 };
