--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -123,7 +123,7 @@
             pb::group_lead& lead = *reply.add_leads();
             lead.set_group(group);
             lead.set_server(plan.primary());
-            lead.set_term(plan.lead_position().term);
+            lead.set_generation(record_of(state, group).number);
         }
     }
     reply.set_live_instances(live_instances(now));
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -120,14 +120,19 @@
     if (route.consistency == route_consistency::latest || prefers_primary_) {
         return std::nullopt;
     }
-    std::optional<log_position> minimum =
-        shared_.connections.freshness_of(route.group)
-            .covering(now - route.max_staleness + freshness_margin);
-    if (minimum && route.consistency == route_consistency::read_your_writes &&
-        session_.last_commit) {
-        minimum = std::max(*minimum, *session_.last_commit);
-    }
-    return minimum;
+    const freshness& known = shared_.connections.freshness_of(route.group);
+    const std::optional<log_position> minimum =
+        known.covering(now - route.max_staleness + freshness_margin);
+    if (!minimum || route.consistency != route_consistency::read_your_writes ||
+        !session_.last_commit) {
+        return minimum;
+    }
+    if (session_.last_commit->term >= known.newest_term()) {
+        return std::max(*minimum, *session_.last_commit);
+    }
+    // After a change of primary that position may not exist any more, though the commit does.
+    const std::optional<log_position> own = known.covering(session_.last_commit_at);
+    return own ? std::optional(std::max(*minimum, *own)) : std::nullopt;
 }
 
 void execution::note_commit(const line_answer& answer, pooled_server& server,
@@ -137,8 +142,9 @@
     primary_guess& primary = shared_.connections.primary_of(server.group);
     if (answer.position) {
         session_.last_commit = answer.position;
-        primary.led(server.id, answer.position->term, now);
-        shared_.connections.freshness_of(server.group).observed(*answer.position, sent_at);
+        session_.last_commit_at = now;
+        primary.led(server.id, now);
+        shared_.connections.freshness_of(server.group).observed(server.id, *answer.position, sent_at);
     }
     primary.wrote(now);
     server.note_success();
@@ -200,8 +206,8 @@
     }
     note_prepared(connection, session_, what.needed, false);
     if (answer.position) {
-        shared_.connections.primary_of(server.group).led(server.id, answer.position->term, now);
-        shared_.connections.freshness_of(server.group).observed(*answer.position, asked_at);
+        shared_.connections.primary_of(server.group).led(server.id, now);
+        shared_.connections.freshness_of(server.group).observed(server.id, *answer.position, asked_at);
     }
     co_return true;
 }
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -207,7 +207,7 @@
         }
     }
     for (const pb::group_lead& lead : reply.leads()) {
-        connections_.primary_of(lead.group()).told(lead.server(), lead.term(), now);
+        connections_.primary_of(lead.group()).told(lead.server(), lead.generation(), now);
     }
     if (reply.control_endpoints_size() > 0) {
         endpoints_ = {reply.control_endpoints().begin(), reply.control_endpoints().end()};
--- a/src/pooler_freshness.cpp
+++ b/src/pooler_freshness.cpp
@@ -11,11 +11,18 @@
 
 } // namespace
 
-void freshness::observed(log_position at, clock::time_point asked_at)
+void freshness::observed(std::string_view primary, log_position at, clock::time_point asked_at)
 {
     if (!observations_.empty() && at.term < observations_.back().at.term) {
         return; // an answer from before a change of primary
     }
+    if (primary != primary_) {
+        if (!observations_.empty() && asked_at < observations_.back().asked_at) {
+            return;
+        }
+        observations_.clear();
+        primary_ = primary;
+    }
     while (!observations_.empty() && asked_at - observations_.front().asked_at > kept) {
         observations_.pop_front();
     }
@@ -50,4 +57,9 @@
     return observations_.empty() ? std::nullopt : std::optional(observations_.back().asked_at);
 }
 
+std::uint64_t freshness::newest_term() const
+{
+    return observations_.empty() ? 0 : observations_.back().at.term;
+}
+
 } // namespace primrosehead::pooler
--- a/src/pooler_freshness.h
+++ b/src/pooler_freshness.h
@@ -9,14 +9,18 @@
 #include <primrosehead/position.h>
 
 #include <deque>
+#include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace primrosehead::pooler {
 
 class freshness {
   public:
-    // A server that led, asked at `asked_at`, told the position of its log.
-    void observed(log_position at, clock::time_point asked_at);
+    // A server that led, asked at `asked_at`, told the position of its log. What an earlier primary
+    // told is dropped: its log may have held commits that no promotion kept.
+    void observed(std::string_view primary, log_position at, clock::time_point asked_at);
 
     // A position that covers every commit acknowledged before `since`; none when nothing that was
     // observed tells.
@@ -24,11 +28,15 @@
 
     [[nodiscard]] std::optional<clock::time_point> newest() const;
 
+    // The term of the newest position.
+    [[nodiscard]] std::uint64_t newest_term() const;
+
   private:
     struct observation {
         clock::time_point asked_at;
         log_position at;
     };
+    std::string primary_;
     std::deque<observation> observations_; // rising in both
 };
 
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -261,8 +261,8 @@
     const clock::time_point now = clock::now();
     const bool leads = !done.answers.empty() && !done.answers.front().is_error;
     if (leads && done.answers.front().position) {
-        connections.primary_of(group).led(server->id, done.answers.front().position->term, now);
-        connections.freshness_of(group).observed(*done.answers.front().position, asked_at);
+        connections.primary_of(group).led(server->id, now);
+        connections.freshness_of(group).observed(server->id, *done.answers.front().position, asked_at);
         server->note_success();
     }
     else if (!done.answers.empty() && done.answers.front().code == words.read_only) {
--- a/src/pooler_primary.cpp
+++ b/src/pooler_primary.cpp
@@ -8,6 +8,8 @@
 
 // A server that refused may have been promoted since.
 constexpr clock::duration denial_valid{150};
+// What this instance saw itself so recently counts more than what it is told.
+constexpr clock::duration sight_valid{300};
 
 } // namespace
 
@@ -26,35 +28,38 @@
     std::erase_if(denied_at_, [&](const auto& item) { return !is_known(item.first); });
 }
 
-void primary_guess::told(std::string_view server, std::uint64_t term, clock::time_point now)
+void primary_guess::told(std::string_view server, std::uint64_t generation, clock::time_point now)
 {
-    if (term < term_ || server == current_ || !may_lead(server, now)) {
+    if (generation < generation_ || server == current_ || !may_lead(server, now)) {
+        generation_ = std::max(generation_, generation);
         return;
     }
-    if (term == term_ && !current_.empty()) {
-        return; // what this instance saw itself is newer
+    const bool saw_itself = !current_.empty() && reached_at_ && now - *reached_at_ < sight_valid;
+    if (generation == generation_ && saw_itself) {
+        return;
     }
-    term_ = term;
-    current_ = server;
-    failing_since_.reset();
-    write_failing_since_.reset();
+    generation_ = generation;
+    change_to(server);
 }
 
-void primary_guess::led(std::string_view server, std::uint64_t term, clock::time_point now)
+void primary_guess::led(std::string_view server, clock::time_point now)
 {
-    if (term < term_) {
-        return;
-    }
     if (current_ != server) {
-        write_failing_since_.reset();
+        change_to(server);
     }
-    term_ = term;
-    current_ = server;
     reached_at_ = now;
     failing_since_.reset();
     denied_at_.erase(std::string(server));
 }
 
+void primary_guess::change_to(std::string_view server)
+{
+    current_ = server;
+    reached_at_.reset();
+    failing_since_.reset();
+    write_failing_since_.reset();
+}
+
 void primary_guess::denied(std::string_view server, clock::time_point now)
 {
     denied_at_.insert_or_assign(std::string(server), now);
--- a/src/pooler_primary.h
+++ b/src/pooler_primary.h
@@ -30,11 +30,11 @@
     };
     void servers(std::vector<known_server> known);
 
-    // The control leader has seen it lead.
-    void told(std::string_view server, std::uint64_t term, clock::time_point now);
+    // The control leader has seen it lead, under the group's decision of this number.
+    void told(std::string_view server, std::uint64_t generation, clock::time_point now);
 
     // It acted as the primary for this instance.
-    void led(std::string_view server, std::uint64_t term, clock::time_point now);
+    void led(std::string_view server, clock::time_point now);
 
     // It refused, because it doesn't lead.
     void denied(std::string_view server, clock::time_point now);
@@ -52,11 +52,12 @@
     [[nodiscard]] primary_sighting sighting(clock::time_point now) const;
 
   private:
+    void change_to(std::string_view server);
     [[nodiscard]] bool may_lead(std::string_view server, clock::time_point now) const;
 
     std::vector<known_server> known_;
     std::string current_;
-    std::uint64_t term_ = 0;
+    std::uint64_t generation_ = 0;
     std::map<std::string, clock::time_point, std::less<>> denied_at_;
     std::optional<clock::time_point> reached_at_;
     std::optional<clock::time_point> failing_since_; // to reach it
--- a/src/pooler_state.h
+++ b/src/pooler_state.h
@@ -26,6 +26,7 @@
     session_values values;
     std::map<std::string, prepared_statement, std::less<>> prepared;
     std::optional<log_position> last_commit; // of this session
+    clock::time_point last_commit_at{};      // when it was acknowledged
 };
 
 // The pool's name for a statement of this kind and shape.
