--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -102,6 +102,7 @@
         input_.erase(0, consumed_);
         consumed_ = 0;
         const std::size_t held = input_.size();
+        holds_part_ = held > 0;
         input_.resize(held + read_bytes);
         const auto [failed, size] =
             co_await socket_.async_read_some(net::buffer(input_.data() + held, read_bytes), no_throw);
@@ -467,7 +468,7 @@
 
 bool session::close_if_idle()
 {
-    if (is_busy_ || execution_.is_open() || has_failed_ || !input_.empty()) {
+    if (is_busy_ || execution_.is_open() || has_failed_ || holds_part_) {
         return false;
     }
     // A statement may have arrived that was not read yet.
--- a/src/pooler_session.h
+++ b/src/pooler_session.h
@@ -70,6 +70,7 @@
 
     std::string input_;
     std::size_t consumed_ = 0;
+    bool holds_part_ = false; // of a line, while the rest is waited for
     std::string output_;
     bool is_busy_ = true; // until the first answer
     bool is_closed_ = false;
