Members of a group are noted in the replicated state; unused rate tokens go back

Ruled out: a decision that failed (none was begun). Beside it, attempts that never reached a server used up the rate. Change: the leader notes each group's members and primary in the state; a new one starts from them, at once.

--- a/src/cell_directory.cpp
+++ b/src/cell_directory.cpp
@@ -7,7 +7,7 @@
 // A deregistered server is remembered so long, so that a late announcement doesn't bring it back.
 constexpr clock::duration gone_kept{60'000};
 // A crashed server announces nothing; one that is cut off may still serve instances.
-constexpr clock::duration silence_kept{30'000};
+constexpr clock::duration silence_kept{15'000};
 
 bool is_newer(const pb::server_announcement& told, const pb::server_announcement& known)
 {
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -340,6 +340,20 @@
         command.mutable_finish()->set_primary_url(finish->address);
         command.mutable_finish()->set_start_index(finish->position.index);
     }
+    else if (const auto* const note = std::get_if<promotion::note_members>(&due.what)) {
+        events.decision("promotion", "members")
+            .field("group", due.group)
+            .field("primary", note->primary)
+            .field("members", static_cast<std::int64_t>(note->members.size()));
+        command.mutable_note()->set_database(due.group);
+        command.mutable_note()->set_seen_primary(note->primary);
+        for (const promotion::member& each : note->members) {
+            pb::group_member& member = *command.mutable_note()->add_members();
+            member.set_server(each.server);
+            member.set_address(each.address);
+            member.set_born_ms(each.born_ms);
+        }
+    }
     else {
         server_orders->carry_out(due);
         return std::monostate{};
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -13,14 +13,16 @@
 constexpr clock::duration register_again{500};
 constexpr clock::duration live_within{1'500}; // several follow requests of an instance
 
-std::vector<promotion::member> members_of(const directory& servers, std::string_view group)
+constexpr clock::duration note_again{300};
+// A server that is noted and says nothing for longer than any cut is taken as gone for good.
+constexpr clock::duration absent_kept{15'000};
+
+bool is_noted(const pb::group_record& stored, const promotion::member& member)
 {
-    std::vector<promotion::member> members;
-    for (const directory_entry* entry : servers.group(group)) {
-        members.push_back({entry->said.server(), entry->said.address(), entry->said.leaving(),
-                           entry->said.is_primary(), entry->said.born_ms()});
-    }
-    return members;
+    return std::any_of(stored.members().begin(), stored.members().end(), [&](const auto& each) {
+        return each.server() == member.server && each.address() == member.address &&
+               each.born_ms() == member.born_ms;
+    });
 }
 
 promotion::decision_record record_of(const state_machine& state, std::string_view group)
@@ -38,6 +40,59 @@
 {
 }
 
+// The servers that announced themselves, and those that a leader before noted, as long as they may
+// be alive and unheard.
+std::vector<promotion::member> service::members_of(const directory& servers,
+                                                   const pb::group_record* stored,
+                                                   std::string_view group, clock::time_point now)
+{
+    std::vector<promotion::member> members;
+    for (const directory_entry* entry : servers.group(group)) {
+        absent_since_.erase(entry->said.server());
+        members.push_back({entry->said.server(), entry->said.address(), entry->said.leaving(),
+                           entry->said.is_primary(), entry->said.born_ms()});
+    }
+    if (stored == nullptr) {
+        return members;
+    }
+    for (const pb::group_member& noted : stored->members()) {
+        const bool is_announced = servers.find(noted.server()) != nullptr;
+        const bool is_replaced =
+            std::any_of(members.begin(), members.end(),
+                        [&](const auto& each) { return each.address == noted.address(); });
+        if (is_announced || is_replaced) {
+            continue;
+        }
+        const clock::time_point since =
+            absent_since_.try_emplace(noted.server(), now).first->second;
+        if (now - since < absent_kept) {
+            members.push_back({noted.server(), noted.address(), false,
+                               noted.server() == stored->seen_primary(), noted.born_ms()});
+        }
+    }
+    return members;
+}
+
+void service::note_changes(const std::string& group, const std::vector<promotion::member>& members,
+                           const pb::group_record* stored, clock::time_point now,
+                           std::vector<group_action>& actions)
+{
+    const promotion::plan& plan = plans_.at(group);
+    if (plan.phase() != "steady" || plan.primary().empty()) {
+        return;
+    }
+    const bool is_same =
+        stored != nullptr && stored->seen_primary() == plan.primary() &&
+        static_cast<std::size_t>(stored->members_size()) == members.size() &&
+        std::all_of(members.begin(), members.end(),
+                    [&](const auto& each) { return is_noted(*stored, each); });
+    clock::time_point& noted_at = noted_at_[group];
+    if (!is_same && now - noted_at >= note_again) {
+        noted_at = now;
+        actions.push_back({group, promotion::note_members{members, plan.primary()}});
+    }
+}
+
 bool service::is_complete(clock::time_point now) const
 {
     return now - elected_at_ >= settings_.announcement_interval * intervals_until_complete;
@@ -160,22 +215,31 @@
     std::erase_if(instances_, [&](const auto& item) {
         return now - item.second.heard_at > settings_.instance_lease;
     });
-    // Until every live server was heard, a decision could overlook a replica that holds commits.
-    if (present == nullptr || !is_complete(now)) {
+    if (present == nullptr) {
         return actions;
     }
     for (const document_group& group : present->content().groups) {
+        const pb::group_record* const stored = state.group(group.name);
+        const std::vector<promotion::member> members =
+            members_of(servers, stored, group.name, now);
+        // Until every live server was heard, a new cell could overlook a replica.
+        const bool is_known = stored != nullptr && stored->members_size() > 0;
+        if (members.empty() || (!is_known && !is_complete(now))) {
+            continue;
+        }
         auto found = plans_.find(group.name);
         if (found == plans_.end()) {
+            const std::string seen = stored == nullptr ? std::string() : stored->seen_primary();
             found = plans_
-                        .emplace(group.name,
-                                 promotion::plan(group.name, promotion::plan_settings{}, now))
+                        .emplace(group.name, promotion::plan(group.name, seen,
+                                                             promotion::plan_settings{}, now))
                         .first;
         }
-        for (promotion::action& what : found->second.advance(
-                 members_of(servers, group.name), record_of(state, group.name), now)) {
+        for (promotion::action& what :
+             found->second.advance(members, record_of(state, group.name), now)) {
             actions.push_back({group.name, std::move(what)});
         }
+        note_changes(group.name, members, stored, now, actions);
     }
     return actions;
 }
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -73,6 +73,12 @@
     };
 
     [[nodiscard]] bool is_complete(clock::time_point now) const;
+    [[nodiscard]] std::vector<promotion::member>
+    members_of(const directory& servers, const pb::group_record* stored, std::string_view group,
+               clock::time_point now);
+    void note_changes(const std::string& group, const std::vector<promotion::member>& members,
+                      const pb::group_record* stored, clock::time_point now,
+                      std::vector<group_action>& actions);
     void take_sightings(const pb::follow_request& asked, clock::time_point now);
 
     service_settings settings_;
@@ -81,6 +87,8 @@
     shares shares_;
     std::map<std::string, instance, std::less<>> instances_;
     std::map<std::string, promotion::plan, std::less<>> plans_;
+    std::map<std::string, clock::time_point, std::less<>> noted_at_;     // by group
+    std::map<std::string, clock::time_point, std::less<>> absent_since_; // noted, but not announced
 };
 
 } // namespace primrosehead::cell
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -135,6 +135,15 @@
     return own ? std::optional(std::max(*minimum, *own)) : std::nullopt;
 }
 
+net::awaitable<acquired> execution::acquire(connection_request& request)
+{
+    const clock::time_point asked_at = clock::now();
+    acquired got = co_await shared_.connections.acquire(request);
+    connection_wait_ += clock::now() - asked_at;
+    has_reached_server_ = has_reached_server_ || got.connection != nullptr;
+    co_return got;
+}
+
 void execution::note_commit(const line_answer& answer, pooled_server& server,
                             clock::time_point sent_at)
 {
@@ -338,12 +347,14 @@
     excluded_.clear();
     prefers_primary_ = false;
     attempt last{verdict::retry, refusal(acquire_failure::crowded, under)};
+    connection_wait_ = clock::duration(0);
+    has_reached_server_ = false;
     for (attempts_ = 1; attempts_ <= max_attempts && clock::now() < deadline; ++attempts_) {
         const std::optional<log_position> minimum =
             what.is_write ? std::nullopt : minimum_for(under, clock::now());
         connection_request request =
             request_for(under, minimum ? server_need::any : server_need::primary, deadline);
-        acquired got = co_await shared_.connections.acquire(request);
+        acquired got = co_await acquire(request);
         if (!got.connection) {
             if (minimum && got.failure == acquire_failure::no_server) {
                 prefers_primary_ = true;
@@ -379,6 +390,7 @@
     is_open_ = true;
     is_read_only_ = read_only;
     has_written_ = false;
+    has_reached_server_ = false;
     excluded_.clear();
     prefers_primary_ = false;
 }
@@ -442,7 +454,7 @@
             is_read_only_ ? minimum_for(under_, clock::now()) : std::nullopt;
         connection_request request =
             request_for(under_, minimum ? server_need::any : server_need::primary, deadline);
-        acquired got = co_await shared_.connections.acquire(request);
+        acquired got = co_await acquire(request);
         if (!got.connection) {
             if (minimum && got.failure == acquire_failure::no_server) {
                 prefers_primary_ = true;
@@ -464,6 +476,7 @@
 net::awaitable<line_answer> execution::run(const server_statement& what)
 {
     const line_dialect& words = shared_.dialect;
+    connection_wait_ = clock::duration(0);
     if (!connection_) {
         std::optional<line_answer> refused = co_await open_transaction(what);
         if (refused) {
@@ -520,6 +533,7 @@
     server_statement what;
     what.id = id;
     what.text = words.commit;
+    connection_wait_ = clock::duration(0);
     if (!connection_) {
         std::optional<line_answer> refused = co_await open_transaction(what);
         if (refused) {
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -67,6 +67,12 @@
     [[nodiscard]] const std::string& last_server() const noexcept { return last_server_; }
     [[nodiscard]] std::uint32_t attempts() const noexcept { return attempts_; }
 
+    // False when the last operation never reached a server.
+    [[nodiscard]] bool has_reached_server() const noexcept { return has_reached_server_; }
+
+    // How long the last statement waited for a connection, opening included.
+    [[nodiscard]] clock::duration connection_wait() const noexcept { return connection_wait_; }
+
   private:
     enum class verdict { final, retry };
     struct attempt {
@@ -93,6 +99,7 @@
     begin_as_primary(pooled_connection& connection, const preparation& before,
                      const server_statement& what, clock::time_point deadline, attempt& outcome);
 
+    [[nodiscard]] boost::asio::awaitable<acquired> acquire(connection_request& request);
     [[nodiscard]] std::optional<log_position> minimum_for(const operation& under,
                                                           clock::time_point now);
     [[nodiscard]] connection_request request_for(const operation& under, server_need need,
@@ -117,6 +124,8 @@
     bool prefers_primary_ = false;
     std::string last_server_;
     std::uint32_t attempts_ = 0;
+    clock::duration connection_wait_{0};
+    bool has_reached_server_ = false;
 };
 
 } // namespace primrosehead::pooler
--- a/src/pooler_limits.cpp
+++ b/src/pooler_limits.cpp
@@ -61,6 +61,11 @@
     return true;
 }
 
+void limiter::give_back() noexcept
+{
+    tokens_ = std::min(tokens_ + 1, capacity());
+}
+
 clock::duration limiter::retry_after() const noexcept
 {
     const double per_ms = rate_ * share_ / millionths_of_one / ms_per_s;
--- a/src/pooler_limits.h
+++ b/src/pooler_limits.h
@@ -23,6 +23,9 @@
     // Takes one operation's token.
     [[nodiscard]] bool take(clock::time_point now) noexcept;
 
+    // Gives the token of an operation back that nothing was run for.
+    void give_back() noexcept;
+
     // When a token will be there.
     [[nodiscard]] clock::duration retry_after() const noexcept;
 
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -334,14 +334,27 @@
             execution_.roll_back();
             co_return std::move(*refused);
         }
-        co_return co_await execution_.run(what);
+        line_answer made = co_await execution_.run(what);
+        give_back_unused(execution_.transaction());
+        co_return made;
     }
     operation under;
     refused = admit(under);
     if (refused) {
         co_return std::move(*refused);
     }
-    co_return co_await execution_.run_single(under, what);
+    line_answer made = co_await execution_.run_single(under, what);
+    give_back_unused(under);
+    co_return made;
+}
+
+// What never reached a server doesn't count against the organisation's rate.
+void session::give_back_unused(const operation& under)
+{
+    limiter* const limits = shared_.control.limits_of(under.organisation);
+    if (limits != nullptr && !execution_.has_reached_server()) {
+        limits->give_back();
+    }
 }
 
 net::awaitable<line_answer> session::answer(const std::string& id, std::string_view text)
@@ -403,6 +416,7 @@
         .field("server", execution_.last_server())
         .field("attempts", static_cast<std::int64_t>(execution_.attempts()))
         .field("took_ms", (now - began_at).count())
+        .field("connection_ms", execution_.connection_wait().count())
         .field("document",
                shared_.control.present()
                    ? static_cast<std::int64_t>(shared_.control.present()->version())
--- a/src/pooler_session.h
+++ b/src/pooler_session.h
@@ -51,6 +51,7 @@
     [[nodiscard]] line_answer begin_transaction(bool read_only);
     [[nodiscard]] line_answer change_state(const line_statement& statement);
     [[nodiscard]] std::optional<line_answer> admit(operation& into);
+    void give_back_unused(const operation& under);
     [[nodiscard]] std::optional<line_answer> check_key() const;
     [[nodiscard]] std::optional<line_answer> translate(const line_statement& statement,
                                                        std::string_view text,
--- a/src/promotion_plan.cpp
+++ b/src/promotion_plan.cpp
@@ -11,8 +11,10 @@
 
 } // namespace
 
-plan::plan(std::string group, plan_settings settings, clock::time_point now)
-    : group_(std::move(group)), settings_(settings), steady_since_(now), phase_began_(now)
+plan::plan(std::string group, std::string seen_primary, plan_settings settings,
+           clock::time_point now)
+    : group_(std::move(group)), settings_(settings), primary_(std::move(seen_primary)),
+      lead_asked_at_(now), steady_since_(now), phase_began_(now)
 {
 }
 
@@ -231,7 +233,7 @@
     }
     const member* const lead = find(primary_);
     if (lead == nullptr) {
-        return "the primary deregistered";
+        return now - lead_asked_at_ >= settings_.dead_after ? "the primary is gone" : "";
     }
     if (is_dead(now)) {
         return "the primary does not answer";
@@ -321,6 +323,10 @@
         return;
     }
     const member* const lead = find(primary_);
+    if (lead == nullptr) {
+        look_for_primary(now);
+        return;
+    }
     check(*lead, settings_.check_every, now);
     for (const member& each : members_) {
         if (each.server != primary_) {
--- a/src/promotion_plan.h
+++ b/src/promotion_plan.h
@@ -39,6 +39,12 @@
     std::string primary;      // empty while it is under way
 };
 
+// The members of the group and who leads it, for a control leader to come.
+struct note_members {
+    std::vector<member> members;
+    std::string primary;
+};
+
 // Find out whether the server leads: a transaction that only a primary begins.
 struct check_lead {
     std::string server;
@@ -81,7 +87,7 @@
 };
 
 using action = std::variant<check_lead, check_status, pause_replica, demote_primary, resume_replica,
-                            begin_decision, call_platform, finish_decision>;
+                            begin_decision, call_platform, finish_decision, note_members>;
 
 enum class call_outcome { accepted, refused, unknown };
 
@@ -115,7 +121,10 @@
 
 class plan {
   public:
-    plan(std::string group, plan_settings settings, clock::time_point now);
+    // `seen_primary`: who led when the members were noted last; taken to lead until it is shown
+    // otherwise.
+    plan(std::string group, std::string seen_primary, plan_settings settings,
+         clock::time_point now);
 
     // Answers of servers. `asked_at`: when the question was sent.
     void leads(std::string_view server, log_position at, clock::time_point asked_at,
--- a/src/state_commands.cpp
+++ b/src/state_commands.cpp
@@ -178,6 +178,20 @@
     return accepted(records.version());
 }
 
+pb::operator_reply apply_one(state_records& records, const pb::note_group& note)
+{
+    if (!is_name(note.database())) {
+        return bad_name("database");
+    }
+    pb::state_record record = draft(records, record_key(group_prefix, note.database()));
+    pb::group_record& group = *record.mutable_group();
+    group.set_database(note.database());
+    *group.mutable_members() = note.members();
+    group.set_seen_primary(note.seen_primary());
+    records.change(std::move(record));
+    return accepted(records.version());
+}
+
 // The highest version counts: an older one is acknowledged and changes nothing.
 pb::operator_reply apply_one(state_records& records, const pb::published_record& publish)
 {
@@ -280,6 +294,8 @@
         return apply_one(records, command.begin(), switches);
     case pb::command::kFinish:
         return apply_one(records, command.finish(), switches);
+    case pb::command::kNote:
+        return apply_one(records, command.note());
     case pb::command::kPublish:
         return apply_one(records, command.publish());
     case pb::command::BODY_NOT_SET:
