Fewer statements at once at a server where they queue

Ruled out: connections (idle ones were there). Change: an instance runs one statement at once at a server whose latency is 2.5 times its unloaded one; the rest waits at the instance, ordered by priority, or is refused.

--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -29,8 +29,6 @@
 constexpr std::uint32_t above_fair_part = 1;
 // Kept free at every server for the control leader and the one before it.
 constexpr std::uint32_t control_connections = 2;
-// Statements that an instance runs at once at a server: more only queue there.
-constexpr std::uint32_t running_per_slot = 1;
 
 } // namespace
 
@@ -242,7 +240,7 @@
         view.open = server.open;
         view.limit = open_limit(of, server, now);
         view.running = server.running;
-        view.running_limit = server.slots * running_per_slot;
+        view.running_limit = server.running_limit(now);
         view.latency_ms = server.expected_latency_ms(now);
         for (const std::unique_ptr<pooled_connection>& each : server.idle) {
             if (each->organisation != request.organisation) {
--- a/src/pooler_server.cpp
+++ b/src/pooler_server.cpp
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr double latency_weight = 0.2;         // of a new measurement
+// The unloaded latency follows fast statements soon and slow ones hardly.
+constexpr double unloaded_falls = 0.05;
+constexpr double unloaded_rises = 0.005;
+// Beyond this multiple of it, statements spend most of their time in the server's queue.
+constexpr double queueing_factor = 2.5;
 constexpr double usual_latency_ms = 20;        // of a server that nothing was heard of
 constexpr double forget_latency_ms = 3'000;    // a slow server is tried again after some of these
 constexpr clock::duration first_avoidance{100};
@@ -29,6 +34,13 @@
     latency_ms = expected_latency_ms(now);
     latency_ms += latency_weight * (milliseconds - latency_ms);
     latency_at = now;
+    const double step = milliseconds < unloaded_ms ? unloaded_falls : unloaded_rises;
+    unloaded_ms += step * (milliseconds - unloaded_ms);
+}
+
+std::uint32_t pooled_server::running_limit(clock::time_point now) const
+{
+    return expected_latency_ms(now) > queueing_factor * unloaded_ms ? 1 : slots;
 }
 
 double pooled_server::expected_latency_ms(clock::time_point now) const
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -34,6 +34,7 @@
     // What was seen of it.
     double latency_ms = 20;             // of recent statements
     clock::time_point latency_at{};     // when it was updated
+    double unloaded_ms = 20;            // latency when nothing queues
     std::uint32_t failures = 0;         // in a row
     clock::time_point avoid_until{};    // after failures
     std::uint32_t crowded_limit = 0;    // the server refused more connections than these
@@ -49,6 +50,9 @@
 
     // The latency to expect now: what was measured long ago counts less.
     [[nodiscard]] double expected_latency_ms(clock::time_point now) const;
+    // How many statements this instance runs there at once: fewer while they queue at the server,
+    // where nobody orders them by priority.
+    [[nodiscard]] std::uint32_t running_limit(clock::time_point now) const;
     [[nodiscard]] bool is_avoided(clock::time_point now) const { return now < avoid_until; }
     [[nodiscard]] bool is_behind(clock::time_point now) const { return now < behind_until; }
 };
