--- a/src/pooler_placement.cpp
+++ b/src/pooler_placement.cpp
@@ -6,6 +6,8 @@
 
 // Measured cost of a connection at the servers, plus the round trips of opening it.
 constexpr double opening_ms = 15;
+// Replacing a connection makes the organisation that loses it open another one soon.
+constexpr double replacing_ms = 2 * opening_ms;
 // Another failure domain costs a longer way and bytes between domains.
 constexpr double remote_ms = 3;
 // Values set and statements prepared anew travel with the statement.
@@ -40,9 +42,12 @@
     if (how == connection_choice::own) {
         cost += state_ms;
     }
-    if (how == connection_choice::opened || how == connection_choice::replaced) {
+    if (how == connection_choice::opened) {
         cost += opening_ms;
     }
+    if (how == connection_choice::replaced) {
+        cost += replacing_ms;
+    }
     return cost;
 }
 
