--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -644,6 +644,15 @@
     case pb::envelope::kAnnounce:
         answer_announcement(origin, message);
         break;
+    case pb::envelope::kAskTokens: {
+        const clock::time_point now = clock::now();
+        pb::envelope carried = make_envelope();
+        if (leads(now)) {
+            *carried.mutable_tokens() = leading->grant(message.ask_tokens(), now);
+        }
+        messages->messages().reply(origin, carried);
+        break;
+    }
     case pb::envelope::kOperate:
         operate(origin, message);
         break;
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -36,7 +36,7 @@
 
 service::service(service_settings settings, std::uint64_t term, clock::time_point elected_at)
     : settings_(settings), term_(term), elected_at_(elected_at),
-      shares_(elected_at, settings.instance_lease)
+      shares_(elected_at, settings.instance_lease), tokens_(elected_at)
 {
 }
 
@@ -182,9 +182,36 @@
         }
     }
     reply.set_live_instances(live_instances(now));
+    reply.set_central_ppm(central_);
     return reply;
 }
 
+pb::token_reply service::grant(const pb::token_request& asked, clock::time_point now)
+{
+    pb::token_reply reply;
+    reply.set_is_leader(true);
+    for (const pb::token_amount& wanted : asked.wanted()) {
+        pb::token_amount& granted = *reply.add_granted();
+        granted.set_organisation(wanted.organisation());
+        granted.set_tokens(tokens_.take(wanted.organisation(), wanted.tokens(), now));
+    }
+    return reply;
+}
+
+// The part follows the registered instances, which don't change with an election or a restart.
+void service::set_contracts(const document& present, clock::time_point /*now*/)
+{
+    const std::uint32_t part = central_part(static_cast<std::uint32_t>(shares_.expected()));
+    if (present.version() == contracts_version_ && part == central_) {
+        return;
+    }
+    contracts_version_ = present.version();
+    central_ = part;
+    for (const document_organisation& organisation : present.content().organisations) {
+        tokens_.change(organisation.name, organisation.rate, organisation.burst, part);
+    }
+}
+
 std::vector<pb::command> service::registrations(const state_machine& state, clock::time_point now)
 {
     std::vector<pb::command> commands;
@@ -218,6 +245,7 @@
     if (present == nullptr) {
         return actions;
     }
+    set_contracts(*present, now);
     for (const document_group& group : present->content().groups) {
         const pb::group_record* const stored = state.group(group.name);
         const std::vector<promotion::member> members =
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -4,6 +4,7 @@
 
 #include "cell_directory.h"
 #include "cell_shares.h"
+#include "cell_tokens.h"
 #include "document.h"
 #include "primrosehead.pb.h"
 #include "promotion_plan.h"
@@ -44,6 +45,9 @@
                                           const state_machine& state, const directory& servers,
                                           clock::time_point now);
 
+    // Grants operations' tokens to an instance.
+    [[nodiscard]] pb::token_reply grant(const pb::token_request& asked, clock::time_point now);
+
     // What has become due for the groups that `present` names.
     [[nodiscard]] std::vector<group_action> advance(const document* present,
                                                     const state_machine& state,
@@ -79,12 +83,16 @@
     void note_changes(const std::string& group, const std::vector<promotion::member>& members,
                       const pb::group_record* stored, clock::time_point now,
                       std::vector<group_action>& actions);
+    void set_contracts(const document& present, clock::time_point now);
     void take_sightings(const pb::follow_request& asked, clock::time_point now);
 
     service_settings settings_;
     std::uint64_t term_;
     clock::time_point elected_at_;
     shares shares_;
+    tokens tokens_;
+    std::uint64_t contracts_version_ = 0; // of the document that set the contracts
+    std::uint32_t central_ = 0;           // the leader's part, in millionths
     std::map<std::string, instance, std::less<>> instances_;
     std::map<std::string, promotion::plan, std::less<>> plans_;
     std::map<std::string, clock::time_point, std::less<>> noted_at_;     // by group
--- a/src/cell_shares.cpp
+++ b/src/cell_shares.cpp
@@ -10,6 +10,7 @@
 constexpr double even_part = 0.25;     // split evenly: first operations of an instance need some
 constexpr double worthwhile = 0.05;    // smaller changes than this part of the share wait
 constexpr double least_demand = 0.001; // operations a second; below it shares are even
+constexpr double idle_demand = 0.02;   // operations a second; below it an instance needs no share
 
 } // namespace
 
@@ -24,6 +25,9 @@
     for (const auto& [instance, held] : of.holdings) {
         total += held.demand;
     }
+    if (total >= least_demand && own.demand < idle_demand) {
+        return 0;
+    }
     const double even = 1.0 / static_cast<double>(of.holdings.size());
     const double by_demand = total < least_demand ? even : own.demand / total;
     return static_cast<std::uint32_t>(whole_share *
--- a/src/cell_shares.h
+++ b/src/cell_shares.h
@@ -35,6 +35,8 @@
     // and within one lease of the election, nothing is free.
     void expect(std::vector<std::string> instances) { expected_ = std::move(instances); }
 
+    [[nodiscard]] std::size_t expected() const noexcept { return expected_.size(); }
+
     // All shares of the instance end: its process is over.
     void forget(std::string_view instance);
 
--- /dev/null
+++ b/src/cell_tokens.cpp
@@ -0,0 +1,54 @@
+#include "cell_tokens.h"
+
+#include "cell_shares.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace primrosehead::cell {
+
+namespace {
+
+// With so many instances half is central.
+constexpr std::uint32_t even_at = 16;
+constexpr double ms_per_s = 1'000;
+
+} // namespace
+
+std::uint32_t central_part(std::uint32_t instances) noexcept
+{
+    // In steps, so that an instance more or less seldom changes it.
+    const std::uint64_t step = std::bit_ceil(std::max(instances, 1U));
+    return static_cast<std::uint32_t>(whole_share * step / (step + even_at));
+}
+
+void tokens::change(std::string_view organisation, double rate, double burst, std::uint32_t part)
+{
+    auto found = buckets_.find(organisation);
+    if (found == buckets_.end()) {
+        found = buckets_.emplace(std::string(organisation), bucket{0, 0, 0, elected_at_}).first;
+    }
+    bucket& own = found->second;
+    own.rate = rate * part / whole_share;
+    own.burst = burst * part / whole_share;
+    own.tokens = std::min(own.tokens, own.burst);
+}
+
+std::uint32_t tokens::take(std::string_view organisation, std::uint32_t wanted,
+                           clock::time_point now)
+{
+    const auto found = buckets_.find(organisation);
+    if (found == buckets_.end()) {
+        return 0;
+    }
+    bucket& own = found->second;
+    const double passed_ms = static_cast<double>((now - own.refilled_at).count());
+    own.tokens = std::min(own.burst, own.tokens + own.rate * passed_ms / ms_per_s);
+    own.refilled_at = now;
+    const auto granted = std::min(wanted, static_cast<std::uint32_t>(std::floor(own.tokens)));
+    own.tokens -= granted;
+    return granted;
+}
+
+} // namespace primrosehead::cell
--- /dev/null
+++ b/src/cell_tokens.h
@@ -0,0 +1,46 @@
+// The leader's part of every organisation's rate and burst, for instances whose own share is used up.
+// Pure.
+//
+// Load that this answers: with many instances each one's share of a small organisation is less than
+// one operation, so that most operations would be refused although the rate is not reached.
+#pragma once
+
+#include <primrosehead/clock.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace primrosehead::cell {
+
+// The part that the leader keeps for so many instances, in millionths; the rest is shared out. More
+// instances make shares useless, fewer make them the way to go on without the leader.
+[[nodiscard]] std::uint32_t central_part(std::uint32_t instances) noexcept;
+
+class tokens {
+  public:
+    // Starts empty: an earlier leader may have granted what was there.
+    explicit tokens(clock::time_point elected_at) : elected_at_(elected_at) {}
+
+    // An organisation's rate and burst, and the leader's part of them in millionths.
+    void change(std::string_view organisation, double rate, double burst, std::uint32_t part);
+
+    // Grants up to `wanted` operations.
+    [[nodiscard]] std::uint32_t take(std::string_view organisation, std::uint32_t wanted,
+                                     clock::time_point now);
+
+  private:
+    struct bucket {
+        double rate = 0;
+        double burst = 0;
+        double tokens = 0;
+        clock::time_point refilled_at;
+    };
+
+    clock::time_point elected_at_;
+    std::map<std::string, bucket, std::less<>> buckets_;
+};
+
+} // namespace primrosehead::cell
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -5,11 +5,16 @@
 #include "pooler_pool.h"
 #include "primrosehead.pb.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <iterator>
 
 namespace primrosehead::pooler {
 
+namespace net = boost::asio;
+
 namespace {
 
 // Documents are in force everywhere within a few of these; each costs the leader some bytes.
@@ -21,12 +26,20 @@
 constexpr int lease_tenths = 7;
 // Instances that join or leave change the parts while they are in use.
 constexpr double tolerance_used = 0.7;
+// Shares follow demand within seconds.
+constexpr clock::duration shares_interval{600};
+constexpr double least_demand = 0.02; // operations a second
+// A round trip to the leader is some milliseconds; an operation waits no longer for its token.
+constexpr clock::duration borrow_timeout{60};
+// Tokens are asked for ahead for this time, so that not every operation asks.
+constexpr clock::duration borrow_ahead{300};
 
 } // namespace
 
-follower::follower(const pooler_settings& settings, std::uint64_t incarnation,
-                   document_parser parser, pool& connections, event_log& events)
-    : settings_(settings), incarnation_(incarnation), parser_(std::move(parser)),
+follower::follower(boost::asio::any_io_executor executor, const pooler_settings& settings,
+                   std::uint64_t incarnation, document_parser parser, pool& connections,
+                   event_log& events)
+    : executor_(std::move(executor)), settings_(settings), incarnation_(incarnation), parser_(std::move(parser)),
       connections_(connections), events_(events),
       lease_(settings.revocation * lease_tenths / 10)
 {
@@ -79,6 +92,62 @@
     }
 }
 
+// An organisation that has no share and no operations here is left out.
+void follower::add_shares(pb::follow_request& to, clock::time_point now)
+{
+    for (auto& [organisation, limits] : limits_) {
+        const double demand = is_leaving_ ? 0 : limits.demand(now);
+        if (limits.share() == 0 && demand < least_demand) {
+            continue;
+        }
+        pb::share_report& report = *to.add_shares();
+        report.set_organisation(organisation);
+        report.set_share_ppm(limits.share());
+        report.set_demand_per_s(demand);
+    }
+}
+
+net::awaitable<bool> follower::borrow(const std::string& organisation)
+{
+    const clock::time_point now = clock::now();
+    limiter* const own = limits_of(organisation);
+    if (own == nullptr || central_part_ == 0 || now - heard_at_ > leader_patience) {
+        co_return false;
+    }
+    borrowing& waits = borrowings_[organisation];
+    if (waits.waiting.empty() || now - waits.asked_at > borrow_timeout) {
+        waits.asked_at = now;
+        pb::envelope message;
+        message.set_cell(settings_.cell.text());
+        message.set_from(settings_.instance);
+        message.mutable_ask_tokens()->set_instance(settings_.instance);
+        pb::token_amount& wanted = *message.mutable_ask_tokens()->add_wanted();
+        wanted.set_organisation(organisation);
+        const double ahead = own->demand(now) * static_cast<double>(borrow_ahead.count()) / 1'000;
+        wanted.set_tokens(1 + static_cast<std::uint32_t>(ahead));
+        messages_->send(leader_, message);
+    }
+    net::steady_timer timer(executor_, borrow_timeout);
+    const auto place = waits.waiting.insert(waits.waiting.end(), &timer);
+    co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+    borrowings_[organisation].waiting.erase(place);
+    limiter* const still = limits_of(organisation);
+    co_return still != nullptr && still->take_again(clock::now());
+}
+
+void follower::receive_tokens(const pb::token_reply& reply, clock::time_point now)
+{
+    for (const pb::token_amount& granted : reply.granted()) {
+        limiter* const own = limits_of(granted.organisation());
+        if (own != nullptr) {
+            own->granted(granted.tokens(), now);
+        }
+        for (net::steady_timer* waiting : borrowings_[granted.organisation()].waiting) {
+            waiting->cancel();
+        }
+    }
+}
+
 void follower::send(clock::time_point now)
 {
     if (messages_ == nullptr || leader_.empty()) {
@@ -99,11 +168,9 @@
     asked.set_directory_revision(directory_revision_);
     asked.set_leaving(is_leaving_);
     asked.set_failure_domain(settings_.failure_domain.text());
-    for (auto& [organisation, limits] : limits_) {
-        pb::share_report& report = *asked.add_shares();
-        report.set_organisation(organisation);
-        report.set_share_ppm(limits.share());
-        report.set_demand_per_s(is_leaving_ ? 0 : limits.demand(now));
+    if (now - shares_sent_at_ >= shares_interval) {
+        shares_sent_at_ = now;
+        add_shares(asked, now);
     }
     for (const std::string& group : connections_.groups()) {
         const primary_sighting seen = connections_.primary_of(group).sighting(now);
@@ -184,9 +251,10 @@
 {
     std::erase_if(limits_,
                   [&](const auto& item) { return document_->organisation(item.first) == nullptr; });
+    const double own_part = 1 - central_part_ / 1e6;
     for (const document_organisation& organisation : document_->content().organisations) {
         limits_.try_emplace(organisation.name, now)
-            .first->second.change(organisation.rate, organisation.burst,
+            .first->second.change(organisation.rate * own_part, organisation.burst * own_part,
                                   settings_.limit_tolerance * tolerance_used / instances_);
     }
     for (const document_group& group : document_->content().groups) {
@@ -212,8 +280,11 @@
     if (reply.control_endpoints_size() > 0) {
         endpoints_ = {reply.control_endpoints().begin(), reply.control_endpoints().end()};
     }
-    if (reply.live_instances() != instances_ && reply.live_instances() > 0 && document_) {
+    const bool changes = reply.live_instances() != instances_ ||
+                         reply.central_ppm() != central_part_;
+    if (changes && reply.live_instances() > 0 && document_) {
         instances_ = reply.live_instances();
+        central_part_ = reply.central_ppm();
         apply_limits(now);
     }
 }
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -9,8 +9,13 @@
 #include <primrosehead/bus.h>
 #include <primrosehead/clock.h>
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -20,7 +25,9 @@
 
 namespace primrosehead::pb {
 class follow_reply;
+class follow_request;
 class published_record;
+class token_reply;
 } // namespace primrosehead::pb
 
 namespace primrosehead {
@@ -33,8 +40,9 @@
 
 class follower {
   public:
-    follower(const pooler_settings& settings, std::uint64_t incarnation, document_parser parser,
-             pool& connections, event_log& events);
+    follower(boost::asio::any_io_executor executor, const pooler_settings& settings,
+             std::uint64_t incarnation, document_parser parser, pool& connections,
+             event_log& events);
 
     // Where messages go out.
     void use(bus& messages) noexcept { messages_ = &messages; }
@@ -60,16 +68,23 @@
     }
     [[nodiscard]] clock::time_point confirmed_at() const noexcept { return confirmed_at_; }
 
+    // Asks the leader for an operation's token when the own share is used up. False: there is none,
+    // or the leader is not heard.
+    [[nodiscard]] boost::asio::awaitable<bool> borrow(const std::string& organisation);
+    void receive_tokens(const pb::token_reply& reply, clock::time_point now);
+
     // Null for an organisation without limits.
     [[nodiscard]] limiter* limits_of(std::string_view organisation);
 
   private:
     void send(clock::time_point now);
+    void add_shares(pb::follow_request& to, clock::time_point now);
     void choose_other_leader();
     void take_document(const pb::published_record& record, clock::time_point now);
     void apply_limits(clock::time_point now);
     void take_directory(const pb::follow_reply& reply, clock::time_point now);
 
+    boost::asio::any_io_executor executor_;
     pooler_settings settings_;
     std::uint64_t incarnation_;
     document_parser parser_;
@@ -80,6 +95,14 @@
 
     std::shared_ptr<const document> document_;
     std::map<std::string, limiter, std::less<>> limits_;
+    std::uint32_t central_part_ = 0; // of rates and bursts, at the leader; millionths
+    // Operations that wait for a token, by organisation.
+    struct borrowing {
+        clock::time_point asked_at;
+        std::list<boost::asio::steady_timer*> waiting;
+    };
+    std::map<std::string, borrowing, std::less<>> borrowings_;
+    clock::time_point shares_sent_at_{};
     clock::time_point confirmed_at_{};
 
     std::set<std::string> endpoints_;
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -83,7 +83,7 @@
           watch(std::move(path)), acceptor(context),
           connections(context.get_executor(), parts.dialect, events,
                       with.failure_domain.text()),
-          control(with, new_incarnation(), parts.parse_document, connections, events),
+          control(context.get_executor(), with, new_incarnation(), parts.parse_document, connections, events),
           shared{context.get_executor(), parts.dialect, connections, control, events, numbers}
     {
         route_spdlog(events, with.log.level);
@@ -203,9 +203,15 @@
     messages = std::make_unique<bus_runner>(
         std::move(value(opened)), context.get_executor(),
         [this](const bus_origin&, const pb::envelope& message) {
-            if (message.cell() == settings.cell.text() && message.has_follow_answer()) {
+            if (message.cell() != settings.cell.text()) {
+                return;
+            }
+            if (message.has_follow_answer()) {
                 control.receive(message.follow_answer(), clock::now());
             }
+            else if (message.has_tokens()) {
+                control.receive_tokens(message.tokens(), clock::now());
+            }
         });
     control.use(messages->messages());
     const status listens = listen();
--- a/src/pooler_limits.cpp
+++ b/src/pooler_limits.cpp
@@ -12,6 +12,8 @@
 // Demand is averaged over this: long enough for small organisations, short enough for a shift.
 constexpr double demand_time_ms = 1'000;
 constexpr clock::duration longest_retry{5'000};
+// Tokens of the leader are counted when they are granted: late use would pass the rate elsewhere.
+constexpr clock::duration grant_valid{500};
 
 } // namespace
 
@@ -53,6 +55,15 @@
 bool limiter::take(clock::time_point now) noexcept
 {
     ++asked_;
+    return take_again(now);
+}
+
+bool limiter::take_again(clock::time_point now) noexcept
+{
+    if (granted_ > 0 && now - granted_at_ < grant_valid) {
+        --granted_;
+        return true;
+    }
     refill(now);
     if (tokens_ < 1) {
         return false;
@@ -61,6 +72,12 @@
     return true;
 }
 
+void limiter::granted(std::uint32_t tokens, clock::time_point now) noexcept
+{
+    granted_ = now - granted_at_ < grant_valid ? granted_ + tokens : tokens;
+    granted_at_ = now;
+}
+
 void limiter::give_back() noexcept
 {
     tokens_ = std::min(tokens_ + 1, capacity());
--- a/src/pooler_limits.h
+++ b/src/pooler_limits.h
@@ -23,6 +23,12 @@
     // Takes one operation's token.
     [[nodiscard]] bool take(clock::time_point now) noexcept;
 
+    // The same for an operation that was counted as asked for before.
+    [[nodiscard]] bool take_again(clock::time_point now) noexcept;
+
+    // Tokens out of the leader's part. They are spent soon or not at all.
+    void granted(std::uint32_t tokens, clock::time_point now) noexcept;
+
     // Gives the token of an operation back that nothing was run for.
     void give_back() noexcept;
 
@@ -41,6 +47,8 @@
     double tolerated_ = 0;
     std::uint32_t share_ = 0;
     double tokens_ = 0;
+    std::uint32_t granted_ = 0;
+    clock::time_point granted_at_{};
     clock::time_point refilled_at_;
     bool is_fresh_ = true; // no share yet
 
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -202,11 +202,11 @@
 }
 
 // Takes an operation's terms and its token; the refusal when it may not begin.
-std::optional<line_answer> session::admit(operation& into)
+net::awaitable<std::optional<line_answer>> session::admit(operation& into)
 {
     std::optional<line_answer> refused = check_key();
     if (refused) {
-        return refused;
+        co_return refused;
     }
     const clock::time_point now = clock::now();
     into.terms = shared_.control.present();
@@ -214,17 +214,23 @@
     into.began_at = now;
     const document_organisation* const holder = into.terms->holder(key_);
     if (holder == nullptr) {
-        return std::nullopt;
+        co_return std::nullopt;
     }
     into.organisation = holder->name;
-    limiter* const limits = shared_.control.limits_of(holder->name);
-    if (limits != nullptr && !limits->take(now)) {
-        shared_.numbers.rate_limited();
-        return failed(shared_.dialect.too_many,
-                      fmt::format("not run: beyond the rate of {}; retry after {} ms",
-                                  holder->name, limits->retry_after().count()));
-    }
-    return std::nullopt;
+    limiter* const limits = shared_.control.limits_of(into.organisation);
+    if (limits == nullptr || limits->take(now)) {
+        co_return std::nullopt;
+    }
+    const bool has_borrowed = co_await shared_.control.borrow(into.organisation);
+    if (has_borrowed) {
+        co_return std::nullopt;
+    }
+    shared_.numbers.rate_limited();
+    limiter* const still = shared_.control.limits_of(into.organisation);
+    const std::int64_t wait_ms = still == nullptr ? 0 : still->retry_after().count();
+    co_return failed(shared_.dialect.too_many,
+                     fmt::format("not run: beyond the rate of {}; retry after {} ms",
+                                 into.organisation, wait_ms));
 }
 
 line_answer session::change_state(const line_statement& statement)
@@ -278,18 +284,18 @@
     return std::nullopt;
 }
 
-line_answer session::begin_transaction(bool read_only)
+net::awaitable<line_answer> session::begin_transaction(bool read_only)
 {
     if (execution_.is_open()) {
-        return failed(shared_.dialect.malformed, "a transaction is open already");
+        co_return failed(shared_.dialect.malformed, "a transaction is open already");
     }
     operation under;
-    std::optional<line_answer> refused = admit(under);
+    std::optional<line_answer> refused = co_await admit(under);
     if (refused) {
-        return std::move(*refused);
+        co_return std::move(*refused);
     }
     execution_.begin(under, read_only);
-    return done();
+    co_return done();
 }
 
 net::awaitable<line_answer> session::end_transaction(const std::string& id, bool commit)
@@ -339,7 +345,7 @@
         co_return made;
     }
     operation under;
-    refused = admit(under);
+    refused = co_await admit(under);
     if (refused) {
         co_return std::move(*refused);
     }
@@ -372,7 +378,7 @@
     switch (statement.kind) {
     case statement_kind::begin:
     case statement_kind::begin_read_only:
-        made = begin_transaction(statement.kind == statement_kind::begin_read_only);
+        made = co_await begin_transaction(statement.kind == statement_kind::begin_read_only);
         break;
     case statement_kind::set:
     case statement_kind::prepare_read:
--- a/src/pooler_session.h
+++ b/src/pooler_session.h
@@ -48,9 +48,9 @@
     run_statement(const std::string& id, const line_statement& statement, std::string_view text);
     [[nodiscard]] boost::asio::awaitable<line_answer> end_transaction(const std::string& id,
                                                                       bool commit);
-    [[nodiscard]] line_answer begin_transaction(bool read_only);
+    [[nodiscard]] boost::asio::awaitable<line_answer> begin_transaction(bool read_only);
     [[nodiscard]] line_answer change_state(const line_statement& statement);
-    [[nodiscard]] std::optional<line_answer> admit(operation& into);
+    [[nodiscard]] boost::asio::awaitable<std::optional<line_answer>> admit(operation& into);
     void give_back_unused(const operation& under);
     [[nodiscard]] std::optional<line_answer> check_key() const;
     [[nodiscard]] std::optional<line_answer> translate(const line_statement& statement,
