--- a/include/primrosehead/clock.h
+++ b/include/primrosehead/clock.h
@@ -9,8 +9,8 @@
 
 namespace primrosehead {
 
-// A std::chrono clock over the time since the machine's start, suspension included: a lease must not
-// outlive a suspension that its keeper lived through.
+// A std::chrono clock over the time since the machine's start, suspension included: a lease must
+// not outlive a suspension that its keeper lived through.
 struct clock {
     using rep = std::int64_t;
     using period = std::milli;
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -87,8 +87,7 @@
 
 } // namespace
 
-class instance::implementation : public interface {
-  public:
+struct instance::implementation : public interface {
     implementation(const cell_settings& with, std::string path, platform_parts with_parts)
         : settings(with), parts(std::move(with_parts)), events(STDOUT_FILENO, with.instance),
           watch(std::move(path)), seeds(with.control)
@@ -103,7 +102,6 @@
     net::awaitable<status> publish(const std::string& text) override;
     net::awaitable<result<std::string>> newest() override;
 
-  private:
     [[nodiscard]] control_settings consensus_settings() const;
     [[nodiscard]] status open_replica();
     net::awaitable<void> tick_loop();
--- a/src/cell_instance.h
+++ b/src/cell_instance.h
@@ -65,7 +65,7 @@
     [[nodiscard]] status run();
 
   private:
-    class implementation;
+    struct implementation;
     explicit instance(std::unique_ptr<implementation> body);
     std::unique_ptr<implementation> body_;
 };
--- a/src/cell_members.cpp
+++ b/src/cell_members.cpp
@@ -24,7 +24,7 @@
         const bool is_known = found != progress.end() && found->silent_for;
         return is_known ? *found->silent_for : clock::duration::max();
     };
-    const auto all = members.members();
+    const auto& all = members.members();
     const std::ptrdiff_t live = std::count_if(all.begin(), all.end(), [&](const auto& member) {
         return member.voter() &&
                (member.instance() == self || silence_of(member) <= answers_within);
--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -1,5 +1,7 @@
 #include "event_log.h"
 
+#include <primrosehead/config.h>
+
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
@@ -13,7 +15,7 @@
 namespace {
 
 // A second of the busiest instance's failures; details stop at half of it.
-constexpr std::size_t max_buffered_bytes = 512 * 1024;
+constexpr std::size_t max_buffered_bytes = 512 * config::kibibyte;
 // One write for many lines: each write costs a system call and a wake-up.
 constexpr std::chrono::milliseconds write_interval{200};
 
--- a/src/line_connection.cpp
+++ b/src/line_connection.cpp
@@ -24,8 +24,8 @@
 
 } // namespace
 
-line_connection::line_connection(net::any_io_executor executor, const line_dialect& dialect)
-    : dialect_(dialect), socket_(executor), timer_(executor), reader_(dialect)
+line_connection::line_connection(const net::any_io_executor& executor, const line_dialect& dialect)
+    : socket_(executor), timer_(executor), reader_(dialect)
 {
 }
 
--- a/src/line_connection.h
+++ b/src/line_connection.h
@@ -67,7 +67,7 @@
     line_connection& operator=(const line_connection&) = delete;
 
   private:
-    line_connection(boost::asio::any_io_executor executor, const line_dialect& dialect);
+    line_connection(const boost::asio::any_io_executor& executor, const line_dialect& dialect);
 
     void arm(clock::time_point deadline);
     void disarm();
@@ -75,7 +75,6 @@
     [[nodiscard]] bool take_lines(std::size_t count, line_exchange& into);
     [[nodiscard]] bool feed_line(std::string_view line, line_exchange& into);
 
-    const line_dialect& dialect_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     std::shared_ptr<bool> expired_ = std::make_shared<bool>(false);
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -76,8 +76,7 @@
 
 } // namespace
 
-class instance::implementation {
-  public:
+struct instance::implementation {
     implementation(const pooler_settings& with, std::string path, platform_parts with_parts)
         : settings(with), parts(std::move(with_parts)), events(STDOUT_FILENO, with.instance),
           watch(std::move(path)), acceptor(context),
@@ -92,7 +91,6 @@
     status open();
     void run();
 
-  private:
     [[nodiscard]] status listen();
     [[nodiscard]] status serve_probes();
     net::awaitable<void> accept_loop();
--- a/src/pooler_instance.h
+++ b/src/pooler_instance.h
@@ -31,7 +31,7 @@
     void run();
 
   private:
-    class implementation;
+    struct implementation;
     explicit instance(std::unique_ptr<implementation> body);
     std::unique_ptr<implementation> body_;
 };
