Statements of open transactions take turns at a server where statements queue

Ruled out: more connections than the cap (64 refused). Change: a statement of a transaction waits for its turn and goes before operations that have not begun.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -487,8 +487,12 @@
             prepare_connection(*connection_, session_, what.needed, true, words);
         const std::string queries =
             fmt::format("{}{} {} {}\r\n", before.queries, words.query, what.id, what.text);
+        const bool may_run = co_await shared_.connections.start_in_turn(server, deadline);
+        if (!may_run) {
+            roll_back();
+            co_return failed(words.aborted, "rolled back: the server is overloaded; begin again");
+        }
         const clock::time_point sent_at = clock::now();
-        shared_.connections.started(*server);
         done = co_await connection_->link->exchange(queries, before.count + 1, deadline);
         const clock::time_point now = clock::now();
         shared_.connections.finished(*server, since_ms(sent_at, now), now);
@@ -542,8 +546,12 @@
     line_exchange done;
     clock::time_point sent_at;
     while (true) {
+        const bool may_run = co_await shared_.connections.start_in_turn(server, deadline);
+        if (!may_run) {
+            roll_back();
+            co_return failed(words.aborted, "rolled back: the server is overloaded; begin again");
+        }
         sent_at = clock::now();
-        shared_.connections.started(*server);
         done = co_await connection_->link->exchange(queries, 1, deadline);
         const clock::time_point now = clock::now();
         shared_.connections.finished(*server, since_ms(sent_at, now), now);
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -402,11 +402,37 @@
     dispatch(group(server->group));
 }
 
+net::awaitable<bool> pool::start_in_turn(std::shared_ptr<pooled_server> server,
+                                         clock::time_point deadline)
+{
+    if (server->running < server->running_limit(clock::now())) {
+        ++server->running;
+        co_return true;
+    }
+    net::steady_timer woken(executor_);
+    woken.expires_at(steady(deadline));
+    turn waits{&woken, false};
+    server->turns.push_back(&waits);
+    co_await woken.async_wait(no_throw);
+    server->turns.remove(&waits);
+    co_return waits.is_given;
+}
+
 void pool::finished(pooled_server& server, double milliseconds, clock::time_point now)
 {
     --server.running;
     server.note_latency(milliseconds, now);
-    // The connection itself is given back by `release`, which hands it on.
+    for (turn* each : server.turns) {
+        if (server.running >= server.running_limit(now)) {
+            break;
+        }
+        if (!each->is_given) {
+            each->is_given = true;
+            ++server.running;
+            each->woken->cancel();
+        }
+    }
+    dispatch(group(server.group));
 }
 
 void pool::suspect(pooled_server& server, bool refused, clock::time_point now)
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -7,13 +7,22 @@
 #include <primrosehead/error.h>
 #include <primrosehead/position.h>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <cstdint>
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace primrosehead::pooler {
 
+// A statement of an open transaction that waits until fewer statements run at its server.
+struct turn {
+    boost::asio::steady_timer* woken = nullptr;
+    bool is_given = false;
+};
+
 struct pooled_server {
     // As announced.
     std::string id;
@@ -30,6 +39,7 @@
     std::vector<std::unique_ptr<pooled_connection>> idle;
     std::uint32_t open = 0;    // idle, in use and being opened
     std::uint32_t running = 0; // statements
+    std::list<turn*> turns;    // statements of open transactions that wait to run
 
     // What was seen of it.
     double latency_ms = 20;          // of recent statements
