--- a/src/pooler_placement.cpp
+++ b/src/pooler_placement.cpp
@@ -24,6 +24,9 @@
     if (server.idle_own > 0) {
         return connection_choice::own;
     }
+    if (!server.may_open) {
+        return std::nullopt;
+    }
     if (server.open < server.limit) {
         return connection_choice::opened;
     }
--- a/src/pooler_placement.h
+++ b/src/pooler_placement.h
@@ -25,6 +25,7 @@
     std::uint32_t running = 0;       // statements of this instance
     std::uint32_t running_limit = 0; // of `running`
     double latency_ms = 0;           // of recent statements
+    bool may_open = true;            // false: opening would take slots that statements wait for
 };
 
 enum class connection_choice {
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -240,6 +240,7 @@
         view.running = server.running;
         view.running_limit = server.running_limit(now);
         view.latency_ms = server.expected_latency_ms(now);
+        view.may_open = server.may_open(now);
         for (const std::unique_ptr<pooled_connection>& each : server.idle) {
             if (each->organisation != request.organisation) {
                 ++view.idle_foreign;
@@ -269,6 +270,7 @@
         ++stats_.replaced;
     }
     ++made.server->open; // reserved
+    made.server->opened_at = now;
     return made;
 }
 
--- a/src/pooler_server.cpp
+++ b/src/pooler_server.cpp
@@ -13,6 +13,9 @@
 constexpr double unloaded_rises = 0.005;
 // Beyond this multiple of it, statements spend most of their time in the server's queue.
 constexpr double queueing_factor = 2.5;
+// Beyond this multiple the server can't run what it is asked for.
+constexpr double overload_factor = 5;
+constexpr clock::duration opening_pause{250};
 constexpr double usual_latency_ms = 20;     // of a server that nothing was heard of
 constexpr double forget_latency_ms = 3'000; // a slow server is tried again after some of these
 constexpr clock::duration first_avoidance{100};
@@ -38,9 +41,20 @@
     unloaded_ms += step * (milliseconds - unloaded_ms);
 }
 
+bool pooled_server::is_queueing(clock::time_point now) const
+{
+    return expected_latency_ms(now) > queueing_factor * unloaded_ms;
+}
+
+bool pooled_server::may_open(clock::time_point now) const
+{
+    const bool is_overloaded = expected_latency_ms(now) > overload_factor * unloaded_ms;
+    return open == 0 || !is_overloaded || now - opened_at >= opening_pause;
+}
+
 std::uint32_t pooled_server::running_limit(clock::time_point now) const
 {
-    return expected_latency_ms(now) > queueing_factor * unloaded_ms ? 1 : slots;
+    return is_queueing(now) ? 1 : slots;
 }
 
 double pooled_server::expected_latency_ms(clock::time_point now) const
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -49,6 +49,7 @@
     clock::time_point avoid_until{}; // after failures
     std::uint32_t crowded_limit = 0; // the server refused more connections than these
     clock::time_point crowded_until{};
+    clock::time_point opened_at{};  // the last connection
     std::uint32_t behind_count = 0; // reads in a row that it was too far behind for
     clock::time_point behind_until{};
 
@@ -60,6 +61,13 @@
 
     // The latency to expect now: what was measured long ago counts less.
     [[nodiscard]] double expected_latency_ms(clock::time_point now) const;
+    // Statements spend most of their time in the server's queue.
+    [[nodiscard]] bool is_queueing(clock::time_point now) const;
+
+    // A new connection takes a slot for as long as a statement: while statements queue, one now and
+    // then is enough for every organisation to get its turn.
+    [[nodiscard]] bool may_open(clock::time_point now) const;
+
     // How many statements this instance runs there at once: fewer while they queue at the server,
     // where nobody orders them by priority.
     [[nodiscard]] std::uint32_t running_limit(clock::time_point now) const;
