--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,416 @@
+#!/usr/bin/env python3
+"""A randomized soak: the real programs as processes on loopback, faults from outside, promises checked.
+
+    soak/soak.py --seed N [--seconds S] [--cells N] [--entries N] [--clients N] [--plan]
+
+The seed gives the schedule of faults, which is printed; `--plan` prints it and ends. Exit 1 when a promise
+was broken; no verdict depends on timing. Only processes that it started are ended, by their ids.
+"""
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from servers import Group, Truth, http_call, serve_platform  # noqa: E402
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
+GRACE_S = 6
+FAULTS = ["kill_cell", "kill_entry", "stop_entry", "pause_cell", "pause_entry", "crash_server",
+          "silence_server", "deaf_replica", "reset_server", "revoke", "publish", "hup", "kill_cells"]
+
+
+class Process:
+    """One of the programs, started anew when it ends."""
+
+    def __init__(self, world, kind, index):
+        self.world, self.kind, self.index = world, kind, index
+        self.host = f"127.0.{1 if kind == 'control' else 2}.{index + 1}"
+        self.folder = world.folder / f"{kind}-{index}"
+        self.folder.mkdir()
+        self.process, self.stopping, self.starts = None, False, 0
+
+    def settings(self):
+        shared = {"instance": f"{self.kind}-{self.index}", "failure_domain": f"d{self.index}",
+                  "host": self.host, "bus_port": self.world.port, "grace_s": GRACE_S,
+                  "control": [f"127.0.1.{i + 1}:{self.world.port + 1}" for i in range(self.world.cells)],
+                  "listen": f"{self.host}:{self.world.port + 1}", "revocation_ms": 5000}
+        if self.kind == "control":
+            return shared | {"data_folder": str(self.folder / "data"), "first_start": self.starts == 0,
+                             "platform": f"127.0.4.1:{self.world.port}",
+                             "announcement_interval_ms": 400}
+        return shared | {"readiness_listen": f"{self.host}:{self.world.port + 2}", "limit_tolerance": 20}
+
+    def start(self):
+        path = self.folder / "settings.json"
+        path.write_text(json.dumps(self.settings()))
+        log = open(self.folder / "log.jsonl", "ab")
+        self.process = subprocess.Popen(
+            [str(ROOT / f"build/bin/primrose-platform-{self.kind}"), "--config", str(path)],
+            stdout=log, stderr=log)
+        log.close()
+        self.starts += 1
+
+    def send(self, what):
+        if self.process.poll() is None:
+            self.process.send_signal(what)
+
+    async def keep(self):
+        """Starts the process again a moment after it ended."""
+        while not self.world.over:
+            await asyncio.sleep(0.1)
+            if self.process.poll() is not None and not self.world.over:
+                if self.process.returncode > 0:
+                    self.world.truth.breach("FAULT", f"{self.kind}-{self.index} ended by itself with "
+                                                     f"{self.process.returncode}")
+                await asyncio.sleep(0.5)
+                self.start()
+
+
+class World:
+    def __init__(self, options):
+        self.options, self.random = options, random.Random(options.seed)
+        self.cells, self.entries = options.cells, options.entries
+        self.port = 21000 + 8 * (options.seed % 500)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="primrose-soak-"))
+        self.truth, self.over, self.served, self.refused, self.unclear = Truth(), False, 0, 0, 0
+        self.groups = {name: Group(self.truth, name, [f"127.0.3.{3 * i + j + 1}" for j in range(3)])
+                       for i, name in enumerate(("kura", "lexicon"))}
+        self.version, self.keys = 1, {"t0": ["k0a", "k0b"], "t1": ["k1a"], "t2": ["k2a"]}
+        self.next_id, self.acked_version = 0, 0
+        self.processes = [Process(self, "control", i) for i in range(self.cells)]
+        self.processes += [Process(self, "entry", i) for i in range(self.entries)]
+
+    def document(self):
+        routes = []
+        for name in self.groups:
+            for kind, staleness in (("primary", 0), ("bounded_staleness", 1500),
+                                    ("read_your_writes", 2500)):
+                routes.append({"name": f"{name}-{kind}", "host": f"{name}.{kind}", "path_prefix": "/",
+                               "type": kind, "timeout_ms": 1500, "target_latency_ms": 400,
+                               "priority": 1, "service": name, "max_staleness_ms": staleness,
+                               "public": False})
+        return {"version": self.version, "routes": routes,
+                "services": [{"name": name, "max_connections": 21, "sync_replicas": 1}
+                             for name in self.groups],
+                "tenants": [{"name": tenant, "api_keys": list(keys), "rate_per_s": 400, "burst": 400}
+                            for tenant, keys in self.keys.items()], "limits": {"tx_idle_ms": 3000}}
+
+    async def publish(self, taken=()):
+        """Sends the document until it is acknowledged; other instances are asked after a failure."""
+        document = self.document()
+        while not self.over:
+            host = f"127.0.1.{self.random.randrange(self.cells) + 1}"
+            answer = await http_call(host, self.port + 1, "PUT", "/config", document)
+            if answer and answer[0] == 200:
+                self.acked_version = max(self.acked_version, document["version"])
+                for key in taken:
+                    self.truth.revoked[key] = time.monotonic()
+                return
+            if answer and 400 <= answer[0] < 500:
+                self.truth.breach("CONFIG", f"version {document['version']} is refused: {answer}")
+                return
+            await asyncio.sleep(0.1)
+
+    async def announce(self, server):
+        while not self.over:
+            if server.alive and time.monotonic() > server.silent_until:
+                server.sequence += 1
+                body = {"service": server.group.name, "address": f"{server.host}:{server.port}",
+                        "zone": f"d{self.groups[server.group.name].servers.index(server)}",
+                        "version": "v1", "capacity": 3, "state": "ready", "warmup_left_ms": 0,
+                        "db_role": "primary" if server.leads else "replica",
+                        "sequence": server.sequence, "born": server.born}
+                host = f"127.0.1.{self.random.randrange(self.cells) + 1}"
+                await http_call(host, self.port + 1, "PUT", f"/instances/{server.name}", body)
+            await asyncio.sleep(0.4)
+
+    def schedule(self):
+        """Faults as (at, kind, index, for): alone, in series and overlapping."""
+        plan, at = [], 3.0
+        while at < self.options.seconds - 2:
+            kind = self.random.choice(FAULTS)
+            for _ in range(self.random.choice((1, 1, 1, 2, 3))):
+                plan.append((round(at, 2), kind, self.random.randrange(100),
+                             round(self.random.uniform(0.3, 4.0), 2)))
+                at += self.random.choice((0.0, 0.4, 1.0))
+            at += self.random.uniform(0.3, 3.0)
+        return plan
+
+    async def strike(self, kind, index, seconds):
+        control = [each for each in self.processes if each.kind == "control"]
+        entries = [each for each in self.processes if each.kind == "entry"]
+        servers = [each for group in self.groups.values() for each in group.servers]
+        server = servers[index % len(servers)]
+        if kind == "kill_cell":
+            control[index % len(control)].send(signal.SIGKILL)
+        elif kind == "kill_cells":
+            for each in control:
+                each.send(signal.SIGKILL)
+        elif kind == "kill_entry":
+            entries[index % len(entries)].send(signal.SIGKILL)
+        elif kind == "stop_entry":
+            process = entries[index % len(entries)]
+            process.send(signal.SIGTERM)
+            await asyncio.sleep(GRACE_S)
+            if process.process.poll() is None and process.process.pid == process.process.pid:
+                process.send(signal.SIGKILL)
+        elif kind in ("pause_cell", "pause_entry"):
+            group = control if kind == "pause_cell" else entries
+            process = group[index % len(group)]
+            process.send(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            process.send(signal.SIGCONT)
+        elif kind == "crash_server":
+            if all(each.alive for each in server.group.servers):
+                await server.crash()
+                await asyncio.sleep(seconds)
+                await server.start(server.port)
+        elif kind == "silence_server":
+            server.silent_until = time.monotonic() + seconds
+        elif kind == "deaf_replica":
+            server.deaf_until = time.monotonic() + seconds
+        elif kind == "reset_server":
+            server.reset_connections()
+        elif kind == "publish":
+            self.version += 1 + index % 3
+            await self.publish()
+        elif kind == "revoke":
+            tenant = f"t{index % 3}"
+            taken, self.keys[tenant] = self.keys[tenant], [f"k{tenant}-{self.version}"]
+            self.version += 1
+            await self.publish(taken)
+        elif kind == "hup":
+            for each in self.processes:
+                each.send(signal.SIGHUP)
+
+    async def client(self, number):
+        session = 0
+        while not self.over:
+            session += 1
+            entry = self.random.randrange(self.entries)
+            try:
+                async with asyncio.timeout(8):
+                    await Session(self, f"c{number}.{session}", f"127.0.2.{entry + 1}").run()
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                await asyncio.sleep(0.05)
+
+    async def run(self):
+        plan = self.schedule()
+        print(json.dumps({"seed": self.options.seed, "folder": str(self.folder), "plan": plan}), flush=True)
+        if self.options.plan:
+            return
+        tasks = []
+        listeners = [await serve_platform(self.groups, "127.0.4.1", self.port)]
+        for group in self.groups.values():
+            for server in group.servers:
+                await server.start(self.port + 3)
+                tasks.append(asyncio.create_task(self.announce(server)))
+            tasks.append(asyncio.create_task(group.replicate()))
+        for process in self.processes:
+            process.start()
+        await self.publish()
+        tasks += [asyncio.create_task(process.keep()) for process in self.processes]
+        tasks += [asyncio.create_task(self.client(i)) for i in range(self.options.clients)]
+        began = time.monotonic()
+        for at, kind, index, seconds in plan:
+            await asyncio.sleep(max(0.0, began + at - time.monotonic()))
+            tasks.append(asyncio.create_task(self.strike(kind, index, seconds)))
+        await asyncio.sleep(max(0.0, began + self.options.seconds - time.monotonic()))
+        await self.read_back()
+        self.over = True
+        for task in tasks:
+            task.cancel()
+        for process in self.processes:
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGKILL)
+            process.process.wait()
+        for listener in listeners:
+            listener.close()
+
+    async def read_back(self):
+        """After the faults, the newest acknowledged document is read back."""
+        expected, deadline = self.acked_version, time.monotonic() + 30
+        while time.monotonic() < deadline:
+            host = f"127.0.1.{self.random.randrange(self.cells) + 1}"
+            answer = await http_call(host, self.port + 1, "GET", "/config", None)
+            if answer and answer[0] == 200:
+                version = json.loads(answer[1])["version"]
+                if version < expected:
+                    self.truth.breach("CONFIG", f"version {version} is read back, {expected} was "
+                                                "acknowledged")
+                return
+            await asyncio.sleep(0.2)
+        self.truth.breach("RECOVER", "no document can be read 30 s after the last fault")
+
+
+class Session:
+    """One client session: statements and transactions, checked against what the servers did."""
+
+    def __init__(self, world, name, host):
+        self.world, self.name, self.host = world, name, host
+        self.random = random.Random(f"{world.options.seed}/{name}")
+        self.values, self.prepared, self.attempt = {}, {}, 0
+
+    async def send(self, text, run=None, began=None, attempt="-"):
+        """Sends one statement; (code or none, signature)."""
+        world = self.world
+        world.next_id += 1
+        statement_id = f"{world.options.seed:x}-{world.next_id:x}"
+        now = time.monotonic()
+        if run:
+            world.truth.sent[statement_id] = {
+                "tenant": self.tenant, "group": self.group, "values": dict(self.values), "run": run,
+                "key": self.key, "at": now, "began": began or now, "attempt": attempt,
+                "session": self.name, "staleness": {"primary": 0, "bounded_staleness": 1.5,
+                                                    "read_your_writes": 2.5}[self.kind],
+                "own": self.kind == "read_your_writes"}
+        self.writer.write(f"QUERY {statement_id} {text}\r\n".encode())
+        code, signature = None, None
+        while True:
+            line = (await self.reader.readuntil(b"\r\n")).decode().strip()
+            word, _, rest = line.partition(" ")
+            if word == "ERR":
+                code = rest.split(" ")[0]
+            elif word == "COMPLETE":
+                signature = rest
+            elif word == "READY":
+                self.state = rest[0]
+                break
+        if run and code is None and signature != world.truth.signatures.get(statement_id):
+            world.truth.breach("MIXED", f"{statement_id} got {signature}")
+        return code, signature
+
+    def refused(self, attempt, code):
+        """A promise: nothing of the attempt may be kept."""
+        if code in PROMISES and self.world.truth.committed.get(attempt):
+            self.world.truth.breach("REFUSED", f"{attempt} was answered {code}, but it is committed")
+
+    async def run(self):
+        world = self.world
+        self.tenant = self.random.choice(list(world.keys))
+        self.key = self.random.choice(world.keys[self.tenant])
+        self.group = self.random.choice(list(world.groups))
+        self.kind = self.random.choice(("primary", "bounded_staleness", "read_your_writes"))
+        self.reader, self.writer = await asyncio.open_connection(self.host, world.port + 1)
+        try:
+            self.writer.write(f"STARTUP {self.group}.{self.kind} {self.key}\r\n".encode())
+            if not (await self.reader.readuntil(b"\r\n")).startswith(b"READY"):
+                await asyncio.sleep(0.1)
+                return
+            for _ in range(self.random.randrange(1, 30)):
+                if not await self.operation():
+                    return
+                await asyncio.sleep(self.random.uniform(0, 0.05))
+        finally:
+            self.writer.close()
+
+    async def operation(self):
+        self.attempt += 1
+        attempt = f"{self.name}/{self.attempt}"
+        choice = self.random.random()
+        if choice < 0.1:
+            name, value = self.random.choice("ab"), str(self.random.randrange(9))
+            code, _ = await self.send(f"SET {name} {value}")
+            if code is None:
+                self.values[name] = value
+            return code is None
+        if choice < 0.2:
+            name = f"s{self.random.randrange(3)}"
+            kind = "STORE" if self.kind != "bounded_staleness" and choice < 0.14 else "FETCH"
+            shape = f"q{self.random.randrange(3)}"
+            code, _ = await self.send(f"PREPARE {name} {kind} {shape}")
+            if code is None:
+                self.prepared[name] = (kind, shape)
+            return code is None
+        if choice < 0.45:
+            return await self.transaction(attempt)
+        writes = self.kind != "bounded_staleness" and choice < 0.65
+        text, run = self.statement(writes)
+        code, _ = await self.send(text, run, attempt=attempt)
+        self.count(code)
+        self.refused(attempt, code)
+        return self.state == "I"
+
+    def statement(self, writes):
+        item = f"i{self.random.randrange(100)}"
+        known = [name for name, (kind, _) in self.prepared.items() if (kind == "STORE") == writes]
+        if known and self.random.random() < 0.5:
+            name = self.random.choice(known)
+            return f"EXECUTE {name} {item} d1", (*self.prepared[name], f"{item} d1")
+        text = f"STORE {item} d{self.random.randrange(1000)}" if writes else f"FETCH {item}"
+        return text, tuple(text.split(" ", 1))
+
+    def count(self, code):
+        self.world.served += code is None
+        self.world.refused += code in PROMISES
+        self.world.unclear += code is not None and code not in PROMISES
+
+    async def transaction(self, attempt):
+        read_only = self.kind == "bounded_staleness" or self.random.random() < 0.3
+        began = time.monotonic()
+        code, _ = await self.send("BEGIN FETCH" if read_only else "BEGIN")
+        if code:
+            return self.state == "I"
+        for step in range(self.random.randrange(1, 5)):
+            text, run = self.statement(not read_only and step == 0)
+            code, _ = await self.send(text, run, began, attempt)
+            if code:
+                self.count(code)
+                self.refused(attempt, code)
+                code, _ = await self.send("ROLLBACK")
+                return self.state == "I"
+            await asyncio.sleep(self.random.uniform(0, 0.1))
+        if self.random.random() < 0.1:
+            await self.send("ROLLBACK")
+            return True
+        code, _ = await self.send("COMMIT", ("COMMIT", ""), began, attempt)
+        self.count(code)
+        self.refused(attempt, code)
+        return self.state == "I"
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--seed", type=int, default=int(time.time()) % 1_000_000)
+    parser.add_argument("--seconds", type=float, default=25)
+    parser.add_argument("--cells", type=int, default=3)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--clients", type=int, default=24)
+    parser.add_argument("--plan", action="store_true", help="print the schedule and end")
+    parser.add_argument("--keep", action="store_true", help="keep the folder with the logs")
+    options = parser.parse_args()
+    world = World(options)
+    try:
+        asyncio.run(world.run())
+    finally:
+        for process in world.processes:
+            if process.process and process.process.poll() is None:
+                process.process.send_signal(signal.SIGCONT)
+                process.process.kill()
+                process.process.wait()
+    if options.plan:
+        return 0
+    print(json.dumps({"seed": options.seed, "served": world.served, "refused": world.refused,
+                      "unclear": world.unclear, "broken": world.truth.broken[:20],
+                      "promotions": sum(group.term - 1 for group in world.groups.values()),
+                      "starts": sum(process.starts for process in world.processes)}), flush=True)
+    if world.truth.broken or world.served == 0:
+        print(f"FAILED: seed {options.seed}, logs in {world.folder}", file=sys.stderr)
+        return 1
+    if not options.keep:
+        shutil.rmtree(world.folder)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
