--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include <chrono>
+#include <csignal>
 #include <memory>
 #include <unistd.h>
 #include <utility>
@@ -161,6 +162,11 @@
 
 void event_log::run()
 {
+    // A reader that is gone shows as an error of the write, not as the end of the process.
+    sigset_t broken_pipe;
+    sigemptyset(&broken_pipe);
+    sigaddset(&broken_pipe, SIGPIPE);
+    pthread_sigmask(SIG_BLOCK, &broken_pipe, nullptr);
     std::unique_lock lock(guard_);
     while (true) {
         changed_.wait_for(lock, write_interval, [this] { return stopping_; });
