An instance without the leader uses its share of the leader's part

Ruled out: leases (still valid), primaries (reached). Change: the leader holds back the part of instances whose confirmations it lacks for 650 ms, and an instance takes its own 150 ms later than that at the earliest; a new leader grants out of what it has confirmed alone until it heard every instance's shares, which all tell it at once.

--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -127,6 +127,24 @@
     }
 }
 
+// The instance has an answer in hand that was given for a question received at some time: since
+// then it knows that it is heard.
+void service::note_confirmation(const pb::follow_request& asked, instance& from,
+                                clock::time_point now)
+{
+    while (!from.received.empty() && from.received.front().sequence < asked.answered_sequence()) {
+        from.received.pop_front();
+    }
+    if (!from.received.empty() && from.received.front().sequence == asked.answered_sequence()) {
+        shares_.confirmed(asked.instance(), from.received.front().at);
+    }
+    from.received.push_back({asked.sequence(), now});
+    constexpr std::size_t most_kept = 32; // a few seconds of questions
+    if (from.received.size() > most_kept) {
+        from.received.pop_front();
+    }
+}
+
 pb::follow_reply service::follow(const pb::follow_request& asked, const state_machine& state,
                                  const directory& servers, clock::time_point now)
 {
@@ -138,17 +156,26 @@
     instance& from = instances_[asked.instance()];
     if (from.incarnation != asked.incarnation()) {
         shares_.forget(asked.instance()); // of the process before
-        from = instance{asked.incarnation(), 0, now, {}, {}};
+        from = instance{};
+        from.incarnation = asked.incarnation();
     }
     if (asked.sequence() <= from.sequence) {
         reply.set_sequence(0); // late or repeated: renews nothing
         return reply;
     }
+    note_confirmation(asked, from, now);
     from.sequence = asked.sequence();
     from.heard_at = now;
     from.failure_domain = asked.failure_domain();
     take_sightings(asked, now);
     const bool is_registered = state.instance(asked.instance()) != nullptr;
+    if (asked.tells_shares()) {
+        std::set<std::string, std::less<>> told;
+        for (const pb::share_report& report : asked.shares()) {
+            told.insert(report.organisation());
+        }
+        shares_.told_all(asked.instance(), told);
+    }
     for (const pb::share_report& told : asked.shares()) {
         pb::share_grant& grant = *reply.add_shares();
         grant.set_organisation(told.organisation());
@@ -190,7 +217,9 @@
     for (const pb::token_amount& wanted : asked.wanted()) {
         pb::token_amount& granted = *reply.add_granted();
         granted.set_organisation(wanted.organisation());
-        granted.set_tokens(tokens_.take(wanted.organisation(), wanted.tokens(), now));
+        const std::uint32_t available =
+            shares_.confirmed_part(wanted.organisation(), held_back_after, now);
+        granted.set_tokens(tokens_.take(wanted.organisation(), wanted.tokens(), available, now));
     }
     return reply;
 }
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -13,6 +13,7 @@
 #include <primrosehead/state.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -68,12 +69,17 @@
     [[nodiscard]] std::uint32_t live_instances(clock::time_point now) const;
 
   private:
+    struct received_question {
+        std::uint64_t sequence = 0;
+        clock::time_point at;
+    };
     struct instance {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         clock::time_point heard_at;
         clock::time_point registered_at{}; // proposed
         std::string failure_domain;
+        std::deque<received_question> received; // whose answers are not confirmed yet
     };
 
     [[nodiscard]] bool is_complete(clock::time_point now) const;
@@ -84,6 +90,7 @@
     void note_changes(const std::string& group, const std::vector<promotion::member>& members,
                       const pb::group_record* stored, clock::time_point now,
                       std::vector<group_action>& actions);
+    void note_confirmation(const pb::follow_request& asked, instance& from, clock::time_point now);
     void set_contracts(const document& present, clock::time_point now);
     void take_sightings(const pb::follow_request& asked, clock::time_point now);
 
--- a/src/cell_shares.cpp
+++ b/src/cell_shares.cpp
@@ -34,6 +34,50 @@
                                       (even_part * even + (1 - even_part) * by_demand));
 }
 
+// True while an instance that was not heard since the election may hold shares.
+bool shares::may_overlook(clock::time_point now) const
+{
+    const bool all_heard =
+        std::all_of(expected_.begin(), expected_.end(),
+                    [this](const std::string& instance) { return heard_.contains(instance); });
+    return now - elected_at_ < lease_ && !all_heard;
+}
+
+void shares::told_all(std::string_view instance, const std::set<std::string, std::less<>>& told)
+{
+    heard_.emplace(instance);
+    for (auto& [organisation, of] : accounts_) {
+        const auto held = of.holdings.find(instance);
+        if (held != of.holdings.end() && !told.contains(organisation)) {
+            of.holdings.erase(held);
+        }
+    }
+}
+
+void shares::confirmed(std::string_view instance, clock::time_point now)
+{
+    confirmed_at_.insert_or_assign(std::string(instance), now);
+}
+
+std::uint32_t shares::confirmed_part(std::string_view organisation, clock::duration lately,
+                                     clock::time_point now) const
+{
+    const auto found = accounts_.find(organisation);
+    std::uint64_t lasting = 0;
+    std::uint64_t silent = 0;
+    if (found != accounts_.end()) {
+        for (const auto& [instance, held] : found->second.holdings) {
+            const auto confirmed = confirmed_at_.find(instance);
+            const bool is_lately =
+                confirmed != confirmed_at_.end() && now - confirmed->second <= lately;
+            (is_lately ? lasting : silent) += std::max(held.in_use, held.granted);
+        }
+    }
+    const std::uint64_t part =
+        may_overlook(now) ? lasting : whole_share - std::min<std::uint64_t>(silent, whole_share);
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(part, whole_share));
+}
+
 std::uint32_t shares::free_in(const account& of, clock::time_point now) const
 {
     const bool all_heard =
@@ -53,7 +97,6 @@
                              std::uint64_t incarnation, std::uint32_t held, double demand,
                              clock::time_point now)
 {
-    heard_.emplace(instance);
     auto found = accounts_.find(organisation);
     if (found == accounts_.end()) {
         found = accounts_.emplace(std::string(organisation), account{}).first;
@@ -92,6 +135,10 @@
             of.holdings.erase(found);
         }
     }
+    const auto confirmed = confirmed_at_.find(instance);
+    if (confirmed != confirmed_at_.end()) {
+        confirmed_at_.erase(confirmed);
+    }
 }
 
 void shares::expire(clock::time_point now)
--- a/src/cell_shares.h
+++ b/src/cell_shares.h
@@ -35,6 +35,17 @@
     // and within one lease of the election, nothing is free.
     void expect(std::vector<std::string> instances) { expected_ = std::move(instances); }
 
+    // The instance told all its shares: it holds none of other organisations than `told`.
+    void told_all(std::string_view instance, const std::set<std::string, std::less<>>& told);
+
+    // The instance confirmed an answer that it was given.
+    void confirmed(std::string_view instance, clock::time_point now);
+
+    // The part of an organisation's limits, in millionths, whose holders have confirmed an answer
+    // lately. Others may be without the leader.
+    [[nodiscard]] std::uint32_t confirmed_part(std::string_view organisation,
+                                               clock::duration lately, clock::time_point now) const;
+
     [[nodiscard]] std::size_t expected() const noexcept { return expected_.size(); }
 
     // All shares of the instance end: its process is over.
@@ -55,6 +66,7 @@
         std::map<std::string, holding, std::less<>> holdings;
     };
 
+    [[nodiscard]] bool may_overlook(clock::time_point now) const;
     [[nodiscard]] std::uint32_t wanted(const account& of, const holding& own) const;
     [[nodiscard]] std::uint32_t free_in(const account& of, clock::time_point now) const;
 
@@ -63,6 +75,7 @@
     std::map<std::string, account, std::less<>> accounts_;
     std::vector<std::string> expected_;
     std::set<std::string, std::less<>> heard_; // since the election
+    std::map<std::string, clock::time_point, std::less<>> confirmed_at_;
 };
 
 } // namespace primrosehead::cell
--- a/src/cell_tokens.cpp
+++ b/src/cell_tokens.cpp
@@ -36,7 +36,7 @@
 }
 
 std::uint32_t tokens::take(std::string_view organisation, std::uint32_t wanted,
-                           clock::time_point now)
+                           std::uint32_t available, clock::time_point now)
 {
     const auto found = buckets_.find(organisation);
     if (found == buckets_.end()) {
@@ -44,7 +44,8 @@
     }
     bucket& own = found->second;
     const double passed_ms = static_cast<double>((now - own.refilled_at).count());
-    own.tokens = std::min(own.burst, own.tokens + own.rate * passed_ms / ms_per_s);
+    const double part = static_cast<double>(available) / whole_share;
+    own.tokens = std::min(own.burst * part, own.tokens + own.rate * part * passed_ms / ms_per_s);
     own.refilled_at = now;
     const auto granted = std::min(wanted, static_cast<std::uint32_t>(std::floor(own.tokens)));
     own.tokens -= granted;
--- a/src/cell_tokens.h
+++ b/src/cell_tokens.h
@@ -19,6 +19,10 @@
 // instances make shares useless, fewer make them the way to go on without the leader.
 [[nodiscard]] std::uint32_t central_part(std::uint32_t instances) noexcept;
 
+// An instance that has not confirmed an answer for so long may live on its share of the leader's
+// part; the leader holds it back from now on.
+inline constexpr clock::duration held_back_after{650};
+
 class tokens {
   public:
     // Starts empty: an earlier leader may have granted what was there.
@@ -27,9 +31,10 @@
     // An organisation's rate and burst, and the leader's part of them in millionths.
     void change(std::string_view organisation, double rate, double burst, std::uint32_t part);
 
-    // Grants up to `wanted` operations.
+    // Grants up to `wanted` operations. `available`: what is not held back for instances that may
+    // be without the leader, in millionths of its part.
     [[nodiscard]] std::uint32_t take(std::string_view organisation, std::uint32_t wanted,
-                                     clock::time_point now);
+                                     std::uint32_t available, clock::time_point now);
 
   private:
     struct bucket {
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -1,5 +1,6 @@
 #include "pooler_follower.h"
 
+#include "cell_tokens.h"
 #include "document_codec.h"
 #include "event_log.h"
 #include "pooler_pool.h"
@@ -31,6 +32,11 @@
 constexpr double least_demand = 0.02; // operations a second
 // A round trip to the leader is some milliseconds; an operation waits no longer for its token.
 constexpr clock::duration borrow_timeout{60};
+// An answer that took longer tells nothing about when the leader heard this instance.
+constexpr clock::duration in_time{100};
+// The leader holds an instance's part back cell::held_back_after after hearing it; the question
+// that it heard was asked at most `in_time` before.
+constexpr clock::duration alone_after = cell::held_back_after + in_time + clock::duration(50);
 // Tokens are asked for ahead for this time, so that not every operation asks.
 constexpr clock::duration borrow_ahead{300};
 
@@ -74,6 +80,10 @@
 
 void follower::tick(clock::time_point now)
 {
+    const bool is_alone = now - in_time_asked_at_ > alone_after;
+    for (auto& [organisation, limits] : limits_) {
+        limits.set_alone(is_alone, now);
+    }
     const bool is_silent = now - std::max(heard_at_, chosen_at_) > leader_patience;
     if (leader_.empty() || is_silent) {
         if (hears_leader_) {
@@ -95,6 +105,7 @@
 // An organisation that has no share and no operations here is left out.
 void follower::add_shares(pb::follow_request& to, clock::time_point now)
 {
+    to.set_tells_shares(true);
     for (auto& [organisation, limits] : limits_) {
         const double demand = is_leaving_ ? 0 : limits.demand(now);
         if (limits.share() == 0 && demand < least_demand) {
@@ -167,6 +178,7 @@
     asked.set_control_term(control_term_);
     asked.set_directory_revision(directory_revision_);
     asked.set_leaving(is_leaving_);
+    asked.set_answered_sequence(in_time_);
     asked.set_failure_domain(settings_.failure_domain.text());
     if (now - shares_sent_at_ >= shares_interval) {
         shares_sent_at_ = now;
@@ -203,8 +215,14 @@
     }
     answered_ = reply.sequence();
     heard_at_ = now;
+    if (now - from_ms(reply.asked_at_ms()) <= in_time) {
+        in_time_ = reply.sequence();
+        in_time_asked_at_ = from_ms(reply.asked_at_ms());
+    }
     if (!hears_leader_) {
         hears_leader_ = true;
+        asks_again_ = true; // a new leader waits to hear of every instance's shares
+        shares_sent_at_ = clock::time_point{};
         events_.decision("control", "leader_found")
             .field("leader", leader_)
             .field("term", static_cast<std::int64_t>(reply.control_term()));
@@ -245,6 +263,7 @@
         .field("routes", static_cast<std::int64_t>(document_->content().routes.size()));
     apply_limits(now);
     asks_again_ = true;
+    shares_sent_at_ = clock::time_point{};
 }
 
 void follower::apply_limits(clock::time_point now)
@@ -254,7 +273,7 @@
     const double own_part = 1 - central_part_ / 1e6;
     for (const document_organisation& organisation : document_->content().organisations) {
         limits_.try_emplace(organisation.name, now)
-            .first->second.change(organisation.rate * own_part, organisation.burst * own_part,
+            .first->second.change(organisation.rate, organisation.burst, own_part,
                                   settings_.limit_tolerance * tolerance_used / instances_);
     }
     for (const document_group& group : document_->content().groups) {
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -114,6 +114,8 @@
     bool hears_leader_ = false;
     std::uint64_t sequence_ = 0;
     std::uint64_t answered_ = 0;
+    std::uint64_t in_time_ = 0; // the latest answer that came in time, and when it was asked for
+    clock::time_point in_time_asked_at_{};
     std::uint64_t control_term_ = 0; // whose directory is held
     std::uint64_t directory_revision_ = 0;
     std::uint32_t instances_ = 1;
--- a/src/pooler_limits.cpp
+++ b/src/pooler_limits.cpp
@@ -17,26 +17,42 @@
 
 } // namespace
 
-void limiter::change(double rate, double burst, double tolerated) noexcept
+void limiter::change(double rate, double burst, double own_part, double tolerated) noexcept
 {
     rate_ = rate;
     burst_ = burst;
+    own_part_ = own_part;
     tolerated_ = tolerated;
     tokens_ = std::min(tokens_, capacity());
 }
 
+void limiter::set_alone(bool is_alone, clock::time_point now) noexcept
+{
+    if (is_alone != is_alone_) {
+        refill(now);
+        is_alone_ = is_alone;
+        tokens_ = std::min(tokens_, capacity());
+    }
+}
+
+// What this instance may use of the fleet's rate and burst.
+double limiter::part() const noexcept
+{
+    return (is_alone_ ? 1 : own_part_) * share_ / millionths_of_one;
+}
+
 double limiter::capacity() const noexcept
 {
-    const double part = burst_ * share_ / millionths_of_one + tolerated_;
+    const double own = burst_ * part() + tolerated_;
     // A small share must still let one operation pass.
-    return share_ == 0 ? 0 : std::max(part, 1.0);
+    return share_ == 0 ? 0 : std::max(own, 1.0);
 }
 
 void limiter::refill(clock::time_point now) noexcept
 {
     const double passed_ms = static_cast<double>((now - refilled_at_).count());
     refilled_at_ = now;
-    tokens_ += rate_ * share_ / millionths_of_one * passed_ms / ms_per_s;
+    tokens_ += rate_ * part() * passed_ms / ms_per_s;
     tokens_ = std::min(tokens_, capacity());
 }
 
@@ -85,7 +101,7 @@
 
 clock::duration limiter::retry_after() const noexcept
 {
-    const double per_ms = rate_ * share_ / millionths_of_one / ms_per_s;
+    const double per_ms = rate_ * part() / ms_per_s;
     if (per_ms <= 0) {
         return longest_retry;
     }
--- a/src/pooler_limits.h
+++ b/src/pooler_limits.h
@@ -14,7 +14,12 @@
 
     // The fleet's rate and burst, in operations, and what the contract tolerates for being counted
     // at many instances: operations on top of every burst, of which this instance may use a part.
-    void change(double rate, double burst, double tolerated) noexcept;
+    // `own_part`: of rate and burst, the part that instances share out; the leader keeps the rest.
+    void change(double rate, double burst, double own_part, double tolerated) noexcept;
+
+    // Without the leader an instance also uses its share of the leader's part, which the leader
+    // holds back for it (cell_tokens.h).
+    void set_alone(bool is_alone, clock::time_point now) noexcept;
 
     // This instance's share, in millionths.
     void set_share(std::uint32_t millionths, clock::time_point now) noexcept;
@@ -41,10 +46,13 @@
   private:
     void refill(clock::time_point now) noexcept;
     [[nodiscard]] double capacity() const noexcept;
+    [[nodiscard]] double part() const noexcept;
 
     double rate_ = 0;
     double burst_ = 0;
     double tolerated_ = 0;
+    double own_part_ = 1;
+    bool is_alone_ = false;
     std::uint32_t share_ = 0;
     double tokens_ = 0;
     std::uint32_t granted_ = 0;
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -106,6 +106,8 @@
     leader.expect({"a", "b"});
     CHECK(leader.report("org", "a", 1, 200'000, 10, at(100)) <= 200'000);
     // Once every instance was heard, nothing unseen is in use.
+    leader.told_all("a", {"org"});
+    leader.told_all("b", {"org"});
     CHECK(leader.report("org", "b", 1, 0, 10, at(200)) > 0);
 
     cell::shares alone(at(0), lease);
@@ -120,11 +122,11 @@
     CHECK(cell::central_part(59) == 800'000);
     cell::tokens leader(at(0));
     leader.change("org", 100, 100, 500'000);
-    CHECK(leader.take("org", 1, at(0)) == 0);
-    CHECK(leader.take("org", 100, at(1'000)) == 50);
-    CHECK(leader.take("org", 1, at(1'000)) == 0);
-    CHECK(leader.take("org", 3, at(1'040)) == 2);
-    CHECK(leader.take("other", 1, at(1'040)) == 0);
+    CHECK(leader.take("org", 1, cell::whole_share, at(0)) == 0);
+    CHECK(leader.take("org", 100, cell::whole_share, at(1'000)) == 50);
+    CHECK(leader.take("org", 1, cell::whole_share, at(1'000)) == 0);
+    CHECK(leader.take("org", 3, cell::whole_share, at(1'040)) == 2);
+    CHECK(leader.take("other", 1, cell::whole_share, at(1'040)) == 0);
 }
 
 // A small organisation behind many instances: one bucket would admit what it sends.
@@ -140,11 +142,31 @@
     constexpr int operations = 2'000;
     for (int i = 0; i < operations; ++i) {
         now += gap(random);
-        refused += leader.take("org", 1, at(static_cast<std::int64_t>(now))) == 0 ? 1 : 0;
+        refused += leader.take("org", 1, cell::whole_share, at(static_cast<std::int64_t>(now))) == 0
+                       ? 1
+                       : 0;
     }
     CHECK(refused < operations / 50);
 }
 
+TEST_CASE("cell tokens: what instances without the leader may use is held back")
+{
+    cell::shares leader(at(0), lease);
+    leader.expect({"a", "b"});
+    CHECK(leader.confirmed_part("org", cell::held_back_after, at(10)) == 0);
+    CHECK(leader.report("org", "a", 1, 300'000, 5, at(100)) == 300'000);
+    leader.told_all("a", {"org"});
+    leader.confirmed("a", at(100));
+    // The other one may hold the rest, and may be without the leader.
+    CHECK(leader.confirmed_part("org", cell::held_back_after, at(200)) == 300'000);
+    leader.told_all("b", {});
+    CHECK(leader.confirmed_part("org", cell::held_back_after, at(200)) == cell::whole_share);
+    // The first one is not heard any more: its share is its own until its lease ends.
+    CHECK(leader.confirmed_part("org", cell::held_back_after, at(2'000)) == 700'000);
+    leader.expire(at(4'000));
+    CHECK(leader.confirmed_part("org", cell::held_back_after, at(4'000)) == cell::whole_share);
+}
+
 TEST_CASE("cell members: one that was replaced is removed, a quorum stays")
 {
     pb::membership members;
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -187,11 +187,11 @@
     pooled_server server;
     server.slots = 3;
     for (int i = 0; i < 50; ++i) {
-        server.note_latency(20, at(i * 10));
+        server.note_latency(20, at(std::int64_t{10} * i));
     }
     CHECK(server.running_limit(at(500)) == 3);
     for (int i = 0; i < 20; ++i) {
-        server.note_latency(200, at(500 + i * 10));
+        server.note_latency(200, at(500 + std::int64_t{10} * i));
     }
     CHECK(server.running_limit(at(700)) == 1);
     // A slow server is tried again: what was measured long ago counts less.
@@ -217,7 +217,7 @@
 TEST_CASE("pooler limits: a share of the rate and burst")
 {
     limiter limits(at(0));
-    limits.change(100, 100, 0);
+    limits.change(100, 100, 1, 0);
     CHECK(!limits.take(at(0)));
     limits.set_share(100'000, at(0));
     int taken = 0;
@@ -233,7 +233,7 @@
 TEST_CASE("pooler limits: what was not run goes back, what the leader granted is spent first")
 {
     limiter limits(at(0));
-    limits.change(10, 10, 0);
+    limits.change(10, 10, 1, 0);
     limits.set_share(100'000, at(0));
     CHECK(limits.take(at(0)));
     CHECK(!limits.take(at(0)));
@@ -247,10 +247,32 @@
     CHECK(!limits.take(at(521))); // too late
 }
 
+TEST_CASE("pooler limits: without the leader the share of its part is used too")
+{
+    limiter limits(at(0));
+    limits.change(100, 100, 0.2, 0);
+    limits.set_share(500'000, at(0));
+    int taken = 0;
+    while (limits.take(at(0))) {
+        ++taken;
+    }
+    CHECK(taken == 10);
+    limits.set_alone(true, at(0));
+    CHECK(!limits.take(at(0))); // what it did not hold before comes with time
+    taken = 0;
+    for (std::int64_t now = 1; now <= 1'000; ++now) {
+        taken += limits.take(at(now)) ? 1 : 0;
+    }
+    CHECK(taken >= 49);
+    CHECK(taken <= 50);
+    limits.set_alone(false, at(1'000));
+    CHECK(limits.retry_after() <= clock::duration(100));
+}
+
 TEST_CASE("pooler limits: the tolerated part is on top of the share")
 {
     limiter limits(at(0));
-    limits.change(10, 10, 2);
+    limits.change(10, 10, 1, 2);
     limits.set_share(100'000, at(0));
     int taken = 0;
     while (limits.take(at(0))) {
