--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -208,6 +208,7 @@
     cell::directory servers;
     cell::service leader({}, 3, at(0));
     pb::follow_request asked = follow_of("e1", 1);
+    asked.set_tells_shares(true);
     pb::share_report& report = *asked.add_shares();
     report.set_organisation("org");
     report.set_demand_per_s(5);
--- /dev/null
+++ b/tests/limits_fleet_test.cpp
@@ -0,0 +1,200 @@
+// Rate and burst over a fleet of poolers, with links that fail in either direction: the leader's
+// side is cell::service, the instances' side the limiter under the follower's rules.
+#include "cell_service.h"
+#include "pooler_limits.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace primrosehead;
+
+namespace {
+
+constexpr clock::duration beat{200};
+constexpr clock::duration in_time{100};
+constexpr clock::duration alone_after = cell::held_back_after + in_time + clock::duration(50);
+constexpr clock::duration lease{3'500};
+constexpr double rate = 60;
+constexpr double burst = 60;
+constexpr double tolerated = 14; // 0.7 of 20
+constexpr std::int64_t window_ms = 5'000;
+
+struct pooler_model {
+    std::string name;
+    pooler::limiter limits;
+    std::uint64_t sequence = 0;
+    std::uint64_t answered = 0;
+    clock::time_point asked_at{};
+    clock::time_point cut_to{};   // its messages are lost until then
+    clock::time_point cut_from{}; // answers to it are lost until then
+};
+
+struct fleet_result {
+    std::vector<std::int64_t> admitted; // times
+};
+
+class fleet_model {
+  public:
+    fleet_model(std::uint64_t seed, std::size_t instances)
+        : random_(seed), state_(cell_name("main"))
+    {
+        document_content content;
+        content.version = 1;
+        document_organisation organisation;
+        organisation.name = "org";
+        organisation.rate = rate;
+        organisation.burst = burst;
+        content.organisations.push_back(organisation);
+        present_ = value(document::make(content));
+        for (std::size_t i = 0; i < instances; ++i) {
+            all_.push_back({"e" + std::to_string(i), pooler::limiter(now_), 0, 0, {}, {}, {}});
+            all_.back().limits.change(rate, burst, 1 - cell::central_part(instances) / 1e6,
+                                      tolerated / static_cast<double>(instances));
+        }
+        leader_.emplace(cell::service_settings{}, ++term_, now_);
+    }
+
+    std::vector<std::int64_t> run(std::int64_t length_ms, bool with_faults)
+    {
+        std::vector<std::int64_t> admitted;
+        for (std::int64_t step = 0; step < length_ms; ++step) {
+            now_ += clock::duration(1);
+            if (with_faults && step > 10'000) {
+                fail(step);
+            }
+            if (step % 20 == 0) {
+                turn();
+            }
+            for (pooler_model& each : all_) {
+                if ((step + 7 * (each.name.back() - '0')) % beat.count() == 0) {
+                    follow(each);
+                }
+                each.limits.set_alone(now_ - each.asked_at > alone_after, now_);
+                const bool may_serve = now_ - each.asked_at < lease;
+                // Every instance is asked for far more than the rate.
+                if (may_serve && random_() % 25 == 0 && admit(each)) {
+                    admitted.push_back(step);
+                }
+            }
+        }
+        return admitted;
+    }
+
+  private:
+    void fail(std::int64_t /*step*/)
+    {
+        for (pooler_model& each : all_) {
+            if (random_() % 8'000 == 0) {
+                each.cut_to = now_ + clock::duration(random_() % 6'000);
+            }
+            if (random_() % 8'000 == 0) {
+                each.cut_from = now_ + clock::duration(random_() % 6'000);
+            }
+        }
+        if (random_() % 10'000 == 0) {
+            leader_.emplace(cell::service_settings{}, ++term_, now_);
+        }
+    }
+
+    void turn()
+    {
+        for (const pb::command& command : leader_->registrations(state_, now_)) {
+            state_.apply(command);
+        }
+        static_cast<void>(leader_->advance(present_.get(), state_, servers_, now_));
+    }
+
+    void follow(pooler_model& from)
+    {
+        pb::follow_request asked;
+        asked.set_instance(from.name);
+        asked.set_failure_domain("fukuoka");
+        asked.set_incarnation(1);
+        asked.set_sequence(++from.sequence);
+        asked.set_answered_sequence(from.answered);
+        asked.set_tells_shares(true);
+        pb::share_report& share = *asked.add_shares();
+        share.set_organisation("org");
+        share.set_share_ppm(from.limits.share());
+        share.set_demand_per_s(from.limits.demand(now_));
+        if (now_ < from.cut_to) {
+            return;
+        }
+        const pb::follow_reply reply = leader_->follow(asked, state_, servers_, now_);
+        if (now_ < from.cut_from || reply.sequence() == 0) {
+            return;
+        }
+        from.answered = from.sequence;
+        from.asked_at = now_;
+        from.limits.set_share(reply.shares(0).share_ppm(), now_);
+    }
+
+    bool admit(pooler_model& at)
+    {
+        if (at.limits.take(now_)) {
+            return true;
+        }
+        if (now_ < at.cut_to) {
+            return false;
+        }
+        pb::token_request asked;
+        asked.set_instance(at.name);
+        asked.add_wanted()->set_organisation("org");
+        asked.mutable_wanted(0)->set_tokens(1);
+        const pb::token_reply reply = leader_->grant(asked, now_);
+        return now_ >= at.cut_from && reply.granted(0).tokens() > 0;
+    }
+
+    std::mt19937_64 random_;
+    clock::time_point now_{clock::duration(1'000'000)};
+    state_machine state_;
+    std::shared_ptr<const document> present_;
+    cell::directory servers_;
+    std::optional<cell::service> leader_;
+    std::uint64_t term_ = 0;
+    std::vector<pooler_model> all_;
+};
+
+std::size_t most_in_window(const std::vector<std::int64_t>& times)
+{
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] > window_ms) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+// What the contract allows in a window: rate and burst, a tenth more, and 20.
+constexpr double allowed = (rate * 5 + burst) * 1.1 + 20;
+
+} // namespace
+
+TEST_CASE("limits fleet: no window admits more than the contract, whatever links and leaders do")
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        fleet_model fleet(seed, seed % 2 == 0 ? 8 : 30);
+        CAPTURE(seed);
+        CHECK(most_in_window(fleet.run(60'000, true)) <= allowed);
+    }
+}
+
+TEST_CASE("limits fleet: with sound links the rate is reached")
+{
+    for (const std::size_t instances : {8, 30}) {
+        fleet_model fleet(3, instances);
+        const auto admitted = fleet.run(30'000, false);
+        const auto late = std::count_if(admitted.begin(), admitted.end(),
+                                        [](std::int64_t time) { return time >= 20'000; });
+        CAPTURE(instances);
+        CHECK(late > 10 * rate * 0.9);
+    }
+}
