--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -32,6 +32,12 @@
 
 } // namespace
 
+// A statement of an open transaction that waits until fewer statements run at its server.
+struct turn {
+    net::steady_timer* woken = nullptr;
+    bool is_given = false;
+};
+
 struct pool::waiter {
     waiter(const net::any_io_executor& executor, connection_request& asked)
         : request(asked), woken(executor)
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -7,8 +7,6 @@
 #include <primrosehead/error.h>
 #include <primrosehead/position.h>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstdint>
 #include <list>
 #include <memory>
@@ -17,11 +15,7 @@
 
 namespace primrosehead::pooler {
 
-// A statement of an open transaction that waits until fewer statements run at its server.
-struct turn {
-    boost::asio::steady_timer* woken = nullptr;
-    bool is_given = false;
-};
+struct turn;
 
 struct pooled_server {
     // As announced.
--- a/tests/limits_fleet_test.cpp
+++ b/tests/limits_fleet_test.cpp
@@ -71,7 +71,8 @@
                 turn();
             }
             for (pooler_model& each : all_) {
-                if ((step + 7 * (each.name.back() - '0')) % beat.count() == 0) {
+                const std::int64_t offset = std::int64_t{7} * (each.name.back() - '0');
+                if ((step + offset) % beat.count() == 0) {
                     follow(each);
                 }
                 each.limits.set_alone(now_ - each.asked_at > alone_after, now_);
