One disk id, one reload signal; no parameters that nothing reads

random_disk_id stood in the control and the cell instance, the SIGHUP loop in the cell and the pooler instance; each is one function or class now. Three functions of pooler_execution took an operation that they did not use.

--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -7,9 +7,11 @@
 #include "cell_orders.h"
 #include "cell_service.h"
 #include "clock_timer.h"
+#include "disk_id.h"
 #include "document_codec.h"
 #include "event_log.h"
 #include "primrosehead.pb.h"
+#include "reload_signal.h"
 #include "settings_watch.h"
 
 #include <primrosehead/bus.h>
@@ -23,8 +25,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <array>
-#include <cstdio>
 #include <optional>
 #include <random>
 #include <set>
@@ -53,15 +53,6 @@
 constexpr clock::duration remove_interval{1'000};
 constexpr clock::duration housekeeping_interval{1'000};
 
-std::string random_id()
-{
-    std::random_device source;
-    std::array<char, 33> digits{};
-    std::snprintf(digits.data(), digits.size(), "%08x%08x%08x%08x", source(), source(), source(),
-                  source());
-    return digits.data();
-}
-
 std::string instance_on(std::string_view host)
 {
     return "cell-" + std::string(host);
@@ -197,7 +188,7 @@
     }
     std::random_device seed;
     result<std::unique_ptr<replica>> opened =
-        replica::open(consensus_settings(), std::move(value(files)), random_id(), seed(),
+        replica::open(consensus_settings(), std::move(value(files)), random_disk_id(), seed(),
                       clock::now(), [this](const pb::consensus_message& message) {
                           const std::string endpoint = endpoint_of(message.to());
                           if (!endpoint.empty()) {
@@ -803,16 +794,7 @@
             stop_with(std::monostate{});
         }
     });
-    net::signal_set reloads(context, SIGHUP);
-    std::function<void()> wait_for_reload = [&] {
-        reloads.async_wait([&](const boost::system::error_code& failed, int) {
-            if (!failed) {
-                watch.look_now();
-                wait_for_reload();
-            }
-        });
-    };
-    wait_for_reload();
+    const reload_signal reloads(context.get_executor(), [this] { watch.look_now(); });
     events.decision("process", "start")
         .field("instance", instance_on(settings.host))
         .field("listen", settings.listen)
--- a/src/control_instance.cpp
+++ b/src/control_instance.cpp
@@ -1,4 +1,5 @@
 #include "control_orders.h"
+#include "disk_id.h"
 #include "primrosehead.pb.h"
 
 #include <primrosehead/bus.h>
@@ -10,7 +11,6 @@
 #include <boost/json.hpp>
 #include <spdlog/spdlog.h>
 
-#include <array>
 #include <atomic>
 #include <csignal>
 #include <map>
@@ -34,15 +34,6 @@
     stop_requested = 1;
 }
 
-std::string random_disk_id()
-{
-    std::random_device source;
-    std::array<char, 33> digits{};
-    std::snprintf(digits.data(), digits.size(), "%08x%08x%08x%08x", source(), source(), source(),
-                  source());
-    return digits.data();
-}
-
 pb::operator_reply refusal(const std::string& request_id, error_kind kind, std::string message,
                            std::string remedy)
 {
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -225,8 +225,7 @@
 
 net::awaitable<execution::attempt>
 execution::read_at_primary(std::unique_ptr<pooled_connection> connection,
-                           const operation& /*under*/, const server_statement& what,
-                           clock::time_point deadline)
+                           const server_statement& what, clock::time_point deadline)
 {
     const std::shared_ptr<pooled_server> server = connection->server;
     const preparation before =
@@ -256,8 +255,8 @@
 
 net::awaitable<execution::attempt>
 execution::read_at_replica(std::unique_ptr<pooled_connection> connection,
-                           const operation& /*under*/, const server_statement& what,
-                           log_position minimum, clock::time_point deadline)
+                           const server_statement& what, log_position minimum,
+                           clock::time_point deadline)
 {
     const std::shared_ptr<pooled_server> server = connection->server;
     const preparation before =
@@ -294,8 +293,7 @@
 
 net::awaitable<execution::attempt>
 execution::write_at_primary(std::unique_ptr<pooled_connection> connection,
-                            const operation& /*under*/, const server_statement& what,
-                            clock::time_point deadline)
+                            const server_statement& what, clock::time_point deadline)
 {
     const line_dialect& words = shared_.dialect;
     const std::shared_ptr<pooled_server> server = connection->server;
@@ -361,14 +359,13 @@
         }
         last_server_ = got.connection->server->id;
         if (what.is_write) {
-            last = co_await write_at_primary(std::move(got.connection), under, what, deadline);
+            last = co_await write_at_primary(std::move(got.connection), what, deadline);
         }
         else if (minimum) {
-            last = co_await read_at_replica(std::move(got.connection), under, what, *minimum,
-                                            deadline);
+            last = co_await read_at_replica(std::move(got.connection), what, *minimum, deadline);
         }
         else {
-            last = co_await read_at_primary(std::move(got.connection), under, what, deadline);
+            last = co_await read_at_primary(std::move(got.connection), what, deadline);
         }
         if (last.what == verdict::final) {
             break;
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -81,14 +81,14 @@
     };
 
     [[nodiscard]] boost::asio::awaitable<attempt>
-    read_at_primary(std::unique_ptr<pooled_connection> connection, const operation& under,
-                    const server_statement& what, clock::time_point deadline);
+    read_at_primary(std::unique_ptr<pooled_connection> connection, const server_statement& what,
+                    clock::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<attempt>
-    read_at_replica(std::unique_ptr<pooled_connection> connection, const operation& under,
-                    const server_statement& what, log_position minimum, clock::time_point deadline);
+    read_at_replica(std::unique_ptr<pooled_connection> connection, const server_statement& what,
+                    log_position minimum, clock::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<attempt>
-    write_at_primary(std::unique_ptr<pooled_connection> connection, const operation& under,
-                     const server_statement& what, clock::time_point deadline);
+    write_at_primary(std::unique_ptr<pooled_connection> connection, const server_statement& what,
+                     clock::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<std::optional<line_answer>>
     open_transaction(const server_statement& first);
     [[nodiscard]] boost::asio::awaitable<attempt>
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -10,6 +10,7 @@
 #include "pooler_pool.h"
 #include "pooler_session.h"
 #include "primrosehead.pb.h"
+#include "reload_signal.h"
 #include "settings_watch.h"
 
 #include <primrosehead/bus.h>
@@ -403,16 +404,7 @@
             net::co_spawn(context, drain(), net::detached);
         }
     });
-    net::signal_set reloads(context, SIGHUP);
-    std::function<void()> wait_for_reload = [&] {
-        reloads.async_wait([&](const boost::system::error_code& failed, int) {
-            if (!failed) {
-                watch.look_now();
-                wait_for_reload();
-            }
-        });
-    };
-    wait_for_reload();
+    const reload_signal reloads(context.get_executor(), [this] { watch.look_now(); });
     events.decision("process", "start")
         .field("listen", settings.listen)
         .field("failure_domain", settings.failure_domain.text())
