--- a/src/pooler_placement.cpp
+++ b/src/pooler_placement.cpp
@@ -10,6 +10,8 @@
 constexpr double replacing_ms = 2 * opening_ms;
 // Another failure domain costs a longer way and bytes between domains.
 constexpr double remote_ms = 3;
+// Only the primary runs writes: its connections and slots are worth more than a replica's.
+constexpr double reserved_ms = 12;
 // Values set and statements prepared anew travel with the statement.
 constexpr double state_ms = 0.2;
 
@@ -42,6 +44,9 @@
 {
     const double waiting = static_cast<double>(server.running) / server.slots;
     double cost = server.latency_ms * (1 + waiting) + (server.is_local ? 0 : remote_ms);
+    if (server.is_reserved) {
+        cost += reserved_ms;
+    }
     if (how == connection_choice::own) {
         cost += state_ms;
     }
--- a/src/pooler_placement.h
+++ b/src/pooler_placement.h
@@ -16,6 +16,7 @@
 struct placement_server {
     std::size_t index = 0;           // the caller's
     bool is_local = false;           // in the own failure domain
+    bool is_reserved = false;        // the primary, for an operation that replicas can run as well
     std::uint32_t slots = 1;         // statements that it runs at once
     std::uint32_t idle_matching = 0; // connections of the organisation, in the session's state
     std::uint32_t idle_own = 0;      // other connections of the organisation
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -240,11 +240,13 @@
     const std::vector<std::shared_ptr<pooled_server>> servers = candidates(of, request, now, why);
     std::vector<placement_server> views;
     views.reserve(servers.size());
+    const std::string lead = request.need == server_need::any ? of.primary.guess(now) : "";
     for (std::size_t i = 0; i < servers.size(); ++i) {
         const pooled_server& server = *servers[i];
         placement_server view;
         view.index = i;
         view.is_local = server.is_local;
+        view.is_reserved = server.id == lead;
         view.slots = server.slots;
         view.open = server.open;
         view.limit = open_limit(of, server, now);
@@ -280,6 +282,8 @@
         close_oldest_foreign(*made.server, request.organisation);
         ++stats_.replaced;
     }
+    if (request.need == server_need::primary)
+        ++stats_.primary;
     ++made.server->open; // reserved
     made.server->opened_at = now;
     return made;
@@ -491,6 +495,7 @@
                 excess -= is_excess ? 1 : 0;
                 return is_excess || unused > idle_longest || each.is_leaving;
             });
+            stats_.excess += closed;
             each.open -= static_cast<std::uint32_t>(closed);
         }
         dispatch(of);
