--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -23,9 +23,6 @@
 constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
 constexpr std::uint32_t max_attempts = 4;
-// An operation that can't begin within this part of its objective is refused, so that its caller
-// can try another instance in time.
-constexpr int wait_part_of_objective = 4;
 // A read that is silent for longer than this is tried elsewhere; the usual latency counts besides.
 constexpr clock::duration read_patience{250};
 constexpr double read_patience_latencies = 6;
@@ -124,8 +121,7 @@
     request.priority = under.route->priority;
     request.values = &session_.values;
     request.excluded = excluded_;
-    request.deadline =
-        std::min(deadline, clock::now() + under.route->latency_objective / wait_part_of_objective);
+    request.deadline = std::min(deadline, budget_.ends_at(has_reached_server_, clock::now()));
     return request;
 }
 
@@ -360,6 +356,7 @@
     attempt last{verdict::retry, refusal(acquire_failure::crowded, under)};
     connection_wait_ = clock::duration(0);
     has_reached_server_ = false;
+    budget_ = wait_budget(under.began_at, under.route->latency_objective);
     for (attempts_ = 1; attempts_ <= max_attempts && clock::now() < deadline; ++attempts_) {
         const std::optional<log_position> minimum =
             what.is_write ? std::nullopt : minimum_for(under, clock::now());
@@ -444,8 +441,7 @@
 }
 
 // The transaction's connection; the answer when there is none.
-net::awaitable<std::optional<line_answer>>
-execution::take_connection(const server_statement& first)
+net::awaitable<std::optional<line_answer>> execution::take_connection(const server_statement& first)
 {
     co_await take_early();
     if (connection_) {
@@ -504,7 +500,9 @@
 net::awaitable<std::optional<line_answer>>
 execution::open_transaction(const server_statement& first)
 {
-    const clock::time_point deadline = clock::now() + under_.route->statement_timeout;
+    const clock::time_point asked_at = clock::now();
+    const clock::time_point deadline = asked_at + under_.route->statement_timeout;
+    budget_ = wait_budget(asked_at, under_.route->latency_objective);
     line_answer last = refusal(acquire_failure::crowded, under_);
     for (attempts_ = 1; attempts_ <= max_attempts && clock::now() < deadline; ++attempts_) {
         const std::optional<log_position> minimum =
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -10,6 +10,7 @@
 #include "pooler_context.h"
 #include "pooler_pool.h"
 #include "pooler_state.h"
+#include "pooler_wait.h"
 
 #include <primrosehead/clock.h>
 
@@ -132,6 +133,7 @@
     std::uint32_t attempts_ = 0;
     clock::duration connection_wait_{0};
     bool has_reached_server_ = false;
+    wait_budget budget_;
 };
 
 } // namespace primrosehead::pooler
