Shares: void when their lease ran out, told at once while one lacks

Trace: an instance cut off for longer than its lease came back with its share of 100 % while the others held 100 % again. Now such a share is void, and on the leader's side what is heard stays in use. Now it tells at once, and shares are even for the first second. Ruled out: the leader's part (it was granted; half of the rate).

--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -164,6 +164,7 @@
         return reply;
     }
     note_confirmation(asked, from, now);
+    shares_.heard(asked.instance(), now);
     from.sequence = asked.sequence();
     from.heard_at = now;
     from.failure_domain = asked.failure_domain();
--- a/src/cell_shares.cpp
+++ b/src/cell_shares.cpp
@@ -10,7 +10,9 @@
 constexpr double even_part = 0.25;     // split evenly: first operations of an instance need some
 constexpr double worthwhile = 0.05;    // smaller changes than this part of the share wait
 constexpr double least_demand = 0.001; // operations a second; below it shares are even
-constexpr double idle_demand = 0.02;   // operations a second; below it an instance needs no share
+// Until other instances had time to report, the first ones would take the whole.
+constexpr clock::duration all_report_within{1'000};
+constexpr double idle_demand = 0.02; // operations a second; below it an instance needs no share
 
 } // namespace
 
@@ -19,8 +21,12 @@
 {
 }
 
-std::uint32_t shares::wanted(const account& of, const holding& own) const
+std::uint32_t shares::wanted(const account& of, const holding& own, clock::time_point now) const
 {
+    if (now - of.opened_at < all_report_within) {
+        return static_cast<std::uint32_t>(whole_share /
+                                          std::max(expected_.size(), of.holdings.size()));
+    }
     double total = 0;
     for (const auto& [instance, held] : of.holdings) {
         total += held.demand;
@@ -39,13 +45,18 @@
 {
     const bool all_heard =
         std::all_of(expected_.begin(), expected_.end(),
-                    [this](const std::string& instance) { return heard_.contains(instance); });
+                    [this](const std::string& instance) { return told_all_.contains(instance); });
     return now - elected_at_ < lease_ && !all_heard;
 }
 
+void shares::heard(std::string_view instance, clock::time_point now)
+{
+    heard_at_.insert_or_assign(std::string(instance), now);
+}
+
 void shares::told_all(std::string_view instance, const std::set<std::string, std::less<>>& told)
 {
-    heard_.emplace(instance);
+    told_all_.emplace(instance);
     for (auto& [organisation, of] : accounts_) {
         const auto held = of.holdings.find(instance);
         if (held != of.holdings.end() && !told.contains(organisation)) {
@@ -82,7 +93,7 @@
 {
     const bool all_heard =
         std::all_of(expected_.begin(), expected_.end(),
-                    [this](const std::string& instance) { return heard_.contains(instance); });
+                    [this](const std::string& instance) { return told_all_.contains(instance); });
     if (now - elected_at_ < lease_ && !all_heard) {
         return 0;
     }
@@ -99,7 +110,7 @@
 {
     auto found = accounts_.find(organisation);
     if (found == accounts_.end()) {
-        found = accounts_.emplace(std::string(organisation), account{}).first;
+        found = accounts_.emplace(std::string(organisation), account{now, {}}).first;
     }
     account& own_account = found->second;
     auto place = own_account.holdings.find(instance);
@@ -109,13 +120,13 @@
     }
     holding& own = place->second;
     if (is_new || own.incarnation != incarnation) {
-        own = holding{incarnation, held, held, demand, now};
+        own = holding{incarnation, held, held, demand};
     }
     own.demand += smoothing * (demand - own.demand);
-    own.heard_at = now;
+    heard(instance, now);
     // A report tells what is in use by now: the last grant, or a grant before it.
     own.in_use = held;
-    const std::uint32_t target = wanted(own_account, own);
+    const std::uint32_t target = wanted(own_account, own, now);
     const auto step = static_cast<std::uint32_t>(worthwhile * std::max(target, own.granted));
     if (target + step < own.granted) {
         own.granted = target;
@@ -135,17 +146,24 @@
             of.holdings.erase(found);
         }
     }
-    const auto confirmed = confirmed_at_.find(instance);
-    if (confirmed != confirmed_at_.end()) {
-        confirmed_at_.erase(confirmed);
+    for (auto* const times : {&confirmed_at_, &heard_at_}) {
+        const auto found = times->find(instance);
+        if (found != times->end()) {
+            times->erase(found);
+        }
     }
 }
 
 void shares::expire(clock::time_point now)
 {
-    for (auto& [organisation, of] : accounts_) {
-        std::erase_if(of.holdings,
-                      [&](const auto& item) { return now - item.second.heard_at > lease_; });
+    std::vector<std::string> silent;
+    for (const auto& [instance, heard_at] : heard_at_) {
+        if (now - heard_at > lease_) {
+            silent.push_back(instance);
+        }
+    }
+    for (const std::string& instance : silent) {
+        forget(instance);
     }
 }
 
--- a/src/cell_shares.h
+++ b/src/cell_shares.h
@@ -35,6 +35,9 @@
     // and within one lease of the election, nothing is free.
     void expect(std::vector<std::string> instances) { expected_ = std::move(instances); }
 
+    // The instance asked something: what it holds is in use for another lease.
+    void heard(std::string_view instance, clock::time_point now);
+
     // The instance told all its shares: it holds none of other organisations than `told`.
     void told_all(std::string_view instance, const std::set<std::string, std::less<>>& told);
 
@@ -60,21 +63,23 @@
         std::uint32_t in_use = 0;  // what the instance may be spending by, at most
         std::uint32_t granted = 0; // what it was told last
         double demand = 0;         // smoothed
-        clock::time_point heard_at;
     };
     struct account {
+        clock::time_point opened_at; // first report since the election
         std::map<std::string, holding, std::less<>> holdings;
     };
 
     [[nodiscard]] bool may_overlook(clock::time_point now) const;
-    [[nodiscard]] std::uint32_t wanted(const account& of, const holding& own) const;
+    [[nodiscard]] std::uint32_t wanted(const account& of, const holding& own,
+                                       clock::time_point now) const;
     [[nodiscard]] std::uint32_t free_in(const account& of, clock::time_point now) const;
 
     clock::time_point elected_at_;
     clock::duration lease_;
     std::map<std::string, account, std::less<>> accounts_;
     std::vector<std::string> expected_;
-    std::set<std::string, std::less<>> heard_; // since the election
+    std::set<std::string, std::less<>> told_all_; // since the election
+    std::map<std::string, clock::time_point, std::less<>> heard_at_;
     std::map<std::string, clock::time_point, std::less<>> confirmed_at_;
 };
 
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -27,8 +27,6 @@
 constexpr int lease_tenths = 7;
 // Instances that join or leave change the parts while they are in use.
 constexpr double tolerance_used = 0.7;
-// Shares follow demand within seconds.
-constexpr clock::duration shares_interval{600};
 constexpr double least_demand = 0.02; // operations a second
 // A round trip to the leader is some milliseconds; an operation waits no longer for its token.
 constexpr clock::duration borrow_timeout{60};
@@ -159,11 +157,24 @@
     }
 }
 
+// The leader gives the shares of an instance that it has not heard for a lease to others.
+bool follower::lose_overdue_shares(clock::time_point now)
+{
+    const bool is_overdue = now - confirmed_at_ > lease_;
+    if (is_overdue) {
+        for (auto& [organisation, limits] : limits_) {
+            limits.lose_share(now);
+        }
+    }
+    return is_overdue;
+}
+
 void follower::send(clock::time_point now)
 {
     if (messages_ == nullptr || leader_.empty()) {
         return;
     }
+    static_cast<void>(lose_overdue_shares(now));
     asks_again_ = false;
     sent_at_ = now;
     pb::envelope message;
@@ -180,7 +191,9 @@
     asked.set_leaving(is_leaving_);
     asked.set_answered_sequence(in_time_);
     asked.set_failure_domain(settings_.failure_domain.text());
-    if (now - shares_sent_at_ >= shares_interval) {
+    const bool lacks_share = std::any_of(
+        limits_.begin(), limits_.end(), [](const auto& item) { return item.second.lacks_share(); });
+    if (now - shares_sent_at_ >= shares_interval(lacks_share)) {
         shares_sent_at_ = now;
         add_shares(asked, now);
     }
@@ -231,10 +244,8 @@
         take_document(reply.document(), now);
     }
     take_directory(reply, now);
-    for (const pb::share_grant& grant : reply.shares()) {
-        if (limiter* const own = limits_of(grant.organisation())) {
-            own->set_share(grant.share_ppm(), now);
-        }
+    if (!lose_overdue_shares(now)) {
+        take_shares(reply, now);
     }
     // The version was the newest one when the leader answered, so it was when this was asked.
     if (document_ && document_->version() >= reply.document_version()) {
@@ -242,6 +253,15 @@
     }
 }
 
+void follower::take_shares(const pb::follow_reply& reply, clock::time_point now)
+{
+    for (const pb::share_grant& grant : reply.shares()) {
+        if (limiter* const own = limits_of(grant.organisation())) {
+            own->set_share(grant.share_ppm(), now);
+        }
+    }
+}
+
 void follower::take_document(const pb::published_record& record, clock::time_point now)
 {
     if (document_ && record.version() <= document_->version()) {
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -80,6 +80,8 @@
     void send(clock::time_point now);
     void add_shares(pb::follow_request& to, clock::time_point now);
     void choose_other_leader();
+    [[nodiscard]] bool lose_overdue_shares(clock::time_point now);
+    void take_shares(const pb::follow_reply& reply, clock::time_point now);
     void take_document(const pb::published_record& record, clock::time_point now);
     void apply_limits(clock::time_point now);
     void take_directory(const pb::follow_reply& reply, clock::time_point now);
--- a/src/pooler_limits.cpp
+++ b/src/pooler_limits.cpp
@@ -14,9 +14,22 @@
 constexpr clock::duration longest_retry{5'000};
 // Tokens of the leader are counted when they are granted: late use would pass the rate elsewhere.
 constexpr clock::duration grant_valid{500};
+// Shares follow demand within seconds; a report costs the leader some bytes an organisation.
+constexpr clock::duration usual_shares_interval{600};
+constexpr double least_demand = 0.02; // operations a second
 
 } // namespace
 
+clock::duration shares_interval(bool lacks_share) noexcept
+{
+    return lacks_share ? clock::duration(0) : usual_shares_interval;
+}
+
+bool limiter::lacks_share() const noexcept
+{
+    return share_ == 0 && (asked_ > 0 || demand_ >= least_demand);
+}
+
 void limiter::change(double rate, double burst, double own_part, double tolerated) noexcept
 {
     rate_ = rate;
@@ -68,6 +81,13 @@
     tokens_ = std::min(tokens_, capacity());
 }
 
+void limiter::lose_share(clock::time_point now) noexcept
+{
+    refill(now);
+    share_ = 0;
+    tokens_ = 0;
+}
+
 bool limiter::take(clock::time_point now) noexcept
 {
     ++asked_;
--- a/src/pooler_limits.h
+++ b/src/pooler_limits.h
@@ -8,6 +8,9 @@
 
 namespace primrosehead::pooler {
 
+// How often an instance tells the leader its shares: at once while one lacks.
+[[nodiscard]] clock::duration shares_interval(bool lacks_share) noexcept;
+
 class limiter {
   public:
     explicit limiter(clock::time_point now) : refilled_at_(now), counted_at_(now) {}
@@ -25,6 +28,12 @@
     void set_share(std::uint32_t millionths, clock::time_point now) noexcept;
     [[nodiscard]] std::uint32_t share() const noexcept { return share_; }
 
+    // The lease under which the share was held ran out: others may hold it by now.
+    void lose_share(clock::time_point now) noexcept;
+
+    // Operations come, but the leader has not granted a share yet.
+    [[nodiscard]] bool lacks_share() const noexcept;
+
     // Takes one operation's token.
     [[nodiscard]] bool take(clock::time_point now) noexcept;
 
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -100,6 +100,26 @@
     }
 }
 
+TEST_CASE("cell shares: what an instance holds stays in use while it is heard")
+{
+    cell::shares all(at(0), clock::duration(3'500));
+    all.expect({"a", "b"});
+    const auto told = [&](const char* instance, std::uint32_t held, std::int64_t time) {
+        all.told_all(instance, {"org"});
+        return all.report("org", instance, 1, held, 10, at(time));
+    };
+    static_cast<void>(told("a", 0, 4'000));
+    static_cast<void>(told("b", 0, 4'000));
+    const std::uint32_t held = told("a", 0, 5'100);
+    CHECK(held > 0);
+    all.heard("a", at(8'000)); // asked something, without a report
+    all.heard("b", at(8'700));
+    all.expire(at(8'700));
+    CHECK(told("b", 0, 8'700) <= cell::whole_share - held);
+    all.expire(at(11'600));
+    CHECK(told("b", 0, 11'600) > cell::whole_share - held);
+}
+
 TEST_CASE("cell shares: a new leader gives nothing away that may be in use")
 {
     cell::shares leader(at(0), lease);
--- a/tests/limits_fleet_test.cpp
+++ b/tests/limits_fleet_test.cpp
@@ -32,6 +32,8 @@
     clock::time_point asked_at{};
     clock::time_point cut_to{};   // its messages are lost until then
     clock::time_point cut_from{}; // answers to it are lost until then
+    std::uint64_t incarnation = 1;
+    clock::time_point told_at{}; // its shares
 };
 
 struct fleet_result {
@@ -86,6 +88,44 @@
         return admitted;
     }
 
+    // All processes lose power and start again. Callers ask for `part` of the rate at instances
+    // drawn by lot. Returns how many of their operations were admitted.
+    double admitted_after_restart(double part, clock::duration skipped, clock::duration measured)
+    {
+        leader_.emplace(cell::service_settings{}, ++term_, now_);
+        for (pooler_model& each : all_) {
+            each.limits = pooler::limiter(now_);
+            each.limits.change(rate, burst, 1 - cell::central_part(all_.size()) / 1e6,
+                               tolerated / static_cast<double>(all_.size()));
+            each.asked_at = now_;
+            each.told_at = clock::time_point{}; // it tells its shares with its first question
+            each.answered = 0;
+            ++each.incarnation;
+        }
+        const auto every = static_cast<std::int64_t>(1'000 / (rate * part));
+        double asked = 0;
+        double admitted = 0;
+        for (std::int64_t step = 0; step < (skipped + measured).count(); ++step) {
+            now_ += clock::duration(1);
+            if (step % 20 == 0) {
+                turn();
+            }
+            for (pooler_model& each : all_) {
+                const std::int64_t offset = std::int64_t{7} * (each.name.back() - '0');
+                if ((step + offset) % beat.count() == 0) {
+                    follow(each);
+                }
+            }
+            if (step % every == 0) {
+                const bool may_run = admit(all_[random_() % all_.size()]);
+                const bool counts = step >= skipped.count();
+                asked += counts ? 1 : 0;
+                admitted += counts && may_run ? 1 : 0;
+            }
+        }
+        return admitted / asked;
+    }
+
   private:
     void fail(std::int64_t /*step*/)
     {
@@ -115,14 +155,19 @@
         pb::follow_request asked;
         asked.set_instance(from.name);
         asked.set_failure_domain("fukuoka");
-        asked.set_incarnation(1);
+        asked.set_incarnation(from.incarnation);
         asked.set_sequence(++from.sequence);
         asked.set_answered_sequence(from.answered);
-        asked.set_tells_shares(true);
-        pb::share_report& share = *asked.add_shares();
-        share.set_organisation("org");
-        share.set_share_ppm(from.limits.share());
-        share.set_demand_per_s(from.limits.demand(now_));
+        const bool is_due =
+            now_ - from.told_at >= pooler::shares_interval(from.limits.lacks_share());
+        if (is_due) {
+            from.told_at = now_;
+            asked.set_tells_shares(true);
+            pb::share_report& share = *asked.add_shares();
+            share.set_organisation("org");
+            share.set_share_ppm(from.limits.share());
+            share.set_demand_per_s(from.limits.demand(now_));
+        }
         if (now_ < from.cut_to) {
             return;
         }
@@ -130,9 +175,15 @@
         if (now_ < from.cut_from || reply.sequence() == 0) {
             return;
         }
+        const bool was_overdue = now_ - from.asked_at >= lease;
         from.answered = from.sequence;
         from.asked_at = now_;
-        from.limits.set_share(reply.shares(0).share_ppm(), now_);
+        if (was_overdue) {
+            from.limits.lose_share(now_);
+        }
+        else if (reply.shares_size() > 0) {
+            from.limits.set_share(reply.shares(0).share_ppm(), now_);
+        }
     }
 
     bool admit(pooler_model& at)
@@ -181,7 +232,7 @@
 
 TEST_CASE("limits fleet: no window admits more than the contract, whatever links and leaders do")
 {
-    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 24; ++seed) {
         fleet_model fleet(seed, seed % 2 == 0 ? 8 : 30);
         CAPTURE(seed);
         CHECK(most_in_window(fleet.run(60'000, true)) <= allowed);
@@ -199,3 +250,14 @@
         CHECK(late > 10 * rate * 0.9);
     }
 }
+
+TEST_CASE(
+    "limits fleet: after all lost power at once, operations within the rate are admitted soon")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        fleet_model fleet(seed, 9);
+        static_cast<void>(fleet.run(10'000, false));
+        CAPTURE(seed);
+        CHECK(fleet.admitted_after_restart(0.8, clock::duration(400), clock::duration(800)) >= 0.9);
+    }
+}
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -4,11 +4,15 @@
 #include "pooler_primary.h"
 #include "pooler_server.h"
 #include "pooler_state.h"
+#include "pooler_wait.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
+#include <list>
 #include <random>
+#include <vector>
 
 using namespace primrosehead;
 using namespace primrosehead::pooler;
@@ -174,6 +178,19 @@
     CHECK(!place(servers));
 }
 
+TEST_CASE("pooler placement: reads leave the primary to writes until replicas queue")
+{
+    std::array<placement_server, 2> servers{idle_server(0), idle_server(1)};
+    servers[0].is_reserved = true; // the primary
+    servers[0].is_local = true;
+    servers[0].idle_matching = 1;
+    servers[1].idle_matching = 1;
+    CHECK(place(servers)->index == 1);
+    servers[1].running = 3;
+    servers[1].running_limit = 4;
+    CHECK(place(servers)->index == 0);
+}
+
 TEST_CASE("pooler placement: at most so many statements run at once")
 {
     std::array servers{idle_server(0)};
@@ -214,6 +231,92 @@
     CHECK(!server.is_avoided(at(301)));
 }
 
+namespace {
+
+// A primary of two slots that is asked for 1.6 times what it runs; a connection that a server
+// refuses costs an operation another try.
+struct overload_result {
+    int served = 0;
+    int refused = 0;
+    clock::duration longest_held{0}; // of those refused
+};
+
+overload_result play_overload(std::uint64_t seed)
+{
+    constexpr clock::duration objective{200};
+    constexpr clock::duration work{14};
+    constexpr std::int64_t length_ms = 20'000;
+    struct waiting_operation {
+        clock::time_point began_at;
+        wait_budget budget;
+    };
+    std::mt19937_64 random(seed);
+    std::list<waiting_operation> queue;
+    std::array<clock::time_point, 2> free_at{at(0), at(0)};
+    overload_result seen;
+    for (std::int64_t ms = 0; ms < length_ms; ++ms) {
+        const clock::time_point now = at(ms);
+        if (random() % 1'000 < 229) { // 1.6 * 2 slots / 14 ms
+            queue.push_back({now, wait_budget(now, objective)});
+        }
+        for (clock::time_point& slot : free_at) {
+            if (slot > now || queue.empty()) {
+                continue;
+            }
+            const bool is_lost = random() % 4 == 0; // it goes on waiting, on what is left
+            if (!is_lost) {
+                queue.pop_front();
+                ++seen.served;
+                slot = now + work;
+            }
+        }
+        for (auto each = queue.begin(); each != queue.end();) {
+            if (each->budget.ends_at(false, now) > now) {
+                ++each;
+                continue;
+            }
+            ++seen.refused;
+            seen.longest_held = std::max(seen.longest_held, now - each->began_at);
+            each = queue.erase(each);
+        }
+    }
+    return seen;
+}
+
+} // namespace
+
+TEST_CASE("pooler wait: beside an overloaded primary refusals come early and no slot rests")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        const overload_result seen = play_overload(seed);
+        CHECK(seen.longest_held <= clock::duration(50)); // a quarter of the objective
+        CHECK(seen.served >= 0.95 * 2 * 20'000 / 14);
+        CHECK(seen.refused > 0);
+    }
+}
+
+TEST_CASE("pooler wait: an operation that a server had in hand waits once more")
+{
+    const wait_budget budget(at(0), clock::duration(200));
+    CHECK(budget.ends_at(false, at(30)) == at(40));
+    CHECK(budget.ends_at(true, at(100)) == at(140));
+}
+
+TEST_CASE("pooler limits: a share whose lease ran out is void")
+{
+    limiter limits(at(0));
+    limits.change(100, 100, 1, 0);
+    limits.set_share(1'000'000, at(0));
+    CHECK(limits.take(at(1)));
+    limits.lose_share(at(2));
+    CHECK(!limits.take(at(3)));
+    CHECK(limits.lacks_share());
+    limits.set_share(500'000, at(4)); // earned anew, not full
+    CHECK(!limits.take(at(5)));
+    CHECK(limits.take(at(100)));
+}
+
 TEST_CASE("pooler limits: a share of the rate and burst")
 {
     limiter limits(at(0));
