--- /dev/null
+++ b/tests/line_server.cpp
@@ -0,0 +1,118 @@
+#include "line_server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace primrosehead::testing {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+namespace {
+
+constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+
+} // namespace
+
+struct line_server::state {
+    explicit state(net::any_io_executor executor)
+        : acceptor(executor, tcp::endpoint(net::ip::address_v4::loopback(), 0))
+    {
+    }
+    tcp::acceptor acceptor;
+    line_dialect words;
+    std::vector<std::string> received;
+    std::size_t connections = 0;
+    bool loses_answers = false;
+    std::uint64_t log_index = 1;
+};
+
+line_server::line_server(net::any_io_executor executor) : state_(std::make_shared<state>(executor))
+{
+    net::co_spawn(executor, accept(state_), net::detached);
+}
+
+line_server::~line_server()
+{
+    boost::system::error_code ignored; // closed or not, nobody connects any more
+    state_->acceptor.close(ignored);
+}
+
+std::string line_server::address() const
+{
+    return fmt::format("127.0.0.1:{}", state_->acceptor.local_endpoint().port());
+}
+
+const std::vector<std::string>& line_server::received() const noexcept
+{
+    return state_->received;
+}
+
+std::size_t line_server::connections() const noexcept
+{
+    return state_->connections;
+}
+
+void line_server::lose_answers_of_writes()
+{
+    state_->loses_answers = true;
+}
+
+net::awaitable<void> line_server::accept(std::shared_ptr<state> of)
+{
+    while (of->acceptor.is_open()) {
+        auto [failed, socket] = co_await of->acceptor.async_accept(no_throw);
+        if (failed) {
+            co_return;
+        }
+        ++of->connections;
+        net::co_spawn(of->acceptor.get_executor(), serve(of, std::move(socket)), net::detached);
+    }
+}
+
+net::awaitable<void> line_server::serve(std::shared_ptr<state> of, tcp::socket socket)
+{
+    const line_dialect& words = of->words;
+    std::string input;
+    bool in_transaction = false;
+    while (true) {
+        const auto [failed, size] =
+            co_await net::async_read_until(socket, net::dynamic_buffer(input), "\r\n", no_throw);
+        if (failed) {
+            co_return;
+        }
+        const std::string line = input.substr(0, size - 2);
+        input.erase(0, size);
+        std::string answer;
+        if (line.starts_with(words.query)) {
+            const std::string query = line.substr(words.query.size() + 1); // ID TEXT
+            const std::string text = query.substr(query.find(' ') + 1);
+            of->received.push_back(text);
+            const bool is_write = text.starts_with(words.write);
+            if (is_write && of->loses_answers) {
+                co_return;
+            }
+            of->log_index += is_write ? 1 : 0;
+            in_transaction = text == words.begin ||
+                             (in_transaction && text != words.commit && text != words.rollback);
+            answer = fmt::format("{} s{}\r\n", words.complete, of->received.size());
+        }
+        answer += fmt::format("{} {} 1.{}\r\n", words.ready, in_transaction ? "T" : "I",
+                              of->log_index);
+        const auto [unsent, sent] =
+            co_await net::async_write(socket, net::buffer(answer), no_throw);
+        if (unsent) {
+            co_return;
+        }
+    }
+}
+
+} // namespace primrosehead::testing
