A member that a new leader never heard is removed too

Cause: the leader's own machine was replaced. Its successor never heard it, a member never heard had no silence, and so it stayed; after a second replacement the cell had 6 members, 2 of them gone, and the final fault (one disk, all others' power) left 3 of the 4 that must agree. Ruled out: slow elections (pre-votes went on to the end), the wiped disk (it waits as a learner as it should). Change: silence counts from when the leader knows the member. Test: consensus, a member that a new leader never heard (failed first); cell members, one that is no member any more.

--- a/include/primrosehead/consensus.h
+++ b/include/primrosehead/consensus.h
@@ -126,7 +126,9 @@
     struct progress {
         std::string instance;
         std::uint64_t match_index = 0;             // durable there
-        std::optional<clock::duration> silent_for; // since the latest answered asking
+        // Since the latest answered asking; of a member that was never heard, since this leader
+        // knows it.
+        clock::duration silent_for{0};
     };
     [[nodiscard]] std::vector<progress> member_progress(clock::time_point now) const;
 
--- a/src/cell_members.cpp
+++ b/src/cell_members.cpp
@@ -17,26 +17,22 @@
                              std::span<const consensus::core::progress> progress,
                              const std::string& self)
 {
-    const auto silence_of = [&](const pb::member& member) {
-        const auto found = std::find_if(progress.begin(), progress.end(), [&](const auto& each) {
-            return each.instance == member.instance();
-        });
-        const bool is_known = found != progress.end() && found->silent_for;
-        return is_known ? *found->silent_for : clock::duration::max();
-    };
     const auto& all = members.members();
-    const std::ptrdiff_t live = std::count_if(all.begin(), all.end(), [&](const auto& member) {
-        return member.voter() &&
-               (member.instance() == self || silence_of(member) <= answers_within);
+    const auto member_named = [&](const std::string& instance) {
+        return std::find_if(all.begin(), all.end(),
+                            [&](const auto& member) { return member.instance() == instance; });
+    };
+    const auto is_live_voter = [&](const consensus::core::progress& each) {
+        const auto member = member_named(each.instance);
+        return member != all.end() && member->voter() && each.silent_for <= answers_within;
+    };
+    const auto own = member_named(self);
+    const std::ptrdiff_t live = std::count_if(progress.begin(), progress.end(), is_live_voter) +
+                                (own != all.end() && own->voter() ? 1 : 0);
+    const auto silent = std::find_if(progress.begin(), progress.end(), [&](const auto& each) {
+        return each.silent_for > removed_after && member_named(each.instance) != all.end();
     });
-    for (const pb::member& member : members.members()) {
-        const clock::duration silence = silence_of(member);
-        const bool is_silent = silence != clock::duration::max() && silence > removed_after;
-        if (member.instance() != self && is_silent && live >= least_live_voters) {
-            return member.instance();
-        }
-    }
-    return {};
+    return silent != progress.end() && live >= least_live_voters ? silent->instance : std::string();
 }
 
 } // namespace primrosehead::cell
--- a/src/consensus_core.cpp
+++ b/src/consensus_core.cpp
@@ -300,11 +300,8 @@
 {
     std::vector<progress> found;
     for (const auto& [instance, to] : body_->peers) {
-        progress one{instance, to.match_index, std::nullopt};
-        if (to.asked_at) {
-            one.silent_for = now - *to.asked_at;
-        }
-        found.push_back(std::move(one));
+        const clock::time_point heard_at = to.asked_at.value_or(to.known_since);
+        found.push_back({instance, to.match_index, now - heard_at});
     }
     return found;
 }
--- a/src/consensus_members.cpp
+++ b/src/consensus_members.cpp
@@ -85,6 +85,7 @@
         }
         peer fresh;
         fresh.next_index = log.last_index();
+        fresh.known_since = now;
         peers.emplace(member.instance(), fresh);
     }
     send_to_all(now);
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -208,6 +208,9 @@
     CHECK(cell::member_to_remove(members, seen, "a") == "c"); // a, b and e answer
     seen[0].silent_for = clock::duration(9'000);
     CHECK(cell::member_to_remove(members, seen, "a").empty()); // two would be left
+    seen[0].silent_for = seen[1].silent_for = clock::duration(50);
+    members.mutable_members()->DeleteSubrange(3, 1); // d
+    CHECK(cell::member_to_remove(members, seen, "a").empty());
 }
 
 TEST_CASE("cell service: late and repeated requests renew nothing")
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -99,6 +99,26 @@
     CHECK(network.breaches().empty());
 }
 
+TEST_CASE("consensus: a member that a new leader never heard counts as silent since the election")
+{
+    consensus_network network({.seed = 5, .members = 5});
+    const std::string first = network.run_until_leader();
+    network.crash(first); // replaced by another machine: it never comes back
+    const std::string second = network.run_until_leader();
+    REQUIRE(!second.empty());
+    constexpr clock::duration silence{3'000};
+    network.run(silence);
+    REQUIRE(network.current_leader() == second);
+    bool is_listed = false;
+    const auto& leader = network.at(second);
+    const clock::time_point its_now = network.now() + leader.options().clock_offset;
+    for (const auto& each : leader.core().member_progress(its_now)) {
+        CHECK((each.silent_for >= silence) == (each.instance == first));
+        is_listed = is_listed || each.instance == first;
+    }
+    CHECK(is_listed);
+}
+
 TEST_CASE("consensus: a leader that is cut off steps down and is not current")
 {
     consensus_network network({});
--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -105,8 +105,8 @@
                              (in_transaction && text != words.commit && text != words.rollback);
             answer = fmt::format("{} s{}\r\n", words.complete, of->received.size());
         }
-        answer += fmt::format("{} {} 1.{}\r\n", words.ready, in_transaction ? "T" : "I",
-                              of->log_index);
+        answer +=
+            fmt::format("{} {} 1.{}\r\n", words.ready, in_transaction ? "T" : "I", of->log_index);
         const auto [unsent, sent] =
             co_await net::async_write(socket, net::buffer(answer), no_throw);
         if (unsent) {
--- a/tests/pooler_execution_test.cpp
+++ b/tests/pooler_execution_test.cpp
@@ -45,12 +45,12 @@
     instance.run(enough);
     REQUIRE(answer.has_value());
     CHECK(!answer->is_error);
-    CHECK(instance.server.received() ==
-          std::vector<std::string>{"BEGIN", "SET zone JST", "GET a"});
+    CHECK(instance.server.received() == std::vector<std::string>{"BEGIN", "SET zone JST", "GET a"});
     CHECK(instance.server.connections() == 1);
 }
 
-TEST_CASE("pooler execution: a transaction that ends before its first statement leaves nothing open")
+TEST_CASE(
+    "pooler execution: a transaction that ends before its first statement leaves nothing open")
 {
     pooler_fixture instance;
     instance.confirm(100);
--- a/tests/pooler_fixture.cpp
+++ b/tests/pooler_fixture.cpp
@@ -1,9 +1,8 @@
 #include "pooler_fixture.h"
 
 #include "document_codec.h"
-#include "primrosehead.pb.h"
-
 #include "pooler_session.h"
+#include "primrosehead.pb.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -115,7 +114,8 @@
     tcp::socket caller(io);
     caller.connect(acceptor.local_endpoint());
     auto served = std::make_shared<pooler::session>(shared, acceptor.accept(), 1);
-    net::co_spawn(io, [served] { return served->run(); }, net::detached);
+    net::co_spawn(
+        io, [served] { return served->run(); }, net::detached);
     net::write(caller, net::buffer(lines));
     std::string answers;
     net::co_spawn(
