--- a/src/ctl_explain.cpp
+++ b/src/ctl_explain.cpp
@@ -1,6 +1,7 @@
 #include "ctl_explain.h"
 
 #include "ctl_cell.h"
+#include "event_story.h"
 
 #include <absl/flags/declare.h>
 #include <absl/flags/flag.h>
@@ -11,6 +12,7 @@
 #include <iostream>
 
 ABSL_DECLARE_FLAG(std::vector<std::string>, decision_log);
+ABSL_DECLARE_FLAG(std::vector<std::string>, log);
 
 namespace primrosehead::ctl {
 
@@ -66,6 +68,23 @@
     return false;
 }
 
+// All lines of the files of --log; false when one can't be read.
+bool read_logs(std::vector<std::string>& lines)
+{
+    for (const std::string& path : absl::GetFlag(FLAGS_log)) {
+        std::ifstream file(path);
+        if (!file) {
+            (void)complain(exit_usage, "Can't read the log " + path + ".");
+            return false;
+        }
+        std::string line;
+        while (std::getline(file, line)) {
+            lines.push_back(line);
+        }
+    }
+    return true;
+}
+
 int explained(bool found, std::string_view request_id)
 {
     if (found) {
@@ -87,6 +106,30 @@
     return explained(found, request_id);
 }
 
+int explain_logs(std::string_view request_id)
+{
+    std::vector<std::string> lines;
+    if (!read_logs(lines)) {
+        return exit_usage;
+    }
+    const event_story story = story_of(request_id, lines);
+    for (const story_line& line : story.lines) {
+        std::cout << (line.is_own ? "* " : "  ") << line.text << '\n';
+    }
+    if (story.verdict.empty()) {
+        return complain(exit_refused, "No line of " + std::string(request_id) +
+                                          " was found. One statement in 256 that is served is "
+                                          "logged; name the files of all instances with --log.");
+    }
+    std::cout << story.verdict << '\n';
+    return exit_done;
+}
+
+bool has_logs()
+{
+    return !absl::GetFlag(FLAGS_log).empty();
+}
+
 bool has_decision_files()
 {
     return !absl::GetFlag(FLAGS_decision_log).empty();
--- a/src/ctl_explain.h
+++ b/src/ctl_explain.h
@@ -9,6 +9,10 @@
 [[nodiscard]] int explain_files(std::string_view request_id);
 [[nodiscard]] bool has_decision_files();
 
+// Searches the files of --log: what the instances wrote on standard output.
+[[nodiscard]] int explain_logs(std::string_view request_id);
+[[nodiscard]] bool has_logs();
+
 // Asks the entry instances.
 [[nodiscard]] int explain(const target& to, std::string_view request_id);
 
--- a/tests/pooler_fixture.cpp
+++ b/tests/pooler_fixture.cpp
@@ -26,9 +26,10 @@
 
 constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
-pooler_settings settings()
+pooler_settings settings(clock::duration revocation)
 {
     pooler_settings made;
+    made.revocation = revocation;
     made.instance = "entry-1";
     made.failure_domain = failure_domain_name("zone");
     return made;
@@ -58,9 +59,9 @@
 
 } // namespace
 
-pooler_fixture::pooler_fixture()
+pooler_fixture::pooler_fixture(clock::duration revocation)
     : control(
-          io.get_executor(), settings(), 1,
+          io.get_executor(), settings(revocation), 1,
           [this](std::string_view) -> result<std::shared_ptr<const document>> { return document_; },
           connections, events),
       shared{io.get_executor(), words, connections, control, events, numbers}
@@ -108,7 +109,8 @@
     io.run_for(std::chrono::milliseconds(time.count()));
 }
 
-std::string pooler_fixture::converse(std::string_view lines, clock::duration time)
+std::string pooler_fixture::converse(std::string_view lines, clock::duration time,
+                                     std::string_view later)
 {
     tcp::acceptor acceptor(io, tcp::endpoint(net::ip::address_v4::loopback(), 0));
     tcp::socket caller(io);
@@ -133,6 +135,10 @@
         },
         net::detached);
     run(time);
+    if (!later.empty()) {
+        net::write(caller, net::buffer(later));
+        run(time);
+    }
     boost::system::error_code ignored; // the session ends with it
     caller.close(ignored);
     run(clock::duration(20));
--- a/tests/pooler_fixture.h
+++ b/tests/pooler_fixture.h
@@ -25,7 +25,8 @@
 
 class pooler_fixture {
   public:
-    pooler_fixture();
+    // A key that is withdrawn must not work for longer than `revocation`.
+    explicit pooler_fixture(clock::duration revocation = clock::duration(5'000));
 
     // Control says that this document of one database "db" is in force, confirmed now. The key
     // "secret" is organisation "org", which has `rate` and the whole share.
@@ -34,8 +35,9 @@
     // Runs what is due for so long.
     void run(clock::duration time);
 
-    // Sends lines as a caller and returns all that came back within `time`.
-    [[nodiscard]] std::string converse(std::string_view lines, clock::duration time);
+    // Sends lines as a caller, the `later` ones after `time`; returns all that came back until
+    // `time` after them.
+    std::string converse(std::string_view lines, clock::duration time, std::string_view later = {});
 
     [[nodiscard]] pooler::operation operation() const;
 
--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -25,6 +25,7 @@
 ABSL_FLAG(std::vector<std::string>, entry, {},
           "endpoints of entry instances for drain and explain");
 ABSL_FLAG(std::vector<std::string>, decision_log, {}, "decision log files for explain");
+ABSL_FLAG(std::vector<std::string>, log, {}, "files of instances' standard output for explain");
 ABSL_FLAG(std::string, request_id, "", "id of the change; a resend with the same id runs once");
 ABSL_FLAG(std::string, base_version, "", "version that the change is based on");
 ABSL_FLAG(std::int64_t, timeout_ms, 10'000, "how long to try");
@@ -53,7 +54,7 @@
   keygen                          a new bus key pair and session secret
 
 Flags: --config FILE | --cell NAME --control ENDPOINT[,...]; --request-id ID, --base-version N,
---timeout-ms N, --json, --entry ENDPOINT[,...], --decision-log FILE[,...], --help, --version.
+--timeout-ms N, --json, --entry ENDPOINT[,...], --decision-log FILE[,...], --log FILE[,...], --help, --version.
 Exit codes: 0 done, 1 refused, 2 bad usage or settings, 3 outcome unknown.
 )";
 
@@ -138,6 +139,9 @@
     if (command == "keygen" && of.empty()) {
         return keygen();
     }
+    if (command == "explain" && of.size() == 1 && has_logs()) {
+        return explain_logs(of[0]);
+    }
     if (command == "explain" && of.size() == 1 && has_decision_files()) {
         return explain_files(of[0]);
     }
