Histograms of latency by outcome and phase; each error names its cause and what decided it

Latencies were summaries with quantiles; the users ask for histograms. Refusals carry a cause (rate, no_primary, crowded, unconfirmed, ...) in log and metrics, with the organisation's rate and share or the group's primary, waiting operations and avoided servers beside it.

--- a/include/primrosehead/metrics.h
+++ b/include/primrosehead/metrics.h
@@ -6,6 +6,7 @@
 
 #include <primrosehead/clock.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -24,8 +25,13 @@
     std::size_t index = 0;
 };
 
+// Upper bounds of a latency histogram's buckets in milliseconds; a last bucket holds the rest.
+inline constexpr std::array<double, 13> latency_bounds_ms{1,   2,   5,     10,    20,    50,    100,
+                                                          200, 500, 1'000, 2'000, 5'000, 10'000};
+
 // What a latency distribution has seen. Quantiles are estimates.
 struct latency_summary {
+    std::array<std::uint64_t, latency_bounds_ms.size()> within{}; // each bound: cumulative
     std::uint64_t count = 0;
     double sum_ms = 0;
     double max_ms = 0;
@@ -49,7 +55,7 @@
     [[nodiscard]] counter_id gauge(std::string_view name, std::string_view help,
                                    std::string_view labels = {});
 
-    // Registers a latency distribution in milliseconds.
+    // Registers a latency distribution in milliseconds. It shows as a histogram.
     [[nodiscard]] latency_id latency(std::string_view name, std::string_view help,
                                      std::string_view labels = {});
 
--- a/src/line_answer.h
+++ b/src/line_answer.h
@@ -5,6 +5,7 @@
 
 #include <primrosehead/position.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,12 +16,30 @@
 
 enum class session_state { idle, in_transaction, failed_transaction };
 
+// Where an answer comes from, and what an instance's own error is about.
+enum class answer_cause {
+    server,        // a server's answer, passed on
+    request,       // can't be read, too large, or out of place
+    key,           // not valid
+    database,      // unknown
+    unconfirmed,   // the instance is cut off from control
+    rate,          // beyond the organisation's rate and burst
+    crowded,       // no connection or slot in time
+    no_primary,    // none can be reached
+    no_server,     // none can serve this
+    server_silent, // a server did not answer, or the connection to it broke
+    overloaded,    // the transaction's server could not run it in time
+    transaction,   // it failed before
+};
+inline constexpr std::size_t answer_causes = 12;
+
 // The whole answer to one query. `is_error` tells which of `signature` and `code` is set.
 struct line_answer {
     std::vector<std::string> rows;
     std::string signature; // "-" when no statement ran
     std::string code;
     std::string text; // of an error
+    answer_cause cause = answer_cause::server;
     bool is_error = false;
     session_state state = session_state::idle;
     std::optional<log_position> position; // of the server's log
--- a/src/metrics_latency.cpp
+++ b/src/metrics_latency.cpp
@@ -8,6 +8,7 @@
 #include <boost/accumulators/statistics/sum.hpp>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <cstddef>
 #include <mutex>
@@ -40,6 +41,7 @@
 
 struct alignas(cache_line_bytes) metrics_latency::shard {
     std::mutex guard;
+    std::array<std::uint64_t, latency_bounds_ms.size()> buckets{};
     totals all;
     quantile median{accumulators::quantile_probability = median_probability};
     quantile tail{accumulators::quantile_probability = tail_probability};
@@ -56,6 +58,11 @@
     own.all(milliseconds);
     own.median(milliseconds);
     own.tail(milliseconds);
+    const auto bucket =
+        std::lower_bound(latency_bounds_ms.begin(), latency_bounds_ms.end(), milliseconds);
+    if (bucket != latency_bounds_ms.end()) {
+        ++own.buckets.at(static_cast<std::size_t>(bucket - latency_bounds_ms.begin()));
+    }
 }
 
 latency_summary metrics_latency::summary() const
@@ -69,6 +76,11 @@
             continue;
         }
         const auto weight = static_cast<double>(count);
+        std::uint64_t within = 0;
+        for (std::size_t bucket = 0; bucket < part.buckets.size(); ++bucket) {
+            within += part.buckets.at(bucket);
+            whole.within.at(bucket) += within;
+        }
         whole.count += count;
         whole.sum_ms += accumulators::sum(part.all);
         whole.max_ms = std::max(whole.max_ms, accumulators::max(part.all));
--- a/src/metrics_registry.cpp
+++ b/src/metrics_registry.cpp
@@ -27,7 +27,7 @@
     case metric_kind::latency:
         break;
     }
-    return "summary";
+    return "histogram";
 }
 
 struct metric_name {
@@ -165,8 +165,13 @@
 void metrics::implementation::write_latency(std::string& text, const metric_name& of) const
 {
     const latency_summary seen = latencies[of.index].summary();
-    text += fmt::format("{} {}\n", series(of.name, of.labels, R"(quantile="0.5")"), seen.p50_ms);
-    text += fmt::format("{} {}\n", series(of.name, of.labels, R"(quantile="0.99")"), seen.p99_ms);
+    for (std::size_t bucket = 0; bucket < latency_bounds_ms.size(); ++bucket) {
+        const std::string bound = fmt::format(R"(le="{}")", latency_bounds_ms.at(bucket));
+        text += fmt::format("{} {}\n", series(of.name + "_bucket", of.labels, bound),
+                            seen.within.at(bucket));
+    }
+    text +=
+        fmt::format("{} {}\n", series(of.name + "_bucket", of.labels, R"(le="+Inf")"), seen.count);
     text += fmt::format("{} {}\n", series(of.name + "_sum", of.labels), seen.sum_ms);
     text += fmt::format("{} {}\n", series(of.name + "_count", of.labels), seen.count);
 }
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -2,6 +2,7 @@
 
 #include "clock_timer.h"
 #include "event_log.h"
+#include "pooler_cause.h"
 #include "pooler_metrics.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -70,33 +71,24 @@
     roll_back();
 }
 
-line_answer execution::failed(std::string_view code, std::string text) const
-{
-    line_answer answer;
-    answer.is_error = true;
-    answer.code = code;
-    answer.text = std::move(text);
-    return answer;
-}
-
 line_answer execution::refusal(acquire_failure why, const operation& under) const
 {
     switch (why) {
     case acquire_failure::no_primary:
-        return failed(shared_.dialect.busy,
-                      fmt::format("not run: {} has no reachable primary; retry after {} ms",
-                                  under.route->group, primary_retry_after.count()));
+        return own_failure(answer_cause::no_primary, shared_.dialect.busy,
+                           fmt::format("not run: {} has no reachable primary; retry after {} ms",
+                                       under.route->group, primary_retry_after.count()));
     case acquire_failure::no_server:
-        return failed(shared_.dialect.busy,
-                      fmt::format("not run: no server of {} can serve this; retry after {} ms",
-                                  under.route->group, primary_retry_after.count()));
+        return own_failure(answer_cause::no_server, shared_.dialect.busy,
+                           fmt::format("not run: no server of {} can serve this; retry after {} ms",
+                                       under.route->group, primary_retry_after.count()));
     case acquire_failure::crowded:
     case acquire_failure::none:
         break;
     }
-    return failed(shared_.dialect.busy,
-                  fmt::format("not run: the servers of {} are busy; retry after {} ms",
-                              under.route->group, crowded_retry_after.count()));
+    return own_failure(answer_cause::crowded, shared_.dialect.busy,
+                       fmt::format("not run: the servers of {} are busy; retry after {} ms",
+                                   under.route->group, crowded_retry_after.count()));
 }
 
 void execution::note_retry(const operation& under, const server_statement& what,
@@ -147,11 +139,23 @@
     return own ? std::optional(std::max(*minimum, *own)) : std::nullopt;
 }
 
+net::awaitable<line_exchange> execution::exchange(pooled_connection& connection,
+                                                  const std::string& queries, std::size_t count,
+                                                  clock::time_point deadline)
+{
+    const clock::time_point sent_at = clock::now();
+    line_exchange done = co_await connection.link->exchange(queries, count, deadline);
+    shared_.numbers.spent(statement_phase::server, clock::now() - sent_at);
+    co_return done;
+}
+
 net::awaitable<acquired> execution::acquire(connection_request& request)
 {
     const clock::time_point asked_at = clock::now();
     acquired got = co_await shared_.connections.acquire(request);
-    connection_wait_ += clock::now() - asked_at;
+    const clock::duration waited = clock::now() - asked_at;
+    connection_wait_ += waited;
+    shared_.numbers.spent(statement_phase::connection, waited);
     has_reached_server_ = has_reached_server_ || got.connection != nullptr;
     co_return got;
 }
@@ -207,11 +211,12 @@
     const std::string queries =
         fmt::format("{}{} - {}\r\n", before.queries, shared_.dialect.query, shared_.dialect.begin);
     const clock::time_point until = std::min(deadline, asked_at + begin_patience);
-    line_exchange begun = co_await connection.link->exchange(queries, before.count + 1, until);
+    line_exchange begun = co_await exchange(connection, queries, before.count + 1, until);
     const clock::time_point now = clock::now();
     if (!begun.is_whole()) {
         shared_.connections.suspect(server, !begun.has_timed_out, now);
-        outcome = {verdict::retry, failed(shared_.dialect.busy, "not run: the primary is silent")};
+        outcome = {verdict::retry, own_failure(answer_cause::server_silent, shared_.dialect.busy,
+                                               "not run: the primary is silent")};
         co_return false;
     }
     if (!all_done(begun.answers, before.count)) {
@@ -252,7 +257,7 @@
                                             what.id, what.text, shared_.dialect.rollback);
     const clock::time_point sent_at = clock::now();
     shared_.connections.started(*server);
-    line_exchange done = co_await connection->link->exchange(queries, 2, deadline);
+    line_exchange done = co_await exchange(*connection, queries, 2, deadline);
     const clock::time_point now = clock::now();
     shared_.connections.finished(*server, since_ms(sent_at, now), now);
     const bool is_clean = done.is_whole() && !done.answers.back().is_error;
@@ -260,7 +265,8 @@
     if (done.answers.empty()) {
         shared_.connections.suspect(*server, !done.has_timed_out, now);
         co_return attempt{verdict::retry,
-                          failed(shared_.dialect.timed_out, "the primary did not answer in time")};
+                          own_failure(answer_cause::server_silent, shared_.dialect.timed_out,
+                                      "the primary did not answer in time")};
     }
     co_return judge_read(*server, std::move(done.answers.front()));
 }
@@ -282,7 +288,7 @@
     const clock::time_point until =
         std::min(deadline, sent_at + std::max(read_patience, clock::duration(usual)));
     shared_.connections.started(*server);
-    line_exchange done = co_await connection->link->exchange(queries, before.count + 1, until);
+    line_exchange done = co_await exchange(*connection, queries, before.count + 1, until);
     const clock::time_point now = clock::now();
     shared_.connections.finished(*server, since_ms(sent_at, now), now);
     const bool is_prepared = all_done(done.answers, before.count);
@@ -294,7 +300,8 @@
         shared_.connections.suspect(*server, !done.has_timed_out, now);
         excluded_.push_back(server->id);
         co_return attempt{verdict::retry,
-                          failed(shared_.dialect.timed_out, "the server did not answer in time")};
+                          own_failure(answer_cause::server_silent, shared_.dialect.timed_out,
+                                      "the server did not answer in time")};
     }
     if (!is_prepared) {
         excluded_.push_back(server->id);
@@ -314,7 +321,7 @@
         fmt::format("{}{} {} {}\r\n", before.queries, words.query, what.id, what.text);
     const clock::time_point sent_at = clock::now();
     shared_.connections.started(*server);
-    line_exchange done = co_await connection->link->exchange(queries, before.count + 1, deadline);
+    line_exchange done = co_await exchange(*connection, queries, before.count + 1, deadline);
     const clock::time_point now = clock::now();
     shared_.connections.finished(*server, since_ms(sent_at, now), now);
     const bool is_prepared = all_done(done.answers, before.count);
@@ -326,9 +333,10 @@
     if (done.answers.size() <= before.count) {
         shared_.connections.suspect(*server, !done.has_timed_out, now);
         shared_.connections.primary_of(server->group).write_failed(sent_at);
-        co_return attempt{verdict::final,
-                          failed(words.unknown_outcome,
-                                 "the primary did not answer; the write may have taken effect")};
+        co_return attempt{
+            verdict::final,
+            own_failure(answer_cause::server_silent, words.unknown_outcome,
+                        "the primary did not answer; the write may have taken effect")};
     }
     line_answer answer = std::move(done.answers.back());
     if (!answer.is_error) {
@@ -473,13 +481,14 @@
         fmt::format("{}{} - {} {} {} {}\r\n", before.queries, words.query, words.after,
                     format_position(minimum), words.begin, words.read);
     const clock::time_point until = std::min(deadline, clock::now() + begin_patience);
-    line_exchange begun = co_await connection->link->exchange(queries, before.count + 1, until);
+    line_exchange begun = co_await exchange(*connection, queries, before.count + 1, until);
     const clock::time_point now = clock::now();
     if (!begun.is_whole()) {
         shared_.connections.release(std::move(connection), false);
         shared_.connections.suspect(*server, !begun.has_timed_out, now);
         excluded_.push_back(server->id);
-        co_return attempt{verdict::retry, failed(words.busy, "not run: the server is silent")};
+        co_return attempt{verdict::retry, own_failure(answer_cause::server_silent, words.busy,
+                                                      "not run: the server is silent")};
     }
     const bool is_prepared = all_done(begun.answers, before.count);
     if (is_prepared) {
@@ -550,10 +559,11 @@
         const bool may_run = co_await shared_.connections.start_in_turn(server, deadline);
         if (!may_run) {
             roll_back();
-            co_return failed(words.aborted, "rolled back: the server is overloaded; begin again");
+            co_return own_failure(answer_cause::overloaded, words.aborted,
+                                  "rolled back: the server is overloaded; begin again");
         }
         const clock::time_point sent_at = clock::now();
-        done = co_await connection_->link->exchange(queries, before.count + 1, deadline);
+        done = co_await exchange(*connection_, queries, before.count + 1, deadline);
         const clock::time_point now = clock::now();
         shared_.connections.finished(*server, since_ms(sent_at, now), now);
         if (!done.is_whole() || !all_done(done.answers, before.count)) {
@@ -562,8 +572,8 @@
                 shared_.connections.suspect(*server, !done.has_timed_out, now);
             }
             is_open_ = false;
-            co_return failed(words.aborted,
-                             "rolled back: the connection to the server failed; begin again");
+            co_return own_failure(answer_cause::server_silent, words.aborted,
+                                  "rolled back: the connection to the server failed; begin again");
         }
         note_prepared(*connection_, session_, what.needed, true);
         const line_answer& answer = done.answers.back();
@@ -609,10 +619,11 @@
         const bool may_run = co_await shared_.connections.start_in_turn(server, deadline);
         if (!may_run) {
             roll_back();
-            co_return failed(words.aborted, "rolled back: the server is overloaded; begin again");
+            co_return own_failure(answer_cause::overloaded, words.aborted,
+                                  "rolled back: the server is overloaded; begin again");
         }
         sent_at = clock::now();
-        done = co_await connection_->link->exchange(queries, 1, deadline);
+        done = co_await exchange(*connection_, queries, 1, deadline);
         const clock::time_point now = clock::now();
         shared_.connections.finished(*server, since_ms(sent_at, now), now);
         const bool may_wait = done.is_whole() && done.answers.front().is_error &&
@@ -629,8 +640,8 @@
         shared_.connections.release(std::move(connection_), false);
         shared_.connections.suspect(*server, !done.has_timed_out, clock::now());
         shared_.connections.primary_of(server->group).write_failed(sent_at);
-        co_return failed(words.unknown_outcome,
-                         "the server did not answer; the transaction may have taken effect");
+        co_return own_failure(answer_cause::server_silent, words.unknown_outcome,
+                              "the server did not answer; the transaction may have taken effect");
     }
     line_answer answer = std::move(done.answers.front());
     const bool is_clean = done.is_whole() && answer.state == session_state::idle;
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -105,13 +105,16 @@
     begin_as_primary(pooled_connection& connection, const preparation& before,
                      const server_statement& what, clock::time_point deadline, attempt& outcome);
 
+    [[nodiscard]] boost::asio::awaitable<line_exchange> exchange(pooled_connection& connection,
+                                                                 const std::string& queries,
+                                                                 std::size_t count,
+                                                                 clock::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<acquired> acquire(connection_request& request);
     [[nodiscard]] std::optional<log_position> minimum_for(const operation& under,
                                                           clock::time_point now);
     [[nodiscard]] connection_request request_for(const operation& under, server_need need,
                                                  clock::time_point deadline) const;
     [[nodiscard]] line_answer refusal(acquire_failure why, const operation& under) const;
-    [[nodiscard]] line_answer failed(std::string_view code, std::string text) const;
     [[nodiscard]] attempt judge_read(pooled_server& server, line_answer answer);
     void note_retry(const operation& under, const server_statement& what, std::string_view server,
                     std::string_view why);
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -66,6 +66,7 @@
     {
         return document_ != nullptr && now - confirmed_at_ < lease_;
     }
+    [[nodiscard]] clock::time_point heard_at() const noexcept { return heard_at_; }
     [[nodiscard]] clock::time_point confirmed_at() const noexcept { return confirmed_at_; }
 
     // Asks the leader for an operation's token when the own share is used up. False: there is none,
--- a/src/pooler_metrics.cpp
+++ b/src/pooler_metrics.cpp
@@ -1,21 +1,44 @@
 #include "pooler_metrics.h"
 
+#include "pooler_cause.h"
+
+#include <fmt/format.h>
+
 namespace primrosehead::pooler {
 
+namespace {
+
+constexpr std::array<statement_outcome, 4> all_outcomes{
+    statement_outcome::done, statement_outcome::refused, statement_outcome::failed,
+    statement_outcome::unknown};
+// In the order of route_consistency; the last one: no route is known.
+constexpr std::array<std::string_view, 4> route_labels{"latest", "bounded_staleness",
+                                                       "read_your_writes", "none"};
+constexpr std::array<std::string_view, 3> phase_labels{"admission", "connection", "server"};
+
+} // namespace
+
+std::string_view name_of(statement_outcome outcome) noexcept
+{
+    switch (outcome) {
+    case statement_outcome::done:
+        return "done";
+    case statement_outcome::refused:
+        return "refused";
+    case statement_outcome::failed:
+        return "failed";
+    case statement_outcome::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 instance_metrics::instance_metrics()
-    : answered_{all_.counter("primrose_statements_total", "Statements answered.",
-                             R"(outcome="done")"),
-                all_.counter("primrose_statements_total", "Statements answered.",
-                             R"(outcome="refused")"),
-                all_.counter("primrose_statements_total", "Statements answered.",
-                             R"(outcome="failed")"),
-                all_.counter("primrose_statements_total", "Statements answered.",
-                             R"(outcome="unknown")")},
-      retries_(all_.counter("primrose_retries_total", "Tries after the first.")),
-      rate_limited_(all_.counter("primrose_rate_limited_total",
-                                 "Operations beyond an organisation's rate and burst.")),
-      denied_(all_.counter("primrose_denied_total", "Statements without a valid key.")),
-      latency_(all_.latency("primrose_statement_ms", "Time of a statement.")),
+    : retries_(all_.counter("primrose_retries_total", "Tries after the first.")),
+      granted_(all_.counter("primrose_borrowed_tokens_total", "Tokens asked of the control leader.",
+                            R"(result="granted")")),
+      not_granted_(all_.counter("primrose_borrowed_tokens_total",
+                                "Tokens asked of the control leader.", R"(result="none")")),
       sessions_(all_.gauge("primrose_sessions", "Open sessions.")),
       document_version_(all_.gauge("primrose_document_version", "Document in force.")),
       confirmed_ms_ago_(
@@ -29,12 +52,47 @@
       log_lines_(all_.gauge("primrose_log_lines_total", "Log lines taken in.")),
       log_dropped_(all_.gauge("primrose_log_lines_dropped_total", "Log lines dropped."))
 {
+    for (const statement_outcome outcome : all_outcomes) {
+        const auto index = static_cast<std::size_t>(outcome);
+        for (std::size_t route = 0; route < routes; ++route) {
+            answered_.at(index).at(route) = all_.counter(
+                "primrose_statements_total", "Statements answered, by outcome and route.",
+                fmt::format(R"(outcome="{}",route="{}")", name_of(outcome),
+                            route_labels.at(route)));
+        }
+    }
+    for (std::size_t cause = 0; cause < answer_causes; ++cause) {
+        causes_.at(cause) =
+            all_.counter("primrose_errors_total", "Statements answered with an error, by cause.",
+                         fmt::format(R"(cause="{}")", name_of(static_cast<answer_cause>(cause))));
+    }
+    for (const statement_outcome outcome : all_outcomes) {
+        latency_.at(static_cast<std::size_t>(outcome)) =
+            all_.latency("primrose_statement_ms", "Time of a statement.",
+                         fmt::format(R"(outcome="{}")", name_of(outcome)));
+    }
+    for (std::size_t phase = 0; phase < phases; ++phase) {
+        phases_.at(phase) = all_.latency("primrose_phase_ms", "Time of a statement's phases.",
+                                         fmt::format(R"(phase="{}")", phase_labels.at(phase)));
+    }
+}
+
+void instance_metrics::answered(statement_outcome outcome, answer_cause cause,
+                                const document_route* route, double milliseconds)
+{
+    const auto index = static_cast<std::size_t>(outcome);
+    const std::size_t kind =
+        route == nullptr ? routes - 1 : static_cast<std::size_t>(route->consistency);
+    all_.add(answered_.at(index).at(kind));
+    all_.record(latency_.at(index), milliseconds);
+    if (outcome != statement_outcome::done) {
+        all_.add(causes_.at(static_cast<std::size_t>(cause)));
+    }
 }
 
-void instance_metrics::answered(statement_outcome outcome, double milliseconds)
+void instance_metrics::spent(statement_phase phase, clock::duration time)
 {
-    all_.add(answered_[static_cast<std::size_t>(outcome)]);
-    all_.record(latency_, milliseconds);
+    all_.record(phases_.at(static_cast<std::size_t>(phase)), static_cast<double>(time.count()));
 }
 
 std::string instance_metrics::text(const pool_stats& pool, std::uint32_t sessions,
--- a/src/pooler_metrics.h
+++ b/src/pooler_metrics.h
@@ -1,9 +1,13 @@
-// The metrics of a pooler instance, registered once.
+// The metrics of a pooler instance, registered once. Labels come from fixed lists, never from
+// what callers send.
 #pragma once
 
+#include "document.h"
 #include "event_log.h"
+#include "line_answer.h"
 #include "pooler_pool.h"
 
+#include <primrosehead/clock.h>
 #include <primrosehead/metrics.h>
 
 #include <array>
@@ -16,15 +20,25 @@
 
 // How a caller's statement ended.
 enum class statement_outcome { done, refused, failed, unknown };
+[[nodiscard]] std::string_view name_of(statement_outcome outcome) noexcept;
+
+// Where a statement's time goes.
+enum class statement_phase {
+    admission,  // the organisation's token
+    connection, // a connection or a turn at the server
+    server,     // the exchange, replication included
+};
 
 class instance_metrics {
   public:
     instance_metrics();
 
-    void answered(statement_outcome outcome, double milliseconds);
+    // `consistency`: of the route; none before it is known.
+    void answered(statement_outcome outcome, answer_cause cause, const document_route* route,
+                  double milliseconds);
+    void spent(statement_phase phase, clock::duration time);
     void retried() { all_.add(retries_); }
-    void rate_limited() { all_.add(rate_limited_); }
-    void denied() { all_.add(denied_); }
+    void borrowed(bool has_granted) { all_.add(has_granted ? granted_ : not_granted_); }
 
     [[nodiscard]] std::string text(const pool_stats& pool, std::uint32_t sessions,
                                    std::uint64_t document_version, std::int64_t confirmed_ms_ago,
@@ -32,13 +46,17 @@
 
   private:
     static constexpr std::size_t outcomes = 4;
+    static constexpr std::size_t routes = 4; // three kinds of consistency, and none known
+    static constexpr std::size_t phases = 3;
 
     metrics all_;
-    std::array<counter_id, outcomes> answered_;
+    std::array<std::array<counter_id, routes>, outcomes> answered_;
+    std::array<counter_id, answer_causes> causes_;
+    std::array<latency_id, outcomes> latency_;
+    std::array<latency_id, phases> phases_;
     counter_id retries_;
-    counter_id rate_limited_;
-    counter_id denied_;
-    latency_id latency_;
+    counter_id granted_;
+    counter_id not_granted_;
     counter_id sessions_;
     counter_id document_version_;
     counter_id confirmed_ms_ago_;
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -14,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -73,6 +74,15 @@
     std::uint32_t waiting = 0;
 };
 
+// A group as this instance sees it, for the log.
+struct group_view {
+    std::string primary; // empty: none is known
+    clock::duration primary_failing_for{0};
+    std::size_t waiting = 0;                     // operations
+    std::size_t avoided = 0;                     // servers, after failures
+    std::optional<clock::duration> position_age; // of the newest position of the primary
+};
+
 class pool {
   public:
     pool(boost::asio::any_io_executor executor, const line_dialect& dialect, event_log& events,
@@ -122,6 +132,7 @@
     void keep_house(clock::time_point now);
 
     [[nodiscard]] pool_stats stats() const;
+    [[nodiscard]] group_view view_of(std::string_view group, clock::time_point now);
 
   private:
     struct waiter;
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -2,6 +2,7 @@
 
 #include "clock_timer.h"
 #include "event_log.h"
+#include "pooler_cause.h"
 #include "pooler_follower.h"
 #include "pooler_metrics.h"
 
@@ -41,21 +42,6 @@
     return is_promise ? statement_outcome::refused : statement_outcome::failed;
 }
 
-std::string_view name_of(statement_outcome outcome) noexcept
-{
-    switch (outcome) {
-    case statement_outcome::done:
-        return "done";
-    case statement_outcome::refused:
-        return "refused";
-    case statement_outcome::failed:
-        return "failed";
-    case statement_outcome::unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 session::session(context& shared, net::ip::tcp::socket socket, std::uint64_t number)
@@ -71,15 +57,6 @@
     return answer;
 }
 
-line_answer session::failed(std::string_view code, std::string text) const
-{
-    line_answer answer;
-    answer.is_error = true;
-    answer.code = code;
-    answer.text = std::move(text);
-    return answer;
-}
-
 net::awaitable<session::read_result> session::read_line(std::string& line)
 {
     while (true) {
@@ -142,17 +119,16 @@
 {
     const std::shared_ptr<const document>& present = shared_.control.present();
     if (!shared_.control.is_confirmed(clock::now())) {
-        return failed(shared_.dialect.busy,
-                      "not run: this instance is cut off from control; use another one");
+        return own_failure(answer_cause::unconfirmed, shared_.dialect.busy,
+                           "not run: this instance is cut off from control; use another one");
     }
     const document_route* const route = present->route(database_);
     if (route == nullptr) {
-        return failed(shared_.dialect.unknown_database,
-                      fmt::format("there is no database {}", database_));
+        return own_failure(answer_cause::database, shared_.dialect.unknown_database,
+                           fmt::format("there is no database {}", database_));
     }
     if (!route->is_public && present->holder(key_) == nullptr) {
-        shared_.numbers.denied();
-        return failed(shared_.dialect.denied, "the key is not valid");
+        return own_failure(answer_cause::key, shared_.dialect.denied, "the key is not valid");
     }
     return std::nullopt;
 }
@@ -176,10 +152,12 @@
         co_return false;
     }
     if (read == read_result::too_large) {
-        refused = failed(shared_.dialect.too_large, "the line is too long");
+        refused =
+            own_failure(answer_cause::request, shared_.dialect.too_large, "the line is too long");
     }
     else if (word.first != shared_.dialect.startup || word.rest.empty()) {
-        refused = failed(shared_.dialect.malformed, "a session begins with its database");
+        refused = own_failure(answer_cause::request, shared_.dialect.malformed,
+                              "a session begins with its database");
     }
     else {
         const split_words database = split_first(word.rest);
@@ -222,15 +200,16 @@
         co_return std::nullopt;
     }
     const bool has_borrowed = co_await shared_.control.borrow(into.organisation);
+    shared_.numbers.borrowed(has_borrowed);
+    shared_.numbers.spent(statement_phase::admission, clock::now() - now);
     if (has_borrowed) {
         co_return std::nullopt;
     }
-    shared_.numbers.rate_limited();
     limiter* const still = shared_.control.limits_of(into.organisation);
     const std::int64_t wait_ms = still == nullptr ? 0 : still->retry_after().count();
-    co_return failed(shared_.dialect.too_many,
-                     fmt::format("not run: beyond the rate of {}; retry after {} ms",
-                                 into.organisation, wait_ms));
+    co_return own_failure(answer_cause::rate, shared_.dialect.too_many,
+                          fmt::format("not run: beyond the rate of {}; retry after {} ms",
+                                      into.organisation, wait_ms));
 }
 
 line_answer session::change_state(const line_statement& statement)
@@ -239,7 +218,8 @@
     if (statement.kind == statement_kind::set) {
         if (state_.values.size() >= config::max_session_values &&
             !state_.values.contains(statement.name)) {
-            return failed(words.too_large, "the session holds too many values");
+            return own_failure(answer_cause::request, words.too_large,
+                               "the session holds too many values");
         }
         state_.values.insert_or_assign(std::string(statement.name),
                                        std::string(statement.arguments));
@@ -248,14 +228,16 @@
     if (statement.kind == statement_kind::deallocate) {
         const auto found = state_.prepared.find(statement.name);
         if (found == state_.prepared.end()) {
-            return failed(words.unknown_statement, "this name is not prepared");
+            return own_failure(answer_cause::request, words.unknown_statement,
+                               "this name is not prepared");
         }
         state_.prepared.erase(found);
         return done();
     }
     if (state_.prepared.size() >= config::max_session_statements &&
         !state_.prepared.contains(statement.name)) {
-        return failed(words.too_large, "the session holds too many prepared statements");
+        return own_failure(answer_cause::request, words.too_large,
+                           "the session holds too many prepared statements");
     }
     prepared_statement made;
     made.is_write = statement.kind == statement_kind::prepare_write;
@@ -275,7 +257,8 @@
     }
     const auto found = state_.prepared.find(statement.name);
     if (found == state_.prepared.end()) {
-        return failed(shared_.dialect.unknown_statement, "this name is not prepared");
+        return own_failure(answer_cause::request, shared_.dialect.unknown_statement,
+                           "this name is not prepared");
     }
     into.is_write = found->second.is_write;
     into.needed = &found->second;
@@ -287,7 +270,8 @@
 net::awaitable<line_answer> session::begin_transaction(bool read_only)
 {
     if (execution_.is_open()) {
-        co_return failed(shared_.dialect.malformed, "a transaction is open already");
+        co_return own_failure(answer_cause::request, shared_.dialect.malformed,
+                              "a transaction is open already");
     }
     operation under;
     std::optional<line_answer> refused = co_await admit(under);
@@ -303,11 +287,13 @@
     if (has_failed_) {
         has_failed_ = false;
         execution_.roll_back();
-        co_return commit ? failed(shared_.dialect.aborted, "rolled back: " + failure_reason_)
+        co_return commit ? own_failure(answer_cause::transaction, shared_.dialect.aborted,
+                                       "rolled back: " + failure_reason_)
                          : done();
     }
     if (!execution_.is_open()) {
-        co_return failed(shared_.dialect.malformed, "no transaction is open");
+        co_return own_failure(answer_cause::request, shared_.dialect.malformed,
+                              "no transaction is open");
     }
     if (!commit) {
         execution_.roll_back();
@@ -372,7 +358,8 @@
         co_return made;
     }
     if (has_failed_) {
-        co_return failed(shared_.dialect.malformed, "the transaction failed: end it first");
+        co_return own_failure(answer_cause::transaction, shared_.dialect.malformed,
+                              "the transaction failed: end it first");
     }
     switch (statement.kind) {
     case statement_kind::begin:
@@ -391,7 +378,8 @@
         made = co_await run_statement(id, statement, text);
         break;
     default:
-        made = failed(shared_.dialect.malformed, "this statement can't be read");
+        made = own_failure(answer_cause::request, shared_.dialect.malformed,
+                           "this statement can't be read");
     }
     if (was_open && made.is_error) {
         execution_.roll_back();
@@ -406,7 +394,9 @@
 {
     const clock::time_point now = clock::now();
     const statement_outcome outcome = outcome_of(answer, shared_.dialect);
-    shared_.numbers.answered(outcome, static_cast<double>((now - began_at).count()));
+    const std::shared_ptr<const document>& present = shared_.control.present();
+    shared_.numbers.answered(outcome, answer.cause, present ? present->route(database_) : nullptr,
+                             static_cast<double>((now - began_at).count()));
     static std::uint64_t served = 0;
     if (outcome == statement_outcome::done && ++served % sample_every != 0) {
         return;
@@ -422,13 +412,46 @@
         .field("attempts", static_cast<std::int64_t>(execution_.attempts()))
         .field("took_ms", (now - began_at).count())
         .field("connection_ms", execution_.connection_wait().count())
-        .field("document", shared_.control.present()
-                               ? static_cast<std::int64_t>(shared_.control.present()->version())
-                               : std::int64_t{0})
+        .field("document",
+               present ? static_cast<std::int64_t>(present->version()) : std::int64_t{0})
         .field("confirmed_ms_ago", (now - shared_.control.confirmed_at()).count());
     if (answer.is_error) {
-        line.field("code", answer.code).field("reason", answer.text);
+        line.field("code", answer.code)
+            .field("cause", name_of(answer.cause))
+            .field("reason", answer.text);
+        note_inputs(line, answer.cause);
+    }
+}
+
+// What decided an error that this instance made itself.
+void session::note_inputs(event_line& line, answer_cause cause) const
+{
+    const clock::time_point now = clock::now();
+    const std::shared_ptr<const document>& present = shared_.control.present();
+    const document_route* const route = present ? present->route(database_) : nullptr;
+    const document_organisation* const holder = present ? present->holder(key_) : nullptr;
+    limiter* const limits = holder ? shared_.control.limits_of(holder->name) : nullptr;
+    if (cause == answer_cause::rate && limits != nullptr) {
+        line.field("organisation", holder->name)
+            .field("rate", static_cast<std::int64_t>(holder->rate))
+            .field("share_ppm", static_cast<std::int64_t>(limits->share()))
+            .field("leader_heard_ms_ago", (now - shared_.control.heard_at()).count());
+        return;
+    }
+    const bool is_of_servers =
+        cause == answer_cause::crowded || cause == answer_cause::no_primary ||
+        cause == answer_cause::no_server || cause == answer_cause::server_silent ||
+        cause == answer_cause::overloaded;
+    if (!is_of_servers || route == nullptr) {
+        return;
     }
+    const group_view seen = shared_.connections.view_of(route->group, now);
+    line.field("group", route->group)
+        .field("primary", seen.primary)
+        .field("primary_failing_ms", seen.primary_failing_for.count())
+        .field("waiting", static_cast<std::int64_t>(seen.waiting))
+        .field("servers_avoided", static_cast<std::int64_t>(seen.avoided))
+        .field("position_ms_ago", seen.position_age ? seen.position_age->count() : -1);
 }
 
 // False when the session is over.
@@ -443,7 +466,7 @@
     line_answer made;
     const clock::time_point began_at = clock::now();
     if (word.first != words.query || query.first.empty()) {
-        made = failed(words.malformed, "this message can't be read");
+        made = own_failure(answer_cause::request, words.malformed, "this message can't be read");
     }
     else {
         const std::string id(query.first);
--- a/src/pooler_session.h
+++ b/src/pooler_session.h
@@ -18,6 +18,10 @@
 #include <string>
 #include <string_view>
 
+namespace primrosehead {
+class event_line;
+}
+
 namespace primrosehead::pooler {
 
 class session : public std::enable_shared_from_this<session> {
@@ -56,9 +60,9 @@
     [[nodiscard]] std::optional<line_answer>
     translate(const line_statement& statement, std::string_view text, server_statement& into) const;
     [[nodiscard]] line_answer done() const;
-    [[nodiscard]] line_answer failed(std::string_view code, std::string text) const;
     void note(const std::string& id, std::string_view text, const line_answer& answer,
               clock::time_point began_at);
+    void note_inputs(event_line& line, answer_cause cause) const;
     void write_answer(const line_answer& answer);
     [[nodiscard]] boost::asio::awaitable<bool> flush();
     void watch_idle_transaction();
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -55,8 +55,11 @@
     CHECK(std::abs(seen.p50_ms - samples * 0.5) < samples * 0.02);
     CHECK(std::abs(seen.p99_ms - samples * 0.99) < samples * 0.02);
     const std::string text = all.prometheus_text();
-    CHECK(text.find("# TYPE latency_ms summary\n") != std::string::npos);
-    CHECK(text.find("latency_ms{quantile=\"0.99\"} ") != std::string::npos);
+    CHECK(text.find("# TYPE latency_ms histogram\n") != std::string::npos);
+    CHECK(text.find("latency_ms_bucket{le=\"1\"} 2\n") != std::string::npos); // 0 and 1
+    CHECK(text.find("latency_ms_bucket{le=\"100\"} 101\n") != std::string::npos);
+    CHECK(text.find("latency_ms_bucket{le=\"10000\"} 10000\n") != std::string::npos);
+    CHECK(text.find("latency_ms_bucket{le=\"+Inf\"} 10000\n") != std::string::npos);
     CHECK(text.find("latency_ms_count 10000\n") != std::string::npos);
 }
 
