--- a/src/event_story.cpp
+++ b/src/event_story.cpp
@@ -86,7 +86,7 @@
         return is_same("group");
     }
     if (part == "cell") {
-        return true; // who leads control
+        return text_of(each.fields, "event") != "document"; // who leads control
     }
     return is_same("process") && (part != "pool" || is_same("group") || is_same("server"));
 }
@@ -132,7 +132,7 @@
 {
     const std::string_view cause = text_of(answer, "cause");
     const std::string outcome = fmt::format(
-        "{} after {} ms at {}, {} tries. ", text_of(answer, "event"), number_of(answer, "took_ms"),
+        "{} after {} ms at {}, tries: {}. ", text_of(answer, "event"), number_of(answer, "took_ms"),
         text_of(answer, "process"), number_of(answer, "attempts"));
     if (cause.empty()) {
         return outcome;
