Log lines go out whole, at most PIPE_BUF bytes a write

Ruled out: drops of our own (counted, none). Change: whole lines, PIPE_BUF at most, which a pipe takes whole. Test: event log, whole lines.

--- a/src/event_log.cpp
+++ b/src/event_log.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include <chrono>
+#include <climits>
 #include <csignal>
 #include <memory>
 #include <unistd.h>
@@ -148,15 +149,23 @@
     return buffer_;
 }
 
-void event_log::write_out(const std::string& batch) const
+std::string_view next_piece(std::string_view text, std::size_t most) noexcept
 {
-    std::size_t done = 0;
-    while (done < batch.size()) {
-        const ssize_t written = ::write(descriptor_, batch.data() + done, batch.size() - done);
+    const std::size_t within = text.substr(0, most).rfind('\n');
+    const std::size_t end = within != std::string_view::npos ? within : text.find('\n');
+    return text.substr(0, end == std::string_view::npos ? end : end + 1);
+}
+
+// Collectors cut long writes anywhere; a pipe takes up to PIPE_BUF bytes whole.
+void event_log::write_out(std::string_view batch) const
+{
+    while (!batch.empty()) {
+        const std::string_view piece = next_piece(batch, PIPE_BUF);
+        const ssize_t written = ::write(descriptor_, piece.data(), piece.size());
         if (written <= 0) {
             return; // the reader is gone: there is nowhere left to say so
         }
-        done += static_cast<std::size_t>(written);
+        batch.remove_prefix(static_cast<std::size_t>(written));
     }
 }
 
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -72,7 +72,7 @@
 
   private:
     void run();
-    void write_out(const std::string& batch) const;
+    void write_out(std::string_view batch) const;
 
     int descriptor_;
     std::string process_;
@@ -86,6 +86,10 @@
     std::thread writer_;
 };
 
+// The beginning of `text` that goes out in one write: whole lines of at most `most` bytes, or one
+// longer line.
+[[nodiscard]] std::string_view next_piece(std::string_view text, std::size_t most) noexcept;
+
 // Sends what libraries and older parts log through spdlog into the same stream.
 void route_spdlog(event_log& log, std::string_view level);
 
--- a/tests/event_log_test.cpp
+++ b/tests/event_log_test.cpp
@@ -42,6 +42,15 @@
     CHECK(log.dropped() > 2'000 - details);
 }
 
+TEST_CASE("event log: whole lines go out in one write")
+{
+    CHECK(next_piece("aa\nbb\ncc\n", 7) == "aa\nbb\n");
+    CHECK(next_piece("aa\nbb\n", 6) == "aa\nbb\n");
+    CHECK(next_piece("a long line\nbb\n", 4) == "a long line\n");
+    CHECK(next_piece("no end", 3) == "no end");
+    CHECK(next_piece("", 3).empty());
+}
+
 TEST_CASE("event log: a reader that stops reading stops nobody")
 {
     int ends[2] = {-1, -1};
