--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -119,7 +119,8 @@
     CHECK(is_listed);
 }
 
-TEST_CASE("consensus: after all lost power, a leader is there soon after an old one's lease is over")
+TEST_CASE(
+    "consensus: after all lost power, a leader is there soon after an old one's lease is over")
 {
     constexpr int seeds = 20;
     clock::duration total{0};
