--- a/src/cell_shares.cpp
+++ b/src/cell_shares.cpp
@@ -91,10 +91,7 @@
 
 std::uint32_t shares::free_in(const account& of, clock::time_point now) const
 {
-    const bool all_heard =
-        std::all_of(expected_.begin(), expected_.end(),
-                    [this](const std::string& instance) { return told_all_.contains(instance); });
-    if (now - elected_at_ < lease_ && !all_heard) {
+    if (may_overlook(now)) {
         return 0;
     }
     std::uint64_t used = 0;
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -27,7 +27,6 @@
 constexpr int lease_tenths = 7;
 // Instances that join or leave change the parts while they are in use.
 constexpr double tolerance_used = 0.7;
-constexpr double least_demand = 0.02; // operations a second
 // A round trip to the leader is some milliseconds; an operation waits no longer for its token.
 constexpr clock::duration borrow_timeout{60};
 // An answer that took longer tells nothing about when the leader heard this instance.
@@ -107,7 +106,7 @@
     to.set_tells_shares(true);
     for (auto& [organisation, limits] : limits_) {
         const double demand = is_leaving_ ? 0 : limits.demand(now);
-        if (limits.share() == 0 && demand < least_demand) {
+        if (limits.share() == 0 && (is_leaving_ || !limits.lacks_share())) {
             continue;
         }
         pb::share_report& report = *to.add_shares();
@@ -117,6 +116,14 @@
     }
 }
 
+pb::envelope follower::make_envelope() const
+{
+    pb::envelope message;
+    message.set_cell(settings_.cell.text());
+    message.set_from(settings_.instance);
+    return message;
+}
+
 // Asks for what is missing of every organisation's tokens.
 void follower::top_up(clock::time_point now)
 {
@@ -126,9 +133,7 @@
         return;
     }
     topped_up_at_ = now;
-    pb::envelope message;
-    message.set_cell(settings_.cell.text());
-    message.set_from(settings_.instance);
+    pb::envelope message = make_envelope();
     pb::token_request& asked = *message.mutable_ask_tokens();
     asked.set_instance(settings_.instance);
     for (auto& [organisation, limits] : limits_) {
@@ -154,9 +159,7 @@
     borrowing& waits = borrowings_[organisation];
     if (waits.waiting.empty() || now - waits.asked_at > borrow_timeout) {
         waits.asked_at = now;
-        pb::envelope message;
-        message.set_cell(settings_.cell.text());
-        message.set_from(settings_.instance);
+        pb::envelope message = make_envelope();
         message.mutable_ask_tokens()->set_instance(settings_.instance);
         pb::token_amount& wanted = *message.mutable_ask_tokens()->add_wanted();
         wanted.set_organisation(organisation);
@@ -205,9 +208,7 @@
     static_cast<void>(lose_overdue_shares(now));
     asks_again_ = false;
     sent_at_ = now;
-    pb::envelope message;
-    message.set_cell(settings_.cell.text());
-    message.set_from(settings_.instance);
+    pb::envelope message = make_envelope();
     pb::follow_request& asked = *message.mutable_follow();
     asked.set_instance(settings_.instance);
     asked.set_incarnation(incarnation_);
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 namespace primrosehead::pb {
+class envelope;
 class follow_reply;
 class follow_request;
 class published_record;
@@ -79,6 +80,7 @@
 
   private:
     void send(clock::time_point now);
+    [[nodiscard]] pb::envelope make_envelope() const;
     void top_up(clock::time_point now);
     void add_shares(pb::follow_request& to, clock::time_point now);
     void choose_other_leader();
--- a/src/pooler_limits.cpp
+++ b/src/pooler_limits.cpp
@@ -110,9 +110,7 @@
 
 void limiter::granted(std::uint32_t tokens, clock::time_point now) noexcept
 {
-    refill(now);
-    const double room = std::max(0.0, capacity() - tokens_);
-    const auto kept = std::min(tokens, static_cast<std::uint32_t>(room));
+    const std::uint32_t kept = std::min(tokens, missing(now));
     tokens_ += kept;
     const std::uint32_t beyond = tokens - kept;
     if (beyond > 0) {
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -282,8 +282,6 @@
         close_oldest_foreign(*made.server, request.organisation);
         ++stats_.replaced;
     }
-    if (request.need == server_need::primary)
-        ++stats_.primary;
     ++made.server->open; // reserved
     made.server->opened_at = now;
     return made;
@@ -495,7 +493,6 @@
                 excess -= is_excess ? 1 : 0;
                 return is_excess || unused > idle_longest || each.is_leaving;
             });
-            stats_.excess += closed;
             each.open -= static_cast<std::uint32_t>(closed);
         }
         dispatch(of);
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -69,7 +69,6 @@
     std::uint64_t replaced = 0;
     std::uint64_t waited = 0;
     std::uint64_t crowded = 0;
-    std::uint64_t excess = 0, primary = 0;
     std::uint32_t open = 0;
     std::uint32_t waiting = 0;
 };
--- a/tests/limits_fleet_test.cpp
+++ b/tests/limits_fleet_test.cpp
@@ -76,14 +76,7 @@
                 turn();
             }
             for (pooler_model& each : all_) {
-                const std::int64_t offset = std::int64_t{7} * (each.name.back() - '0');
-                if ((step + offset) % beat.count() == 0) {
-                    follow(each);
-                }
-                if ((step + offset) % pooler::top_up_interval.count() == 0) {
-                    top_up(each);
-                }
-                each.limits.set_alone(now_ - each.asked_at > alone_after, now_);
+                attend(each, step);
                 const bool may_serve = now_ - each.asked_at < lease;
                 // Every instance is asked for far more than the rate.
                 if (may_serve && random_() % 25 == 0 && admit(each)) {
@@ -146,15 +139,8 @@
                 turn();
             }
             for (pooler_model& each : all_) {
-                const std::int64_t offset = std::int64_t{7} * (each.name.back() - '0');
                 each.cut_to = is_silent ? now_ + beat : clock::time_point{};
-                if ((step + offset) % beat.count() == 0) {
-                    follow(each);
-                }
-                if ((step + offset) % pooler::top_up_interval.count() == 0) {
-                    top_up(each);
-                }
-                each.limits.set_alone(now_ - each.asked_at > alone_after, now_);
+                attend(each, step);
             }
             if (step % every == 0) {
                 const bool may_run = admit(all_[random_() % all_.size()]);
@@ -225,6 +211,19 @@
         }
     }
 
+    // What an instance does by itself at this millisecond.
+    void attend(pooler_model& each, std::int64_t step)
+    {
+        const std::int64_t offset = std::int64_t{7} * (each.name.back() - '0');
+        if ((step + offset) % beat.count() == 0) {
+            follow(each);
+        }
+        if ((step + offset) % pooler::top_up_interval.count() == 0) {
+            top_up(each);
+        }
+        each.limits.set_alone(now_ - each.asked_at > alone_after, now_);
+    }
+
     // Tokens of the leader, as far as it has some and the links are sound.
     std::uint32_t borrow(pooler_model& at, std::uint32_t wanted)
     {
