Large fleets follow relays at the control instances

Cause: with 294 pooler instances the leader's work grew with instances times rates. Ruled out: the network (members reached each other), the disks (election within 0.6 s). Change: above 96 instances the leader asks for relays. Every control instance then follows it for the instances of its failure domain, holds one share of each organisation's limits and grants tokens from it, joins the reports about primaries, passes on the confirmation of the document with its age, and observes the primaries' log positions. Instances keep no idle connections when there are fewer connections than instances. Shares of relays never drop to zero. Also: a document of up to 4 MiB passes the listener; 413 names size and limit.

--- a/include/primrosehead/config.h
+++ b/include/primrosehead/config.h
@@ -31,6 +31,8 @@
 // Queues.
 inline constexpr std::size_t max_queued_per_server = 512;
 inline constexpr std::size_t max_bus_queue = 65'536;
+// Received messages that wait for the event loop: about a second of a control instance's traffic.
+inline constexpr std::size_t max_bus_inbox = 4'096;
 
 // Replicated state.
 inline constexpr std::size_t max_document_bytes = mebibyte;
--- a/include/primrosehead/http.h
+++ b/include/primrosehead/http.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <primrosehead/clock.h>
+#include <primrosehead/config.h>
 #include <primrosehead/error.h>
 #include <primrosehead/settings.h>
 
@@ -53,6 +54,9 @@
     // Limit of the TLS handshake, and of receiving a whole request (headers and body) from its
     // first byte on.
     clock::duration header_timeout{5'000};
+    // Largest request body, and the word for such a body in the error about a larger one.
+    std::size_t max_body_bytes = config::max_body_bytes;
+    std::string body_name = "statement";
     // Artificial delay before serving a new connection; only for the simulated server.
     clock::duration accept_delay{0};
     std::optional<tls_settings> tls;
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -5,6 +5,7 @@
 #include "cell_directory.h"
 #include "cell_members.h"
 #include "cell_metrics.h"
+#include "cell_relay_runner.h"
 #include "cell_service.h"
 #include "clock_timer.h"
 #include "disk_id.h"
@@ -15,6 +16,7 @@
 #include "settings_watcher.h"
 
 #include <primrosehead/bus.h>
+#include <primrosehead/config.h>
 #include <primrosehead/replica.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -41,6 +43,7 @@
 constexpr clock::duration tick_interval{20};
 // For network round trips and disk syncs of a few milliseconds. Elections are rare: an instance
 // that gets no processor time for 100 ms does not start one.
+constexpr clock::duration long_loop_delay{150};
 constexpr clock::duration consensus_heartbeat{100};
 constexpr clock::duration election_min{500};
 constexpr clock::duration election_max{1'000};
@@ -99,6 +102,7 @@
     [[nodiscard]] status open_replica();
     net::awaitable<void> tick_loop();
     void stop(status outcome);
+    void record_delay(clock::time_point now);
     status advance(clock::time_point now);
     void update_leadership(clock::time_point now);
     [[nodiscard]] bool is_leader(clock::time_point now) const;
@@ -114,6 +118,7 @@
 
     void receive(const bus_origin& origin, const pb::envelope& message);
     void handle_follow(const bus_origin& origin, const pb::envelope& message);
+    void handle_token_request(const bus_origin& origin, const pb::token_request& request);
     void handle_announcement(const bus_origin& origin, const pb::envelope& message);
     void handle_operator_request(const bus_origin& origin, const pb::envelope& message);
     void reply_to_operator(const bus_origin& origin, std::uint64_t correlation,
@@ -136,6 +141,7 @@
     std::shared_ptr<http::listener> listener;
     std::unique_ptr<metrics_server> metrics_endpoint;
     std::optional<service> active_service;
+    std::unique_ptr<relay_runner> relaying;
     directory servers;
     std::shared_ptr<const document> current_document;
     std::vector<std::string> seeds;
@@ -147,6 +153,9 @@
     clock::time_point join_requested_at{};
     clock::time_point membership_checked_at{};
     clock::time_point last_housekeeping_at{};
+    clock::time_point last_tick_at{};
+    clock::duration latest_delay{0}; // of the event loop, when it last was long
+    clock::time_point delayed_at{};
     std::optional<status> exit_status;
 };
 
@@ -229,8 +238,13 @@
     executor =
         std::make_unique<action_executor>(context.get_executor(), parts.dialect,
                                           *promotion_platform, events, member_name(settings.host));
+    relaying =
+        std::make_unique<relay_runner>(context.get_executor(), settings, member_name(settings.host),
+                                       parts.dialect, events, bus_connection->messages());
     http::listener_settings options;
     options.address = settings.listen;
+    options.max_body_bytes = config::max_published_bytes;
+    options.body_name = "document";
     result<std::shared_ptr<http::listener>> opened_listener =
         http::listener::open(context.get_executor(), options, parts.make_handler(*this));
     if (!ok(opened_listener)) {
@@ -274,7 +288,10 @@
     if (active_service &&
         (active_service->term() != consensus_replica->term() || role != "leader")) {
         events.decision("cell", "stopped_leading")
-            .field("term", static_cast<std::int64_t>(active_service->term()));
+            .field("term", static_cast<std::int64_t>(active_service->term()))
+            .field("new_term", static_cast<std::int64_t>(consensus_replica->term()))
+            .field("loop_delay_ms", latest_delay.count())
+            .field("loop_delay_age_ms", (now - delayed_at).count());
         active_service.reset();
     }
     if (active_service || !consensus_replica->is_current(now)) {
@@ -308,6 +325,7 @@
         return;
     }
     current_document = value(parsed);
+    relaying->set_document(current_document);
     events.decision("cell", "document")
         .field("version", static_cast<std::int64_t>(current_document->version()))
         .field("routes", static_cast<std::int64_t>(current_document->content().routes.size()));
@@ -449,8 +467,23 @@
     }
 }
 
+// Logs a long delay of the event loop: heartbeats and votes were delayed as well.
+void instance::implementation::record_delay(clock::time_point now)
+{
+    const clock::duration delay = now - last_tick_at - tick_interval;
+    const bool is_first = last_tick_at == clock::time_point{};
+    last_tick_at = now;
+    if (is_first || delay < long_loop_delay) {
+        return;
+    }
+    latest_delay = delay;
+    delayed_at = now;
+    events.decision("cell", "loop_delayed").field("delay_ms", delay.count()).field("role", role);
+}
+
 status instance::implementation::advance(clock::time_point now)
 {
+    record_delay(now);
     status ticked = consensus_replica->tick(now);
     if (!ok(ticked)) {
         return ticked;
@@ -459,6 +492,7 @@
     load_document();
     request_membership(now);
     forward_announcements();
+    relaying->tick(leader_endpoint(), now);
     if (now - last_housekeeping_at >= housekeeping_interval) {
         last_housekeeping_at = now;
         servers.evict_stale(now);
@@ -523,6 +557,11 @@
 void instance::implementation::handle_follow(const bus_origin& origin, const pb::envelope& message)
 {
     const clock::time_point now = clock::now();
+    if (!message.follow().is_relay() && relaying->is_serving()) {
+        relaying->follow(origin, message.follow(),
+                         consensus_replica->state().published(document_name));
+        return;
+    }
     pb::envelope response = make_envelope();
     pb::follow_reply& reply = *response.mutable_follow_answer();
     if (is_leader(now)) {
@@ -626,6 +665,21 @@
     }
 }
 
+void instance::implementation::handle_token_request(const bus_origin& origin,
+                                                    const pb::token_request& request)
+{
+    const clock::time_point now = clock::now();
+    if (!request.is_relay() && relaying->is_serving()) {
+        relaying->grant_tokens(origin, request);
+        return;
+    }
+    pb::envelope response = make_envelope();
+    if (is_leader(now)) {
+        *response.mutable_tokens() = active_service->grant_tokens(request, now);
+    }
+    bus_connection->messages().reply(origin, response);
+}
+
 void instance::implementation::receive(const bus_origin& origin, const pb::envelope& message)
 {
     if (message.cell() != settings.cell.text()) {
@@ -646,15 +700,15 @@
     case pb::envelope::kAnnounce:
         handle_announcement(origin, message);
         break;
-    case pb::envelope::kAskTokens: {
-        const clock::time_point now = clock::now();
-        pb::envelope response = make_envelope();
-        if (is_leader(now)) {
-            *response.mutable_tokens() = active_service->grant_tokens(message.ask_tokens(), now);
-        }
-        bus_connection->messages().reply(origin, response);
+    case pb::envelope::kAskTokens:
+        handle_token_request(origin, message.ask_tokens());
+        break;
+    case pb::envelope::kFollowAnswer:
+        relaying->receive(message.follow_answer());
+        break;
+    case pb::envelope::kTokens:
+        relaying->receive_tokens(message.tokens());
         break;
-    }
     case pb::envelope::kOperate:
         handle_operator_request(origin, message);
         break;
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -13,6 +13,14 @@
 constexpr int announcement_intervals_until_complete = 2;
 constexpr clock::duration registration_interval{500};
 constexpr clock::duration live_timeout{1'500}; // several follow requests
+// The instances of a large fleet that starts are not registered before the leader has counted them.
+constexpr clock::duration registration_delay{1'000};
+
+// A leader serves fewer instances than this without relays. Relays stay in use until the fleet has
+// been much smaller for a while, so that a partition does not end their use.
+constexpr std::uint32_t min_instances_for_relays = 96;
+constexpr std::uint32_t max_instances_without_relays = 48;
+constexpr clock::duration relay_use_retention{10'000};
 
 constexpr clock::duration membership_record_interval{300};
 // Longer than any network partition: a recorded server that does not announce itself for this long
@@ -38,7 +46,8 @@
 
 service::service(service_settings settings, std::uint64_t term, clock::time_point elected_at)
     : settings_(settings), term_(term), elected_at_(elected_at),
-      share_allocator_(elected_at, settings.instance_lease), token_buckets_(elected_at)
+      share_allocator_(elected_at, settings.instance_lease), token_buckets_(elected_at),
+      last_large_at_(elected_at)
 {
 }
 
@@ -104,10 +113,41 @@
 
 std::uint32_t service::live_instances(clock::time_point now) const
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(instances_.begin(), instances_.end(), [&](const auto& item) {
-            return now - item.second.last_seen_at < live_timeout;
-        }));
+    std::uint32_t count = 0;
+    for (const auto& [name, each] : instances_) {
+        if (now - each.last_seen_at < live_timeout) {
+            count += each.is_relay ? each.followers : 1;
+        }
+    }
+    return count;
+}
+
+void service::update_relay_use(clock::time_point now)
+{
+    const std::uint32_t instances = live_instances(now);
+    if (instances >= min_instances_for_relays) {
+        uses_relays_ = true;
+    }
+    if (instances > max_instances_without_relays) {
+        last_large_at_ = now;
+    }
+    if (now - last_large_at_ > relay_use_retention) {
+        uses_relays_ = false;
+    }
+}
+
+void service::add_relays(pb::follow_reply& reply, clock::time_point now) const
+{
+    if (!uses_relays_) {
+        return;
+    }
+    for (const auto& [name, each] : instances_) {
+        if (each.is_relay && now - each.last_seen_at < live_timeout) {
+            pb::relay_address& relay = *reply.add_relays();
+            relay.set_endpoint(each.endpoint);
+            relay.set_failure_domain(each.failure_domain);
+        }
+    }
 }
 
 promotion::planner* service::find_planner(std::string_view group)
@@ -129,7 +169,13 @@
             primary_report.reached_ago = clock::duration(reported.reached_ms_ago());
         }
         primary_report.failing_for = clock::duration(reported.failing_for_ms());
-        planner->on_primary_report(request.instance(), primary_report, now);
+        primary_report.instances = std::max(1U, reported.instances());
+        std::string reporter = request.instance();
+        if (request.is_relay()) {
+            // A relay reports the instances that use a server and those that fail to separately.
+            reporter += "/" + reported.server() + (reported.failing_for_ms() > 0 ? "/failing" : "");
+        }
+        planner->on_primary_report(reporter, primary_report, now);
     }
 }
 
@@ -167,6 +213,7 @@
         share_allocator_.release(request.instance()); // of the previous process
         sender = instance_state{};
         sender.incarnation = request.incarnation();
+        sender.first_seen_at = now;
     }
     if (request.sequence() <= sender.sequence) {
         reply.set_sequence(0); // late or repeated
@@ -177,6 +224,11 @@
     sender.sequence = request.sequence();
     sender.last_seen_at = now;
     sender.failure_domain = request.failure_domain();
+    sender.is_relay = request.is_relay();
+    sender.endpoint = request.endpoint();
+    sender.followers = request.followers();
+    uses_relays_ = uses_relays_ || request.is_relaying(); // as the previous leader decided
+    share_allocator_.set_keeps_idle_shares(uses_relays_);
     handle_primary_reports(request, now);
     const bool is_registered = state.instance(request.instance()) != nullptr;
     if (request.tells_shares()) {
@@ -218,6 +270,7 @@
     }
     reply.set_live_instances(live_instances(now));
     reply.set_central_ppm(central_ppm_);
+    add_relays(reply, now);
     return reply;
 }
 
@@ -265,7 +318,9 @@
     }
     share_allocator_.set_registered_instances(std::move(registered));
     for (auto& [name, each] : instances_) {
-        if (state.instance(name) != nullptr ||
+        const bool has_own_share = each.is_relay == uses_relays_;
+        if (!has_own_share || state.instance(name) != nullptr ||
+            now - each.first_seen_at < registration_delay ||
             now - each.registration_proposed_at < registration_interval) {
             continue;
         }
@@ -284,6 +339,7 @@
 {
     std::vector<group_action> actions;
     share_allocator_.expire(now);
+    update_relay_use(now);
     std::erase_if(instances_, [&](const auto& item) {
         return now - item.second.last_seen_at > settings_.instance_lease;
     });
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -67,12 +67,16 @@
     }
     [[nodiscard]] std::uint64_t term() const noexcept { return term_; }
     // Returns commands that register new instances in the replicated state; only registered
-    // instances get shares.
+    // instances get shares. While relays are in use, only these are registered.
     [[nodiscard]] std::vector<pb::command> pending_registrations(const state_machine& state,
                                                                  clock::time_point now);
 
+    // Number of pooler instances that follow this leader or a relay.
     [[nodiscard]] std::uint32_t live_instances(clock::time_point now) const;
 
+    // True while the fleet is so large that pooler instances follow relays.
+    [[nodiscard]] bool uses_relays() const noexcept { return uses_relays_; }
+
   private:
     struct received_request {
         std::uint64_t sequence = 0;
@@ -83,7 +87,11 @@
         std::uint64_t sequence = 0;
         clock::time_point last_seen_at;
         clock::time_point registration_proposed_at{};
+        clock::time_point first_seen_at;
         std::string failure_domain;
+        bool is_relay = false;
+        std::string endpoint;                              // of a relay
+        std::uint32_t followers = 0;                       // of a relay
         std::deque<received_request> unconfirmed_requests; // oldest first
     };
 
@@ -99,6 +107,8 @@
                          clock::time_point now);
     void update_central_limits(const document& current, clock::time_point now);
     void handle_primary_reports(const pb::follow_request& request, clock::time_point now);
+    void update_relay_use(clock::time_point now);
+    void add_relays(pb::follow_reply& reply, clock::time_point now) const;
 
     service_settings settings_;
     std::uint64_t term_;
@@ -107,6 +117,8 @@
     token_buckets token_buckets_;
     std::uint64_t central_limits_version_ = 0; // version of the document that set them
     std::uint32_t central_ppm_ = 0;            // the leader's part of rates, in millionths
+    bool uses_relays_ = false;
+    clock::time_point last_large_at_; // when the fleet last was large enough for relays
     std::map<std::string, instance_state, std::less<>> instances_;
     std::map<std::string, promotion::planner, std::less<>> planners_;
     std::map<std::string, clock::time_point, std::less<>> membership_recorded_at_; // by group
--- a/src/cell_share_allocator.cpp
+++ b/src/cell_share_allocator.cpp
@@ -35,7 +35,7 @@
     for (const auto& [instance, held] : shares.allocations) {
         total += held.demand;
     }
-    if (total >= min_total_demand && own.demand < idle_demand) {
+    if (!keeps_idle_shares_ && total >= min_total_demand && own.demand < idle_demand) {
         return 0;
     }
     const double even = 1.0 / static_cast<double>(shares.allocations.size());
--- a/src/cell_share_allocator.h
+++ b/src/cell_share_allocator.h
@@ -32,6 +32,10 @@
                                        std::uint64_t incarnation, std::uint32_t held, double demand,
                                        clock::time_point now);
 
+    // Few processes with shares, such as relays, always keep their even part, so that an
+    // organisation's first operation finds a token.
+    void set_keeps_idle_shares(bool keeps) noexcept { keeps_idle_shares_ = keeps; }
+
     // Sets the instances to which an earlier leader may have granted shares. Within one lease after
     // the election, no share is available until all of them have sent a full report.
     void set_registered_instances(std::vector<std::string> instances)
@@ -88,6 +92,7 @@
 
     clock::time_point elected_at_;
     clock::duration lease_;
+    bool keeps_idle_shares_ = false;
     std::map<std::string, organisation_shares, std::less<>> organisations_;
     std::vector<std::string> registered_instances_;
     std::set<std::string, std::less<>> fully_reported_; // since the election
--- a/src/deployment_settings.cpp
+++ b/src/deployment_settings.cpp
@@ -21,6 +21,7 @@
               "description": "addresses of cell instances"},
   "metrics_listen": {"type": "string", "description": "IP:PORT, or nothing"},
   "revocation_ms": {"type": "integer", "minimum": 1000, "description": "milliseconds, 1000 or more"},
+  "limit_tolerance": {"type": "number", "minimum": 0, "description": "operations, 0 or more"},
   "grace_s": {"type": "number", "minimum": 1, "description": "seconds, 1 or more"},
   "log": {"type": "object", "description": "level, format and file",
           "properties": {"level": {"type": "string", "description": "trace, debug, info, warn or error"},
@@ -31,7 +32,6 @@
 constexpr std::string_view pooler_properties_text = R"(,
   "listen": {"type": "string", "minLength": 1, "description": "IP:PORT for callers"},
   "readiness_listen": {"type": "string", "minLength": 1, "description": "IP:PORT for the load balancer's probe"},
-  "limit_tolerance": {"type": "number", "minimum": 0, "description": "operations, 0 or more"},
   "max_connections": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"}
 )";
 
@@ -66,6 +66,7 @@
     }
     read_field(object, "metrics_listen", settings.metrics_listen);
     read_field(object, "revocation_ms", settings.revocation);
+    read_field(object, "limit_tolerance", settings.limit_tolerance);
     double grace_s = static_cast<double>(settings.grace.count()) / 1'000;
     read_field(object, "grace_s", grace_s);
     settings.grace = clock::duration(static_cast<std::int64_t>(grace_s * 1'000));
@@ -94,7 +95,6 @@
     read_field(object, "listen", settings.listen);
     read_field(object, "readiness_listen", settings.readiness_listen);
     read_field(object, "max_connections", settings.max_connections);
-    read_field(object, "limit_tolerance", settings.limit_tolerance);
     return settings;
 }
 
--- a/src/deployment_settings.h
+++ b/src/deployment_settings.h
@@ -24,6 +24,7 @@
     std::string metrics_listen;        // IP:PORT; empty: none
     clock::duration revocation{5'000}; // a withdrawn key is refused after this at the latest
     clock::duration grace{6'000};      // from the stop request until the process is killed
+    double limit_tolerance = 0;        // operations of an organisation beyond its rate and burst
     log_settings log;
 };
 
@@ -31,7 +32,6 @@
     std::string listen;           // IP:PORT for callers
     std::string readiness_listen; // IP:PORT for the load balancer's readiness probe
     std::uint32_t max_connections = 4'000;
-    double limit_tolerance = 0; // operations of an organisation allowed beyond its rate and burst
 };
 
 struct cell_settings : deployment_settings {
--- a/src/http_listener.cpp
+++ b/src/http_listener.cpp
@@ -18,6 +18,7 @@
 #include <boost/beast/ssl/ssl_stream.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 #include <atomic>
@@ -83,10 +84,19 @@
 }
 
 // Returns the response to a request that could not be read, or nothing if the peer disconnected.
-std::optional<response> read_error_response(const beast::error_code& cause)
+// `announced_bytes` is the length in the request's headers; it may be empty.
+std::optional<response> read_error_response(const beast::error_code& cause,
+                                            const listener_settings& settings,
+                                            std::string_view announced_bytes)
 {
     if (cause == beast::http::error::body_limit) {
-        return problem_response(413, "The request body is too large.", "Send a smaller statement.");
+        const std::string size =
+            announced_bytes.empty() ? "is too large" : fmt::format("has {} bytes", announced_bytes);
+        return problem_response(413,
+                                fmt::format("The {} {}; the limit is {}.", settings.body_name, size,
+                                            settings.max_body_bytes),
+                                fmt::format("Send a {} of at most {} bytes.", settings.body_name,
+                                            settings.max_body_bytes));
     }
     if (cause == beast::http::error::header_limit) {
         return problem_response(431, "The request headers are too large.",
@@ -350,7 +360,7 @@
                                                          std::uint64_t connection)
 {
     request_parser parser;
-    parser.body_limit(config::max_body_bytes);
+    parser.body_limit(settings.max_body_bytes);
     parser.header_limit(config::max_header_bytes);
     set_idle(connection, true);
     if (buffer.size() == 0) {
@@ -367,7 +377,8 @@
     tcp_layer(stream).expires_never();
     const beast::error_code ec = co_await read_request(stream, buffer, parser);
     if (ec) {
-        std::optional<response> refusal = read_error_response(ec);
+        const std::string_view length = parser.get()[beast::http::field::content_length];
+        std::optional<response> refusal = read_error_response(ec, settings, length);
         if (refusal) {
             co_await write_response(stream, *refusal, false);
         }
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -36,6 +36,10 @@
 // received a request, which was sent at most `timely_round_trip` earlier.
 constexpr clock::duration isolated_after =
     cell::confirmation_timeout + timely_round_trip + clock::duration(50);
+// A relay that lost the leader is left after the time of an election, early enough that the lease
+// outlasts the search for another one.
+constexpr clock::duration stale_relay_age{1'600};
+constexpr clock::duration min_relay_stay{500};
 // Tokens are requested for this time in advance, so that not every operation sends a request.
 constexpr clock::duration borrow_lookahead{300};
 
@@ -46,7 +50,8 @@
                    event_log& events)
     : executor_(std::move(executor)), settings_(settings), incarnation_(incarnation),
       parser_(std::move(parser)), connections_(connections), events_(events),
-      lease_(settings.revocation * lease_tenths / 10)
+      lease_(settings.revocation * lease_tenths / 10),
+      relays_(settings.instance, settings.failure_domain.text())
 {
     set_seeds(settings.control);
 }
@@ -59,42 +64,53 @@
     }
 }
 
-limiter* follower::limiter_for(std::string_view organisation)
-{
-    const auto found = limits_.find(organisation);
-    return found == limits_.end() ? nullptr : &found->second;
-}
-
-// Cycles through the known members of the cell and the addresses from the settings.
-void follower::choose_next_endpoint()
+// Returns the best relay or, if there is none, the next of the cell's known members and of the
+// addresses from the settings.
+std::string follower::next_endpoint(clock::time_point now) const
 {
+    std::string relay = relays_.choose(now);
+    if (!relay.empty()) {
+        return relay;
+    }
     std::set<std::string> candidates = endpoints_;
     candidates.insert(seeds_.begin(), seeds_.end());
     if (candidates.empty()) {
+        return {};
+    }
+    const auto next = candidates.upper_bound(endpoint_);
+    return next == candidates.end() ? *candidates.begin() : *next;
+}
+
+void follower::follow_endpoint(const std::string& endpoint, std::string_view reason,
+                               clock::time_point now)
+{
+    endpoint_chosen_at_ = now;
+    sends_soon_ = true;
+    if (endpoint == endpoint_ || endpoint.empty()) {
         return;
     }
-    auto next = candidates.upper_bound(leader_);
-    leader_ = next == candidates.end() ? *candidates.begin() : *next;
+    if (is_answered_) {
+        events_.decision("control", "leader_lost")
+            .field("leader", endpoint_)
+            .field("reason", reason)
+            .field("next", endpoint)
+            .field("silent_ms", (now - last_reply_at_).count());
+        is_answered_ = false;
+    }
+    if (messages_ != nullptr && !endpoint_.empty()) {
+        messages_->disconnect(endpoint_); // its idle connection costs both sides heartbeats
+    }
+    endpoint_ = endpoint;
 }
 
 void follower::tick(clock::time_point now)
 {
-    const bool is_isolated = now - timely_request_at_ > isolated_after;
-    for (auto& [organisation, limits] : limits_) {
-        limits.set_isolated(is_isolated, now);
-    }
+    limits_.set_isolated(now - timely_request_at_ > isolated_after, now);
     request_missing_tokens(now);
-    const bool is_silent = now - std::max(last_reply_at_, leader_chosen_at_) > leader_timeout;
-    if (leader_.empty() || is_silent) {
-        if (has_leader_) {
-            events_.decision("control", "leader_lost")
-                .field("leader", leader_)
-                .field("silent_ms", (now - last_reply_at_).count());
-            has_leader_ = false;
-        }
-        choose_next_endpoint();
-        leader_chosen_at_ = now;
-        sends_soon_ = true;
+    const bool is_silent = now - std::max(last_reply_at_, endpoint_chosen_at_) > leader_timeout;
+    if (endpoint_.empty() || is_silent) {
+        relays_.record_failure(endpoint_, now);
+        follow_endpoint(next_endpoint(now), "silent", now);
     }
     const clock::duration interval = sends_soon_ ? min_follow_interval : follow_interval;
     if (now - sent_at_ >= interval) {
@@ -102,22 +118,6 @@
     }
 }
 
-// Omits organisations that have neither a share nor operations at this instance.
-void follower::report_shares(pb::follow_request& request, clock::time_point now)
-{
-    request.set_tells_shares(true);
-    for (auto& [organisation, limits] : limits_) {
-        const double demand = is_leaving_ ? 0 : limits.demand(now);
-        if (limits.share() == 0 && (is_leaving_ || !limits.needs_share())) {
-            continue;
-        }
-        pb::share_report& report = *request.add_shares();
-        report.set_organisation(organisation);
-        report.set_share_ppm(limits.share());
-        report.set_demand_per_s(demand);
-    }
-}
-
 pb::envelope follower::make_envelope() const
 {
     pb::envelope message;
@@ -126,11 +126,12 @@
     return message;
 }
 
-// Requests the tokens that organisations lack up to their capacity.
+// Requests the tokens that organisations lack up to their capacity. A relay keeps the shares of its
+// followers, which request tokens for operations only.
 void follower::request_missing_tokens(clock::time_point now)
 {
     const bool is_due = now - tokens_requested_at_ >= token_request_interval;
-    if (!is_due || messages_ == nullptr || central_ppm_ == 0 ||
+    if (!is_due || messages_ == nullptr || central_ppm_ == 0 || follows_relay() ||
         now - last_reply_at_ > leader_timeout) {
         return;
     }
@@ -138,37 +139,35 @@
     pb::envelope message = make_envelope();
     pb::token_request& request = *message.mutable_ask_tokens();
     request.set_instance(settings_.instance);
-    for (auto& [organisation, limits] : limits_) {
-        const std::uint32_t missing = limits.missing_tokens(now);
-        if (missing > 0) {
-            pb::token_amount& amount = *request.add_wanted();
-            amount.set_organisation(organisation);
-            amount.set_tokens(missing);
-        }
-    }
+    limits_.request_missing(request, now);
     if (request.wanted_size() > 0) {
-        messages_->send(leader_, message);
+        messages_->send(endpoint_, message);
     }
 }
 
-net::awaitable<bool> follower::borrow_token(const std::string& organisation)
+pb::envelope follower::make_token_request(const std::string& organisation, clock::time_point now)
 {
-    const clock::time_point now = clock::now();
+    pb::envelope message = make_envelope();
+    message.mutable_ask_tokens()->set_instance(settings_.instance);
+    pb::token_amount& amount = *message.mutable_ask_tokens()->add_wanted();
+    amount.set_organisation(organisation);
     limiter* const limits = limiter_for(organisation);
-    if (limits == nullptr || central_ppm_ == 0 || now - last_reply_at_ > leader_timeout) {
-        co_return false;
-    }
+    const double demand = limits == nullptr ? 0 : limits->demand(now);
+    const double lookahead_tokens = demand * static_cast<double>(borrow_lookahead.count()) / 1'000;
+    amount.set_tokens(1 + static_cast<std::uint32_t>(lookahead_tokens));
+    return message;
+}
+
+// Requests a token at `endpoint` unless a request for the organisation is outstanding, and waits
+// for the reply.
+net::awaitable<bool> follower::request_token(const std::string& organisation,
+                                             const std::string& endpoint)
+{
+    const clock::time_point now = clock::now();
     token_wait& wait = token_waits_[organisation];
     if (wait.timers.empty() || now - wait.requested_at > borrow_timeout) {
         wait.requested_at = now;
-        pb::envelope message = make_envelope();
-        message.mutable_ask_tokens()->set_instance(settings_.instance);
-        pb::token_amount& amount = *message.mutable_ask_tokens()->add_wanted();
-        amount.set_organisation(organisation);
-        const double lookahead_tokens =
-            limits->demand(now) * static_cast<double>(borrow_lookahead.count()) / 1'000;
-        amount.set_tokens(1 + static_cast<std::uint32_t>(lookahead_tokens));
-        messages_->send(leader_, message);
+        messages_->send(endpoint, make_token_request(organisation, now));
     }
     net::steady_timer timer(executor_, borrow_timeout);
     const auto position = wait.timers.insert(wait.timers.end(), &timer);
@@ -178,14 +177,45 @@
     co_return limits_after != nullptr && limits_after->try_take_uncounted(clock::now());
 }
 
+net::awaitable<bool> follower::borrow_token(const std::string& organisation)
+{
+    const clock::time_point asked_at = clock::now();
+    const bool is_silent = asked_at - last_reply_at_ > leader_timeout;
+    if (limiter_for(organisation) == nullptr || central_ppm_ == 0 ||
+        (is_silent && !follows_relay())) {
+        co_return false;
+    }
+    if (!is_silent) {
+        const std::string endpoint = endpoint_;
+        const bool is_granted = co_await request_token(organisation, endpoint);
+        if (is_granted || token_waits_[organisation].answered_at >= asked_at) {
+            co_return is_granted;
+        }
+    }
+    // The relay may be down or frozen: another one has a share of the limits too.
+    const std::string alternative = relays_.alternative_to(endpoint_, clock::now());
+    if (alternative.empty()) {
+        co_return false;
+    }
+    co_return co_await request_token(organisation, alternative);
+}
+
 void follower::receive_tokens(const pb::token_reply& reply, clock::time_point now)
 {
     for (const pb::token_amount& granted : reply.granted()) {
         limiter* const limits = limiter_for(granted.organisation());
         if (limits != nullptr) {
             limits->add_granted_tokens(granted.tokens(), now);
+            if (granted.retry_after_ms() > 0) {
+                limits->set_retry_after(clock::duration(granted.retry_after_ms()));
+            }
+        }
+        const auto wait = token_waits_.find(granted.organisation());
+        if (wait == token_waits_.end()) {
+            continue;
         }
-        for (net::steady_timer* timer : token_waits_[granted.organisation()].timers) {
+        wait->second.answered_at = now;
+        for (net::steady_timer* timer : wait->second.timers) {
             timer->cancel();
         }
     }
@@ -196,16 +226,14 @@
 {
     const bool is_overdue = now - confirmed_at_ > lease_;
     if (is_overdue) {
-        for (auto& [organisation, limits] : limits_) {
-            limits.drop_share(now);
-        }
+        limits_.drop_shares(now);
     }
     return is_overdue;
 }
 
 void follower::send(clock::time_point now)
 {
-    if (messages_ == nullptr || leader_.empty()) {
+    if (messages_ == nullptr || endpoint_.empty()) {
         return;
     }
     static_cast<void>(drop_expired_shares(now));
@@ -223,11 +251,9 @@
     request.set_leaving(is_leaving_);
     request.set_answered_sequence(timely_sequence_);
     request.set_failure_domain(settings_.failure_domain.text());
-    const bool needs_share = std::any_of(
-        limits_.begin(), limits_.end(), [](const auto& item) { return item.second.needs_share(); });
-    if (now - shares_sent_at_ >= share_report_interval(needs_share)) {
+    if (!follows_relay() && now - shares_sent_at_ >= share_report_interval(limits_.needs_share())) {
         shares_sent_at_ = now;
-        report_shares(request, now);
+        limits_.report_shares(request, share_report_scope::active, is_leaving_, now);
     }
     for (const std::string& group : connections_.groups()) {
         const primary_sighting sighting = connections_.primary_of(group).sighting(now);
@@ -240,18 +266,16 @@
         report.set_reached_ms_ago(sighting.reached_ago ? sighting.reached_ago->count() : -1);
         report.set_failing_for_ms(sighting.failing_for.count());
     }
-    messages_->send(leader_, message);
+    messages_->send(endpoint_, message);
 }
 
 void follower::receive(const pb::follow_reply& reply, clock::time_point now)
 {
     if (!reply.is_leader()) {
         const bool is_other_instance =
-            !reply.leader_hint().empty() && reply.leader_hint() != leader_;
+            !reply.leader_hint().empty() && reply.leader_hint() != endpoint_;
         if (is_other_instance && reply.sequence() == sequence_) {
-            leader_ = reply.leader_hint();
-            leader_chosen_at_ = now;
-            sends_soon_ = true;
+            follow_endpoint(reply.leader_hint(), "redirected", now);
         }
         return;
     }
@@ -261,38 +285,72 @@
     }
     last_reply_sequence_ = reply.sequence();
     last_reply_at_ = now;
-    if (now - from_ms(reply.asked_at_ms()) <= timely_round_trip) {
+    const clock::time_point asked_at = from_ms(reply.asked_at_ms());
+    if (now - asked_at <= timely_round_trip) {
         timely_sequence_ = reply.sequence();
-        timely_request_at_ = from_ms(reply.asked_at_ms());
+        timely_request_at_ = asked_at;
     }
-    if (!has_leader_) {
-        has_leader_ = true;
+    if (!is_answered_) {
+        is_answered_ = true;
         sends_soon_ = true; // a new leader waits for the share reports of all instances
         shares_sent_at_ = clock::time_point{};
         events_.decision("control", "leader_found")
-            .field("leader", leader_)
-            .field("term", static_cast<std::int64_t>(reply.control_term()));
+            .field("leader", endpoint_)
+            .field("term", static_cast<std::int64_t>(reply.control_term()))
+            .field("relays", static_cast<std::int64_t>(reply.relays_size()));
     }
     if (reply.has_document()) {
         apply_document(reply.document(), now);
     }
     apply_directory(reply, now);
+    apply_positions(reply);
     if (!drop_expired_shares(now)) {
-        apply_shares(reply, now);
+        limits_.apply_shares(reply, now);
     }
     // The version was the newest one when the leader replied, and so also when the request was
-    // sent.
+    // sent. A relay tells how long ago it asked.
+    const clock::time_point confirmed_at = asked_at - clock::duration(reply.confirmed_age_ms());
     if (document_ && document_->version() >= reply.document_version()) {
-        confirmed_at_ = std::max(confirmed_at_, from_ms(reply.asked_at_ms()));
+        confirmed_at_ = std::max(confirmed_at_, confirmed_at);
     }
+    apply_relays(reply, now);
 }
 
-void follower::apply_shares(const pb::follow_reply& reply, clock::time_point now)
+// Follows a relay while the leader asks for it: the preferred one, unless it has lost the leader.
+void follower::apply_relays(const pb::follow_reply& reply, clock::time_point now)
 {
-    for (const pb::share_grant& grant : reply.shares()) {
-        if (limiter* const limits = limiter_for(grant.organisation())) {
-            limits->set_share(grant.share_ppm(), now);
-        }
+    std::vector<relay_candidate> candidates;
+    for (const pb::relay_address& each : reply.relays()) {
+        candidates.push_back({each.endpoint(), each.failure_domain()});
+    }
+    const bool had_relays = relays_.has_relays();
+    relays_.set_relays(std::move(candidates));
+    if (!relays_.has_relays()) {
+        return;
+    }
+    if (!had_relays) {
+        limits_.drop_shares(now); // the relay has this instance's part
+    }
+    if (reply.confirmed_age_ms() > stale_relay_age.count()) {
+        relays_.record_failure(endpoint_, now);
+    }
+    else {
+        relays_.record_success(endpoint_);
+    }
+    const std::string preferred = relays_.choose(now);
+    if (!preferred.empty() && preferred != endpoint_ &&
+        now - endpoint_chosen_at_ >= min_relay_stay) {
+        follow_endpoint(preferred, "prefers another relay", now);
+    }
+}
+
+void follower::apply_positions(const pb::follow_reply& reply)
+{
+    const clock::time_point asked_at = from_ms(reply.asked_at_ms());
+    for (const pb::group_position& each : reply.positions()) {
+        connections_.freshness_of(each.group())
+            .record(each.server(), log_position{each.term(), each.index()},
+                    asked_at - clock::duration(each.age_ms()));
     }
 }
 
@@ -322,16 +380,8 @@
 
 void follower::apply_limits(clock::time_point now)
 {
-    std::erase_if(limits_,
-                  [&](const auto& item) { return document_->organisation(item.first) == nullptr; });
-    const distributed_fractions distributed{1 - central_ppm_ / 1e6,
-                                            1 - cell::central_burst_fraction(central_ppm_)};
-    for (const document_organisation& organisation : document_->content().organisations) {
-        limits_.try_emplace(organisation.name, now)
-            .first->second.set_limits(organisation.rate, organisation.burst, distributed,
-                                      settings_.limit_tolerance * tolerance_fraction /
-                                          live_instances_);
-    }
+    const double tolerance = settings_.limit_tolerance * tolerance_fraction / live_instances_;
+    limits_.apply(*document_, {central_ppm_, tolerance}, now);
     for (const document_group& group : document_->content().groups) {
         connections_.set_limits(group.name, group.connection_limit, live_instances_);
     }
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -1,11 +1,12 @@
-// Client of the cell's leader in a pooler instance. It receives the document and its confirmation,
-// shares of limits and the directory of backend servers, and reports how the instance sees the
-// primaries. One thread.
+// Client of the cell in a pooler instance. It receives the document and its confirmation, shares of
+// limits and the directory of backend servers, and reports how the instance sees the primaries. It
+// follows the leader or, in a large fleet, a relay (cell_relay.h). One thread.
 #pragma once
 
 #include "deployment_settings.h"
 #include "document.h"
-#include "pooler_limits.h"
+#include "pooler_limit_table.h"
+#include "pooler_relay_chooser.h"
 
 #include <primrosehead/bus.h>
 #include <primrosehead/clock.h>
@@ -71,22 +72,34 @@
     [[nodiscard]] clock::time_point last_reply_at() const noexcept { return last_reply_at_; }
     [[nodiscard]] clock::time_point confirmed_at() const noexcept { return confirmed_at_; }
 
-    // Requests an operation's token from the leader when this instance's share is used up. False:
-    // no token was granted, or the leader does not reply.
+    // Requests an operation's token from the leader or relay when this instance's share is used up.
+    // False: no token was granted, or neither the endpoint nor an alternative replies.
     [[nodiscard]] boost::asio::awaitable<bool> borrow_token(const std::string& organisation);
     void receive_tokens(const pb::token_reply& reply, clock::time_point now);
 
     // Null for an unknown organisation.
-    [[nodiscard]] limiter* limiter_for(std::string_view organisation);
+    [[nodiscard]] limiter* limiter_for(std::string_view organisation)
+    {
+        return limits_.find(organisation);
+    }
+
+    // True while the instance follows a relay, which also observes the primaries' log positions.
+    [[nodiscard]] bool follows_relay() const noexcept { return relays_.has_relays(); }
 
   private:
     void send(clock::time_point now);
     [[nodiscard]] pb::envelope make_envelope() const;
     void request_missing_tokens(clock::time_point now);
-    void report_shares(pb::follow_request& request, clock::time_point now);
-    void choose_next_endpoint();
+    void follow_endpoint(const std::string& endpoint, std::string_view reason,
+                         clock::time_point now);
+    [[nodiscard]] std::string next_endpoint(clock::time_point now) const;
+    void apply_relays(const pb::follow_reply& reply, clock::time_point now);
+    void apply_positions(const pb::follow_reply& reply);
+    [[nodiscard]] boost::asio::awaitable<bool> request_token(const std::string& organisation,
+                                                             const std::string& endpoint);
+    [[nodiscard]] pb::envelope make_token_request(const std::string& organisation,
+                                                  clock::time_point now);
     [[nodiscard]] bool drop_expired_shares(clock::time_point now);
-    void apply_shares(const pb::follow_reply& reply, clock::time_point now);
     void apply_document(const pb::published_record& record, clock::time_point now);
     void apply_limits(clock::time_point now);
     void apply_directory(const pb::follow_reply& reply, clock::time_point now);
@@ -101,11 +114,12 @@
     clock::duration lease_;
 
     std::shared_ptr<const document> document_;
-    std::map<std::string, limiter, std::less<>> limits_;
+    limit_table limits_;
     std::uint32_t central_ppm_ = 0; // part of rates and bursts that the leader keeps, in millionths
     // Operations of an organisation that wait for a token.
     struct token_wait {
         clock::time_point requested_at;
+        clock::time_point answered_at;
         std::list<boost::asio::steady_timer*> timers;
     };
     std::map<std::string, token_wait, std::less<>> token_waits_;
@@ -115,11 +129,12 @@
 
     std::set<std::string> endpoints_;
     std::set<std::string> seeds_;
-    std::string leader_;
+    relay_chooser relays_;
+    std::string endpoint_; // of the leader or relay that this instance follows
     clock::time_point sent_at_{};
     clock::time_point last_reply_at_{};
-    clock::time_point leader_chosen_at_{};
-    bool has_leader_ = false;
+    clock::time_point endpoint_chosen_at_{};
+    bool is_answered_ = false; // by the endpoint
     std::uint64_t sequence_ = 0;
     std::uint64_t last_reply_sequence_ = 0;
     // The latest reply within `timely_round_trip`, and when its request was sent.
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -4,6 +4,7 @@
 #include "clock_timer.h"
 #include "event_log.h"
 #include "http_address.h"
+#include "incarnation.h"
 #include "pooler_context.h"
 #include "pooler_follower.h"
 #include "pooler_metrics.h"
@@ -26,7 +27,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
-#include <chrono>
 #include <functional>
 #include <map>
 #include <unistd.h>
@@ -58,13 +58,6 @@
 // callers reconnect to other instances.
 constexpr clock::duration unconfirmed_grace{1'000};
 
-std::uint64_t new_incarnation()
-{
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
-}
-
 http::response text_response(unsigned status, std::string text)
 {
     http::response response;
@@ -86,7 +79,7 @@
           events(STDOUT_FILENO, instance_settings.instance), settings_file(std::move(path)),
           acceptor(context), connections(context.get_executor(), parts.dialect, events,
                                          instance_settings.failure_domain.text()),
-          control(context.get_executor(), instance_settings, new_incarnation(),
+          control(context.get_executor(), instance_settings, make_incarnation(),
                   parts.parse_document, connections, events),
           session_resources{context.get_executor(), parts.dialect, connections, control, events,
                             statement_metrics}
@@ -326,6 +319,9 @@
     connections.evict_idle(now);
     update_readiness(now);
     reload();
+    if (control.follows_relay()) {
+        return; // the relay observes the primaries
+    }
     for (const std::string& group : connections.groups()) {
         const std::optional<clock::time_point> newest =
             connections.freshness_of(group).newest_request_at();
--- a/src/pooler_limits.cpp
+++ b/src/pooler_limits.cpp
@@ -97,6 +97,13 @@
     return try_take_uncounted(now);
 }
 
+bool limiter::try_take_counted_if_taken(clock::time_point now) noexcept
+{
+    const bool is_taken = try_take_uncounted(now);
+    arrivals_ += is_taken ? 1 : 0;
+    return is_taken;
+}
+
 bool limiter::try_take_uncounted(clock::time_point now) noexcept
 {
     if (granted_ > 0 && now - granted_at_ < grant_validity) {
@@ -137,7 +144,7 @@
 {
     const double per_ms = rate_ * own_share(distributed_.rate) / ms_per_s;
     if (per_ms <= 0) {
-        return max_retry_after;
+        return told_retry_after_.value_or(max_retry_after);
     }
     const auto wait = static_cast<std::int64_t>(std::ceil((1 - tokens_) / per_ms));
     return std::clamp(clock::duration(wait), clock::duration(1), max_retry_after);
--- a/src/pooler_limits.h
+++ b/src/pooler_limits.h
@@ -5,6 +5,7 @@
 #include <primrosehead/clock.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace primrosehead::pooler {
 
@@ -47,6 +48,12 @@
     // Takes one operation's token. False: none is available.
     [[nodiscard]] bool try_take(clock::time_point now) noexcept;
 
+    // Does the same, and counts the operation in the demand only if it gets the token.
+    [[nodiscard]] bool try_take_counted_if_taken(clock::time_point now) noexcept;
+
+    // Counts an operation in the demand.
+    void count_arrival() noexcept { ++arrivals_; }
+
     // Does the same for an operation that is already counted in the demand.
     [[nodiscard]] bool try_take_uncounted(clock::time_point now) noexcept;
 
@@ -60,8 +67,9 @@
     // Returns the token of an operation that did not run.
     void return_token() noexcept;
 
-    // Returns the time until the next token.
+    // Returns the time until the next token: the granting process's, if it told one.
     [[nodiscard]] clock::duration retry_after() const noexcept;
+    void set_retry_after(clock::duration time) noexcept { told_retry_after_ = time; }
 
     // Returns the smoothed arrival rate, in operations per second.
     [[nodiscard]] double demand(clock::time_point now) noexcept;
@@ -82,6 +90,7 @@
     clock::time_point granted_at_{};
     clock::time_point refilled_at_;
     bool never_had_share_ = true;
+    std::optional<clock::duration> told_retry_after_;
 
     std::uint32_t arrivals_ = 0;
     double demand_ = 0;
--- a/src/pooler_placement.cpp
+++ b/src/pooler_placement.cpp
@@ -1,5 +1,7 @@
 #include "pooler_placement.h"
 
+#include <algorithm>
+
 namespace primrosehead::pooler {
 
 namespace {
@@ -14,6 +16,8 @@
 constexpr double primary_read_cost_ms = 12;
 // Setup queries are sent in the same round trip as the statement.
 constexpr double setup_cost_ms = 0.2;
+// Connections that an instance may open above its fair share while others need fewer.
+constexpr std::uint32_t connections_above_fair_share = 1;
 
 std::optional<connection_choice> best_choice(const placement_server& server)
 {
@@ -40,6 +44,12 @@
 
 } // namespace
 
+connection_budget divide_connections(std::uint32_t connections, std::uint32_t instances) noexcept
+{
+    const std::uint32_t fair_share = connections / std::max(1U, instances);
+    return {fair_share, std::max(1U, fair_share) + connections_above_fair_share};
+}
+
 double placement_cost_ms(const placement_server& server, connection_choice choice)
 {
     const double waiting = static_cast<double>(server.running) / server.slots;
--- a/src/pooler_placement.h
+++ b/src/pooler_placement.h
@@ -38,6 +38,18 @@
     replace_idle, // replaces an idle one of another organisation
 };
 
+// One instance's part of a server's connections.
+struct connection_budget {
+    std::uint32_t kept = 0;  // may stay idle for long
+    std::uint32_t limit = 0; // may be open at a time
+};
+
+// Divides a server's connections over the instances. In a fleet of more instances than connections
+// none is kept: an instance rarely runs two operations of one organisation in a row at a server,
+// and a connection that it kept would be missing elsewhere.
+[[nodiscard]] connection_budget divide_connections(std::uint32_t connections,
+                                                   std::uint32_t instances) noexcept;
+
 struct placement {
     std::size_t index = 0;
     connection_choice choice = connection_choice::matching;
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -26,8 +26,6 @@
 constexpr clock::duration surplus_idle_timeout{400};
 // Idle timeout of connections within the fair share.
 constexpr clock::duration idle_timeout{8'000};
-// Connections that an instance may open above its fair share while others need fewer.
-constexpr std::uint32_t connections_above_fair_share = 1;
 // Connections left free at each server for the current and the previous control leader.
 constexpr std::uint32_t reserved_control_connections = 2;
 
@@ -166,8 +164,7 @@
 std::uint32_t pool::open_limit(const group_state& state, const pooled_server& server,
                                clock::time_point now) const
 {
-    const std::uint32_t fair_share = std::max(1U, state.connection_limit / state.instances);
-    const std::uint32_t limit = fair_share + connections_above_fair_share;
+    const std::uint32_t limit = divide_connections(state.connection_limit, state.instances).limit;
     return now < server.saturated_until ? std::min(limit, server.saturated_limit) : limit;
 }
 
@@ -494,10 +491,10 @@
 void pool::evict_idle(clock::time_point now)
 {
     for (auto& [name, state] : groups_) {
-        const std::uint32_t fair_share = std::max(1U, state.connection_limit / state.instances);
+        const std::uint32_t kept = divide_connections(state.connection_limit, state.instances).kept;
         for (auto& [id, server] : state.servers) {
             pooled_server& each = *server;
-            std::uint32_t excess = each.open > fair_share ? each.open - fair_share : 0;
+            std::uint32_t excess = each.open > kept ? each.open - kept : 0;
             const std::size_t closed = std::erase_if(each.idle, [&](const auto& connection) {
                 const clock::duration unused = now - connection->last_used_at;
                 const bool is_excess = excess > 0 && unused > surplus_idle_timeout;
--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -213,11 +213,11 @@
             continue;
         }
         if (state.report.failing_for >= settings_.failing_threshold) {
-            ++failing;
+            failing += state.report.instances;
         }
         else if (state.report.reached_ago &&
                  *state.report.reached_ago < settings_.failing_threshold) {
-            ++served;
+            served += state.report.instances;
         }
     }
     return failing > served;
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -98,6 +98,7 @@
     std::string server;
     std::optional<clock::duration> reached_ago; // time since it last acted as the primary
     clock::duration failing_for{0};
+    std::uint32_t instances = 1; // that the report stands for
 };
 
 struct planner_settings {
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -241,12 +241,13 @@
     report.set_organisation("org");
     report.set_demand_per_s(5);
     CHECK(leader.follow(request, state, servers, at(10)).shares(0).share_ppm() == 0);
-    const auto commands = leader.pending_registrations(state, at(20));
+    CHECK(leader.pending_registrations(state, at(20)).empty()); // the fleet is still starting
+    const auto commands = leader.pending_registrations(state, at(1'010));
     REQUIRE(commands.size() == 1);
     CHECK(state.apply(commands.front()).ok());
-    CHECK(leader.pending_registrations(state, at(30)).empty());
+    CHECK(leader.pending_registrations(state, at(1'020)).empty());
     request.set_sequence(2);
-    CHECK(leader.follow(request, state, servers, at(40)).shares(0).share_ppm() > 0);
+    CHECK(leader.follow(request, state, servers, at(1'030)).shares(0).share_ppm() > 0);
 }
 
 TEST_CASE("cell service: a new leader starts from the recorded members")
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -107,6 +107,37 @@
               .starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE(
+    "http: a listener for documents takes those up to its limit and names the limit otherwise")
+{
+    net::io_context context;
+    http::listener_settings settings{.address = "127.0.0.1:0"};
+    settings.max_body_bytes = config::max_published_bytes;
+    settings.body_name = "document";
+    auto opened =
+        http::listener::open(context.get_executor(), settings,
+                             [](const http::request& received) -> net::awaitable<http::response> {
+                                 http::response answer;
+                                 answer.body = std::to_string(received.body.size());
+                                 co_return answer;
+                             });
+    REQUIRE(ok(opened));
+    const auto put = [&](std::size_t size) {
+        return exchange(context, value(opened)->port(),
+                        "PUT / HTTP/1.1\r\nConnection: close\r\nContent-Length: " +
+                            std::to_string(size) + "\r\n\r\n" + std::string(size, 'x'));
+    };
+    const std::string taken = put(config::max_published_bytes);
+    CHECK(taken.starts_with("HTTP/1.1 200"));
+    CHECK(taken.find(std::to_string(config::max_published_bytes)) != std::string::npos);
+    const std::string refused = exchange(context, value(opened)->port(),
+                                         "PUT / HTTP/1.1\r\nContent-Length: 4194305\r\n\r\n");
+    CHECK(refused.starts_with("HTTP/1.1 413"));
+    CHECK(refused.find("The document has 4194305 bytes; the limit is 4194304.") !=
+          std::string::npos);
+    CHECK(refused.find("Send a document of at most") != std::string::npos);
+}
+
 TEST_CASE("http: a draining listener completes the current request and closes its connections")
 {
     net::io_context context;
