A primary that is back under another name keeps the lead

The next control leader's planner took it for a replica, asked it to pause, which a primary ignores, and stayed in its fencing phase for 21 s. Meanwhile its reports named the server that was gone, and instances, which took that for the primary, refused 13,029 operations with no_primary although they knew the new name. Ruled out: missing commits (the planner of the next leader, at 34 s, promoted at once), a silent platform. Change: while fencing, members that say they are the primary are checked; one that accepts a transaction is confirmed. A leader's report of a server that the instance doesn't know is not used.

--- a/src/pooler_primary.cpp
+++ b/src/pooler_primary.cpp
@@ -16,22 +16,26 @@
 void primary_tracker::set_servers(std::vector<known_server> known)
 {
     known_ = std::move(known);
-    const auto is_known = [this](std::string_view server) {
-        return std::any_of(known_.begin(), known_.end(),
-                           [&](const known_server& each) { return each.server == server; });
-    };
     if (!is_known(current_)) {
         current_.clear();
         failing_since_.reset();
         write_failing_since_.reset();
     }
-    std::erase_if(refused_at_, [&](const auto& item) { return !is_known(item.first); });
+    std::erase_if(refused_at_, [this](const auto& item) { return !is_known(item.first); });
+}
+
+bool primary_tracker::is_known(std::string_view server) const
+{
+    return std::any_of(known_.begin(), known_.end(),
+                       [&](const known_server& each) { return each.server == server; });
 }
 
 void primary_tracker::record_control_report(std::string_view server, std::uint64_t generation,
                                             clock::time_point now)
 {
-    if (generation < generation_ || server == current_ || !may_be_primary(server, now)) {
+    // The leader may not have heard yet that a server is gone, or this instance of a new one.
+    if (generation < generation_ || server == current_ || !is_known(server) ||
+        !may_be_primary(server, now)) {
         generation_ = std::max(generation_, generation);
         return;
     }
--- a/src/pooler_primary.h
+++ b/src/pooler_primary.h
@@ -55,6 +55,7 @@
 
   private:
     void set_current(std::string_view server);
+    [[nodiscard]] bool is_known(std::string_view server) const;
     [[nodiscard]] bool may_be_primary(std::string_view server, clock::time_point now) const;
 
     std::vector<known_server> known_;
--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -457,8 +457,29 @@
     return false;
 }
 
+// A primary that crashed may be back under another name and lead the same term: confirming it loses
+// nothing. It can't be paused, so that no other member could be promoted beside it.
+void planner::look_for_returned_primary(clock::time_point now)
+{
+    for (const member& each : members_) {
+        const server_state& state = state_of(each.server);
+        const bool says_primary =
+            each.claims_primary || (state.status.has_value() && state.status->is_primary);
+        if (each.server != old_primary_ && says_primary) {
+            check_role(each, settings_.check_interval, now);
+        }
+    }
+    const bool has_returned = primary_ != old_primary_ && find_member(primary_) != nullptr &&
+                              primary_confirmed_at_ >= phase_started_at_;
+    if (has_returned) {
+        old_primary_ = primary_;
+        is_reconfirmation_ = true;
+    }
+}
+
 void planner::advance_fencing(clock::time_point now)
 {
+    look_for_returned_primary(now);
     if (is_reconfirmation_) {
         candidate_ = old_primary_;
         send_promotion_request(now);
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -177,6 +177,7 @@
     void update_members(const std::vector<member>& members);
     void advance_steady(const decision_record& record, clock::time_point now);
     void check_for_primary(clock::time_point now);
+    void look_for_returned_primary(clock::time_point now);
     void resume_paused_replicas(const decision_record& record, clock::time_point now);
     [[nodiscard]] std::string change_reason(clock::time_point now) const;
     [[nodiscard]] bool is_primary_down(clock::time_point now) const;
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -111,6 +111,17 @@
     CHECK(guess.likely_primary(at(1'000)) == "b");
 }
 
+TEST_CASE("pooler primary: the leader's report of a server that is gone does not hide the others")
+{
+    primary_tracker guess;
+    guess.set_servers({{"old", true}, {"r", false}});
+    guess.record_control_report("old", 1, at(0));
+    CHECK(guess.likely_primary(at(10)) == "old");
+    guess.set_servers({{"new", true}, {"r", false}});
+    guess.record_control_report("old", 1, at(1'000));
+    CHECK(guess.likely_primary(at(1'010)) == "new");
+}
+
 TEST_CASE("pooler primary: an unreachable server stays the guess, so that it is retried")
 {
     primary_tracker guess;
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -146,6 +146,37 @@
     CHECK(find_action<request_promotion>(group_planner.advance(group, open, at(8'020))) != nullptr);
 }
 
+// A crashed primary came back under another name and at its old address, still leading; the group
+// had no primary for 25 s, because a primary can't be paused.
+TEST_CASE("promotion planner: a primary that is back under another name keeps the lead")
+{
+    planner group_planner = steady_plan();
+    REQUIRE(silence_until_decision(group_planner, 1'020, 2'500) > 0);
+    const decision_record open{1, {}};
+    const std::vector<member> renamed{
+        {"q", "p", false, true, 2}, {"r1", "r1", false, false, 1}, {"r2", "r2", false, false, 1}};
+    server_status leading = replica_at(10);
+    leading.is_primary = true;
+    bool is_checked = false;
+    std::string called;
+    for (std::int64_t now = 2'100; now <= 4'000 && called.empty(); now += 20) {
+        group_planner.on_status("r1", replica_at(10), at(now), at(now));
+        group_planner.on_paused("q", leading, at(now));
+        group_planner.on_unreachable("r2", false, at(now));
+        const auto actions = group_planner.advance(renamed, open, at(now));
+        const auto* const check = find_action<check_primary>(actions);
+        if (check != nullptr && check->server == "q") {
+            is_checked = true;
+            group_planner.on_primary("q", {1, 10}, at(now), at(now + 5));
+        }
+        if (const auto* const call = find_action<request_promotion>(actions)) {
+            called = call->server;
+        }
+    }
+    CHECK(is_checked);
+    CHECK(called == "q");
+}
+
 TEST_CASE("promotion planner: an unanswered request is repeated for the same server and number")
 {
     planner group_planner = steady_plan();
