--- a/tests/cell_relay_test.cpp
+++ b/tests/cell_relay_test.cpp
@@ -434,8 +434,10 @@
 TEST_CASE("relay chooser: the own failure domain first, the others are spread over the rest")
 {
     std::vector<pooler::relay_candidate> relays;
+    relays.reserve(6);
     for (int i = 0; i < 6; ++i) {
-        relays.push_back({"tcp://cell-" + std::to_string(i), "domain-" + std::to_string(i)});
+        const std::string number = std::to_string(i);
+        relays.push_back({"tcp://cell-" + number, "domain-" + number});
     }
     std::map<std::string, int> followers;
     for (int i = 0; i < 50; ++i) {
