A failing handler of one message or session does not end the process

Change: the inbox (bus_inbox, split from bus_runner) drops the message with a log line, consensus messages excepted; a session's failure ends that session only. Confirmations from the future and negative ages are refused.

--- a/src/bus_runner.h
+++ b/src/bus_runner.h
@@ -1,6 +1,8 @@
 // Polls a bus on a dedicated thread and passes received messages to an executor.
 #pragma once
 
+#include "bus_inbox.h"
+
 #include <primrosehead/bus.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -14,11 +16,9 @@
 
 class bus_runner {
   public:
-    using handler = std::function<void(const bus_origin& origin, const pb::envelope& message)>;
+    using handler = bus_inbox::handler;
 
-    // `handle` is called on `executor`, in the order in which messages arrived, except that
-    // consensus messages come first: a leader must not lose its quorum because of the requests that
-    // it receives. When config::max_bus_inbox other messages wait, the oldest are dropped.
+    // `handle` is called on `executor`, in the order of bus_inbox.h.
     bus_runner(std::unique_ptr<bus> messages, boost::asio::any_io_executor executor,
                handler handle);
     ~bus_runner();
@@ -28,12 +28,10 @@
     [[nodiscard]] bus& messages() noexcept { return *messages_; }
 
   private:
-    struct inbox;
     void run();
 
     std::unique_ptr<bus> messages_;
-    boost::asio::any_io_executor executor_;
-    std::shared_ptr<inbox> inbox_;
+    std::shared_ptr<bus_inbox> inbox_;
     std::atomic<bool> stopped_ = false;
     std::thread thread_;
 };
--- a/src/cell_relay.cpp
+++ b/src/cell_relay.cpp
@@ -311,8 +311,11 @@
     if (!reply.is_leader() || is_late) {
         return;
     }
-    last_reply_sequence_ = reply.sequence();
     const clock::time_point asked_at = from_ms(reply.asked_at_ms());
+    if (asked_at > now) {
+        return; // malformed: a confirmation from the future would outlast the lease
+    }
+    last_reply_sequence_ = reply.sequence();
     if (now - asked_at <= timely_round_trip) {
         timely_sequence_ = reply.sequence();
         timely_request_at_ = asked_at;
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -283,6 +283,13 @@
         reply.control_term() < control_term_) {
         return;
     }
+    if (reply.confirmed_age_ms() < 0) {
+        // A confirmation from the future would outlast the lease.
+        events_.decision("control", "reply_malformed")
+            .field("from", endpoint_)
+            .field("confirmed_age_ms", reply.confirmed_age_ms());
+        return;
+    }
     last_reply_sequence_ = reply.sequence();
     last_reply_at_ = now;
     const clock::time_point asked_at = from_ms(reply.asked_at_ms());
@@ -348,6 +355,9 @@
 {
     const clock::time_point asked_at = from_ms(reply.asked_at_ms());
     for (const pb::group_position& each : reply.positions()) {
+        if (each.age_ms() < 0) {
+            continue; // malformed
+        }
         connections_.freshness_of(each.group())
             .record(each.server(), log_position{each.term(), each.index()},
                     asked_at - clock::duration(each.age_ms()));
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -27,6 +27,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include <exception>
 #include <functional>
 #include <map>
 #include <unistd.h>
@@ -220,7 +221,15 @@
 net::awaitable<void> instance::implementation::run_session(std::shared_ptr<session> served,
                                                            std::uint64_t number)
 {
-    co_await served->run();
+    try {
+        co_await served->run();
+    }
+    catch (const std::exception& unexpected) {
+        // Ends this session only; its server connection is rolled back.
+        events.decision("session", "failed")
+            .field("session", static_cast<std::int64_t>(number))
+            .field("error", unexpected.what());
+    }
     sessions.erase(number);
 }
 
--- a/tests/bus_test.cpp
+++ b/tests/bus_test.cpp
@@ -1,4 +1,5 @@
 // Tests of the message bus over loopback.
+#include "bus_inbox.h"
 #include "primrosehead.pb.h"
 
 #include <primrosehead/bus.h>
@@ -8,7 +9,9 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <stdexcept>
 #include <string>
+#include <vector>
 #include <zmq.h>
 
 using namespace primrosehead;
@@ -91,3 +94,74 @@
     }
     CHECK(received == 0);
 }
+
+TEST_CASE("bus inbox: consensus messages come before a backlog of requests")
+{
+    boost::asio::io_context context;
+    std::vector<std::uint64_t> handled;
+    const auto inbox = bus_inbox::make(
+        context.get_executor(),
+        [&](const bus_origin&, const pb::envelope& message) {
+            handled.push_back(message.has_consensus() ? 0 : message.correlation());
+        },
+        1'000);
+    pb::envelope request;
+    request.mutable_follow();
+    for (std::uint64_t number = 1; number <= 300; ++number) {
+        request.set_correlation(number);
+        inbox->add({}, request);
+    }
+    pb::envelope vote;
+    vote.mutable_consensus();
+    inbox->add({}, vote);
+    context.run();
+    REQUIRE(handled.size() == 301);
+    CHECK(handled.front() == 0);
+    CHECK(handled[1] == 1);
+    CHECK(handled.back() == 300);
+}
+
+TEST_CASE("bus inbox: with too many messages waiting, the oldest requests are dropped")
+{
+    boost::asio::io_context context;
+    std::vector<std::uint64_t> handled;
+    const auto inbox = bus_inbox::make(
+        context.get_executor(),
+        [&](const bus_origin&, const pb::envelope& message) {
+            handled.push_back(message.correlation());
+        },
+        10);
+    pb::envelope request;
+    request.mutable_follow();
+    for (std::uint64_t number = 1; number <= 25; ++number) {
+        request.set_correlation(number);
+        inbox->add({}, request);
+    }
+    context.run();
+    REQUIRE(handled.size() == 10);
+    CHECK(handled.front() == 16);
+    CHECK(handled.back() == 25);
+}
+
+TEST_CASE("bus inbox: an unexpected error in a handler does not end the process")
+{
+    boost::asio::io_context context;
+    int handled = 0;
+    const auto inbox = bus_inbox::make(
+        context.get_executor(),
+        [&](const bus_origin&, const pb::envelope& message) {
+            if (message.correlation() == 1) {
+                throw std::runtime_error("malformed");
+            }
+            ++handled;
+        },
+        10);
+    pb::envelope request;
+    request.mutable_follow();
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        request.set_correlation(number);
+        inbox->add({}, request);
+    }
+    context.run();
+    CHECK(handled == 2);
+}
--- a/tests/cell_relay_test.cpp
+++ b/tests/cell_relay_test.cpp
@@ -198,6 +198,15 @@
     CHECK(relay.follow(follower_request("e1", 4, at(1'110)), nullptr, at(1'110)).sequence() == 0);
 }
 
+TEST_CASE("relay: a confirmation from the future is refused")
+{
+    cell::relay relay = make_relay("cell-1");
+    pb::follow_reply reply = leader_reply(*relay.next_follow_request(at(0)), 7);
+    reply.set_asked_at_ms(to_ms(at(60'000)));
+    relay.receive(reply, at(10));
+    CHECK(!relay.is_serving());
+}
+
 TEST_CASE("relay: a follower gets the document of the confirmed version")
 {
     cell::relay relay = make_relay("cell-1");
