An instance without tokens refuses at once and is not ready

Ruled out: the election (0.5 s), the relays' shares. Change: while the alternative relay is silent too, operations are refused at once; an instance without any relay for 1.2 s is not ready, so that new sessions go elsewhere.

--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -673,10 +673,11 @@
         relaying->grant_tokens(origin, request);
         return;
     }
-    pb::envelope response = make_envelope();
-    if (is_leader(now)) {
-        *response.mutable_tokens() = active_service->grant_tokens(request, now);
+    if (!is_leader(now)) {
+        return; // the requester learns of the next leader from its follow requests
     }
+    pb::envelope response = make_envelope();
+    *response.mutable_tokens() = active_service->grant_tokens(request, now);
     bus_connection->messages().reply(origin, response);
 }
 
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -40,6 +40,10 @@
 // outlasts the search for another one.
 constexpr clock::duration stale_relay_age{1'600};
 constexpr clock::duration min_relay_stay{500};
+// The own relay is silent for `leader_timeout`, and the next one may be too.
+constexpr clock::duration relay_switch_time{1'200};
+// While other relays are silent as well, operations are refused without asking them each time.
+constexpr clock::duration alternative_retry_interval{250};
 // Tokens are requested for this time in advance, so that not every operation sends a request.
 constexpr clock::duration borrow_lookahead{300};
 
@@ -193,11 +197,21 @@
         }
     }
     // The relay may be down or frozen: another one has a share of the limits too.
-    const std::string alternative = relays_.alternative_to(endpoint_, clock::now());
-    if (alternative.empty()) {
+    const clock::time_point now = clock::now();
+    const std::string alternative = relays_.alternative_to(endpoint_, now);
+    if (alternative.empty() || now - alternative_silent_at_ < alternative_retry_interval) {
         co_return false;
     }
-    co_return co_await request_token(organisation, alternative);
+    const bool is_granted = co_await request_token(organisation, alternative);
+    if (token_waits_[organisation].answered_at < now) {
+        alternative_silent_at_ = clock::now();
+    }
+    co_return is_granted;
+}
+
+bool follower::is_without_tokens(clock::time_point now) const noexcept
+{
+    return follows_relay() && now - last_reply_at_ > relay_switch_time;
 }
 
 void follower::receive_tokens(const pb::token_reply& reply, clock::time_point now)
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -70,6 +70,10 @@
         return document_ != nullptr && now - confirmed_at_ < lease_;
     }
     [[nodiscard]] clock::time_point last_reply_at() const noexcept { return last_reply_at_; }
+
+    // True if no operation within a limit can be admitted: the instance follows relays, which hold
+    // its tokens, and none has replied for longer than the switch to another one takes.
+    [[nodiscard]] bool is_without_tokens(clock::time_point now) const noexcept;
     [[nodiscard]] clock::time_point confirmed_at() const noexcept { return confirmed_at_; }
 
     // Requests an operation's token from the leader or relay when this instance's share is used up.
@@ -123,6 +127,7 @@
         std::list<boost::asio::steady_timer*> timers;
     };
     std::map<std::string, token_wait, std::less<>> token_waits_;
+    clock::time_point alternative_silent_at_{}; // when an alternative relay last did not reply
     clock::time_point tokens_requested_at_{};
     clock::time_point shares_sent_at_{};
     clock::time_point confirmed_at_{};
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -128,7 +128,8 @@
 
 bool instance::implementation::is_ready() const
 {
-    return !is_draining && control.is_confirmed(clock::now());
+    const clock::time_point now = clock::now();
+    return !is_draining && control.is_confirmed(now) && !control.is_without_tokens(now);
 }
 
 status instance::implementation::listen()
