--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -18,8 +18,8 @@
 
 // A leader serves fewer instances than this without relays. Relays stay in use until the fleet has
 // been much smaller for a while, so that a partition does not end their use.
-constexpr std::uint32_t min_instances_for_relays = 96;
-constexpr std::uint32_t max_instances_without_relays = 48;
+constexpr std::uint32_t min_instances_for_relays = 80;
+constexpr std::uint32_t max_instances_without_relays = 40;
 constexpr clock::duration relay_use_retention{10'000};
 
 constexpr clock::duration membership_record_interval{300};
