Few failing instances of an idle fleet don't replace a primary

Ruled out: the servers (they answered the leader's checks). Change: the failing ones must be a twentieth of the fleet. The new test failed first.

--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -347,6 +347,7 @@
         return actions;
     }
     update_central_limits(*current, now);
+    const std::uint32_t instances = live_instances(now);
     for (const document_group& group : current->content().groups) {
         const pb::group_record* const stored = state.group(group.name);
         const std::vector<promotion::member> members = members_of(servers, stored, group.name, now);
@@ -364,6 +365,7 @@
                                                                 promotion::planner_settings{}, now))
                         .first;
         }
+        found->second.set_fleet_size(instances);
         for (promotion::action& action :
              found->second.advance(members, decision_record_of(state, group.name), now)) {
             actions.push_back({group.name, std::move(action)});
--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -220,7 +220,8 @@
             served += state.report.instances;
         }
     }
-    return failing > served;
+    const bool is_significant = failing * settings_.min_failing_divisor >= fleet_size_;
+    return failing > served && is_significant;
 }
 
 bool planner::has_successor() const
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -113,6 +113,9 @@
     clock::duration report_max_age{600};
     // Longer than a statement timeout, as a single write may time out on a healthy primary.
     clock::duration failing_threshold{1'500};
+    // Fewer failing instances than this part of the fleet are no sign of a failing primary: without
+    // traffic nobody reports that it works.
+    std::uint32_t min_failing_divisor = 20;
     clock::duration order_retry_interval{250};
     clock::duration status_timeout{300};   // how long to wait for the status of every replica
     clock::duration catch_up_timeout{400}; // how long the candidate may lag the paused replicas
@@ -141,6 +144,9 @@
 
     void on_promotion_answer(std::string_view server, std::uint64_t number,
                              promotion_outcome outcome, clock::time_point now);
+    // Sets the number of instances that use the group, whether or not they report about it.
+    void set_fleet_size(std::uint32_t instances) noexcept { fleet_size_ = instances; }
+
     void on_primary_report(std::string_view instance, const primary_report& report,
                            clock::time_point now);
 
@@ -197,6 +203,7 @@
     void request_status(const member& target, clock::duration interval, clock::time_point now);
 
     std::string group_;
+    std::uint32_t fleet_size_ = 1;
     planner_settings settings_;
     phase_kind phase_ = phase_kind::steady;
     std::vector<member> members_;
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -104,6 +104,28 @@
     CHECK(has_begun);
 }
 
+// When traffic ends, one of 294 instances whose last write failed must not outvote the silent rest.
+TEST_CASE("promotion planner: few failing instances of an idle fleet don't replace a primary")
+{
+    const auto decides = [](std::uint32_t failing) {
+        planner group_planner = steady_plan();
+        group_planner.set_fleet_size(294);
+        for (std::int64_t now = 1'000; now <= 9'000; now += 50) {
+            group_planner.on_primary("p", {1, 10}, at(now), at(now));
+            primary_report report{"p", std::nullopt, clock::duration(2'000)};
+            report.instances = failing;
+            group_planner.on_primary_report("cell-1/p/failing", report, at(now));
+            if (find_action<begin_decision>(group_planner.advance(group, {}, at(now))) != nullptr) {
+                return true;
+            }
+        }
+        return false;
+    };
+    CHECK(!decides(1));
+    CHECK(!decides(14));
+    CHECK(decides(15));
+}
+
 TEST_CASE("promotion planner: the candidate must have what the paused replica has")
 {
     planner group_planner = steady_plan();
