Faults found on reading: random digits, execution records, read_add, the load's summary

- keygen and request ids: a failed random source gave zeros; random_hex moves to keys and returns the error.
- history_record: a record line whose n is no number threw; it is a typed error now, and primrose-check stops on it.
- history_measures: a read_add dated commits back, so that too many reads counted as servable by replicas.
- primrose-load: a failed write of its summary is an error.
Tests: keys_test, history_check_test (read_add's failed first; the other two did not compile or threw before).

--- a/include/primrosehead/keys.h
+++ b/include/primrosehead/keys.h
@@ -26,6 +26,9 @@
 // Fills `bytes` from OpenSSL's random generator. Fails with `error_kind::internal`.
 [[nodiscard]] status system_random(std::span<unsigned char> bytes);
 
+// Returns `size` random bytes as hexadecimal digits. Fails only if the random source fails.
+[[nodiscard]] result<std::string> random_hex(std::size_t size, const random_source& random);
+
 // A new key: `text` is shown to the operator once, `record` is stored in the replicated state.
 struct issued_key {
     std::string text;
--- a/src/ctl_target.cpp
+++ b/src/ctl_target.cpp
@@ -75,13 +75,6 @@
     return print_error(code, describe(cause));
 }
 
-std::string random_hex(std::size_t size)
-{
-    std::string bytes(size, '\0');
-    (void)system_random({reinterpret_cast<unsigned char*>(bytes.data()), size});
-    return absl::BytesToHexString(bytes);
-}
-
 result<target> read_target()
 {
     constexpr std::size_t request_id_bytes = 12;
@@ -96,7 +89,11 @@
     }
     destination.request_id = absl::GetFlag(FLAGS_request_id);
     if (destination.request_id.empty()) {
-        destination.request_id = "ctl-" + random_hex(request_id_bytes);
+        const result<std::string> id = random_hex(request_id_bytes, system_random);
+        if (!ok(id)) {
+            return failure(id);
+        }
+        destination.request_id = "ctl-" + value(id);
     }
     destination.timeout = clock::duration(absl::GetFlag(FLAGS_timeout_ms));
     return destination;
--- a/src/ctl_target.h
+++ b/src/ctl_target.h
@@ -40,9 +40,6 @@
 // Reads the target from the command-line flags; fails if the settings are invalid.
 [[nodiscard]] result<target> read_target();
 
-// Returns `size` random bytes as hexadecimal digits.
-[[nodiscard]] std::string random_hex(std::size_t size);
-
 // Sends a request to the given endpoints, or to the control instances, and waits for the outcome.
 [[nodiscard]] operator_outcome send_request(const target& destination,
                                             std::span<const std::string> endpoints,
--- a/src/history_check.h
+++ b/src/history_check.h
@@ -30,7 +30,7 @@
 };
 
 // Adds the execution record of one stand-in server to `evidence`. Looks for each of `keys` in it.
-void read_execution_record(std::string_view text, const std::vector<std::string>& keys,
+[[nodiscard]] status read_execution_record(std::string_view text, const std::vector<std::string>& keys,
                            execution_evidence& evidence);
 
 [[nodiscard]] finding check_read_your_writes(const recorded_history& recorded);
--- a/src/history_measures.cpp
+++ b/src/history_measures.cpp
@@ -261,7 +261,7 @@
             continue;
         }
         ordered.push_back(&each);
-        if (!is_value_read(each)) {
+        if (!is_value_read(each) && each.kind != "read_add") {
             commits[each.database].add(each.position.index, each.done_us);
         }
     }
--- a/src/history_record.cpp
+++ b/src/history_record.cpp
@@ -37,17 +37,23 @@
   public:
     explicit record_reader(execution_evidence& evidence) : evidence_(evidence) {}
 
-    void add(const json::object& line)
+    // Returns false if the line's number can't be read.
+    [[nodiscard]] bool add(const json::object& line)
     {
-        const auto number = line.at("n").to_number<std::uint64_t>();
+        boost::system::error_code failed;
+        const auto number = line.at("n").to_number<std::uint64_t>(failed);
+        if (failed) {
+            return false;
+        }
         if (line.contains("body")) {
             add_request(number, string_member(line, "body"));
-            return;
+            return true;
         }
         const json::value* changed = line.if_contains("changed");
         if (changed != nullptr && changed->is_bool() && changed->get_bool()) {
             add_execution(number);
         }
+        return true;
     }
 
   private:
@@ -103,23 +109,29 @@
 
 } // namespace
 
-void read_execution_record(std::string_view text, const std::vector<std::string>& keys,
-                           execution_evidence& evidence)
+status read_execution_record(std::string_view text, const std::vector<std::string>& keys,
+                             execution_evidence& evidence)
 {
     record_reader reader(evidence);
+    std::size_t number = 0;
     while (!text.empty()) {
         const std::size_t end = std::min(text.find('\n'), text.size());
         const std::string_view line = text.substr(0, end);
+        ++number;
         text.remove_prefix(std::min(end + 1, text.size()));
         if (evidence.leaked_key_line.empty() && contains_key(line, keys)) {
             evidence.leaked_key_line = std::string(line);
         }
         const result<json::value> parsed = lab::parse_json(line);
         const json::object* members = ok(parsed) ? value(parsed).if_object() : nullptr;
-        if (members != nullptr && members->contains("n")) {
-            reader.add(*members);
+        if (members != nullptr && members->contains("n") && !reader.add(*members)) {
+            return error{error_kind::bad_request,
+                         "Line " + std::to_string(number) +
+                             " of the execution record: \"n\" is not a request number.",
+                         "Use the record as the stand-in wrote it."};
         }
     }
+    return std::monostate{};
 }
 
 } // namespace primrosehead::history
--- a/src/keys_make.cpp
+++ b/src/keys_make.cpp
@@ -35,6 +35,15 @@
                  "Check the machine's entropy source.", ran::no, clock::duration::zero()};
 }
 
+result<std::string> random_hex(std::size_t size, const random_source& random)
+{
+    const result<std::string> bytes = random_string(size, random);
+    if (!ok(bytes)) {
+        return failure(bytes);
+    }
+    return absl::BytesToHexString(value(bytes));
+}
+
 result<issued_key> make_key(const organisation_name& organisation, const random_source& random)
 {
     const result<std::string> random_bytes =
--- a/tests/history_check_test.cpp
+++ b/tests/history_check_test.cpp
@@ -200,45 +200,56 @@
     one.outcome = "no";
     execution_evidence evidence;
     CHECK(is_held(check_refused_not_executed(refused.built, evidence)));
-    read_execution_record(
+    CHECK(ok(read_execution_record(
         R"({"n":1,"body":"{\"statement\":{\"put\":\"w/d/1\",\"value\":\"w/d#1\"}}"})"
         "\n"
         R"({"n":1,"changed":true})"
         "\n",
-        {}, evidence);
+        {}, evidence)));
     CHECK(is_broken(check_refused_not_executed(refused.built, evidence)));
 }
 
+TEST_CASE("history: an execution record with a line that has no number is refused, not read past")
+{
+    execution_evidence evidence;
+    const status read =
+        read_execution_record("{\"n\":1,\"changed\":false}\n{\"n\":\"x\"}\n", {}, evidence);
+    REQUIRE(!ok(read));
+    CHECK(describe(failure(read)).find("Line 2") != std::string::npos);
+}
+
 TEST_CASE("history: values of a transaction count as executed only after its commit")
 {
     execution_evidence evidence;
-    read_execution_record(
+    CHECK(ok(read_execution_record(
         R"({"n":1,"body":"{\"statement\":{\"put\":\"k\",\"value\":\"v\"},\"transaction\":\"t\"}"})"
         "\n"
         R"({"n":1,"changed":false})"
         "\n"
         R"({"n":2,"body":"{\"transaction\":\"t\"}"})"
         "\n",
-        {}, evidence);
+        {}, evidence)));
     CHECK(!evidence.executed_values.contains("v"));
     execution_evidence committed;
-    read_execution_record(
+    CHECK(ok(read_execution_record(
         R"({"n":1,"body":"{\"statement\":{\"put\":\"k\",\"value\":\"v\"},\"transaction\":\"t\"}"})"
         "\n"
         R"({"n":2,"body":"{\"transaction\":\"t\"}"})"
         "\n"
         R"({"n":2,"changed":true})"
         "\n",
-        {}, committed);
+        {}, committed)));
     CHECK(committed.executed_values.contains("v"));
 }
 
 TEST_CASE("history: a caller's key in an execution record is detected")
 {
     execution_evidence evidence;
-    read_execution_record(R"({"n":1,"headers":[["x","secret"]],"body":""})", {"other"}, evidence);
+    CHECK(ok(read_execution_record(R"({"n":1,"headers":[["x","secret"]],"body":""})", {"other"},
+                                   evidence)));
     CHECK(is_held(check_no_key_leaked(evidence)));
-    read_execution_record(R"({"n":2,"headers":[["x","secret"]],"body":""})", {"secret"}, evidence);
+    CHECK(ok(read_execution_record(R"({"n":2,"headers":[["x","secret"]],"body":""})", {"secret"},
+                                   evidence)));
     CHECK(is_broken(check_no_key_leaked(evidence)));
 }
 
@@ -297,4 +308,10 @@
     CHECK(found.servable_reads == 2);
     CHECK(found.servable_reads_by_replicas == 1);
     CHECK(measure(history.built, clock::duration(100)).servable_reads == 0);
+    // A read of a sum is no commit: it must not date the commit that it saw back.
+    history_builder early;
+    early.add("read_add", "w/d/1", "w/d#1", {1, 5});
+    early.write("w/d#1", 5);
+    early.read("w/d#1", 5).role = "primary";
+    CHECK(measure(early.built, lag).servable_reads == 0);
 }
--- a/tests/keys_test.cpp
+++ b/tests/keys_test.cpp
@@ -139,3 +139,14 @@
     const auto created = make_key(organisation_name("shrines"), system_random);
     CHECK(ok(created));
 }
+
+TEST_CASE("keys: random digits are refused, not zero, if the random source fails")
+{
+    const random_source failing = [](std::span<unsigned char>) -> status {
+        return error{error_kind::internal, "no entropy", "wait"};
+    };
+    CHECK(!ok(random_hex(32, failing)));
+    const result<std::string> digits = random_hex(32, system_random);
+    REQUIRE(ok(digits));
+    CHECK(value(digits).size() == 64);
+}
--- a/tools/check.cpp
+++ b/tools/check.cpp
@@ -71,7 +71,11 @@
         if (!ok(record)) {
             return failure(record);
         }
-        history::read_execution_record(value(record), value(recorded_history).keys, evidence);
+        const status read =
+            history::read_execution_record(value(record), value(recorded_history).keys, evidence);
+        if (!ok(read)) {
+            return failure(read);
+        }
     }
     if (!record_paths.empty()) {
         findings.push_back(history::check_refused_not_executed(value(recorded_history), evidence));
--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -6,6 +6,8 @@
 #include "ctl_keys.h"
 #include "ctl_target.h"
 
+#include <primrosehead/keys.h>
+
 #include <absl/flags/flag.h>
 #include <boost/json.hpp>
 #include <spdlog/spdlog.h>
@@ -78,9 +80,13 @@
             exit_refused,
             "libzmq was built without CURVE support. Install the libzmq package of Debian.");
     }
+    const result<std::string> secret = random_hex(secret_bytes, system_random);
+    if (!ok(secret)) {
+        return print_error(failure(secret), exit_refused);
+    }
     const json::object keys{{"bus_key", json::object{{"public_key", public_key.data()},
                                                      {"secret_key", secret_key.data()}}},
-                            {"session_secret", random_hex(secret_bytes)}};
+                            {"session_secret", value(secret)}};
     std::cout << json::serialize(keys) << '\n';
     return exit_success;
 }
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -51,7 +51,13 @@
         std::cout << summary << '\n';
         return exit_success;
     }
-    std::ofstream(summary_path) << summary << '\n';
+    std::ofstream summary_file(summary_path);
+    summary_file << summary << '\n';
+    if (!summary_file.flush()) {
+        print_error("Can't write the summary to " + summary_path +
+                    ". Specify a file that this user may write.");
+        return exit_failure;
+    }
     return exit_success;
 }
 
