--- a/tests/cell_relay_test.cpp
+++ b/tests/cell_relay_test.cpp
@@ -117,7 +117,7 @@
         for (std::size_t i = 0; i < relays_.size(); ++i) {
             if (std::optional<pb::follow_request> request = relays_[i]->next_follow_request(now)) {
                 ++leader_requests;
-                if (is_leader_silent) {
+                if (is_leader_silent || cut_off.contains(i)) {
                     continue;
                 }
                 request->set_is_relaying(true);
@@ -131,7 +131,7 @@
             }
             if (std::optional<pb::token_request> request = relays_[i]->next_token_request(now)) {
                 ++leader_requests;
-                if (!is_leader_silent) {
+                if (!is_leader_silent && !cut_off.contains(i)) {
                     relays_[i]->receive_tokens(leader_.grant_tokens(*request, now), now);
                 }
             }
@@ -151,6 +151,7 @@
 
     std::uint32_t followers_per_relay = 49;
     std::uint64_t leader_requests = 0;
+    std::set<std::size_t> cut_off; // relays that the leader does not reach
 
   private:
     std::shared_ptr<const document> document_;
@@ -346,6 +347,45 @@
     CHECK(static_cast<double>(admitted) >= rate * seconds * 0.8);
 }
 
+// A relay that is cut off from the leader still serves its followers. What it may grant must not be
+// granted by others before its lease has ended.
+TEST_CASE("relay: a relay that is cut off and the others together stay within the limits")
+{
+    constexpr std::size_t relays = 6;
+    constexpr double rate = 30;
+    constexpr double burst = 30;
+    relayed_fleet fleet(relays, make_document(1, 1, rate, burst));
+    std::vector<std::uint64_t> admitted_by_second(20);
+    std::uint64_t by_cut_off = 0;
+    constexpr std::int64_t cut_at_ms = 10'000;
+    for (std::int64_t time = 0; time < 20'000; time += 20) {
+        const clock::time_point now = at(time);
+        if (time == cut_at_ms) {
+            fleet.cut_off = {0, 1};
+        }
+        fleet.tick(now);
+        for (std::size_t i = 0; i < relays; ++i) {
+            std::uint64_t granted = 0;
+            for (const cell::delayed_token_reply& delayed : fleet.relay(i).take_due_replies(now)) {
+                granted += granted_tokens(delayed.reply);
+            }
+            const std::optional<pb::token_reply> reply =
+                fleet.relay(i).grant_tokens(bus_origin{"e1", {}}, token_request("org-0", 2), now);
+            granted += reply ? granted_tokens(*reply) : 0;
+            admitted_by_second[static_cast<std::size_t>(time / 1'000)] += granted;
+            by_cut_off += i < 2 && time >= cut_at_ms ? granted : 0;
+        }
+    }
+    CHECK(by_cut_off > 0);
+    for (std::size_t first = 8; first + 5 <= admitted_by_second.size(); ++first) {
+        std::uint64_t in_window = 0;
+        for (std::size_t second = first; second < first + 5; ++second) {
+            in_window += admitted_by_second[second];
+        }
+        CHECK(static_cast<double>(in_window) <= rate * 5 + burst);
+    }
+}
+
 TEST_CASE("relay: followers keep their tokens while no leader answers, until the lease ends")
 {
     relayed_fleet fleet(3, make_document(1, 1, 30, 30));
