A silent one of an even number of control voters is removed after 2.5 s

Cause: a control machine was replaced (30.1 s), the leader failed at 38.3 s before it had removed the old member (8 s), the next leader began its count anew, and the final fault took its disk at 44.3 s: two of four voters were left, no quorum. Ruled out: the entry instances, the successor's catch-up (a member since 31.3 s). Change: an even number of voters tolerates no more failures than one less, so a silent one is removed after 2.5 s. The new test failed first.

--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -217,6 +217,30 @@
     CHECK(cell::member_to_remove(members, reported, "a").empty());
 }
 
+// A member was replaced, the leader failed before it had removed the old one, and the next leader
+// lost its disk 3.6 s later: the remaining two of four were no quorum any more.
+TEST_CASE("cell members: a silent one of an even number of voters is removed soon")
+{
+    pb::membership members;
+    for (const char* name : {"a", "old", "c", "new"}) {
+        pb::member& member = *members.add_members();
+        member.set_instance(name);
+        member.set_voter(true);
+    }
+    using progress = consensus::core::progress;
+    std::vector<progress> reported{{"old", 1, clock::duration(2'000)},
+                                   {"c", 1, clock::duration(80)},
+                                   {"new", 1, clock::duration(50)}};
+    CHECK(cell::member_to_remove(members, reported, "a").empty());
+    reported[0].time_since_contact = clock::duration(2'600);
+    CHECK(cell::member_to_remove(members, reported, "a") == "old");
+    reported[1].time_since_contact = clock::duration(2'600);
+    CHECK(cell::member_to_remove(members, reported, "a").empty()); // only two live voters
+    reported[1].time_since_contact = clock::duration(80);
+    members.mutable_members(3)->set_voter(false); // still joining: three voters
+    CHECK(cell::member_to_remove(members, reported, "a").empty());
+}
+
 TEST_CASE("cell service: late and repeated requests renew no lease")
 {
     state_machine state(cell_name("main"));
