--- a/src/history_check.h
+++ b/src/history_check.h
@@ -30,8 +30,9 @@
 };
 
 // Adds the execution record of one stand-in server to `evidence`. Looks for each of `keys` in it.
-[[nodiscard]] status read_execution_record(std::string_view text, const std::vector<std::string>& keys,
-                           execution_evidence& evidence);
+[[nodiscard]] status read_execution_record(std::string_view text,
+                                           const std::vector<std::string>& keys,
+                                           execution_evidence& evidence);
 
 [[nodiscard]] finding check_read_your_writes(const recorded_history& recorded);
 [[nodiscard]] finding check_monotonic_reads(const recorded_history& recorded);
