A fleet that has become small stops using relays

Found on reading: a leader adopted the use of relays from every relay's request, so that a relay was never told to stop. The new test failed first; relay and cell tests pass.

--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -227,7 +227,9 @@
     sender.is_relay = request.is_relay();
     sender.endpoint = request.endpoint();
     sender.followers = request.followers();
-    uses_relays_ = uses_relays_ || request.is_relaying(); // as the previous leader decided
+    if (request.is_relaying() && now - elected_at_ < relay_use_retention) {
+        uses_relays_ = true; // as the previous leader decided
+    }
     share_allocator_.set_keeps_idle_shares(uses_relays_);
     handle_primary_reports(request, now);
     const bool is_registered = state.instance(request.instance()) != nullptr;
--- a/tests/cell_relay_test.cpp
+++ b/tests/cell_relay_test.cpp
@@ -439,6 +439,25 @@
     CHECK(leader.pending_registrations(state, at(7'000)).size() == 1);
 }
 
+TEST_CASE("relay: a fleet that has become small stops using relays")
+{
+    state_machine state(cell_name("main"));
+    cell::directory servers;
+    cell::service leader({}, 2, at(0));
+    pb::follow_request request = follower_request("cell-1", 0, at(0));
+    request.set_is_relay(true);
+    bool uses_relays = true;
+    for (std::int64_t time = 0; time < 40'000; time += 200) {
+        request.set_sequence(static_cast<std::uint64_t>(time) + 1);
+        request.set_is_relaying(uses_relays);
+        request.set_followers(time < 20'000 ? 120 : 10);
+        uses_relays = leader.follow(request, state, servers, at(time)).relays_size() > 0;
+        static_cast<void>(leader.advance(nullptr, state, servers, at(time)));
+        CHECK((uses_relays || time > 29'000));
+    }
+    CHECK(!uses_relays);
+}
+
 TEST_CASE("relay: reports of many followers are joined by server")
 {
     cell::relay relay = make_relay("cell-1");
