A relay requests an incomplete directory again

Found on reading the change again: a relay took term and revision of a leader's first, incomplete directory for held, so that the leader never sent the complete one; followers got every server with each reply and dropped none that was gone. Change: as an instance that follows the leader itself, the relay keeps asking until the directory is complete. The new test failed first.

--- a/src/cell_relay.cpp
+++ b/src/cell_relay.cpp
@@ -300,8 +300,10 @@
     }
     servers_.assign(reply.servers().begin(), reply.servers().end());
     is_directory_complete_ = reply.directory_complete();
-    directory_term_ = reply.control_term();
-    directory_revision_ = reply.directory_revision();
+    if (is_directory_complete_) { // an incomplete one is requested again
+        directory_term_ = reply.control_term();
+        directory_revision_ = reply.directory_revision();
+    }
 }
 
 void relay::receive(const pb::follow_reply& reply, clock::time_point now)
--- a/tests/cell_relay_test.cpp
+++ b/tests/cell_relay_test.cpp
@@ -226,6 +226,31 @@
     CHECK(!relay.follow(current, &stored, at(30)).has_document());
 }
 
+TEST_CASE("relay: an incomplete directory is requested again until it is complete")
+{
+    cell::relay relay = make_relay("cell-1");
+    const auto receive_directory = [&](std::int64_t time, bool is_complete) {
+        const pb::follow_request asked = *relay.next_follow_request(at(time));
+        pb::follow_reply reply = leader_reply(asked, 1);
+        reply.set_directory_revision(3);
+        if (asked.directory_revision() != 3) {
+            reply.add_servers()->set_server("s1");
+            reply.set_directory_complete(is_complete);
+        }
+        relay.receive(reply, at(time));
+    };
+    receive_directory(0, false);
+    receive_directory(1'000, true);
+    pb::follow_request request = follower_request("e1", 1, at(1'100));
+    const pb::follow_reply reply = relay.follow(request, nullptr, at(1'100));
+    CHECK(reply.servers_size() == 1);
+    CHECK(reply.directory_complete());
+    request.set_sequence(2);
+    request.set_control_term(1);
+    request.set_directory_revision(3);
+    CHECK(relay.follow(request, nullptr, at(1'200)).servers_size() == 0);
+}
+
 TEST_CASE("relay: unknown organisations and empty requests get no token and keep nothing")
 {
     cell::relay relay = make_relay("cell-1");
