Settings of the new parts: regions, evacuation bound, homes, relays

The size from which relays are used becomes a setting, default as before. The others are read and checked; no code uses them yet.

--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -300,6 +300,7 @@
     service_settings timing;
     timing.instance_lease = settings.revocation * 7 / 10;
     timing.announcement_interval = settings.announcement_interval;
+    timing.relays_from_instances = settings.relays_from_instances;
     active_service.emplace(timing, consensus_replica->term(), now);
     executor->discard_answers();
     events.decision("cell", "leads")
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -16,10 +16,8 @@
 // The instances of a large fleet that starts are not registered before the leader has counted them.
 constexpr clock::duration registration_delay{1'000};
 
-// A leader serves fewer instances than this without relays. Relays stay in use until the fleet has
-// been much smaller for a while, so that a partition does not end their use.
-constexpr std::uint32_t min_instances_for_relays = 80;
-constexpr std::uint32_t max_instances_without_relays = 40;
+// Relays stay in use until the fleet has been smaller than half of the size that they are used from
+// for a while, so that a partition does not end their use.
 constexpr clock::duration relay_use_retention{10'000};
 
 constexpr clock::duration membership_record_interval{300};
@@ -125,10 +123,10 @@
 void service::update_relay_use(clock::time_point now)
 {
     const std::uint32_t instances = live_instances(now);
-    if (instances >= min_instances_for_relays) {
+    if (instances >= settings_.relays_from_instances) {
         uses_relays_ = true;
     }
-    if (instances > max_instances_without_relays) {
+    if (instances > settings_.relays_from_instances / 2) {
         last_large_at_ = now;
     }
     if (now - last_large_at_ > relay_use_retention) {
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -29,6 +29,8 @@
 struct service_settings {
     clock::duration instance_lease{3'500};        // validity of a reply
     clock::duration announcement_interval{1'200}; // of the backend servers
+    // A leader serves fewer pooler instances than this without relays.
+    std::uint32_t relays_from_instances = 80;
 };
 
 struct group_action {
--- a/src/deployment_settings.cpp
+++ b/src/deployment_settings.cpp
@@ -23,6 +23,8 @@
   "revocation_ms": {"type": "integer", "minimum": 1000, "description": "milliseconds, 1000 or more"},
   "limit_tolerance": {"type": "number", "minimum": 0, "description": "operations, 0 or more"},
   "grace_s": {"type": "number", "minimum": 1, "description": "seconds, 1 or more"},
+  "regions": {"type": "object", "additionalProperties": {"type": "string"},
+              "description": "the region of each failure domain"},
   "log": {"type": "object", "description": "level, format and file",
           "properties": {"level": {"type": "string", "description": "trace, debug, info, warn or error"},
                          "format": {"type": "string", "description": "text or json"},
@@ -32,7 +34,10 @@
 constexpr std::string_view pooler_properties_text = R"(,
   "listen": {"type": "string", "minLength": 1, "description": "IP:PORT for callers"},
   "readiness_listen": {"type": "string", "minLength": 1, "description": "IP:PORT for the load balancer's probe"},
-  "max_connections": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"}
+  "max_connections": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"},
+  "evacuation_ms": {"type": "integer", "minimum": 500, "description": "milliseconds, 500 or more"},
+  "home_connections_per_instance": {"type": "number", "minimum": 0, "description": "connections, 0 or more"},
+  "homes_per_server": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"}
 )";
 
 constexpr std::string_view cell_properties_text = R"(,
@@ -40,7 +45,8 @@
   "data_folder": {"type": "string", "minLength": 1, "description": "a folder path"},
   "first_start": {"type": "boolean", "description": "true or false"},
   "platform": {"type": "string", "description": "IP:PORT, or nothing"},
-  "announcement_interval_ms": {"type": "integer", "minimum": 100, "description": "milliseconds, 100 or more"}
+  "announcement_interval_ms": {"type": "integer", "minimum": 100, "description": "milliseconds, 100 or more"},
+  "relays_from_instances": {"type": "integer", "minimum": 2, "description": "a count of 2 or more"}
 )";
 
 std::string make_schema_text(std::string_view program_properties, std::string_view required)
@@ -70,6 +76,11 @@
     double grace_s = static_cast<double>(settings.grace.count()) / 1'000;
     read_field(object, "grace_s", grace_s);
     settings.grace = clock::duration(static_cast<std::int64_t>(grace_s * 1'000));
+    if (const json::value* const regions = object.if_contains("regions")) {
+        for (const json::key_value_pair& each : regions->as_object()) {
+            settings.regions.emplace(each.key(), std::string_view(each.value().as_string()));
+        }
+    }
     if (const json::value* const log = object.if_contains("log")) {
         read_field(log->as_object(), "level", settings.log.level);
         read_field(log->as_object(), "format", settings.log.format);
@@ -95,6 +106,9 @@
     read_field(object, "listen", settings.listen);
     read_field(object, "readiness_listen", settings.readiness_listen);
     read_field(object, "max_connections", settings.max_connections);
+    read_field(object, "evacuation_ms", settings.evacuation);
+    read_field(object, "home_connections_per_instance", settings.home_connections_per_instance);
+    read_field(object, "homes_per_server", settings.homes_per_server);
     return settings;
 }
 
@@ -116,6 +130,7 @@
     read_field(object, "first_start", settings.is_first_start);
     read_field(object, "platform", settings.platform);
     read_field(object, "announcement_interval_ms", settings.announcement_interval);
+    read_field(object, "relays_from_instances", settings.relays_from_instances);
     return settings;
 }
 
--- a/src/deployment_settings.h
+++ b/src/deployment_settings.h
@@ -7,6 +7,8 @@
 #include <primrosehead/settings.h>
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +27,7 @@
     clock::duration revocation{5'000}; // a withdrawn key is refused after this at the latest
     clock::duration grace{6'000};      // from the stop request until the process is killed
     double limit_tolerance = 0;        // operations of an organisation beyond its rate and burst
+    std::map<std::string, std::string, std::less<>> regions; // by failure domain
     log_settings log;
 };
 
@@ -32,6 +35,11 @@
     std::string listen;           // IP:PORT for callers
     std::string readiness_listen; // IP:PORT for the load balancer's readiness probe
     std::uint32_t max_connections = 4'000;
+    clock::duration evacuation{5'000}; // nothing reaches an evacuated domain after this
+    // A group has homes if its connection limit per server is below this many connections per live
+    // instance; 0: never.
+    double home_connections_per_instance = 0;
+    std::uint32_t homes_per_server = 1;
 };
 
 struct cell_settings : deployment_settings {
@@ -40,6 +48,7 @@
     bool is_first_start = false; // initial start of the whole system, with empty disks
     std::string platform;        // IP:PORT of the platform API; empty: none
     clock::duration announcement_interval{1'200};
+    std::uint32_t relays_from_instances = 80; // pooler instances from which relays are used
 };
 
 [[nodiscard]] result<pooler_settings> parse_pooler_settings(std::string_view text);
