--- a/src/state_commands.cpp
+++ b/src/state_commands.cpp
@@ -309,6 +309,7 @@
         return apply_body(records, command.note());
     case pb::command::kPublish:
         return apply_body(records, command.publish());
+    case pb::command::kEvacuate:
     case pb::command::BODY_NOT_SET:
         break;
     }
