Large fleets: directory deltas, large replies paced, endpoints changed with backoff

Cause: a follower asked again while the previous answer was on its way, the document and the directory were sent in every reply until confirmed, a new leader's directory was sent in every reply for two announcement intervals, every change of one server sent all servers, all instances began with the same address and changed endpoints every 0.5 s, closing a connection each time, and followers were sent to relays that did not serve yet.

Change: the directory is sent as deltas by revision (cell_directory_changes, cell_directory_copy); large parts are requested one at a time (request_pacer) and bounded in flight by the sender (cell_reply_pacer); the endpoint logic of the follower is pure (pooler_follow_plan), spreads over the addresses, backs off and keeps a connection until the next endpoint answers; pooler instances learn only of relays that serve. Consensus messages go before other queued ones on the bus.

--- a/src/bus.cpp
+++ b/src/bus.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 #include <sys/eventfd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <unistd.h>
@@ -45,12 +46,13 @@
 using context_pointer = std::unique_ptr<void, context_closer>;
 
 // A queued message: sent over the DEALER to `endpoint`, or over the ROUTER to `route`. With
-// `disconnect` the connection to `endpoint` is closed instead.
+// `disconnect` the connection to `endpoint` is closed instead. Urgent messages go first.
 struct outgoing {
     std::string endpoint;
     std::string route;
     std::string bytes;
     bool disconnect = false;
+    bool is_urgent = false;
 };
 
 void set_option(void* socket, int option, int value)
@@ -286,6 +288,9 @@
         const std::lock_guard lock(mutex);
         batch.swap(queued);
     }
+    // Heartbeats and votes do not wait while large replies are copied into the sockets.
+    std::stable_partition(batch.begin(), batch.end(),
+                          [](const outgoing& message) { return message.is_urgent; });
     for (const outgoing& message : batch) {
         send_one(message);
     }
@@ -359,17 +364,19 @@
 
 void bus::send(std::string_view endpoint, const pb::envelope& message)
 {
-    impl_->enqueue(outgoing{std::string(endpoint), {}, message.SerializeAsString()});
+    impl_->enqueue(outgoing{
+        std::string(endpoint), {}, message.SerializeAsString(), false, message.has_consensus()});
 }
 
 void bus::reply(const bus_origin& origin, const pb::envelope& message)
 {
-    impl_->enqueue(outgoing{origin.endpoint, origin.route, message.SerializeAsString()});
+    impl_->enqueue(outgoing{origin.endpoint, origin.route, message.SerializeAsString(), false,
+                            message.has_consensus()});
 }
 
 void bus::disconnect(std::string_view endpoint)
 {
-    impl_->enqueue(outgoing{std::string(endpoint), {}, {}, true});
+    impl_->enqueue(outgoing{std::string(endpoint), {}, {}, true, false});
 }
 
 void bus::wake()
--- a/src/cell_directory.cpp
+++ b/src/cell_directory.cpp
@@ -34,6 +34,13 @@
            left.is_primary() == right.is_primary() && left.born_ms() == right.born_ms();
 }
 
+pb::server_announcement with_age(const directory_entry& entry, clock::time_point now)
+{
+    pb::server_announcement aged = entry.announcement;
+    aged.set_age_ms(static_cast<std::uint32_t>((now - entry.announced_at).count()));
+    return aged;
+}
+
 } // namespace
 
 bool directory::apply(const pb::server_announcement& announcement, clock::time_point now)
@@ -45,7 +52,7 @@
             return false;
         }
         entries_.emplace(announcement.server(), directory_entry{announcement, announced_at});
-        ++revision_;
+        changes_.record_change(announcement.server(), ++revision_);
         return true;
     }
     directory_entry& entry = found->second;
@@ -61,7 +68,9 @@
     }
     const bool changed = !has_same_routing(next, entry.announcement);
     entry = directory_entry{std::move(next), announced_at};
-    revision_ += changed ? 1 : 0;
+    if (changed) {
+        changes_.record_change(announcement.server(), ++revision_);
+    }
     return changed;
 }
 
@@ -70,12 +79,35 @@
     std::vector<pb::server_announcement> all;
     all.reserve(entries_.size());
     for (const auto& [name, entry] : entries_) {
-        all.push_back(entry.announcement);
-        all.back().set_age_ms(static_cast<std::uint32_t>((now - entry.announced_at).count()));
+        all.push_back(with_age(entry, now));
     }
     return all;
 }
 
+std::vector<pb::server_announcement> directory::changes_since(std::uint64_t revision,
+                                                              clock::time_point now,
+                                                              std::uint64_t& base_revision) const
+{
+    if (revision > revision_ || !changes_.covers(revision)) {
+        base_revision = 0;
+        return servers(now);
+    }
+    base_revision = revision;
+    std::vector<pb::server_announcement> changed;
+    for (const auto& [name, entry] : entries_) {
+        if (changes_.has_changed(name, revision)) {
+            changed.push_back(with_age(entry, now));
+        }
+    }
+    for (const auto& [name, removed_at] : changes_.removed()) {
+        if (removed_at > revision) {
+            changed.emplace_back().set_server(name);
+            changed.back().set_gone(true);
+        }
+    }
+    return changed;
+}
+
 std::vector<const directory_entry*> directory::group(std::string_view name) const
 {
     std::vector<const directory_entry*> members;
@@ -95,10 +127,16 @@
 
 void directory::evict_stale(clock::time_point now)
 {
-    const std::size_t evicted_count = std::erase_if(entries_, [now](const auto& item) {
+    const std::uint64_t next_revision = revision_ + 1;
+    const std::size_t evicted_count = std::erase_if(entries_, [&](const auto& item) {
         const directory_entry& entry = item.second;
-        return now - entry.announced_at >
-               (entry.announcement.gone() ? deregistered_retention : silent_retention);
+        const bool is_stale =
+            now - entry.announced_at >
+            (entry.announcement.gone() ? deregistered_retention : silent_retention);
+        if (is_stale) {
+            changes_.record_removal(item.first, next_revision);
+        }
+        return is_stale;
     });
     revision_ += evicted_count > 0 ? 1 : 0;
 }
--- a/src/cell_directory.h
+++ b/src/cell_directory.h
@@ -1,6 +1,7 @@
 // A control instance's directory of the backend servers, built from their announcements. Pure.
 #pragma once
 
+#include "cell_directory_changes.h"
 #include "primrosehead.pb.h"
 
 #include <primrosehead/clock.h>
@@ -31,6 +32,12 @@
     // All servers' latest announcements, with `age_ms` as of `now`.
     [[nodiscard]] std::vector<pb::server_announcement> servers(clock::time_point now) const;
 
+    // Returns the servers that changed since `revision`, removed ones as `gone`, and sets
+    // `base_revision` to it. Returns all servers and sets it to 0 if the changes are not known.
+    [[nodiscard]] std::vector<pb::server_announcement>
+    changes_since(std::uint64_t revision, clock::time_point now,
+                  std::uint64_t& base_revision) const;
+
     // The servers of a group that have not deregistered.
     [[nodiscard]] std::vector<const directory_entry*> group(std::string_view name) const;
     [[nodiscard]] const directory_entry* find(std::string_view server) const;
@@ -40,6 +47,7 @@
 
   private:
     std::map<std::string, directory_entry, std::less<>> entries_;
+    directory_changes changes_;
     std::uint64_t revision_ = 0;
 };
 
--- /dev/null
+++ b/src/cell_directory_copy.cpp
@@ -0,0 +1,106 @@
+#include "cell_directory_copy.h"
+
+#include <utility>
+
+namespace primrosehead::cell {
+
+// Replaces all servers. Those that were in the copy and are not listed count as removed.
+void directory_copy::assign(const pb::follow_reply& reply)
+{
+    const std::uint64_t revision = reply.directory_revision();
+    if (reply.control_term() != term_) {
+        changes_.reset(revision); // revisions of different leaders are not comparable
+    }
+    auto previous = std::exchange(servers_, {});
+    for (const pb::server_announcement& server : reply.servers()) {
+        changes_.record_change(server.server(), revision);
+        servers_.insert_or_assign(server.server(), server);
+        previous.erase(server.server());
+    }
+    for (const auto& [name, server] : previous) {
+        if (reply.control_term() == term_) {
+            changes_.record_removal(name, revision);
+        }
+    }
+    term_ = reply.control_term();
+    revision_ = revision;
+}
+
+bool directory_copy::apply(const pb::follow_reply& reply)
+{
+    const std::uint64_t revision = reply.directory_revision();
+    const bool is_same_term = reply.control_term() == term_;
+    const bool is_earlier = reply.control_term() < term_ || (is_same_term && revision < revision_);
+    bool has_changed = false;
+    if (is_earlier) {
+        return false;
+    }
+    if (reply.servers_size() > 0 && reply.directory_base_revision() == 0) {
+        assign(reply);
+        has_changed = true;
+    }
+    else if (reply.servers_size() > 0 && is_same_term && revision > revision_ &&
+             reply.directory_base_revision() <= revision_) {
+        for (const pb::server_announcement& server : reply.servers()) {
+            if (server.gone() && server.group().empty()) {
+                changes_.record_removal(server.server(), revision);
+                servers_.erase(server.server());
+                continue;
+            }
+            changes_.record_change(server.server(), revision);
+            servers_.insert_or_assign(server.server(), server);
+        }
+        revision_ = revision;
+        has_changed = true;
+    }
+    if (reply.control_term() == term_ && revision == revision_) {
+        has_changed = has_changed || is_complete_ != reply.directory_complete();
+        is_complete_ = reply.directory_complete();
+    }
+    return has_changed;
+}
+
+bool directory_copy::is_held_by(const pb::follow_request& request) const
+{
+    return request.control_term() == term_ && request.directory_revision() == revision_;
+}
+
+std::vector<pb::server_announcement> directory_copy::changes_for(const pb::follow_request& request,
+                                                                 std::uint64_t& base_revision) const
+{
+    const std::uint64_t held = request.directory_revision();
+    const bool has_delta =
+        request.control_term() == term_ && held <= revision_ && changes_.covers(held);
+    base_revision = has_delta ? held : 0;
+    std::vector<pb::server_announcement> changes;
+    for (const auto& [name, server] : servers_) {
+        if (!has_delta || changes_.has_changed(name, held)) {
+            changes.push_back(server);
+        }
+    }
+    for (const auto& [name, removed_at] : changes_.removed()) {
+        if (has_delta && removed_at > held) {
+            changes.emplace_back().set_server(name);
+            changes.back().set_gone(true);
+        }
+    }
+    return changes;
+}
+
+std::vector<pb::server_announcement> directory_copy::servers() const
+{
+    std::vector<pb::server_announcement> all;
+    all.reserve(servers_.size());
+    for (const auto& [name, server] : servers_) {
+        all.push_back(server);
+    }
+    return all;
+}
+
+const pb::server_announcement* directory_copy::find(std::string_view server) const
+{
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+} // namespace primrosehead::cell
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -6,6 +6,7 @@
 #include "cell_members.h"
 #include "cell_metrics.h"
 #include "cell_relay_runner.h"
+#include "cell_reply_pacer.h"
 #include "cell_service.h"
 #include "clock_timer.h"
 #include "disk_id.h"
@@ -27,10 +28,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <set>
 #include <unistd.h>
+#include <utility>
 
 namespace primrosehead::cell {
 
@@ -111,6 +114,7 @@
     void remove_silent_member(clock::time_point now);
     void request_membership(clock::time_point now);
     void forward_announcements();
+    void record_deferred_replies();
     void reload_settings();
     [[nodiscard]] std::string leader_endpoint() const;
     [[nodiscard]] std::set<std::string> control_endpoints() const;
@@ -154,6 +158,7 @@
     clock::time_point membership_checked_at{};
     clock::time_point last_housekeeping_at{};
     clock::time_point last_tick_at{};
+    std::uint64_t recorded_deferred_replies = 0;
     clock::duration latest_delay{0}; // of the event loop, when it last was long
     clock::time_point delayed_at{};
     std::optional<status> exit_status;
@@ -468,6 +473,24 @@
     }
 }
 
+// Counts and logs the large replies that were deferred since the last call.
+void instance::implementation::record_deferred_replies()
+{
+    const std::uint64_t deferred =
+        relaying->large_replies().deferred() +
+        (active_service ? active_service->large_replies().deferred() : 0);
+    // The leader's part ends with its term.
+    const std::uint64_t added =
+        deferred - std::min(deferred, std::exchange(recorded_deferred_replies, deferred));
+    if (added > 0) {
+        metrics_endpoint->add_deferred_replies(added);
+        events.decision("cell", "replies_deferred")
+            .field("count", static_cast<std::int64_t>(added))
+            .field("bytes_in_flight",
+                   static_cast<std::int64_t>(relaying->large_replies().bytes_in_flight()));
+    }
+}
+
 // Logs a long delay of the event loop: heartbeats and votes were delayed as well.
 void instance::implementation::record_delay(clock::time_point now)
 {
@@ -501,6 +524,7 @@
         metrics_endpoint->update(consensus_replica->term(), consensus_replica->state().version(),
                                  active_service ? active_service->live_instances(now) : 0,
                                  role == "leader", events);
+        record_deferred_replies();
     }
     if (!is_leader(now)) {
         return std::monostate{};
@@ -575,6 +599,8 @@
         reply.set_sequence(message.follow().sequence());
         reply.set_leader_hint(leader_endpoint());
         reply.set_control_term(consensus_replica->term());
+        reply.set_retry_after_ms(
+            reply_pacer::retry_after_ms(message.follow().instance(), now)); // if nobody leads
     }
     bus_connection->messages().reply(origin, response);
 }
--- a/src/cell_metrics.cpp
+++ b/src/cell_metrics.cpp
@@ -12,6 +12,8 @@
       followers_(
           registry_.gauge("primrose_followers", "Pooler instances in contact with this leader.")),
       is_leader_(registry_.gauge("primrose_leads", "1 if this instance is the leader.")),
+      deferred_replies_(registry_.counter("primrose_replies_deferred_total",
+                                          "Large replies deferred to bound those in flight.")),
       log_lines_(registry_.gauge("primrose_log_lines_total", "Log lines accepted.")),
       log_dropped_(registry_.gauge("primrose_log_lines_dropped_total", "Log lines dropped."))
 {
--- a/src/cell_metrics.h
+++ b/src/cell_metrics.h
@@ -24,6 +24,12 @@
     void update(std::uint64_t term, std::uint64_t version, std::uint32_t followers, bool is_leader,
                 const event_log& events);
 
+    // Counts large replies that were deferred because too many were in flight.
+    void add_deferred_replies(std::uint64_t count)
+    {
+        registry_.add(deferred_replies_, static_cast<std::int64_t>(count));
+    }
+
   private:
     metrics_server();
 
@@ -32,6 +38,7 @@
     counter_id version_;
     counter_id followers_;
     counter_id is_leader_;
+    counter_id deferred_replies_;
     counter_id log_lines_;
     counter_id log_dropped_;
     std::shared_ptr<http::listener> listener_;
--- a/src/cell_relay.cpp
+++ b/src/cell_relay.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace primrosehead::cell {
 
@@ -14,7 +15,8 @@
 // A withdrawn key is refused within the lease, which every hop of a confirmation shortens.
 constexpr clock::duration follow_interval{200};
 // Until the leader asks for relays, it only needs to know that this instance could be one.
-constexpr clock::duration idle_follow_interval{1'000};
+// Followers that the leader sends here find it serving after at most this time.
+constexpr clock::duration idle_follow_interval{400};
 constexpr clock::duration share_report_interval{400};
 constexpr clock::duration follower_timeout{1'000}; // several follow requests
 // A round trip to the leader and back takes a few milliseconds, within the time that a follower
@@ -50,7 +52,7 @@
 } // namespace
 
 relay::relay(relay_settings settings, std::uint64_t incarnation)
-    : settings_(std::move(settings)), incarnation_(incarnation)
+    : settings_(std::move(settings)), incarnation_(incarnation), request_pacer_(settings_.instance)
 {
 }
 
@@ -62,15 +64,57 @@
         }));
 }
 
-void relay::add_document(pb::follow_reply& reply, const pb::follow_request& request,
-                         const pb::published_record* stored) const
+// Returns false if the document has to be sent later.
+bool relay::add_document(pb::follow_reply& reply, const pb::follow_request& request,
+                         const pb::published_record* stored, clock::time_point now)
 {
     const pb::published_record* newest = document_ ? &*document_ : nullptr;
     if (stored != nullptr && (newest == nullptr || stored->version() > newest->version())) {
         newest = stored;
     }
-    if (newest != nullptr && newest->version() > request.document_version()) {
-        *reply.mutable_document() = *newest;
+    if (newest == nullptr || newest->version() <= request.document_version()) {
+        return true;
+    }
+    const std::uint32_t wait = reply_pacer_.admit(request.instance(), newest->ByteSizeLong(), now);
+    if (wait > 0) {
+        reply.set_retry_after_ms(wait);
+        return false;
+    }
+    *reply.mutable_document() = *newest;
+    return true;
+}
+
+// Adds at most one large part. The directory of an earlier leader is not passed on.
+void relay::add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
+                            const pb::published_record* stored, clock::time_point now)
+{
+    const bool is_current = directory_.term() == latest_.control_term();
+    reply.set_directory_revision(is_current ? directory_.revision() : 0);
+    reply.set_directory_complete(is_current && directory_.is_complete());
+    if (!request.wants_document() && !request.wants_directory()) {
+        return;
+    }
+    reply_pacer_.release(request.instance());
+    if (request.wants_document() && !add_document(reply, request, stored, now)) {
+        return;
+    }
+    if (!request.wants_directory() || !is_current || directory_.is_held_by(request)) {
+        return;
+    }
+    std::uint64_t base_revision = 0;
+    std::vector<pb::server_announcement> changes = directory_.changes_for(request, base_revision);
+    std::size_t bytes = 0;
+    for (const pb::server_announcement& each : changes) {
+        bytes += each.ByteSizeLong();
+    }
+    const std::uint32_t wait = reply_pacer_.admit(request.instance(), bytes, now);
+    if (wait == 0) {
+        reply.mutable_servers()->Assign(std::make_move_iterator(changes.begin()),
+                                        std::make_move_iterator(changes.end()));
+        reply.set_directory_base_revision(base_revision);
+    }
+    else if (!reply.has_document()) { // otherwise requested once the document has arrived
+        reply.set_retry_after_ms(wait);
     }
 }
 
@@ -111,14 +155,7 @@
     sender.sightings.assign(request.sightings().begin(), request.sightings().end());
     reply.set_document_version(latest_.document_version());
     reply.set_confirmed_age_ms((now - confirmed_at_).count());
-    add_document(reply, request, stored);
-    reply.set_directory_revision(directory_revision_);
-    const bool has_directory = request.control_term() == directory_term_ &&
-                               request.directory_revision() == directory_revision_;
-    if (!has_directory) {
-        reply.mutable_servers()->Add(servers_.begin(), servers_.end());
-        reply.set_directory_complete(is_directory_complete_);
-    }
+    add_large_parts(reply, request, stored, now);
     *reply.mutable_leads() = latest_.leads();
     *reply.mutable_control_endpoints() = latest_.control_endpoints();
     *reply.mutable_relays() = latest_.relays();
@@ -239,9 +276,11 @@
     request.set_incarnation(incarnation_);
     request.set_sequence(++sequence_);
     request.set_asked_at_ms(to_ms(now));
-    request.set_document_version(limits_document_ ? limits_document_->version() : 0);
-    request.set_control_term(directory_term_);
-    request.set_directory_revision(directory_revision_);
+    // The leader's copy counts, so that it is not sent again while the own log is behind.
+    request.set_document_version(std::max(limits_document_ ? limits_document_->version() : 0,
+                                          document_ ? document_->version() : 0));
+    request.set_control_term(directory_.term());
+    request.set_directory_revision(directory_.revision());
     request.set_failure_domain(settings_.failure_domain);
     request.set_answered_sequence(timely_sequence_);
     request.set_is_relay(true);
@@ -253,6 +292,11 @@
         limits_.report_shares(request, pooler::share_report_scope::all, false, now);
     }
     join_sightings(request, now);
+    if (request_pacer_.is_ready(now)) {
+        request_pacer_.record_request(sequence_, now);
+        request.set_wants_document(true);
+        request.set_wants_directory(true);
+    }
     return request;
 }
 
@@ -293,19 +337,6 @@
     return is_overdue;
 }
 
-void relay::apply_directory(const pb::follow_reply& reply)
-{
-    if (reply.servers_size() == 0) {
-        return;
-    }
-    servers_.assign(reply.servers().begin(), reply.servers().end());
-    is_directory_complete_ = reply.directory_complete();
-    if (is_directory_complete_) { // an incomplete one is requested again
-        directory_term_ = reply.control_term();
-        directory_revision_ = reply.directory_revision();
-    }
-}
-
 void relay::receive(const pb::follow_reply& reply, clock::time_point now)
 {
     const bool is_late = reply.sequence() == 0 || reply.sequence() <= last_reply_sequence_ ||
@@ -332,7 +363,8 @@
     if (reply.has_document()) {
         document_ = reply.document();
     }
-    apply_directory(reply);
+    directory_.apply(reply);
+    request_pacer_.record_answer(reply.sequence(), clock::duration(reply.retry_after_ms()), now);
     latest_ = reply;
     latest_.clear_document();
     latest_.clear_servers();
@@ -386,10 +418,8 @@
         return found;
     }
     for (const pb::group_lead& lead : latest_.leads()) {
-        const auto server = std::find_if(servers_.begin(), servers_.end(), [&](const auto& each) {
-            return each.server() == lead.server();
-        });
-        if (server != servers_.end() && !server->gone()) {
+        const pb::server_announcement* const server = directory_.find(lead.server());
+        if (server != nullptr && !server->gone()) {
             found.push_back({lead.group(), lead.server(), server->address()});
         }
     }
--- a/src/cell_relay.h
+++ b/src/cell_relay.h
@@ -7,8 +7,11 @@
 // followers keep getting tokens while a leader is being elected.
 #pragma once
 
+#include "cell_directory_copy.h"
+#include "cell_reply_pacer.h"
 #include "pooler_limit_table.h"
 #include "primrosehead.pb.h"
+#include "request_pacer.h"
 
 #include <primrosehead/bus.h>
 #include <primrosehead/clock.h>
@@ -94,6 +97,9 @@
     [[nodiscard]] std::uint32_t live_followers(clock::time_point now) const;
     [[nodiscard]] clock::time_point confirmed_at() const noexcept { return confirmed_at_; }
 
+    // Large replies in flight and those deferred so far.
+    [[nodiscard]] const reply_pacer& large_replies() const noexcept { return reply_pacer_; }
+
   private:
     struct follower_state {
         std::uint64_t incarnation = 0;
@@ -113,10 +119,11 @@
         clock::time_point requested_at;
     };
 
-    void add_document(pb::follow_reply& reply, const pb::follow_request& request,
-                      const pb::published_record* stored) const;
+    [[nodiscard]] bool add_document(pb::follow_reply& reply, const pb::follow_request& request,
+                                    const pb::published_record* stored, clock::time_point now);
+    void add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
+                         const pb::published_record* stored, clock::time_point now);
     void add_positions(pb::follow_reply& reply, clock::time_point now) const;
-    void apply_directory(const pb::follow_reply& reply);
     [[nodiscard]] bool drop_expired_shares(clock::time_point now);
     [[nodiscard]] pb::token_amount grant(const token_wait& wait, std::uint32_t tokens);
     void join_sightings(pb::follow_request& request, clock::time_point now) const;
@@ -124,6 +131,8 @@
     relay_settings settings_;
     std::uint64_t incarnation_;
     std::map<std::string, follower_state, std::less<>> followers_;
+    reply_pacer reply_pacer_;
+    request_pacer request_pacer_; // of this relay's own requests to the leader
     pooler::limit_table limits_;
     std::deque<token_wait> token_waits_;
     std::map<std::string, clock::time_point, std::less<>> tokens_requested_at_; // by organisation
@@ -136,10 +145,7 @@
     bool is_enabled_ = false;
     pb::follow_reply latest_; // without shares, document and servers
     std::optional<pb::published_record> document_;
-    std::vector<pb::server_announcement> servers_;
-    std::uint64_t directory_term_ = 0;
-    std::uint64_t directory_revision_ = 0;
-    bool is_directory_complete_ = false;
+    directory_copy directory_;
     clock::time_point confirmed_at_{};
 
     std::uint64_t sequence_ = 0;
--- a/src/cell_relay_runner.h
+++ b/src/cell_relay_runner.h
@@ -35,6 +35,11 @@
     // True while this instance handles the requests of pooler instances itself.
     [[nodiscard]] bool is_serving() const noexcept { return relay_.is_serving(); }
 
+    [[nodiscard]] const reply_pacer& large_replies() const noexcept
+    {
+        return relay_.large_replies();
+    }
+
     void follow(const bus_origin& origin, const pb::follow_request& request,
                 const pb::published_record* stored);
     void grant_tokens(const bus_origin& origin, const pb::token_request& request);
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -3,6 +3,7 @@
 #include "state_records.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace primrosehead::cell {
 
@@ -134,13 +135,16 @@
     }
 }
 
-void service::add_relays(pb::follow_reply& reply, clock::time_point now) const
+// Pooler instances learn only of relays that serve already. The relays learn of all: this asks them
+// to serve, and each keeps its part of the limits.
+void service::add_relays(pb::follow_reply& reply, bool is_for_relay, clock::time_point now) const
 {
     if (!uses_relays_) {
         return;
     }
     for (const auto& [name, each] : instances_) {
-        if (each.is_relay && now - each.last_seen_at < live_timeout) {
+        if (each.is_relay && (is_for_relay || each.is_relaying) &&
+            now - each.last_seen_at < live_timeout) {
             pb::relay_address& relay = *reply.add_relays();
             relay.set_endpoint(each.endpoint);
             relay.set_failure_domain(each.failure_domain);
@@ -198,6 +202,64 @@
     }
 }
 
+void service::add_directory(pb::follow_reply& reply, const pb::follow_request& request,
+                            const directory& servers, clock::time_point now)
+{
+    const bool is_same_term = request.control_term() == term_;
+    const std::uint64_t held = is_same_term ? request.directory_revision() : 0;
+    if (!request.wants_directory() || held == servers.revision()) {
+        return;
+    }
+    std::uint64_t base_revision = 0;
+    std::vector<pb::server_announcement> changes = servers.changes_since(held, now, base_revision);
+    std::size_t bytes = 0;
+    for (const pb::server_announcement& each : changes) {
+        bytes += each.ByteSizeLong();
+    }
+    if (const std::uint32_t wait = reply_pacer_.admit(request.instance(), bytes, now); wait > 0) {
+        reply.set_retry_after_ms(wait);
+        return;
+    }
+    reply.mutable_servers()->Assign(std::make_move_iterator(changes.begin()),
+                                    std::make_move_iterator(changes.end()));
+    reply.set_directory_base_revision(base_revision);
+}
+
+// Adds at most one large part. Pooler instances get theirs from relays as soon as some serve.
+void service::add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
+                              const state_machine& state, const directory& servers,
+                              clock::time_point now)
+{
+    reply.set_directory_revision(servers.revision());
+    reply.set_directory_complete(is_directory_complete(now));
+    const pb::published_record* const newest = state.published(document_name);
+    if (newest != nullptr) {
+        reply.set_document_version(newest->version());
+    }
+    if (!request.wants_document() && !request.wants_directory()) {
+        return;
+    }
+    reply_pacer_.release(request.instance());
+    if (!request.is_relay() && reply.relays_size() > 0) {
+        reply.set_retry_after_ms(reply_pacer::retry_after_ms(request.instance(), now));
+        return;
+    }
+    if (newest != nullptr && request.wants_document() &&
+        newest->version() > request.document_version()) {
+        const std::uint32_t wait =
+            reply_pacer_.admit(request.instance(), newest->ByteSizeLong(), now);
+        if (wait > 0) {
+            reply.set_retry_after_ms(wait);
+            return;
+        }
+        *reply.mutable_document() = *newest;
+    }
+    add_directory(reply, request, servers, now);
+    if (reply.has_document()) {
+        reply.clear_retry_after_ms(); // the directory is requested once the document has arrived
+    }
+}
+
 pb::follow_reply service::follow(const pb::follow_request& request, const state_machine& state,
                                  const directory& servers, clock::time_point now)
 {
@@ -223,6 +285,7 @@
     sender.last_seen_at = now;
     sender.failure_domain = request.failure_domain();
     sender.is_relay = request.is_relay();
+    sender.is_relaying = request.is_relaying();
     sender.endpoint = request.endpoint();
     sender.followers = request.followers();
     if (request.is_relaying() && now - elected_at_ < relay_use_retention) {
@@ -247,19 +310,8 @@
                                                           report.demand_per_s(), now)
                                 : report.share_ppm());
     }
-    if (const pb::published_record* const newest = state.published(document_name)) {
-        reply.set_document_version(newest->version());
-        if (newest->version() > request.document_version()) {
-            *reply.mutable_document() = *newest;
-        }
-    }
-    reply.set_directory_revision(servers.revision());
-    if (request.control_term() != term_ || request.directory_revision() != servers.revision()) {
-        for (pb::server_announcement& server : servers.servers(now)) {
-            *reply.add_servers() = std::move(server);
-        }
-        reply.set_directory_complete(is_directory_complete(now));
-    }
+    add_relays(reply, request.is_relay(), now);
+    add_large_parts(reply, request, state, servers, now);
     for (const auto& [group, planner] : planners_) {
         if (!planner.primary().empty()) {
             pb::group_lead& lead = *reply.add_leads();
@@ -270,7 +322,6 @@
     }
     reply.set_live_instances(live_instances(now));
     reply.set_central_ppm(central_ppm_);
-    add_relays(reply, now);
     return reply;
 }
 
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "cell_directory.h"
+#include "cell_reply_pacer.h"
 #include "cell_share_allocator.h"
 #include "cell_token_buckets.h"
 #include "document.h"
@@ -76,6 +77,9 @@
     // Number of pooler instances that follow this leader or a relay.
     [[nodiscard]] std::uint32_t live_instances(clock::time_point now) const;
 
+    // Large replies in flight and those deferred so far.
+    [[nodiscard]] const reply_pacer& large_replies() const noexcept { return reply_pacer_; }
+
     // True while the fleet is so large that pooler instances follow relays.
     [[nodiscard]] bool uses_relays() const noexcept { return uses_relays_; }
 
@@ -93,6 +97,7 @@
         std::string failure_domain;
         bool is_relay = false;
         std::string endpoint;                              // of a relay
+        bool is_relaying = false;                          // of a relay: it serves followers
         std::uint32_t followers = 0;                       // of a relay
         std::deque<received_request> unconfirmed_requests; // oldest first
     };
@@ -110,13 +115,19 @@
     void update_central_limits(const document& current, clock::time_point now);
     void handle_primary_reports(const pb::follow_request& request, clock::time_point now);
     void update_relay_use(clock::time_point now);
-    void add_relays(pb::follow_reply& reply, clock::time_point now) const;
+    void add_relays(pb::follow_reply& reply, bool is_for_relay, clock::time_point now) const;
+    void add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
+                         const state_machine& state, const directory& servers,
+                         clock::time_point now);
+    void add_directory(pb::follow_reply& reply, const pb::follow_request& request,
+                       const directory& servers, clock::time_point now);
 
     service_settings settings_;
     std::uint64_t term_;
     clock::time_point elected_at_;
     share_allocator share_allocator_;
     token_buckets token_buckets_;
+    reply_pacer reply_pacer_;
     std::uint64_t central_limits_version_ = 0; // version of the document that set them
     std::uint32_t central_ppm_ = 0;            // the leader's part of rates, in millionths
     bool uses_relays_ = false;
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -10,7 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <iterator>
+#include <optional>
+#include <utility>
 
 namespace primrosehead::pooler {
 
@@ -18,10 +19,7 @@
 
 namespace {
 
-// A document takes effect everywhere within a few intervals; a request costs the leader some bytes.
-constexpr clock::duration follow_interval{200};
-constexpr clock::duration min_follow_interval{20}; // after a change of the leader or the document
-// A reply takes a few milliseconds. After this time, another cell instance is tried.
+// A reply takes a few milliseconds. After this time, the endpoint counts as silent.
 constexpr clock::duration leader_timeout{500};
 // A withdrawn key must not work for longer than the revocation bound; the remainder is for requests
 // in flight.
@@ -36,10 +34,6 @@
 // received a request, which was sent at most `timely_round_trip` earlier.
 constexpr clock::duration isolated_after =
     cell::confirmation_timeout + timely_round_trip + clock::duration(50);
-// A relay that lost the leader is left after the time of an election, early enough that the lease
-// outlasts the search for another one.
-constexpr clock::duration stale_relay_age{1'600};
-constexpr clock::duration min_relay_stay{500};
 // The own relay is silent for `leader_timeout`, and the next one may be too.
 constexpr clock::duration relay_switch_time{1'200};
 // While other relays are silent as well, operations are refused without asking them each time.
@@ -55,70 +49,54 @@
     : executor_(std::move(executor)), settings_(settings), incarnation_(incarnation),
       parser_(std::move(parser)), connections_(connections), events_(events),
       lease_(settings.revocation * lease_tenths / 10),
-      relays_(settings.instance, settings.failure_domain.text())
+      plan_(settings.instance, settings.failure_domain.text())
 {
     set_seeds(settings.control);
 }
 
 void follower::set_seeds(const std::vector<std::string>& addresses)
 {
-    seeds_.clear();
+    std::set<std::string> endpoints;
     for (const std::string& address : addresses) {
-        seeds_.insert(make_bus_endpoint(host_of(address), settings_.bus_port));
+        endpoints.insert(make_bus_endpoint(host_of(address), settings_.bus_port));
     }
+    plan_.set_seeds(std::move(endpoints));
 }
 
-// Returns the best relay or, if there is none, the next of the cell's known members and of the
-// addresses from the settings.
-std::string follower::next_endpoint(clock::time_point now) const
+void follower::tick(clock::time_point now)
 {
-    std::string relay = relays_.choose(now);
-    if (!relay.empty()) {
-        return relay;
+    limits_.set_isolated(now - timely_request_at_ > isolated_after, now);
+    request_missing_tokens(now);
+    if (messages_ == nullptr) {
+        return;
     }
-    std::set<std::string> candidates = endpoints_;
-    candidates.insert(seeds_.begin(), seeds_.end());
-    if (candidates.empty()) {
-        return {};
+    const std::optional<planned_request> planned = plan_.next_request(now);
+    log_endpoint_change();
+    close_unneeded_connections();
+    if (planned) {
+        send(*planned, now);
     }
-    const auto next = candidates.upper_bound(endpoint_);
-    return next == candidates.end() ? *candidates.begin() : *next;
 }
 
-void follower::follow_endpoint(const std::string& endpoint, std::string_view reason,
-                               clock::time_point now)
+void follower::log_endpoint_change()
 {
-    endpoint_chosen_at_ = now;
-    sends_soon_ = true;
-    if (endpoint == endpoint_ || endpoint.empty()) {
-        return;
+    const std::optional<endpoint_change> change = plan_.take_change();
+    if (change && !change->previous.empty()) {
+        events_.decision("control", change->was_answered ? "leader_lost" : "endpoint_changed")
+            .field("leader", change->previous)
+            .field("reason", change->reason)
+            .field("next", change->next)
+            .field("silent_ms", change->silent_time.count());
     }
-    if (is_answered_) {
-        events_.decision("control", "leader_lost")
-            .field("leader", endpoint_)
-            .field("reason", reason)
-            .field("next", endpoint)
-            .field("silent_ms", (now - last_reply_at_).count());
-        is_answered_ = false;
-    }
-    if (messages_ != nullptr && !endpoint_.empty()) {
-        messages_->disconnect(endpoint_); // its idle connection costs both sides heartbeats
-    }
-    endpoint_ = endpoint;
 }
 
-void follower::tick(clock::time_point now)
+// An idle connection costs both sides heartbeats.
+void follower::close_unneeded_connections()
 {
-    limits_.set_isolated(now - timely_request_at_ > isolated_after, now);
-    request_missing_tokens(now);
-    const bool is_silent = now - std::max(last_reply_at_, endpoint_chosen_at_) > leader_timeout;
-    if (endpoint_.empty() || is_silent) {
-        relays_.record_failure(endpoint_, now);
-        follow_endpoint(next_endpoint(now), "silent", now);
-    }
-    const clock::duration interval = sends_soon_ ? min_follow_interval : follow_interval;
-    if (now - sent_at_ >= interval) {
-        send(now);
+    for (const std::string& endpoint : plan_.take_unneeded()) {
+        if (messages_ != nullptr) {
+            messages_->disconnect(endpoint);
+        }
     }
 }
 
@@ -136,7 +114,7 @@
 {
     const bool is_due = now - tokens_requested_at_ >= token_request_interval;
     if (!is_due || messages_ == nullptr || central_ppm_ == 0 || follows_relay() ||
-        now - last_reply_at_ > leader_timeout) {
+        now - plan_.last_reply_at() > leader_timeout) {
         return;
     }
     tokens_requested_at_ = now;
@@ -145,7 +123,7 @@
     request.set_instance(settings_.instance);
     limits_.request_missing(request, now);
     if (request.wanted_size() > 0) {
-        messages_->send(endpoint_, message);
+        messages_->send(plan_.endpoint(), message);
     }
 }
 
@@ -184,13 +162,13 @@
 net::awaitable<bool> follower::borrow_token(const std::string& organisation)
 {
     const clock::time_point asked_at = clock::now();
-    const bool is_silent = asked_at - last_reply_at_ > leader_timeout;
+    const bool is_silent = asked_at - plan_.last_reply_at() > leader_timeout;
     if (limiter_for(organisation) == nullptr || central_ppm_ == 0 ||
         (is_silent && !follows_relay())) {
         co_return false;
     }
     if (!is_silent) {
-        const std::string endpoint = endpoint_;
+        const std::string endpoint = plan_.endpoint();
         const bool is_granted = co_await request_token(organisation, endpoint);
         if (is_granted || token_waits_[organisation].answered_at >= asked_at) {
             co_return is_granted;
@@ -198,7 +176,7 @@
     }
     // The relay may be down or frozen: another one has a share of the limits too.
     const clock::time_point now = clock::now();
-    const std::string alternative = relays_.alternative_to(endpoint_, now);
+    const std::string alternative = plan_.relays().alternative_to(plan_.endpoint(), now);
     if (alternative.empty() || now - alternative_silent_at_ < alternative_retry_interval) {
         co_return false;
     }
@@ -211,7 +189,7 @@
 
 bool follower::is_without_tokens(clock::time_point now) const noexcept
 {
-    return follows_relay() && now - last_reply_at_ > relay_switch_time;
+    return follows_relay() && now - plan_.last_reply_at() > relay_switch_time;
 }
 
 void follower::receive_tokens(const pb::token_reply& reply, clock::time_point now)
@@ -245,23 +223,22 @@
     return is_overdue;
 }
 
-void follower::send(clock::time_point now)
+void follower::send(const planned_request& planned, clock::time_point now)
 {
-    if (messages_ == nullptr || endpoint_.empty()) {
-        return;
-    }
     static_cast<void>(drop_expired_shares(now));
-    sends_soon_ = false;
-    sent_at_ = now;
     pb::envelope message = make_envelope();
     pb::follow_request& request = *message.mutable_follow();
     request.set_instance(settings_.instance);
     request.set_incarnation(incarnation_);
-    request.set_sequence(++sequence_);
+    request.set_sequence(planned.sequence);
     request.set_asked_at_ms(to_ms(now));
     request.set_document_version(document_ ? document_->version() : 0);
-    request.set_control_term(control_term_);
-    request.set_directory_revision(directory_revision_);
+    request.set_control_term(directory_.term());
+    request.set_directory_revision(directory_.revision());
+    // An unreadable document is not sent again and again.
+    request.set_wants_document(planned.wants_large_parts &&
+                               (unreadable_version_ == 0 || newest_version_ > unreadable_version_));
+    request.set_wants_directory(planned.wants_large_parts);
     request.set_leaving(is_leaving_);
     request.set_answered_sequence(timely_sequence_);
     request.set_failure_domain(settings_.failure_domain.text());
@@ -280,50 +257,63 @@
         report.set_reached_ms_ago(sighting.reached_ago ? sighting.reached_ago->count() : -1);
         report.set_failing_for_ms(sighting.failing_for.count());
     }
-    messages_->send(endpoint_, message);
+    messages_->send(plan_.endpoint(), message);
 }
 
-void follower::receive(const pb::follow_reply& reply, clock::time_point now)
+bool follower::is_malformed(const pb::follow_reply& reply)
 {
-    if (!reply.is_leader()) {
-        const bool is_other_instance =
-            !reply.leader_hint().empty() && reply.leader_hint() != endpoint_;
-        if (is_other_instance && reply.sequence() == sequence_) {
-            follow_endpoint(reply.leader_hint(), "redirected", now);
-        }
+    if (reply.confirmed_age_ms() >= 0) {
+        return false;
+    }
+    // A confirmation from the future would outlast the lease.
+    events_.decision("control", "reply_malformed")
+        .field("from", plan_.endpoint())
+        .field("confirmed_age_ms", reply.confirmed_age_ms());
+    return true;
+}
+
+// Handles the first reply of an endpoint that leads or relays.
+void follower::receive_first(const pb::follow_reply& reply)
+{
+    plan_.hasten(); // a new leader waits for the share reports of all instances
+    shares_sent_at_ = clock::time_point{};
+    events_.decision("control", "leader_found")
+        .field("leader", plan_.endpoint())
+        .field("term", static_cast<std::int64_t>(reply.control_term()))
+        .field("relays", static_cast<std::int64_t>(reply.relays_size()));
+}
+
+void follower::receive(const pb::follow_reply& reply, clock::time_point now, std::string_view from)
+{
+    const bool is_outdated = reply.control_term() < directory_.term();
+    if (reply.is_leader() && (is_outdated || is_malformed(reply))) {
         return;
     }
-    if (reply.sequence() == 0 || reply.sequence() <= last_reply_sequence_ ||
-        reply.control_term() < control_term_) {
+    const bool was_answered = plan_.is_answered();
+    const reply_use use = plan_.receive(reply, from, now);
+    log_endpoint_change();
+    if (use == reply_use::none) {
         return;
     }
-    if (reply.confirmed_age_ms() < 0) {
-        // A confirmation from the future would outlast the lease.
-        events_.decision("control", "reply_malformed")
-            .field("from", endpoint_)
-            .field("confirmed_age_ms", reply.confirmed_age_ms());
+    if (reply.has_document()) {
+        apply_document(reply.document(), now);
+    }
+    apply_directory(reply, now);
+    if (use != reply_use::all) {
         return;
     }
-    last_reply_sequence_ = reply.sequence();
-    last_reply_at_ = now;
+    newest_version_ = reply.document_version();
+    plan_.set_is_behind(!document_ || document_->version() < reply.document_version() ||
+                        directory_.revision() != reply.directory_revision());
     const clock::time_point asked_at = from_ms(reply.asked_at_ms());
     if (now - asked_at <= timely_round_trip) {
         timely_sequence_ = reply.sequence();
         timely_request_at_ = asked_at;
     }
-    if (!is_answered_) {
-        is_answered_ = true;
-        sends_soon_ = true; // a new leader waits for the share reports of all instances
-        shares_sent_at_ = clock::time_point{};
-        events_.decision("control", "leader_found")
-            .field("leader", endpoint_)
-            .field("term", static_cast<std::int64_t>(reply.control_term()))
-            .field("relays", static_cast<std::int64_t>(reply.relays_size()));
+    if (!was_answered && plan_.is_answered()) {
+        receive_first(reply);
     }
-    if (reply.has_document()) {
-        apply_document(reply.document(), now);
-    }
-    apply_directory(reply, now);
+    apply_fleet(reply, now);
     apply_positions(reply);
     if (!drop_expired_shares(now)) {
         limits_.apply_shares(reply, now);
@@ -335,34 +325,17 @@
         confirmed_at_ = std::max(confirmed_at_, confirmed_at);
     }
     apply_relays(reply, now);
+    close_unneeded_connections();
 }
 
-// Follows a relay while the leader asks for it: the preferred one, unless it has lost the leader.
 void follower::apply_relays(const pb::follow_reply& reply, clock::time_point now)
 {
-    std::vector<relay_candidate> candidates;
-    for (const pb::relay_address& each : reply.relays()) {
-        candidates.push_back({each.endpoint(), each.failure_domain()});
-    }
-    const bool had_relays = relays_.has_relays();
-    relays_.set_relays(std::move(candidates));
-    if (!relays_.has_relays()) {
-        return;
-    }
-    if (!had_relays) {
+    const bool had_relays = follows_relay();
+    plan_.apply_relays(reply, now);
+    log_endpoint_change();
+    if (!had_relays && follows_relay()) {
         limits_.drop_shares(now); // the relay has this instance's part
     }
-    if (reply.confirmed_age_ms() > stale_relay_age.count()) {
-        relays_.record_failure(endpoint_, now);
-    }
-    else {
-        relays_.record_success(endpoint_);
-    }
-    const std::string preferred = relays_.choose(now);
-    if (!preferred.empty() && preferred != endpoint_ &&
-        now - endpoint_chosen_at_ >= min_relay_stay) {
-        follow_endpoint(preferred, "prefers another relay", now);
-    }
 }
 
 void follower::apply_positions(const pb::follow_reply& reply)
@@ -383,6 +356,7 @@
     if (document_ && record.version() <= document_->version()) {
         return;
     }
+    unreadable_version_ = record.version(); // unless it proves readable
     const result<std::string> text = decompress_document(record);
     if (!ok(text)) {
         events_.decision("document", "unreadable").field("error", describe(failure(text)));
@@ -393,12 +367,13 @@
         events_.decision("document", "unreadable").field("error", describe(failure(parsed)));
         return;
     }
+    unreadable_version_ = 0;
     document_ = value(std::move(parsed));
     events_.decision("document", "in_force")
         .field("version", static_cast<std::int64_t>(document_->version()))
         .field("routes", static_cast<std::int64_t>(document_->content().routes.size()));
     apply_limits(now);
-    sends_soon_ = true;
+    plan_.hasten();
     shares_sent_at_ = clock::time_point{};
 }
 
@@ -413,22 +388,23 @@
 
 void follower::apply_directory(const pb::follow_reply& reply, clock::time_point now)
 {
-    if (reply.servers_size() > 0) {
-        const std::vector<pb::server_announcement> servers(reply.servers().begin(),
-                                                           reply.servers().end());
-        connections_.set_servers(servers, reply.directory_complete(), now);
-        // An incomplete directory is requested again.
-        if (reply.directory_complete()) {
-            control_term_ = reply.control_term();
-            directory_revision_ = reply.directory_revision();
+    if (directory_.apply(reply)) {
+        if (reply.servers_size() > 0 && reply.directory_base_revision() == 0) {
+            plan_.hasten(); // tells the sender that the large part has arrived
         }
+        connections_.set_servers(directory_.servers(), directory_.is_complete(), now);
     }
+}
+
+// Applies what the reply tells about the primaries, the cell's members and the fleet's size.
+void follower::apply_fleet(const pb::follow_reply& reply, clock::time_point now)
+{
     for (const pb::group_lead& lead : reply.leads()) {
         connections_.primary_of(lead.group())
             .record_control_report(lead.server(), lead.generation(), now);
     }
     if (reply.control_endpoints_size() > 0) {
-        endpoints_ = {reply.control_endpoints().begin(), reply.control_endpoints().end()};
+        plan_.set_members({reply.control_endpoints().begin(), reply.control_endpoints().end()});
     }
     const bool has_changed =
         reply.live_instances() != live_instances_ || reply.central_ppm() != central_ppm_;
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -3,10 +3,11 @@
 // follows the leader or, in a large fleet, a relay (cell_relay.h). One thread.
 #pragma once
 
+#include "cell_directory_copy.h"
 #include "deployment_settings.h"
 #include "document.h"
+#include "pooler_follow_plan.h"
 #include "pooler_limit_table.h"
-#include "pooler_relay_chooser.h"
 
 #include <primrosehead/bus.h>
 #include <primrosehead/clock.h>
@@ -52,7 +53,8 @@
 
     // Sends the requests that are due. To be called about every 20 ms.
     void tick(clock::time_point now);
-    void receive(const pb::follow_reply& reply, clock::time_point now);
+    // `from` is the endpoint that the reply came from; empty: the one that this instance follows.
+    void receive(const pb::follow_reply& reply, clock::time_point now, std::string_view from = {});
 
     // Replaces the configured addresses of cell instances, after a reload.
     void set_seeds(const std::vector<std::string>& addresses);
@@ -69,7 +71,7 @@
     {
         return document_ != nullptr && now - confirmed_at_ < lease_;
     }
-    [[nodiscard]] clock::time_point last_reply_at() const noexcept { return last_reply_at_; }
+    [[nodiscard]] clock::time_point last_reply_at() const noexcept { return plan_.last_reply_at(); }
 
     // True if no operation within a limit can be admitted: the instance follows relays, which hold
     // its tokens, and none has replied for longer than the switch to another one takes.
@@ -88,15 +90,16 @@
     }
 
     // True while the instance follows a relay, which also observes the primaries' log positions.
-    [[nodiscard]] bool follows_relay() const noexcept { return relays_.has_relays(); }
+    [[nodiscard]] bool follows_relay() const noexcept { return plan_.relays().has_relays(); }
 
   private:
-    void send(clock::time_point now);
+    void send(const planned_request& planned, clock::time_point now);
+    void close_unneeded_connections();
+    void log_endpoint_change();
+    void receive_first(const pb::follow_reply& reply);
+    [[nodiscard]] bool is_malformed(const pb::follow_reply& reply);
     [[nodiscard]] pb::envelope make_envelope() const;
     void request_missing_tokens(clock::time_point now);
-    void follow_endpoint(const std::string& endpoint, std::string_view reason,
-                         clock::time_point now);
-    [[nodiscard]] std::string next_endpoint(clock::time_point now) const;
     void apply_relays(const pb::follow_reply& reply, clock::time_point now);
     void apply_positions(const pb::follow_reply& reply);
     [[nodiscard]] boost::asio::awaitable<bool> request_token(const std::string& organisation,
@@ -107,6 +110,7 @@
     void apply_document(const pb::published_record& record, clock::time_point now);
     void apply_limits(clock::time_point now);
     void apply_directory(const pb::follow_reply& reply, clock::time_point now);
+    void apply_fleet(const pb::follow_reply& reply, clock::time_point now);
 
     boost::asio::any_io_executor executor_;
     pooler_settings settings_;
@@ -118,6 +122,8 @@
     clock::duration lease_;
 
     std::shared_ptr<const document> document_;
+    std::uint64_t unreadable_version_ = 0; // latest document that could not be read; 0: none
+    std::uint64_t newest_version_ = 0;     // as the latest reply told
     limit_table limits_;
     std::uint32_t central_ppm_ = 0; // part of rates and bursts that the leader keeps, in millionths
     // Operations of an organisation that wait for a token.
@@ -132,24 +138,13 @@
     clock::time_point shares_sent_at_{};
     clock::time_point confirmed_at_{};
 
-    std::set<std::string> endpoints_;
-    std::set<std::string> seeds_;
-    relay_chooser relays_;
-    std::string endpoint_; // of the leader or relay that this instance follows
-    clock::time_point sent_at_{};
-    clock::time_point last_reply_at_{};
-    clock::time_point endpoint_chosen_at_{};
-    bool is_answered_ = false; // by the endpoint
-    std::uint64_t sequence_ = 0;
-    std::uint64_t last_reply_sequence_ = 0;
+    follow_plan plan_;
     // The latest reply within `timely_round_trip`, and when its request was sent.
     std::uint64_t timely_sequence_ = 0;
     clock::time_point timely_request_at_{};
-    std::uint64_t control_term_ = 0; // term of the leader that sent the directory
-    std::uint64_t directory_revision_ = 0;
+    cell::directory_copy directory_;
     std::uint32_t live_instances_ = 1;
     bool is_leaving_ = false;
-    bool sends_soon_ = false;
 };
 
 } // namespace primrosehead::pooler
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -201,19 +201,19 @@
     if (!ok(opened)) {
         return failure(opened);
     }
-    messages =
-        std::make_unique<bus_runner>(std::move(value(opened)), context.get_executor(),
-                                     [this](const bus_origin&, const pb::envelope& message) {
-                                         if (message.cell() != settings.cell.text()) {
-                                             return;
-                                         }
-                                         if (message.has_follow_answer()) {
-                                             control.receive(message.follow_answer(), clock::now());
-                                         }
-                                         else if (message.has_tokens()) {
-                                             control.receive_tokens(message.tokens(), clock::now());
-                                         }
-                                     });
+    messages = std::make_unique<bus_runner>(
+        std::move(value(opened)), context.get_executor(),
+        [this](const bus_origin& origin, const pb::envelope& message) {
+            if (message.cell() != settings.cell.text()) {
+                return;
+            }
+            if (message.has_follow_answer()) {
+                control.receive(message.follow_answer(), clock::now(), origin.endpoint);
+            }
+            else if (message.has_tokens()) {
+                control.receive_tokens(message.tokens(), clock::now());
+            }
+        });
     control.set_bus(messages->messages());
     const status listening = listen();
     return ok(listening) ? serve_probes() : listening;
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace primrosehead::pooler {
@@ -106,12 +107,14 @@
 void pool::set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
                        clock::time_point /*now*/)
 {
-    std::map<std::string, bool, std::less<>> listed;
+    std::set<std::string_view> listed;
+    std::set<std::string_view> gone;
     for (const pb::server_announcement& announcement : servers) {
         if (announcement.gone()) {
+            gone.insert(announcement.server());
             continue;
         }
-        listed.emplace(announcement.server(), true);
+        listed.insert(announcement.server());
         std::shared_ptr<pooled_server>& server =
             state_of(announcement.group()).servers[announcement.server()];
         const bool is_restarted = server && server->born_ms != announcement.born_ms();
@@ -134,12 +137,7 @@
     for (auto& [name, state] : groups_) {
         std::erase_if(state.servers, [&](auto& item) {
             const bool was_listed = listed.contains(item.first);
-            const bool is_removed =
-                !was_listed &&
-                (is_complete ||
-                 std::any_of(servers.begin(), servers.end(), [&](const auto& announcement) {
-                     return announcement.gone() && announcement.server() == item.first;
-                 }));
+            const bool is_removed = !was_listed && (is_complete || gone.contains(item.first));
             if (is_removed) {
                 item.second->is_removed = true;
                 close_idle(*item.second);
