Evacuation of failure domains

Operators had no way to take a failure domain's servers out of use: POST and DELETE /evacuations/ZONE answered 404. Orders are now part of the replicated state, checked at the leader against the known domains, and sent to every instance with the follow replies.

--- a/soak/servers.py
+++ b/soak/servers.py
@@ -18,10 +18,12 @@
         self.sent = {}          # statement id -> expected tenant, group, session values and operation
         self.committed = {}     # attempt -> number of times its writes took effect
         self.signatures = {}    # statement id -> signature returned by a server
+        self.tenants = set()    # names of all tenants
         self.config = {}        # latest acknowledged document
         self.revoked = {}       # key -> time at which its revocation was acknowledged
         self.arrivals = {}      # tenant -> times of operations that ran
         self.revocation_s = 5.0
+        self.evacuated = {}     # failure domain -> time from which no operation may reach its servers
 
     def report_violation(self, rule, message):
         self.violations.append(f"{rule}: {message}")
@@ -44,6 +46,10 @@
         self.sequence = 0
         self.started_at_ms = int(time.time() * 1000)
 
+    @property
+    def failure_domain(self):
+        return f"d{self.group.servers.index(self)}"
+
     @property
     def is_primary(self):
         return self.group.primary is self
@@ -108,6 +114,7 @@
         self.writer.write(f"READY I {self.server.position()}\r\n".encode())
         while self.server.alive:
             line = (await self.reader.readuntil(b"\r\n")).decode()[:-2]
+            self.check_evacuation(line)
             await self.wait_while_unresponsive()
             if line.startswith("TERMINATE"):
                 return
@@ -119,6 +126,15 @@
             self.write_reply(rows, signature, code)
             await self.writer.drain()
 
+    def check_evacuation(self, line):
+        """Control's own checks, which a promotion needs, are under another tenant's name."""
+        oracle = self.server.group.oracle
+        until = oracle.evacuated.get(self.server.failure_domain)
+        is_operation = self.tenant in oracle.tenants and not line.startswith("TERMINATE")
+        if is_operation and until is not None and time.monotonic() > until:
+            late = time.monotonic() - until
+            oracle.report_violation("EVACUATION", f"{self.server.name} got {line!r} {late:.3f} s late")
+
     async def wait_while_unresponsive(self):
         while time.monotonic() < self.server.unresponsive_until and self.server.alive:
             await asyncio.sleep(0.02)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Randomized soak test: runs the real programs on loopback, injects faults and checks the promises.
 
-    soak/soak.py --seed N [--seconds S] [--cells N] [--entries N] [--clients N] [--plan]
+    soak/soak.py --seed N [--seconds S] [--cells N] [--entries N] [--clients N] [--evacuations] [--plan]
 
 The seed determines the fault schedule, which is printed; `--plan` prints it and exits. The exit code is 1
 when a promise was broken; no verdict depends on timing. Only processes started by this script are ended.
@@ -26,6 +26,9 @@
 # Error codes that promise that nothing of the attempt takes effect.
 NO_EFFECT_CODES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
 GRACE_S = 6
+ZONES = ("d0", "d1", "d2")  # of the database servers
+EVACUATION_S = 5.0
+ORDER_TIMEOUT_S = 6.0
 FAULTS = ["kill_cell", "kill_entry", "stop_entry", "pause_cell", "pause_entry", "crash_server",
           "silence_server", "deaf_replica", "reset_server", "revoke", "publish", "hup", "kill_cells"]
 
@@ -44,12 +47,14 @@
         shared = {"instance": f"{self.kind}-{self.index}", "failure_domain": f"d{self.index}",
                   "host": self.host, "bus_port": self.cluster.port, "grace_s": GRACE_S,
                   "control": [f"127.0.1.{i + 1}:{self.cluster.port + 1}" for i in range(self.cluster.cells)],
-                  "listen": f"{self.host}:{self.cluster.port + 1}", "revocation_ms": 5000}
+                  "listen": f"{self.host}:{self.cluster.port + 1}", "revocation_ms": 5000,
+                  "regions": {zone: "r0" for zone in ZONES}}
         if self.kind == "control":
             return shared | {"data_folder": str(self.folder / "data"), "first_start": self.start_count == 0,
                              "platform": f"127.0.4.1:{self.cluster.port}",
                              "announcement_interval_ms": 400}
-        return shared | {"readiness_listen": f"{self.host}:{self.cluster.port + 2}", "limit_tolerance": 20}
+        return shared | {"readiness_listen": f"{self.host}:{self.cluster.port + 2}", "limit_tolerance": 20,
+                         "evacuation_ms": int(EVACUATION_S * 1000)}
 
     def start(self):
         path = self.folder / "settings.json"
@@ -91,6 +96,8 @@
                        for i, name in enumerate(("kura", "lexicon"))}
         self.version, self.keys = 1, {"t0": ["k0a", "k0b"], "t1": ["k1a"], "t2": ["k2a"]}
         self.next_id, self.acked_version = 0, 0
+        self.oracle.tenants = set(self.keys)
+        self.evacuations = {"acknowledged": 0, "without_answer": 0, "slowest_s": 0.0}
         self.processes = [Process(self, "control", i) for i in range(self.cells)]
         self.processes += [Process(self, "entry", i) for i in range(self.entries)]
 
@@ -130,7 +137,7 @@
             if server.alive and time.monotonic() > server.unresponsive_until:
                 server.sequence += 1
                 body = {"service": server.group.name, "address": f"{server.host}:{server.port}",
-                        "zone": f"d{self.groups[server.group.name].servers.index(server)}",
+                        "zone": server.failure_domain,
                         "version": "v1", "capacity": 3, "state": "ready", "warmup_left_ms": 0,
                         "db_role": "primary" if server.is_primary else "replica",
                         "sequence": server.sequence, "born": server.started_at_ms}
@@ -141,8 +148,10 @@
     def fault_schedule(self):
         """Returns faults as (start in s, kind, index, duration in s): single, in series and overlapping."""
         plan, at = [], 3.0
+        # A stopped process is not in touch with control, so the evacuation bound does not hold for it.
+        faults = [each for each in FAULTS if not self.options.evacuations or not each.startswith("pause")]
         while at < self.options.seconds - 2:
-            kind = self.random.choice(FAULTS)
+            kind = self.random.choice(faults)
             for _ in range(self.random.choice((1, 1, 1, 2, 3))):
                 plan.append((round(at, 2), kind, self.random.randrange(100),
                              round(self.random.uniform(0.3, 4.0), 2)))
@@ -197,6 +206,36 @@
             for each in self.processes:
                 each.send_signal(signal.SIGHUP)
 
+    async def order(self, method, zone):
+        """Sends an order to random control instances until one acknowledges it; returns whether one did."""
+        began_at = time.monotonic()
+        while time.monotonic() - began_at < ORDER_TIMEOUT_S:
+            host = f"127.0.1.{self.random.randrange(self.cells) + 1}"
+            answer = await http_call(host, self.port + 1, method, f"/evacuations/{zone}", None)
+            if answer and answer[0] == 200:
+                self.evacuations["acknowledged"] += 1
+                took = round(time.monotonic() - began_at, 3)
+                self.evacuations["slowest_s"] = max(self.evacuations["slowest_s"], took)
+                return True
+            if answer and 400 <= answer[0] < 500:
+                self.oracle.report_violation("EVACUATION", f"{method} {zone} was rejected: {answer}")
+                return False
+            await asyncio.sleep(0.1)
+        self.evacuations["without_answer"] += 1
+        return False
+
+    async def evacuate_zones(self):
+        """Evacuates one zone after another. Servers report operations that reach them after the bound."""
+        while not self.finished:
+            await asyncio.sleep(self.random.uniform(1.0, 3.0))
+            zone = self.random.choice(ZONES)
+            if await self.order("POST", zone):
+                self.oracle.evacuated[zone] = time.monotonic() + EVACUATION_S
+                await asyncio.sleep(EVACUATION_S + self.random.uniform(1.0, 3.0))
+            self.oracle.evacuated.pop(zone, None)
+            while not self.finished and not await self.order("DELETE", zone):
+                pass
+
     async def run_client(self, number):
         session = 0
         while not self.finished:
@@ -225,6 +264,8 @@
         await self.publish()
         tasks += [asyncio.create_task(process.restart_on_exit()) for process in self.processes]
         tasks += [asyncio.create_task(self.run_client(i)) for i in range(self.options.clients)]
+        if self.options.evacuations:
+            tasks.append(asyncio.create_task(self.evacuate_zones()))
         started_at = time.monotonic()
         for at, kind, index, seconds in plan:
             await asyncio.sleep(max(0.0, started_at + at - time.monotonic()))
@@ -392,6 +433,8 @@
     parser.add_argument("--cells", type=int, default=3)
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--clients", type=int, default=24)
+    parser.add_argument("--evacuations", action="store_true",
+                        help="evacuate zones meanwhile; no process is paused")
     parser.add_argument("--plan", action="store_true", help="print the fault schedule and exit")
     parser.add_argument("--keep", action="store_true", help="keep the folder with the logs after a pass")
     options = parser.parse_args()
@@ -407,6 +450,7 @@
     if options.plan:
         return 0
     print(json.dumps({"seed": options.seed, "served": cluster.served, "refused": cluster.refused,
+                      **({"evacuations": cluster.evacuations} if options.evacuations else {}),
                       "unclear": cluster.unknown_outcomes, "broken": cluster.oracle.violations[:20],
                       "promotions": sum(group.term - 1 for group in cluster.groups.values()),
                       "starts": sum(process.start_count for process in cluster.processes)}), flush=True)
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -3,6 +3,7 @@
 #include "bus_runner.h"
 #include "cell_action_executor.h"
 #include "cell_directory.h"
+#include "cell_evacuations.h"
 #include "cell_members.h"
 #include "cell_metrics.h"
 #include "cell_relay_runner.h"
@@ -14,6 +15,7 @@
 #include "primrosehead.pb.h"
 #include "reload_signal.h"
 #include "settings_watcher.h"
+#include "state_replies.h"
 
 #include <primrosehead/bus.h>
 #include <primrosehead/config.h>
@@ -56,6 +58,12 @@
 constexpr clock::duration membership_check_interval{1'000};
 constexpr clock::duration housekeeping_interval{1'000};
 
+// An order that waited for longer while this process was stopped may be outdated: the operator has
+// repeated it at another instance and may have withdrawn the evacuation since.
+constexpr clock::duration max_order_delay{1'000};
+// Time in which an instance that was stopped reads the orders that arrived meanwhile.
+constexpr clock::duration delayed_order_period{500};
+
 std::string member_name(std::string_view host)
 {
     return "cell-" + std::string(host);
@@ -67,6 +75,23 @@
                  "Retry at another instance.", ran::unknown, election_min};
 }
 
+domain_set domains_of(const cell_settings& settings)
+{
+    domain_set domains;
+    for (const auto& [domain, region] : settings.regions) {
+        domains.insert(domain);
+    }
+    return domains;
+}
+
+// True if repeating the change gets the same rejection.
+bool is_final_rejection(const pb::operator_reply& reply)
+{
+    const error_kind kind = parse_error_kind(reply.error().kind());
+    return !reply.ok() && !reply.not_leader() && reply.error().ran() == "no" &&
+           (kind == error_kind::version_conflict || kind == error_kind::bad_request);
+}
+
 error error_from(const pb::request_error& reported)
 {
     return error{parse_error_kind(reported.kind()), reported.message(), reported.remedy()};
@@ -86,7 +111,7 @@
     implementation(const cell_settings& initial_settings, std::string path, platform_parts platform)
         : settings(initial_settings), parts(std::move(platform)),
           events(STDOUT_FILENO, initial_settings.instance), watch(std::move(path)),
-          seeds(initial_settings.control)
+          seeds(initial_settings.control), failure_domains(domains_of(initial_settings))
     {
         redirect_spdlog(events, initial_settings.log.level);
     }
@@ -95,6 +120,7 @@
     status run();
 
     net::awaitable<status> announce(const pb::server_announcement& announcement) override;
+    net::awaitable<status> set_evacuation(const std::string& domain, bool is_withdrawn) override;
     net::awaitable<status> publish(const std::string& text) override;
     net::awaitable<result<std::string>> latest_document() override;
 
@@ -103,6 +129,7 @@
     net::awaitable<void> tick_loop();
     void stop(status outcome);
     void record_delay(clock::time_point now);
+    [[nodiscard]] bool may_be_outdated(clock::time_point now) const;
     status advance(clock::time_point now);
     void update_leadership(clock::time_point now);
     [[nodiscard]] bool is_leader(clock::time_point now) const;
@@ -126,6 +153,10 @@
     void admit_member(const pb::member& joining, clock::time_point now);
     net::awaitable<std::optional<pb::envelope>> request_from_leader(pb::envelope& request);
     net::awaitable<pb::operator_reply> commit(const pb::command& command);
+    [[nodiscard]] status propose_change(const pb::command& command, clock::time_point now,
+                                        replica::completion done);
+    [[nodiscard]] status propose_evacuation(const pb::command& command, clock::time_point now,
+                                            replica::completion done);
     [[nodiscard]] pb::envelope make_envelope() const;
     [[nodiscard]] pb::operator_reply show_published() const;
 
@@ -135,6 +166,7 @@
     settings_watcher watch;
     net::io_context context{1};
     std::unique_ptr<bus_runner> bus_connection;
+    evacuation_orders evacuations; // outlives the replica, whose completions use it
     std::unique_ptr<replica> consensus_replica;
     std::unique_ptr<promotion::platform> promotion_platform;
     std::unique_ptr<action_executor> executor;
@@ -145,6 +177,7 @@
     directory servers;
     std::shared_ptr<const document> current_document;
     std::vector<std::string> seeds;
+    domain_set failure_domains; // of the settings
     std::map<std::uint64_t, std::shared_ptr<pending_request>> pending;
     std::uint64_t next_correlation = 1;
     std::string informed_leader;
@@ -537,6 +570,7 @@
         return;
     }
     seeds = value(parsed).control;
+    failure_domains = domains_of(value(parsed));
     events.decision("cell", "reload").field("control", static_cast<std::int64_t>(seeds.size()));
 }
 
@@ -646,7 +680,7 @@
     }
     switch (request.body_case()) {
     case pb::operator_request::kChange: {
-        status proposed = consensus_replica->propose(
+        status proposed = propose_change(
             request.change(), now, [this, origin, correlation](const pb::operator_reply& reply) {
                 reply_to_operator(origin, correlation, reply);
             });
@@ -772,6 +806,40 @@
     co_return std::monostate{};
 }
 
+// Proposes an operator's change at the leader.
+status instance::implementation::propose_change(const pb::command& command, clock::time_point now,
+                                                replica::completion done)
+{
+    return command.has_evacuate() ? propose_evacuation(command, now, std::move(done))
+                                  : consensus_replica->propose(command, now, std::move(done));
+}
+
+status instance::implementation::propose_evacuation(const pb::command& command,
+                                                    clock::time_point now, replica::completion done)
+{
+    const pb::set_evacuation& order = command.evacuate();
+    if (const std::optional<error> refusal =
+            evacuations.check(order, failure_domains, consensus_replica->state())) {
+        events.decision("evacuation", "refused")
+            .field("domain", order.failure_domain())
+            .field("withdrawn", order.withdrawn())
+            .field("error", describe(*refusal));
+        done(rejected_reply(*refusal));
+        return std::monostate{};
+    }
+    evacuations.begin(order);
+    return consensus_replica->propose(
+        command, now, [this, order, done = std::move(done)](const pb::operator_reply& reply) {
+            evacuations.finish(order);
+            events.decision("evacuation", reply.ok() ? "committed" : "not_committed")
+                .field("domain", order.failure_domain())
+                .field("withdrawn", order.withdrawn())
+                .field("version", static_cast<std::int64_t>(reply.version()))
+                .field("error", reply.error().kind());
+            done(reply);
+        });
+}
+
 net::awaitable<pb::operator_reply> instance::implementation::commit(const pb::command& command)
 {
     const clock::time_point now = clock::now();
@@ -789,7 +857,7 @@
     const auto pending_reply = std::make_shared<pending_request>(context.get_executor());
     pending_reply->timer.expires_at(to_steady_time(now + forward_timeout));
     status proposed =
-        consensus_replica->propose(command, now, [pending_reply](const pb::operator_reply& reply) {
+        propose_change(command, now, [pending_reply](const pb::operator_reply& reply) {
             pending_reply->reply.emplace();
             *pending_reply->reply->mutable_operate_answer() = reply;
             pending_reply->timer.cancel();
@@ -825,15 +893,43 @@
     if (reply.ok()) {
         co_return std::monostate{};
     }
-    const error_kind kind = parse_error_kind(reply.error().kind());
-    const bool is_final =
-        !reply.not_leader() &&
-        (kind == error_kind::version_conflict || kind == error_kind::bad_request) &&
-        reply.error().ran() == "no";
-    if (is_final) {
-        co_return error_from(reply.error());
-    }
-    co_return no_leader_error();
+    co_return is_final_rejection(reply) ? error_from(reply.error()) : no_leader_error();
+}
+
+// True if an order that is read now may have arrived while this process was stopped.
+bool instance::implementation::may_be_outdated(clock::time_point now) const
+{
+    return now - last_tick_at >= max_order_delay ||
+           (latest_delay >= max_order_delay && now - delayed_at < delayed_order_period);
+}
+
+net::awaitable<status> instance::implementation::set_evacuation(const std::string& domain,
+                                                                bool is_withdrawn)
+{
+    const clock::time_point received_at = clock::now();
+    if (may_be_outdated(received_at)) {
+        events.decision("evacuation", "outdated")
+            .field("domain", domain)
+            .field("withdrawn", is_withdrawn)
+            .field("loop_delay_ms", latest_delay.count());
+        metrics_endpoint->record_evacuation_order(false);
+        co_return no_leader_error();
+    }
+    pb::command command;
+    command.mutable_evacuate()->set_failure_domain(domain);
+    command.mutable_evacuate()->set_withdrawn(is_withdrawn);
+    const pb::operator_reply reply = co_await commit(command);
+    events.decision("evacuation", reply.ok() ? "acknowledged" : "not_acknowledged")
+        .field("domain", domain)
+        .field("withdrawn", is_withdrawn)
+        .field("version", static_cast<std::int64_t>(reply.version()))
+        .field("error", reply.error().kind())
+        .field("took_ms", (clock::now() - received_at).count());
+    metrics_endpoint->record_evacuation_order(reply.ok());
+    if (reply.ok()) {
+        co_return std::monostate{};
+    }
+    co_return is_final_rejection(reply) ? error_from(reply.error()) : no_leader_error();
 }
 
 net::awaitable<result<std::string>> instance::implementation::latest_document()
--- a/src/cell_instance.h
+++ b/src/cell_instance.h
@@ -35,6 +35,12 @@
     [[nodiscard]] virtual boost::asio::awaitable<status>
     announce(const pb::server_announcement& announcement) = 0;
 
+    // Starts or withdraws the evacuation of a failure domain. Succeeds once a majority has stored
+    // it. Fails with `bad_request` if the domain is unknown or the last one that is not evacuated,
+    // and with `no_quorum` if the outcome is unknown or this instance can't reach a leader.
+    [[nodiscard]] virtual boost::asio::awaitable<status> set_evacuation(const std::string& domain,
+                                                                        bool is_withdrawn) = 0;
+
     // Publishes a document. Fails with `bad_request` if it is invalid, with `version_conflict` if
     // another document was published under its version, and with `no_quorum` if the outcome is
     // unknown.
--- a/src/cell_metrics.cpp
+++ b/src/cell_metrics.cpp
@@ -13,7 +13,13 @@
           registry_.gauge("primrose_followers", "Pooler instances in contact with this leader.")),
       is_leader_(registry_.gauge("primrose_leads", "1 if this instance is the leader.")),
       log_lines_(registry_.gauge("primrose_log_lines_total", "Log lines accepted.")),
-      log_dropped_(registry_.gauge("primrose_log_lines_dropped_total", "Log lines dropped."))
+      log_dropped_(registry_.gauge("primrose_log_lines_dropped_total", "Log lines dropped.")),
+      evacuations_acknowledged_(registry_.counter("primrose_evacuation_orders_total",
+                                                  "Orders to evacuate or release a failure domain.",
+                                                  R"(result="acknowledged")")),
+      evacuations_not_acknowledged_(registry_.counter(
+          "primrose_evacuation_orders_total", "Orders to evacuate or release a failure domain.",
+          R"(result="not_acknowledged")"))
 {
 }
 
--- a/src/cell_metrics.h
+++ b/src/cell_metrics.h
@@ -21,6 +21,11 @@
     [[nodiscard]] static result<std::unique_ptr<metrics_server>>
     open(boost::asio::any_io_executor executor, std::string_view address);
 
+    void record_evacuation_order(bool is_acknowledged)
+    {
+        registry_.add(is_acknowledged ? evacuations_acknowledged_ : evacuations_not_acknowledged_);
+    }
+
     void update(std::uint64_t term, std::uint64_t version, std::uint32_t followers, bool is_leader,
                 const event_log& events);
 
@@ -34,6 +39,8 @@
     counter_id is_leader_;
     counter_id log_lines_;
     counter_id log_dropped_;
+    counter_id evacuations_acknowledged_;
+    counter_id evacuations_not_acknowledged_;
     std::shared_ptr<http::listener> listener_;
 };
 
--- a/src/cell_relay.cpp
+++ b/src/cell_relay.cpp
@@ -122,6 +122,8 @@
     *reply.mutable_leads() = latest_.leads();
     *reply.mutable_control_endpoints() = latest_.control_endpoints();
     *reply.mutable_relays() = latest_.relays();
+    *reply.mutable_evacuated_domains() = latest_.evacuated_domains();
+    reply.set_evacuation_version(latest_.evacuation_version());
     reply.set_live_instances(latest_.live_instances());
     reply.set_central_ppm(full_share_ppm);
     add_positions(reply, now);
@@ -389,7 +391,11 @@
         const auto server = std::find_if(servers_.begin(), servers_.end(), [&](const auto& each) {
             return each.server() == lead.server();
         });
-        if (server != servers_.end() && !server->gone()) {
+        const bool is_available =
+            server != servers_.end() && !server->gone() &&
+            std::find(latest_.evacuated_domains().begin(), latest_.evacuated_domains().end(),
+                      server->failure_domain()) == latest_.evacuated_domains().end();
+        if (is_available) {
             found.push_back({lead.group(), lead.server(), server->address()});
         }
     }
--- a/src/cell_relay.h
+++ b/src/cell_relay.h
@@ -88,7 +88,8 @@
     void record_position(std::string_view group, std::string_view server, log_position position,
                          clock::time_point requested_at);
 
-    // The primaries whose log positions the followers need; empty while not serving.
+    // The primaries whose log positions the followers need, without those in evacuated failure
+    // domains; empty while not serving.
     [[nodiscard]] std::vector<relay_lead> leads() const;
 
     [[nodiscard]] std::uint32_t live_followers(clock::time_point now) const;
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -50,17 +50,19 @@
 }
 
 // Returns the servers that announced themselves, and those that an earlier leader recorded, as long
-// as they may be alive without an announcement reaching this leader.
-std::vector<promotion::member> service::members_of(const directory& servers,
-                                                   const pb::group_record* stored,
-                                                   std::string_view group, clock::time_point now)
+// as they may be alive without an announcement reaching this leader. Those of evacuated failure
+// domains are presented as leaving, so that their primaries are replaced.
+std::vector<promotion::member>
+service::members_of(const directory& servers, const pb::group_record* stored,
+                    std::string_view group, const domain_set& evacuated, clock::time_point now)
 {
     std::vector<promotion::member> members;
     for (const directory_entry* entry : servers.group(group)) {
         unannounced_since_.erase(entry->announcement.server());
         members.push_back({entry->announcement.server(), entry->announcement.address(),
-                           entry->announcement.leaving(), entry->announcement.is_primary(),
-                           entry->announcement.born_ms()});
+                           entry->announcement.leaving() ||
+                               evacuated.contains(entry->announcement.failure_domain()),
+                           entry->announcement.is_primary(), entry->announcement.born_ms()});
     }
     if (stored == nullptr) {
         return members;
@@ -76,8 +78,11 @@
         const clock::time_point since =
             unannounced_since_.try_emplace(recorded.server(), now).first->second;
         if (now - since < unannounced_retention) {
-            members.push_back({recorded.server(), recorded.address(), false,
-                               recorded.server() == stored->seen_primary(), recorded.born_ms()});
+            // The failure domain of a server that has not announced itself is unknown. While one
+            // is evacuated, it is a candidate for promotion only if there is no other.
+            const bool is_primary = recorded.server() == stored->seen_primary();
+            members.push_back({recorded.server(), recorded.address(),
+                               !evacuated.empty() && !is_primary, is_primary, recorded.born_ms()});
         }
     }
     return members;
@@ -268,6 +273,10 @@
             lead.set_generation(decision_record_of(state, group).number);
         }
     }
+    for (const std::string& domain : evacuated_domains(state)) {
+        reply.add_evacuated_domains(domain);
+    }
+    reply.set_evacuation_version(evacuation_version(state));
     reply.set_live_instances(live_instances(now));
     reply.set_central_ppm(central_ppm_);
     add_relays(reply, now);
@@ -348,9 +357,11 @@
     }
     update_central_limits(*current, now);
     const std::uint32_t instances = live_instances(now);
+    const domain_set evacuated = evacuated_domains(state);
     for (const document_group& group : current->content().groups) {
         const pb::group_record* const stored = state.group(group.name);
-        const std::vector<promotion::member> members = members_of(servers, stored, group.name, now);
+        const std::vector<promotion::member> members =
+            members_of(servers, stored, group.name, evacuated, now);
         // A new cell could miss a replica before every live server has announced itself.
         const bool is_known = stored != nullptr && stored->members_size() > 0;
         if (members.empty() || (!is_known && !is_directory_complete(now))) {
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "cell_directory.h"
+#include "cell_evacuations.h"
 #include "cell_share_allocator.h"
 #include "cell_token_buckets.h"
 #include "document.h"
@@ -98,10 +99,9 @@
     };
 
     [[nodiscard]] bool is_directory_complete(clock::time_point now) const;
-    [[nodiscard]] std::vector<promotion::member> members_of(const directory& servers,
-                                                            const pb::group_record* stored,
-                                                            std::string_view group,
-                                                            clock::time_point now);
+    [[nodiscard]] std::vector<promotion::member>
+    members_of(const directory& servers, const pb::group_record* stored, std::string_view group,
+               const domain_set& evacuated, clock::time_point now);
     void record_membership(const std::string& group, const std::vector<promotion::member>& members,
                            const pb::group_record* stored, clock::time_point now,
                            std::vector<group_action>& actions);
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -461,6 +461,9 @@
     connection_wait_ += clock::now() - asked_at;
     execution& opener = prefetch->opener;
     connection_ = std::move(opener.connection_);
+    if (connection_ && context_.connections.is_evacuated(*connection_->server)) {
+        context_.connections.release(std::move(connection_), false); // no statement has run
+    }
     attempts_ = opener.attempts_;
     last_server_ = opener.last_server_;
     has_reached_server_ = opener.has_reached_server_;
@@ -560,6 +563,34 @@
     co_return last;
 }
 
+// Rolls back the transaction because its next statement was not sent.
+line_answer execution::abort_unsent(const pooled_server& server)
+{
+    const bool is_evacuated = context_.connections.must_end_transactions(server, clock::now());
+    roll_back();
+    return is_evacuated
+               ? make_error_answer(answer_cause::no_server, context_.dialect.aborted,
+                                   "rolled back: the server's failure domain is being evacuated; "
+                                   "retry the transaction")
+               : make_error_answer(answer_cause::overloaded, context_.dialect.aborted,
+                                   "rolled back: the server is overloaded; retry the transaction");
+}
+
+bool execution::must_end(clock::time_point now) const
+{
+    return connection_ && context_.connections.must_end_transactions(*connection_->server, now);
+}
+
+void execution::drop_evacuated_prefetch()
+{
+    const bool is_evacuated =
+        prefetch_ && prefetch_->is_finished && prefetch_->opener.connection_ &&
+        context_.connections.is_evacuated(*prefetch_->opener.connection_->server);
+    if (is_evacuated) {
+        prefetch_.reset();
+    }
+}
+
 net::awaitable<line_answer> execution::run(const server_statement& statement)
 {
     const line_dialect& dialect = context_.dialect;
@@ -581,10 +612,7 @@
                                                 statement.id, statement.text);
         const bool may_run = co_await context_.connections.start_when_admitted(server, deadline);
         if (!may_run) {
-            roll_back();
-            co_return make_error_answer(
-                answer_cause::overloaded, dialect.aborted,
-                "rolled back: the server is overloaded; retry the transaction");
+            co_return abort_unsent(*server);
         }
         const clock::time_point sent_at = clock::now();
         result = co_await exchange(*connection_, queries, setup.count + 1, deadline);
@@ -643,10 +671,7 @@
     while (true) {
         const bool may_run = co_await context_.connections.start_when_admitted(server, deadline);
         if (!may_run) {
-            roll_back();
-            co_return make_error_answer(
-                answer_cause::overloaded, dialect.aborted,
-                "rolled back: the server is overloaded; retry the transaction");
+            co_return abort_unsent(*server);
         }
         sent_at = clock::now();
         result = co_await exchange(*connection_, queries, 1, deadline);
@@ -705,6 +730,10 @@
 {
     is_open_ = false;
     prefetch_.reset();
+    if (connection_ && context_.connections.is_evacuated(*connection_->server)) {
+        // Closing the connection rolls back as well, and sends nothing to the server.
+        context_.connections.release(std::move(connection_), false);
+    }
     if (connection_) {
         net::co_spawn(context_.executor, reset_connection(context_, std::move(connection_)),
                       net::detached);
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -63,6 +63,14 @@
     // Rolls back and releases the connection, without waiting for the server.
     void roll_back();
 
+    // True if the transaction is open at a server of an evacuated failure domain and its time to
+    // finish there is over.
+    [[nodiscard]] bool must_end(clock::time_point now) const;
+
+    // Closes a connection acquired in the background if its server has been evacuated. The
+    // transaction's first statement then acquires another one.
+    void drop_evacuated_prefetch();
+
     // Server of the last statement and the number of attempts, for the log.
     [[nodiscard]] const std::string& last_server() const noexcept { return last_server_; }
     [[nodiscard]] std::uint32_t attempts() const noexcept { return attempts_; }
@@ -115,6 +123,7 @@
                                                                clock::time_point now);
     [[nodiscard]] connection_request make_request(const operation& op, required_role role,
                                                   clock::time_point deadline) const;
+    [[nodiscard]] line_answer abort_unsent(const pooled_server& server);
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
     [[nodiscard]] attempt_result classify_read(pooled_server& server, line_answer answer);
     void record_retry(const operation& op, const server_statement& statement,
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -58,6 +58,7 @@
       relays_(settings.instance, settings.failure_domain.text())
 {
     set_seeds(settings.control);
+    connections_.set_evacuation_bound(settings.evacuation);
 }
 
 void follower::set_seeds(const std::vector<std::string>& addresses)
@@ -323,6 +324,7 @@
     if (reply.has_document()) {
         apply_document(reply.document(), now);
     }
+    apply_evacuations(reply, now);
     apply_directory(reply, now);
     apply_positions(reply);
     if (!drop_expired_shares(now)) {
@@ -411,6 +413,13 @@
     }
 }
 
+void follower::apply_evacuations(const pb::follow_reply& reply, clock::time_point now)
+{
+    const std::vector<std::string> domains(reply.evacuated_domains().begin(),
+                                           reply.evacuated_domains().end());
+    connections_.set_evacuations(domains, reply.evacuation_version(), now);
+}
+
 void follower::apply_directory(const pb::follow_reply& reply, clock::time_point now)
 {
     if (reply.servers_size() > 0) {
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -105,6 +105,7 @@
                                                   clock::time_point now);
     [[nodiscard]] bool drop_expired_shares(clock::time_point now);
     void apply_document(const pb::published_record& record, clock::time_point now);
+    void apply_evacuations(const pb::follow_reply& reply, clock::time_point now);
     void apply_limits(clock::time_point now);
     void apply_directory(const pb::follow_reply& reply, clock::time_point now);
 
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -327,6 +327,11 @@
     }
     last_housekeeping_at = now;
     connections.evict_idle(now);
+    if (!connections.evacuated().empty()) {
+        for (const auto& [number, each] : sessions) {
+            each->leave_evacuated_server(now);
+        }
+    }
     update_readiness(now);
     reload();
     if (control.follows_relay()) {
--- a/src/pooler_metrics.cpp
+++ b/src/pooler_metrics.cpp
@@ -50,6 +50,8 @@
                                         "Age of the last confirmation by the leader.")),
       connections_(registry_.gauge("primrose_server_connections", "Open connections to servers.")),
       waiting_(registry_.gauge("primrose_waiting", "Operations waiting for a connection.")),
+      evacuated_domains_(registry_.gauge("primrose_evacuated_domains",
+                                         "Failure domains whose servers are not used.")),
       opened_(registry_.gauge("primrose_connections_opened_total", "Connections opened.")),
       open_failures_(registry_.gauge("primrose_connection_failures_total",
                                      "Connections that failed to open.")),
@@ -113,6 +115,7 @@
     registry_.set(confirmed_ms_ago_, confirmed_ms_ago);
     registry_.set(connections_, pool.open);
     registry_.set(waiting_, pool.waiting);
+    registry_.set(evacuated_domains_, pool.evacuated_domains);
     registry_.set(opened_, static_cast<std::int64_t>(pool.opened));
     registry_.set(open_failures_, static_cast<std::int64_t>(pool.open_failures));
     registry_.set(reused_, static_cast<std::int64_t>(pool.reused));
--- a/src/pooler_metrics.h
+++ b/src/pooler_metrics.h
@@ -67,6 +67,7 @@
     counter_id confirmed_ms_ago_;
     counter_id connections_;
     counter_id waiting_;
+    counter_id evacuated_domains_;
     counter_id opened_;
     counter_id open_failures_;
     counter_id reused_;
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <utility>
@@ -98,7 +99,9 @@
 {
     std::vector<primary_tracker::known_server> known;
     for (const auto& [id, server] : state.servers) {
-        known.push_back({id, server->claims_primary});
+        if (!is_evacuated(*server)) {
+            known.push_back({id, server->claims_primary});
+        }
     }
     state.primary.set_servers(std::move(known));
 }
@@ -127,9 +130,13 @@
             server->born_ms = announcement.born_ms();
         }
         server->slots = std::max(1U, announcement.slots());
+        server->failure_domain = announcement.failure_domain();
         server->is_local = announcement.failure_domain() == failure_domain_;
         server->is_leaving = announcement.leaving();
         server->claims_primary = announcement.is_primary();
+        if (is_evacuated(*server)) {
+            close_idle(*server); // its failure domain has changed
+        }
     }
     for (auto& [name, state] : groups_) {
         std::erase_if(state.servers, [&](auto& item) {
@@ -151,6 +158,26 @@
     }
 }
 
+void pool::set_evacuations(std::span<const std::string> domains, std::uint64_t version,
+                           clock::time_point now)
+{
+    if (!evacuations_.apply(domains, version, now)) {
+        return;
+    }
+    events_.decision("evacuation", "in_force")
+        .field("domains", fmt::format("{}", fmt::join(domains, " ")))
+        .field("version", static_cast<std::int64_t>(version));
+    for (auto& [name, state] : groups_) {
+        for (auto& [id, server] : state.servers) {
+            if (is_evacuated(*server)) {
+                close_idle(*server);
+            }
+        }
+        update_primary_candidates(state);
+        dispatch(state);
+    }
+}
+
 void pool::set_limits(std::string_view name, std::uint32_t connection_limit,
                       std::uint32_t instances)
 {
@@ -177,7 +204,8 @@
     if (request.role == required_role::primary) {
         const std::string primary_id = state.primary.likely_primary(now);
         const auto known = state.servers.find(primary_id);
-        if (known == state.servers.end() || known->second->is_avoided(now)) {
+        if (known == state.servers.end() || known->second->is_avoided(now) ||
+            is_evacuated(*known->second)) {
             error = acquire_error::no_primary;
             return found;
         }
@@ -189,7 +217,7 @@
             std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
             request.excluded_servers.end();
         if (!was_tried && !server->is_avoided(now) && !server->is_lagging(now) &&
-            !server->is_leaving) {
+            !server->is_leaving && !is_evacuated(*server)) {
             found.push_back(server);
         }
     }
@@ -390,18 +418,26 @@
                 queued.error == acquire_error::none ? acquire_error::saturated : queued.error;
             co_return outcome;
         }
+        const std::shared_ptr<pooled_server> server = queued.assigned->server;
+        if (is_evacuated(*server)) { // since it was assigned
+            queued.assigned->connection.reset();
+            --server->open;
+            continue;
+        }
         if (queued.assigned->connection && queued.assigned->connection->link->is_usable()) {
             outcome.connection = std::move(queued.assigned->connection);
             co_return outcome;
         }
-        const std::shared_ptr<pooled_server> server = queued.assigned->server;
         if (queued.assigned->connection) {
             queued.assigned->connection.reset(); // closed by the server; a new one replaces it
         }
         outcome.connection = co_await open(server, request, clock::now() + open_timeout);
-        if (outcome.connection) {
+        if (outcome.connection && !is_evacuated(*server)) {
             co_return outcome;
         }
+        if (outcome.connection) { // evacuated while it was being opened
+            release(std::move(outcome.connection), false);
+        }
         dispatch(state);
         if (clock::now() >= request.deadline) {
             outcome.error = acquire_error::saturated;
@@ -413,7 +449,8 @@
 void pool::release(std::unique_ptr<pooled_connection> connection, bool is_clean)
 {
     const std::shared_ptr<pooled_server> server = connection->server;
-    const bool is_kept = is_clean && !server->is_removed && !server->is_leaving;
+    const bool is_kept =
+        is_clean && !server->is_removed && !server->is_leaving && !is_evacuated(*server);
     if (is_kept) {
         connection->last_used_at = clock::now();
         server->idle.push_back(std::move(connection));
@@ -428,6 +465,9 @@
 net::awaitable<bool> pool::start_when_admitted(std::shared_ptr<pooled_server> server,
                                                clock::time_point deadline)
 {
+    if (must_end_transactions(*server, clock::now())) {
+        co_return false;
+    }
     if (server->running < server->running_limit(clock::now())) {
         ++server->running;
         co_return true;
@@ -438,13 +478,16 @@
     server->queued_statements.push_back(&queued);
     co_await wakeup.async_wait(no_throw);
     server->queued_statements.remove(&queued);
+    if (queued.is_admitted && must_end_transactions(*server, clock::now())) {
+        --server->running;
+        admit_queued_statements(*server, clock::now());
+        co_return false;
+    }
     co_return queued.is_admitted;
 }
 
-void pool::record_finish(pooled_server& server, double latency_ms, clock::time_point now)
+void pool::admit_queued_statements(pooled_server& server, clock::time_point now)
 {
-    --server.running;
-    server.record_latency(latency_ms, now);
     for (queued_statement* each : server.queued_statements) {
         if (server.running >= server.running_limit(now)) {
             break;
@@ -455,6 +498,13 @@
             each->wakeup->cancel();
         }
     }
+}
+
+void pool::record_finish(pooled_server& server, double latency_ms, clock::time_point now)
+{
+    --server.running;
+    server.record_latency(latency_ms, now);
+    admit_queued_statements(server, now);
     dispatch(state_of(server.group));
 }
 
@@ -528,6 +578,7 @@
 pool_stats pool::stats() const
 {
     pool_stats now = stats_;
+    now.evacuated_domains = static_cast<std::uint32_t>(evacuations_.size());
     for (const auto& [name, state] : groups_) {
         now.waiting += static_cast<std::uint32_t>(state.queue.size());
         for (const auto& [id, server] : state.servers) {
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -4,6 +4,7 @@
 
 #include "line_dialect.h"
 #include "pooler_connection.h"
+#include "pooler_evacuations.h"
 #include "pooler_freshness.h"
 #include "pooler_primary.h"
 #include "pooler_server.h"
@@ -72,6 +73,7 @@
     std::uint64_t saturated = 0;
     std::uint32_t open = 0;
     std::uint32_t waiting = 0;
+    std::uint32_t evacuated_domains = 0;
 };
 
 // State of a server group as this instance sees it, for the log.
@@ -96,6 +98,26 @@
     void set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
                      clock::time_point now);
 
+    void set_evacuation_bound(clock::duration bound) noexcept { evacuations_.set_bound(bound); }
+
+    // Excludes the servers of the evacuated failure domains, as of `version` of the replicated
+    // state, and closes the idle connections to them.
+    void set_evacuations(std::span<const std::string> domains, std::uint64_t version,
+                         clock::time_point now);
+
+    [[nodiscard]] const evacuations& evacuated() const noexcept { return evacuations_; }
+    [[nodiscard]] bool is_evacuated(const pooled_server& server) const
+    {
+        return evacuations_.contains(server.failure_domain);
+    }
+
+    // True once transactions that are open at the server must be rolled back.
+    [[nodiscard]] bool must_end_transactions(const pooled_server& server,
+                                             clock::time_point now) const
+    {
+        return evacuations_.must_end_transactions(server.failure_domain, now);
+    }
+
     // Sets a group's connection limit per server and the number of instances that share it.
     void set_limits(std::string_view group, std::uint32_t connection_limit,
                     std::uint32_t instances);
@@ -110,7 +132,7 @@
 
     // Waits until the server may run another statement of an open transaction, and counts it as
     // running. These statements take precedence over operations that have not begun. Returns false
-    // if the deadline passes first.
+    // if the deadline passes first, or if open transactions at the server must be rolled back.
     [[nodiscard]] boost::asio::awaitable<bool>
     start_when_admitted(std::shared_ptr<pooled_server> server, clock::time_point deadline);
     void record_finish(pooled_server& server, double latency_ms, clock::time_point now);
@@ -171,12 +193,14 @@
     void dispatch(group_state& state);
     void close_idle(pooled_server& server);
     void update_primary_candidates(group_state& state);
+    static void admit_queued_statements(pooled_server& server, clock::time_point now);
 
     boost::asio::any_io_executor executor_;
     const line_dialect& dialect_;
     event_log& events_;
     std::string failure_domain_;
     std::map<std::string, group_state, std::less<>> groups_;
+    evacuations evacuations_;
     pool_stats stats_;
 };
 
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -23,6 +23,7 @@
     std::string group;
     std::string address;
     std::uint32_t slots = 1;
+    std::string failure_domain;
     bool is_local = false;
     bool is_leaving = false;
     bool claims_primary = false;
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -294,6 +294,7 @@
 {
     if (has_failed_transaction_) {
         has_failed_transaction_ = false;
+        is_abort_unreported_ = false;
         execution_.roll_back();
         co_return commit ? make_error_answer(answer_cause::transaction, context_.dialect.aborted,
                                              "rolled back: " + failure_reason_)
@@ -366,6 +367,10 @@
         result = co_await end_transaction(id, statement.kind == statement_kind::commit);
         co_return result;
     }
+    if (has_failed_transaction_ && std::exchange(is_abort_unreported_, false)) {
+        co_return make_error_answer(answer_cause::no_server, context_.dialect.aborted,
+                                    "rolled back: " + failure_reason_);
+    }
     if (has_failed_transaction_) {
         co_return make_error_answer(answer_cause::transaction, context_.dialect.malformed,
                                     "the transaction has failed; end it before the next statement");
@@ -503,6 +508,18 @@
         .field("reason", reason);
 }
 
+void session::leave_evacuated_server(clock::time_point now)
+{
+    if (is_busy_ || !execution_.is_open()) {
+        return;
+    }
+    execution_.drop_evacuated_prefetch();
+    if (execution_.must_end(now)) {
+        abort_transaction("the server's failure domain is being evacuated");
+        is_abort_unreported_ = true;
+    }
+}
+
 // Arms the timer that aborts an idle transaction, because it holds a connection that others need.
 void session::arm_idle_timer()
 {
--- a/src/pooler_session.h
+++ b/src/pooler_session.h
@@ -39,6 +39,10 @@
     // `reason`.
     void abort_transaction(std::string_view reason);
 
+    // Rolls back an open transaction that is idle at a server of an evacuated failure domain, once
+    // its time to finish there is over. Its next statement reports this.
+    void leave_evacuated_server(clock::time_point now);
+
     [[nodiscard]] bool is_busy() const noexcept { return is_busy_; }
     [[nodiscard]] bool is_in_transaction() const noexcept { return execution_.is_open(); }
 
@@ -88,6 +92,7 @@
     execution execution_;
     bool has_failed_transaction_ = false; // until the client ends the transaction
     std::string failure_reason_;
+    bool is_abort_unreported_ = false; // of a transaction aborted by an evacuation
 };
 
 } // namespace primrosehead::pooler
--- a/src/state_commands.cpp
+++ b/src/state_commands.cpp
@@ -199,6 +199,30 @@
     return accepted_reply(records.version());
 }
 
+// A repeated order changes nothing, and its reply names the version of the first one.
+pb::operator_reply apply_body(state_records& records, const pb::set_evacuation& request)
+{
+    if (!is_valid_name(request.failure_domain())) {
+        return invalid_name_reply("failure domain");
+    }
+    const std::string key = record_key(evacuation_prefix, request.failure_domain());
+    const pb::state_record* const existing = records.find(key);
+    const bool is_evacuated = existing != nullptr;
+    if (is_evacuated != request.withdrawn()) {
+        return accepted_reply(is_evacuated ? existing->version() : records.version());
+    }
+    pb::state_record record;
+    record.set_key(key);
+    if (request.withdrawn()) {
+        record.set_removed(true);
+    }
+    else {
+        record.mutable_evacuation()->set_failure_domain(request.failure_domain());
+    }
+    records.update(std::move(record));
+    return accepted_reply(records.version());
+}
+
 // The highest version wins: an older one is acknowledged and changes nothing.
 pb::operator_reply apply_body(state_records& records, const pb::published_record& request)
 {
@@ -310,6 +334,7 @@
     case pb::command::kPublish:
         return apply_body(records, command.publish());
     case pb::command::kEvacuate:
+        return apply_body(records, command.evacuate());
     case pb::command::BODY_NOT_SET:
         break;
     }
--- a/src/state_records.cpp
+++ b/src/state_records.cpp
@@ -2,6 +2,7 @@
 
 #include <primrosehead/config.h>
 
+#include <algorithm>
 #include <utility>
 #include <xxhash.h>
 
@@ -46,6 +47,16 @@
     return found;
 }
 
+std::uint64_t state_records::latest_change(std::string_view prefix) const
+{
+    std::uint64_t latest = 0;
+    for (auto it = records_.lower_bound(prefix);
+         it != records_.end() && it->first.starts_with(prefix); ++it) {
+        latest = std::max(latest, it->second.record.version());
+    }
+    return latest;
+}
+
 std::vector<const pb::state_record*> state_records::changed_after(std::uint64_t version) const
 {
     std::vector<const pb::state_record*> found;
--- a/src/state_records.h
+++ b/src/state_records.h
@@ -37,6 +37,10 @@
     // Returns the live records whose keys start with `prefix`, ordered by key.
     [[nodiscard]] std::vector<const pb::state_record*> with_prefix(std::string_view prefix) const;
 
+    // Returns the version of the latest change of a record whose key starts with `prefix`, including
+    // tombstones; 0 if there is none.
+    [[nodiscard]] std::uint64_t latest_change(std::string_view prefix) const;
+
     // Returns the records changed after `version`, including tombstones, ordered by version.
     [[nodiscard]] std::vector<const pb::state_record*> changed_after(std::uint64_t version) const;
 
@@ -86,6 +90,7 @@
 inline constexpr std::string_view group_prefix = "group/";
 inline constexpr std::string_view instance_prefix = "instance/";
 inline constexpr std::string_view published_prefix = "published/";
+inline constexpr std::string_view evacuation_prefix = "evacuation/";
 inline constexpr std::string_view request_prefix = "request/";
 
 [[nodiscard]] std::string record_key(std::string_view prefix, std::string_view name);
--- a/tests/platform_control_test.cpp
+++ b/tests/platform_control_test.cpp
@@ -24,6 +24,11 @@
         announced.push_back(announcement);
         co_return leads ? status{std::monostate{}} : status{nobody()};
     }
+    net::awaitable<status> set_evacuation(const std::string& domain, bool is_withdrawn) override
+    {
+        evacuations.push_back((is_withdrawn ? "-" : "+") + domain);
+        co_return leads ? answer : status{nobody()};
+    }
     net::awaitable<status> publish(const std::string& text) override
     {
         published.push_back(text);
@@ -43,6 +48,7 @@
     status answer = std::monostate{};
     std::vector<pb::server_announcement> announced;
     std::vector<std::string> published;
+    std::vector<std::string> evacuations; // "+" to evacuate, "-" to withdraw
 };
 
 http::response call(recording_instance& instance, std::string method, std::string target,
@@ -110,6 +116,38 @@
     CHECK(instance.announced.empty());
 }
 
+TEST_CASE("platform control: an evacuation is decoded")
+{
+    recording_instance instance;
+    CHECK(call(instance, "POST", "/evacuations/fukuoka", "").status == 200);
+    CHECK(call(instance, "DELETE", "/evacuations/fukuoka", "").status == 200);
+    CHECK(instance.evacuations == std::vector<std::string>{"+fukuoka", "-fukuoka"});
+    instance.answer = error{error_kind::bad_request, "Unknown.", "Use another."};
+    CHECK(call(instance, "POST", "/evacuations/north", "").status == 400);
+    instance.leads = false;
+    CHECK(call(instance, "POST", "/evacuations/fukuoka", "").status == 503);
+}
+
+TEST_CASE("platform control: a malformed evacuation is rejected at once and reaches nobody")
+{
+    recording_instance instance;
+    for (const std::string& target :
+         {std::string("/evacuations"), std::string("/evacuations/"), std::string("/evacuations//"),
+          std::string("/evacuations/a/b"), std::string("/evacuations/a?b=c"),
+          std::string("/evacuations/%20"), "/evacuations/" + std::string(65, 'a')}) {
+        CAPTURE(target);
+        const http::response answer = call(instance, "POST", target, "");
+        CHECK(answer.status == 400);
+        CHECK(answer.body.find("bad_request") != std::string::npos);
+        CHECK(call(instance, "DELETE", target, "").status == 400);
+    }
+    for (const char* method : {"GET", "PUT", "PATCH", "HEAD", ""}) {
+        CHECK(call(instance, method, "/evacuations/fukuoka", "").status == 400);
+    }
+    CHECK(call(instance, "POST", "/evacuationsx/fukuoka", "").status == 404);
+    CHECK(instance.evacuations.empty());
+}
+
 TEST_CASE("platform control: answers tell invalid, conflicting and unknown outcomes apart")
 {
     recording_instance instance;
--- a/tests/pooler_fixture.cpp
+++ b/tests/pooler_fixture.cpp
@@ -103,6 +103,46 @@
     control.receive(shares, now);
 }
 
+pb::follow_reply pooler_fixture::next_reply()
+{
+    pb::follow_reply reply;
+    reply.set_is_leader(true);
+    reply.set_sequence(++sequence_);
+    reply.set_asked_at_ms(to_ms(clock::now()));
+    reply.set_control_term(1);
+    reply.set_document_version(1);
+    reply.set_live_instances(1);
+    return reply;
+}
+
+void pooler_fixture::evacuate(const std::vector<std::string>& domains, std::uint64_t version)
+{
+    pb::follow_reply reply = next_reply();
+    for (const std::string& domain : domains) {
+        reply.add_evacuated_domains(domain);
+    }
+    reply.set_evacuation_version(version);
+    control.receive(reply, clock::now());
+}
+
+void pooler_fixture::add_primary(std::string_view name, std::string_view failure_domain,
+                                 std::string_view address)
+{
+    pb::follow_reply reply = next_reply();
+    reply.set_directory_revision(2);
+    pb::server_announcement& server_record = *reply.add_servers();
+    server_record.set_server(std::string(name));
+    server_record.set_group("g");
+    server_record.set_address(std::string(address));
+    server_record.set_failure_domain(std::string(failure_domain));
+    server_record.set_slots(2);
+    pb::group_lead& lead = *reply.add_leads();
+    lead.set_group("g");
+    lead.set_server(std::string(name));
+    lead.set_generation(1);
+    control.receive(reply, clock::now());
+}
+
 void pooler_fixture::run(clock::duration time)
 {
     io.restart();
@@ -136,6 +176,12 @@
         net::detached);
     run(time);
     if (!later.empty()) {
+        if (before_later) {
+            before_later();
+        }
+        if (leaves_evacuated_server) {
+            served->leave_evacuated_server(clock::now());
+        }
         net::write(caller, net::buffer(later));
         run(time);
     }
--- a/tests/pooler_fixture.h
+++ b/tests/pooler_fixture.h
@@ -17,9 +17,15 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
+
+namespace primrosehead::pb {
+class follow_reply;
+}
 
 namespace primrosehead::testing {
 
@@ -39,8 +45,19 @@
     // `time` after the last lines.
     std::string exchange(std::string_view lines, clock::duration time, std::string_view later = {});
 
+    // Receives the evacuated failure domains as of a version of the replicated state.
+    void evacuate(const std::vector<std::string>& domains, std::uint64_t version);
+
+    // Announces a further server of the group, which control reports as the primary.
+    void add_primary(std::string_view name, std::string_view failure_domain,
+                     std::string_view address);
+
     [[nodiscard]] pooler::operation operation() const;
 
+    // What `exchange` does before it sends `later`.
+    std::function<void()> before_later;
+    bool leaves_evacuated_server = false; // as the instance's housekeeping does
+
     boost::asio::io_context io{1};
     line_dialect dialect;
     event_log events{-1, "entry-1"};
@@ -51,6 +68,8 @@
     pooler::context shared;
 
   private:
+    [[nodiscard]] pb::follow_reply next_reply();
+
     std::shared_ptr<const document> document_;
     std::uint64_t sequence_ = 0;
 };
