--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -52,6 +52,7 @@
       plan_(settings.instance, settings.failure_domain.text())
 {
     set_seeds(settings.control);
+    connections_.set_evacuation_bound(settings.evacuation);
 }
 
 void follower::set_seeds(const std::vector<std::string>& addresses)
@@ -298,6 +299,7 @@
     if (reply.has_document()) {
         apply_document(reply.document(), now);
     }
+    apply_evacuations(reply, now);
     apply_directory(reply, now);
     if (use != reply_use::all) {
         return;
@@ -386,6 +388,13 @@
     }
 }
 
+void follower::apply_evacuations(const pb::follow_reply& reply, clock::time_point now)
+{
+    const std::vector<std::string> domains(reply.evacuated_domains().begin(),
+                                           reply.evacuated_domains().end());
+    connections_.set_evacuations(domains, reply.evacuation_version(), now);
+}
+
 void follower::apply_directory(const pb::follow_reply& reply, clock::time_point now)
 {
     if (directory_.apply(reply)) {
