List of live pooler instances and choice of homes of backend servers

Origins must agree on the instance that owns a server's connections, and no component told the instances who else is alive.

Without home_connections_per_instance no endpoint is told and no list sent.

--- a/src/cell_relay.cpp
+++ b/src/cell_relay.cpp
@@ -26,6 +26,13 @@
 constexpr clock::duration isolated_after =
     confirmation_timeout + timely_round_trip + clock::duration(50);
 constexpr clock::duration max_position_age{5'000};
+// A change of the followers is reported at most this often, and again while it is unconfirmed.
+constexpr clock::duration peers_report_interval{500};
+constexpr clock::duration peer_timeout{1'500};
+// The whole list of a large fleet takes a noticeable part of a link's capacity for this long.
+constexpr clock::duration peers_resend_interval{1'000};
+// The leader forgets what it was told by a relay that it does not hear from.
+constexpr clock::duration peers_report_lifetime{1'000};
 // Leaves room for relays that join or leave while their parts are in use.
 constexpr double tolerance_fraction = 0.7;
 
@@ -90,6 +97,71 @@
     }
 }
 
+// Instances that leave are reported as such: another relay may still count them as live.
+std::vector<relay::reported_peer> relay::live_peers(clock::time_point now) const
+{
+    std::vector<reported_peer> live;
+    for (const auto& [name, follower] : followers_) {
+        const bool is_live = now - follower.seen_at < peer_timeout;
+        if (is_live && (follower.is_leaving || !follower.endpoint.empty())) {
+            live.push_back({name, follower.endpoint, follower.failure_domain, follower.is_leaving});
+        }
+    }
+    return live;
+}
+
+void relay::report_peers(pb::follow_request& request, clock::time_point now)
+{
+    std::vector<reported_peer> live = live_peers(now);
+    const auto departures = [](const std::vector<reported_peer>& peers) {
+        return std::count_if(peers.begin(), peers.end(),
+                             [](const reported_peer& each) { return each.is_leaving; });
+    };
+    const bool is_known = peers_report_term_ == latest_.control_term() && live == reported_peers_;
+    const bool has_departure = departures(live) > departures(reported_peers_);
+    if (!is_enabled_ || is_known ||
+        (!has_departure && now - peers_reported_at_ < peers_report_interval)) {
+        return;
+    }
+    peers_reported_at_ = now;
+    peers_report_sequence_ = request.sequence();
+    peers_report_term_ = 0;
+    request.set_peers_changed(true);
+    for (const reported_peer& each : live) {
+        pb::peer_address& peer = *request.add_peers();
+        peer.set_instance(each.instance);
+        peer.set_endpoint(each.endpoint);
+        peer.set_failure_domain(each.failure_domain);
+        peer.set_gone(each.is_leaving);
+    }
+    reported_peers_ = std::move(live);
+}
+
+void relay::confirm_report(const pb::follow_reply& reply, clock::time_point asked_at)
+{
+    if (asked_at - confirmed_at_ > peers_report_lifetime) {
+        peers_report_term_ = 0;
+    }
+    if (reply.sequence() == peers_report_sequence_) {
+        peers_report_term_ = reply.control_term();
+    }
+}
+
+void relay::add_peers(pb::follow_reply& reply, const pb::follow_request& request,
+                      follower_state& sender, clock::time_point now) const
+{
+    if (request.endpoint().empty()) {
+        return;
+    }
+    if (peers_.needs_complete(request.peers_revision())) {
+        if (now - sender.peers_sent_at < peers_resend_interval) {
+            return;
+        }
+        sender.peers_sent_at = now;
+    }
+    peers_.add_to(reply, request.peers_revision());
+}
+
 pb::follow_reply relay::follow(const pb::follow_request& request,
                                const pb::published_record* stored, clock::time_point now)
 {
@@ -109,6 +181,9 @@
     sender.sequence = request.sequence();
     sender.seen_at = now;
     sender.sightings.assign(request.sightings().begin(), request.sightings().end());
+    sender.endpoint = request.endpoint();
+    sender.failure_domain = request.failure_domain();
+    sender.is_leaving = request.leaving();
     reply.set_document_version(latest_.document_version());
     reply.set_confirmed_age_ms((now - confirmed_at_).count());
     add_document(reply, request, stored);
@@ -125,6 +200,7 @@
     reply.set_live_instances(latest_.live_instances());
     reply.set_central_ppm(full_share_ppm);
     add_positions(reply, now);
+    add_peers(reply, request, sender, now);
     return reply;
 }
 
@@ -248,6 +324,8 @@
     request.set_is_relaying(is_enabled_);
     request.set_followers(live_followers(now));
     request.set_endpoint(settings_.endpoint);
+    request.set_peers_revision(peers_.revision());
+    report_peers(request, now);
     if (is_enabled_ && now - shares_sent_at_ >= share_report_interval) {
         shares_sent_at_ = now;
         limits_.report_shares(request, pooler::share_report_scope::all, false, now);
@@ -327,16 +405,19 @@
     if (!drop_expired_shares(now)) {
         limits_.apply_shares(reply, now);
     }
+    confirm_report(reply, asked_at);
     confirmed_at_ = std::max(confirmed_at_, asked_at);
     is_enabled_ = reply.relays_size() > 0;
     if (reply.has_document()) {
         document_ = reply.document();
     }
     apply_directory(reply);
+    static_cast<void>(peers_.apply(reply));
     latest_ = reply;
     latest_.clear_document();
     latest_.clear_servers();
     latest_.clear_shares();
+    latest_.clear_peers();
     if (has_new_division && limits_document_) {
         set_document(limits_document_, now);
     }
--- a/src/cell_relay.h
+++ b/src/cell_relay.h
@@ -7,6 +7,7 @@
 // followers keep getting tokens while a leader is being elected.
 #pragma once
 
+#include "cell_peer_list.h"
 #include "pooler_limit_table.h"
 #include "primrosehead.pb.h"
 
@@ -100,6 +101,19 @@
         std::uint64_t sequence = 0;
         clock::time_point seen_at;
         std::vector<pb::group_sighting> sightings;
+        std::string endpoint; // empty: it can't be a home
+        std::string failure_domain;
+        bool is_leaving = false;
+        clock::time_point peers_sent_at{}; // the whole list
+    };
+    // A follower as it was reported to the leader.
+    struct reported_peer {
+        std::string instance;
+        std::string endpoint;
+        std::string failure_domain;
+        bool is_leaving = false;
+
+        friend bool operator==(const reported_peer&, const reported_peer&) = default;
     };
     struct token_wait {
         bus_origin origin;
@@ -120,6 +134,11 @@
     [[nodiscard]] bool drop_expired_shares(clock::time_point now);
     [[nodiscard]] pb::token_amount grant(const token_wait& wait, std::uint32_t tokens);
     void join_sightings(pb::follow_request& request, clock::time_point now) const;
+    [[nodiscard]] std::vector<reported_peer> live_peers(clock::time_point now) const;
+    void report_peers(pb::follow_request& request, clock::time_point now);
+    void confirm_report(const pb::follow_reply& reply, clock::time_point asked_at);
+    void add_peers(pb::follow_reply& reply, const pb::follow_request& request,
+                   follower_state& sender, clock::time_point now) const;
 
     relay_settings settings_;
     std::uint64_t incarnation_;
@@ -131,12 +150,17 @@
     clock::time_point top_up_requested_at_{};
     std::shared_ptr<const document> limits_document_;
     std::map<std::string, observed_position, std::less<>> positions_; // by group
+    std::vector<reported_peer> reported_peers_;
+    clock::time_point peers_reported_at_{};
+    std::uint64_t peers_report_sequence_ = 0; // of the request that carried the report
+    std::uint64_t peers_report_term_ = 0;     // of the leader that received it; 0: none yet
 
     // From the leader.
     bool is_enabled_ = false;
     pb::follow_reply latest_; // without shares, document and servers
     std::optional<pb::published_record> document_;
     std::vector<pb::server_announcement> servers_;
+    peer_list peers_;
     std::uint64_t directory_term_ = 0;
     std::uint64_t directory_revision_ = 0;
     bool is_directory_complete_ = false;
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -20,6 +20,14 @@
 // for a while, so that a partition does not end their use.
 constexpr clock::duration relay_use_retention{10'000};
 
+// Every reply with a change is sent to the whole fleet; instances that leave are not delayed.
+constexpr clock::duration peers_interval{500};
+constexpr clock::duration peers_check_interval{100};
+// A new leader first hears from all relays, so that its first list does not lack their followers.
+constexpr clock::duration peers_complete_after = live_timeout;
+// The whole list of a large fleet takes a noticeable part of a link's capacity for this long.
+constexpr clock::duration peers_resend_interval{1'000};
+
 constexpr clock::duration membership_record_interval{300};
 // Longer than any network partition: a recorded server that does not announce itself for this long
 // is considered gone.
@@ -148,6 +156,88 @@
     }
 }
 
+void service::record_peers(const pb::follow_request& request, instance_state& sender)
+{
+    const bool was_leaving = sender.is_leaving;
+    sender.is_leaving = request.leaving();
+    has_departure_ = has_departure_ || (sender.is_leaving && !was_leaving);
+    if (!request.is_relay() || !request.peers_changed()) {
+        return;
+    }
+    sender.peers.clear();
+    for (const pb::peer_address& peer : request.peers()) {
+        if (is_valid_peer(peer)) {
+            sender.peers.push_back(peer);
+            has_departure_ = has_departure_ || (peer.gone() && peers_.contains(peer.instance()));
+        }
+    }
+}
+
+// A follower that moves from one relay to another is listed by both for a while. Only instances
+// that told their endpoint are listed.
+peer_list::peer_map service::live_peers(clock::time_point now) const
+{
+    peer_list::peer_map live;
+    std::vector<std::string_view> leaving;
+    for (const auto& [name, each] : instances_) {
+        if (now - each.last_seen_at >= live_timeout) {
+            continue;
+        }
+        for (const pb::peer_address& peer : each.peers) {
+            if (peer.gone()) {
+                leaving.push_back(peer.instance());
+            }
+            else {
+                live.insert_or_assign(peer.instance(), peer);
+            }
+        }
+        if (each.is_leaving) {
+            leaving.push_back(name);
+        }
+        else if (!each.is_relay && !each.endpoint.empty()) {
+            pb::peer_address& peer = live[name];
+            peer.set_instance(name);
+            peer.set_endpoint(each.endpoint);
+            peer.set_failure_domain(each.failure_domain);
+        }
+    }
+    for (const std::string_view name : leaving) {
+        if (const auto found = live.find(name); found != live.end()) {
+            live.erase(found);
+        }
+    }
+    return live;
+}
+
+void service::update_peers(clock::time_point now)
+{
+    const bool is_due = now - peers_published_at_ >= peers_interval &&
+                        now - peers_checked_at_ >= peers_check_interval;
+    if (!uses_relays_ || now - elected_at_ < peers_complete_after || !(is_due || has_departure_)) {
+        return;
+    }
+    has_departure_ = false;
+    peers_checked_at_ = now;
+    if (peers_.publish(live_peers(now), term_)) {
+        peers_published_at_ = now;
+    }
+}
+
+void service::add_peers(pb::follow_reply& reply, const pb::follow_request& request,
+                        instance_state& sender, clock::time_point now) const
+{
+    if (!uses_relays_ || request.endpoint().empty()) {
+        return;
+    }
+    if (peers_.needs_complete(request.peers_revision())) {
+        if (now - sender.peers_sent_at < peers_resend_interval) {
+            return;
+        }
+        sender.peers_sent_at = now;
+    }
+    peers_.add_to(reply, request.peers_revision());
+}
+
 promotion::planner* service::find_planner(std::string_view group)
 {
     const auto found = planners_.find(group);
@@ -225,6 +315,7 @@
     sender.is_relay = request.is_relay();
     sender.endpoint = request.endpoint();
     sender.followers = request.followers();
+    record_peers(request, sender);
     if (request.is_relaying() && now - elected_at_ < relay_use_retention) {
         uses_relays_ = true; // as the previous leader decided
     }
@@ -271,6 +362,7 @@
     reply.set_live_instances(live_instances(now));
     reply.set_central_ppm(central_ppm_);
     add_relays(reply, now);
+    add_peers(reply, request, sender, now);
     return reply;
 }
 
@@ -340,6 +432,7 @@
     std::vector<group_action> actions;
     share_allocator_.expire(now);
     update_relay_use(now);
+    update_peers(now);
     std::erase_if(instances_, [&](const auto& item) {
         return now - item.second.last_seen_at > settings_.instance_lease;
     });
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "cell_directory.h"
+#include "cell_peer_list.h"
 #include "cell_share_allocator.h"
 #include "cell_token_buckets.h"
 #include "document.h"
@@ -92,8 +93,11 @@
         clock::time_point first_seen_at;
         std::string failure_domain;
         bool is_relay = false;
-        std::string endpoint;                              // of a relay
-        std::uint32_t followers = 0;                       // of a relay
+        bool is_leaving = false;
+        std::string endpoint;        // of a relay, or of a pooler instance that can be a home
+        std::uint32_t followers = 0; // of a relay
+        std::vector<pb::peer_address> peers;               // of a relay: followers
+        clock::time_point peers_sent_at{};                 // the whole list
         std::deque<received_request> unconfirmed_requests; // oldest first
     };
 
@@ -111,6 +115,11 @@
     void handle_primary_reports(const pb::follow_request& request, clock::time_point now);
     void update_relay_use(clock::time_point now);
     void add_relays(pb::follow_reply& reply, clock::time_point now) const;
+    void record_peers(const pb::follow_request& request, instance_state& sender);
+    [[nodiscard]] peer_list::peer_map live_peers(clock::time_point now) const;
+    void update_peers(clock::time_point now);
+    void add_peers(pb::follow_reply& reply, const pb::follow_request& request,
+                   instance_state& sender, clock::time_point now) const;
 
     service_settings settings_;
     std::uint64_t term_;
@@ -121,6 +130,10 @@
     std::uint32_t central_ppm_ = 0;            // the leader's part of rates, in millionths
     bool uses_relays_ = false;
     clock::time_point last_large_at_; // when the fleet last was large enough for relays
+    peer_list peers_;
+    clock::time_point peers_checked_at_{};
+    clock::time_point peers_published_at_{};
+    bool has_departure_ = false; // a peer that is listed has begun to leave
     std::map<std::string, instance_state, std::less<>> instances_;
     std::map<std::string, promotion::planner, std::less<>> planners_;
     std::map<std::string, clock::time_point, std::less<>> membership_recorded_at_; // by group
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -55,7 +55,8 @@
     : executor_(std::move(executor)), settings_(settings), incarnation_(incarnation),
       parser_(std::move(parser)), connections_(connections), events_(events),
       lease_(settings.revocation * lease_tenths / 10),
-      relays_(settings.instance, settings.failure_domain.text())
+      relays_(settings.instance, settings.failure_domain.text()),
+      homes_(settings.instance, settings.regions, settings.homes_per_server)
 {
     set_seeds(settings.control);
 }
@@ -265,6 +266,11 @@
     request.set_leaving(is_leaving_);
     request.set_answered_sequence(timely_sequence_);
     request.set_failure_domain(settings_.failure_domain.text());
+    if (settings_.home_connections_per_instance > 0) {
+        // Only instances that tell their endpoint become homes and get the list of peers.
+        request.set_endpoint(make_bus_endpoint(settings_.host, settings_.bus_port));
+        request.set_peers_revision(homes_.revision());
+    }
     if (!follows_relay() && now - shares_sent_at_ >= share_report_interval(limits_.needs_share())) {
         shares_sent_at_ = now;
         limits_.report_shares(request, share_report_scope::active, is_leaving_, now);
@@ -324,6 +330,7 @@
         apply_document(reply.document(), now);
     }
     apply_directory(reply, now);
+    apply_peers(reply, now);
     apply_positions(reply);
     if (!drop_expired_shares(now)) {
         limits_.apply_shares(reply, now);
@@ -411,6 +418,24 @@
     }
 }
 
+void follower::apply_peers(const pb::follow_reply& reply, clock::time_point now)
+{
+    const std::uint64_t revision = homes_.revision();
+    const std::uint64_t malformed = homes_.malformed_count();
+    homes_.apply_peers(reply, now);
+    if (homes_.malformed_count() != malformed) {
+        events_.decision("control", "peers_malformed")
+            .field("from", endpoint_)
+            .field("total", static_cast<std::int64_t>(homes_.malformed_count()));
+    }
+    if (homes_.revision() != revision) {
+        events_.decision("control", "peers")
+            .field("revision", static_cast<std::int64_t>(homes_.revision()))
+            .field("peers", static_cast<std::int64_t>(homes_.size()))
+            .field("whole", reply.peers_base_revision() == 0);
+    }
+}
+
 void follower::apply_directory(const pb::follow_reply& reply, clock::time_point now)
 {
     if (reply.servers_size() > 0) {
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -5,6 +5,7 @@
 
 #include "deployment_settings.h"
 #include "document.h"
+#include "pooler_home_table.h"
 #include "pooler_limit_table.h"
 #include "pooler_relay_chooser.h"
 
@@ -56,7 +57,11 @@
 
     // Replaces the configured addresses of cell instances, after a reload.
     void set_seeds(const std::vector<std::string>& addresses);
-    void begin_leaving() noexcept { is_leaving_ = true; }
+    void begin_leaving() noexcept
+    {
+        is_leaving_ = true;
+        sends_soon_ = true; // its servers need other homes
+    }
 
     // Null until a document has been received.
     [[nodiscard]] const std::shared_ptr<const document>& current_document() const noexcept
@@ -87,6 +92,9 @@
         return limits_.find(organisation);
     }
 
+    // The homes of the backend servers (docs/design/homes.md).
+    [[nodiscard]] home_table& homes() noexcept { return homes_; }
+
     // True while the instance follows a relay, which also observes the primaries' log positions.
     [[nodiscard]] bool follows_relay() const noexcept { return relays_.has_relays(); }
 
@@ -107,6 +115,7 @@
     void apply_document(const pb::published_record& record, clock::time_point now);
     void apply_limits(clock::time_point now);
     void apply_directory(const pb::follow_reply& reply, clock::time_point now);
+    void apply_peers(const pb::follow_reply& reply, clock::time_point now);
 
     boost::asio::any_io_executor executor_;
     pooler_settings settings_;
@@ -135,6 +144,7 @@
     std::set<std::string> endpoints_;
     std::set<std::string> seeds_;
     relay_chooser relays_;
+    home_table homes_;
     std::string endpoint_; // of the leader or relay that this instance follows
     clock::time_point sent_at_{};
     clock::time_point last_reply_at_{};
