--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -4,6 +4,7 @@
 
 #include "cell_directory.h"
 #include "cell_evacuations.h"
+#include "cell_peer_list.h"
 #include "cell_reply_pacer.h"
 #include "cell_share_allocator.h"
 #include "cell_token_buckets.h"
@@ -97,9 +98,12 @@
         clock::time_point first_seen_at;
         std::string failure_domain;
         bool is_relay = false;
-        std::string endpoint;                              // of a relay
-        bool is_relaying = false;                          // of a relay: it serves followers
-        std::uint32_t followers = 0;                       // of a relay
+        bool is_relaying = false; // of a relay: it serves followers
+        bool is_leaving = false;
+        std::string endpoint;                // of a relay, or of a pooler instance that can be a home
+        std::uint32_t followers = 0;         // of a relay
+        std::vector<pb::peer_address> peers; // of a relay: followers
+        clock::time_point peers_sent_at{};   // the whole list
         std::deque<received_request> unconfirmed_requests; // oldest first
     };
 
@@ -115,12 +119,12 @@
     void update_central_limits(const document& current, clock::time_point now);
     void handle_primary_reports(const pb::follow_request& request, clock::time_point now);
     void update_relay_use(clock::time_point now);
-    void add_relays(pb::follow_reply& reply, bool is_for_relay, clock::time_point now) const;
-    void add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
-                         const state_machine& state, const directory& servers,
-                         clock::time_point now);
-    void add_directory(pb::follow_reply& reply, const pb::follow_request& request,
-                       const directory& servers, clock::time_point now);
+        bool is_relaying = false; // of a relay: it serves followers
+        bool is_leaving = false;
+        std::string endpoint;                // of a relay, or of a pooler instance that can be a home
+        std::uint32_t followers = 0;         // of a relay
+        std::vector<pb::peer_address> peers; // of a relay: followers
+        clock::time_point peers_sent_at{};   // the whole list
 
     service_settings settings_;
     std::uint64_t term_;
@@ -132,6 +136,10 @@
     std::uint32_t central_ppm_ = 0;            // the leader's part of rates, in millionths
     bool uses_relays_ = false;
     clock::time_point last_large_at_; // when the fleet last was large enough for relays
+    peer_list peers_;
+    clock::time_point peers_checked_at_{};
+    clock::time_point peers_published_at_{};
+    bool has_departure_ = false; // a peer that is listed has begun to leave
     std::map<std::string, instance_state, std::less<>> instances_;
     std::map<std::string, promotion::planner, std::less<>> planners_;
     std::map<std::string, clock::time_point, std::less<>> membership_recorded_at_; // by group
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -7,6 +7,7 @@
 #include "deployment_settings.h"
 #include "document.h"
 #include "pooler_follow_plan.h"
+#include "pooler_home_table.h"
 #include "pooler_limit_table.h"
 
 #include <primrosehead/bus.h>
@@ -58,7 +59,11 @@
 
     // Replaces the configured addresses of cell instances, after a reload.
     void set_seeds(const std::vector<std::string>& addresses);
-    void begin_leaving() noexcept { is_leaving_ = true; }
+    void begin_leaving() noexcept
+    {
+        is_leaving_ = true;
+        sends_soon_ = true; // its servers need other homes
+    }
 
     // Null until a document has been received.
     [[nodiscard]] const std::shared_ptr<const document>& current_document() const noexcept
@@ -89,6 +94,9 @@
         return limits_.find(organisation);
     }
 
+    // The homes of the backend servers (docs/design/homes.md).
+    [[nodiscard]] home_table& homes() noexcept { return homes_; }
+
     // True while the instance follows a relay, which also observes the primaries' log positions.
     [[nodiscard]] bool follows_relay() const noexcept { return plan_.relays().has_relays(); }
 
@@ -112,6 +120,7 @@
     void apply_limits(clock::time_point now);
     void apply_directory(const pb::follow_reply& reply, clock::time_point now);
     void apply_fleet(const pb::follow_reply& reply, clock::time_point now);
+    void apply_peers(const pb::follow_reply& reply, clock::time_point now);
 
     boost::asio::any_io_executor executor_;
     pooler_settings settings_;
@@ -140,6 +149,7 @@
     clock::time_point confirmed_at_{};
 
     follow_plan plan_;
+    home_table homes_;
     // The latest reply within `timely_round_trip`, and when its request was sent.
     std::uint64_t timely_sequence_ = 0;
     clock::time_point timely_request_at_{};
