Homes of backend servers: data path

An instance of a large fleet opened connections of its own for nearly every operation. Tests are not run yet.

--- a/src/event_trace.cpp
+++ b/src/event_trace.cpp
@@ -89,6 +89,12 @@
     if (part == "cell") {
         return string_field(candidate.fields, "event") != "document"; // leader changes
     }
+    // At the server's home, only what concerns the server or the instance itself.
+    const std::string_view home = string_field(answer.fields, "home");
+    const bool is_at_home = !home.empty() && string_field(candidate.fields, "process") == home;
+    if (is_at_home) {
+        return part == "process" || is_same("server");
+    }
     return is_same("process") && (part != "pool" || is_same("group") || is_same("server"));
 }
 
@@ -136,10 +142,15 @@
 std::string diagnose(const json::object& answer)
 {
     const std::string_view cause = string_field(answer, "cause");
-    const std::string outcome =
+    std::string outcome =
         fmt::format("{} after {} ms at {}, attempts: {}. ", string_field(answer, "event"),
                     integer_field(answer, "took_ms"), string_field(answer, "process"),
                     integer_field(answer, "attempts"));
+    const std::string_view home = string_field(answer, "home");
+    if (!home.empty()) {
+        outcome += fmt::format("It was passed to {}, the home of server {}. ", home,
+                               string_field(answer, "server"));
+    }
     if (cause.empty()) {
         return outcome;
     }
--- a/src/pooler_context.h
+++ b/src/pooler_context.h
@@ -18,6 +18,7 @@
 namespace primrosehead::pooler {
 
 class follower;
+class home_client;
 class instance_metrics;
 class pool;
 
@@ -28,6 +29,7 @@
     follower& control;
     event_log& events;
     instance_metrics& metrics;
+    home_client* homes = nullptr;     // null: operations run on own connections only
     bool is_closing_sessions = false; // on shutdown: each session ends after its current operation
 };
 
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -32,6 +32,9 @@
 constexpr clock::duration begin_timeout{400};
 // Delay between attempts at a server whose queue is full.
 constexpr clock::duration busy_retry_delay{10};
+// A home that holds all the connections it may waits this long for one; the statement occupies one
+// of the server's slots in the home's queue meanwhile.
+constexpr clock::duration home_connection_wait{50};
 // Retry hints to clients: time for a change of primary, and for connections to become free.
 constexpr clock::duration primary_retry_after{500};
 constexpr clock::duration saturated_retry_after{100};
@@ -118,12 +121,19 @@
     request.values = &session_.values;
     request.excluded_servers = excluded_servers_;
     request.deadline = std::min(deadline, budget_.deadline(has_reached_server_, clock::now()));
+    if (pinned_) {
+        request.pinned_server = pinned_->id;
+        request.deadline = std::min(deadline, clock::now() + home_connection_wait);
+    }
     return request;
 }
 
 // Returns the log position that a read must see; none if only the primary can serve it.
 std::optional<log_position> execution::minimum_position(const operation& op, clock::time_point now)
 {
+    if (pinned_) {
+        return pinned_->minimum;
+    }
     const document_route& route = *op.route;
     if (route.consistency == route_consistency::latest || prefers_primary_) {
         return std::nullopt;
@@ -226,11 +236,12 @@
         context_.connections.mark_unreachable(server, !result.has_timed_out, now);
         outcome = {next_step::retry,
                    make_error_answer(answer_cause::server_silent, context_.dialect.busy,
-                                     "not run: the primary did not begin a transaction")};
+                                     "not run: the primary did not begin a transaction"),
+                   server_contact::none};
         co_return false;
     }
     if (!all_succeeded(result.answers, setup.count)) {
-        outcome = {next_step::retry, std::move(result.answers.front())};
+        outcome = {next_step::retry, std::move(result.answers.front()), server_contact::refused};
         co_return false;
     }
     line_answer& answer = result.answers.back();
@@ -238,7 +249,7 @@
         if (answer.code == context_.dialect.read_only) {
             context_.connections.primary_of(server.group).record_refusal(server.id, now);
         }
-        outcome = {next_step::retry, std::move(answer)};
+        outcome = {next_step::retry, std::move(answer), server_contact::refused};
         co_return false;
     }
     record_setup(connection, session_, statement.prepared, false);
@@ -279,7 +290,8 @@
         co_return attempt_result{next_step::retry,
                                  make_error_answer(answer_cause::server_silent,
                                                    context_.dialect.timed_out,
-                                                   "the primary did not answer in time")};
+                                                   "the primary did not answer in time"),
+                                 server_contact::lost};
     }
     co_return classify_read(*server, std::move(result.answers.front()));
 }
@@ -316,7 +328,8 @@
         co_return attempt_result{next_step::retry,
                                  make_error_answer(answer_cause::server_silent,
                                                    context_.dialect.timed_out,
-                                                   "the server did not answer in time")};
+                                                   "the server did not answer in time"),
+                                 server_contact::lost};
     }
     if (!is_prepared) {
         excluded_servers_.push_back(server->id);
@@ -352,7 +365,8 @@
         co_return attempt_result{
             next_step::finish,
             make_error_answer(answer_cause::server_silent, dialect.unknown_outcome,
-                              "the primary did not answer; the write may have taken effect")};
+                              "the primary did not answer; the write may have taken effect"),
+            server_contact::lost};
     }
     line_answer answer = std::move(result.answers.back());
     if (!answer.is_error) {
@@ -372,12 +386,41 @@
     co_return attempt_result{has_not_run ? next_step::retry : next_step::finish, std::move(answer)};
 }
 
+net::awaitable<line_answer> execution::run_pinned(const operation& op,
+                                                  const server_statement& statement,
+                                                  clock::time_point deadline)
+{
+    const std::optional<log_position> minimum = pinned_->minimum;
+    connection_request request =
+        make_request(op, minimum ? required_role::any : required_role::primary, deadline);
+    acquire_result acquired = co_await acquire(request);
+    if (!acquired.connection) {
+        contact_ = acquired.error == acquire_error::saturated ? server_contact::saturated
+                                                              : server_contact::none;
+        co_return make_refusal(acquired.error, op);
+    }
+    attempt_result result;
+    if (statement.is_write) {
+        result = co_await write_at_primary(std::move(acquired.connection), statement, deadline);
+    }
+    else if (minimum) {
+        result =
+            co_await read_at_replica(std::move(acquired.connection), statement, *minimum, deadline);
+    }
+    else {
+        result = co_await read_at_primary(std::move(acquired.connection), statement, deadline);
+    }
+    contact_ = result.contact;
+    co_return std::move(result.answer);
+}
+
 net::awaitable<line_answer> execution::run_single(const operation& op,
                                                   const server_statement& statement)
 {
     const clock::time_point deadline = clock::now() + op.route->statement_timeout;
     excluded_servers_.clear();
     prefers_primary_ = false;
+    last_home_.clear();
     attempt_result last{next_step::retry, make_refusal(acquire_error::saturated, op)};
     connection_wait_ = clock::duration(0);
     has_reached_server_ = false;
@@ -385,6 +428,18 @@
     for (attempts_ = 1; attempts_ <= max_attempts && clock::now() < deadline; ++attempts_) {
         const std::optional<log_position> minimum =
             statement.is_write ? std::nullopt : minimum_position(op, clock::now());
+        if (may_use_home(op)) {
+            std::optional<attempt_result> at_home =
+                co_await run_at_home(op, statement, minimum, deadline);
+            if (at_home) {
+                last = std::move(*at_home);
+                if (last.next == next_step::finish) {
+                    break;
+                }
+                record_retry(op, statement, last_server_, last.answer.code);
+                continue;
+            }
+        }
         connection_request request =
             make_request(op, minimum ? required_role::any : required_role::primary, deadline);
         acquire_result acquired = co_await acquire(request);
@@ -426,7 +481,8 @@
     has_reached_server_ = false;
     excluded_servers_.clear();
     prefers_primary_ = false;
-    if (context_.connections.has_waiting_requests(op.route->group)) {
+    last_home_.clear();
+    if (may_use_home(op) || context_.connections.has_waiting_requests(op.route->group)) {
         return; // don't hold an unused connection while others wait for one
     }
     prefetch_ = std::make_shared<connection_prefetch>(context_, session_);
@@ -436,6 +492,13 @@
     net::co_spawn(context_.executor, run_prefetch(prefetch_), net::detached);
 }
 
+void execution::begin_pinned(const operation& op, bool read_only)
+{
+    transaction_ = op;
+    is_open_ = true;
+    is_read_only_ = read_only;
+}
+
 net::awaitable<void> execution::run_prefetch(std::shared_ptr<connection_prefetch> prefetch)
 {
     // A failure is not final: the first statement retries.
@@ -509,8 +572,10 @@
         context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
         excluded_servers_.push_back(server->id);
         co_return attempt_result{
-            next_step::retry, make_error_answer(answer_cause::server_silent, dialect.busy,
-                                                "not run: the server did not begin a transaction")};
+            next_step::retry,
+            make_error_answer(answer_cause::server_silent, dialect.busy,
+                              "not run: the server did not begin a transaction"),
+            server_contact::none};
     }
     const bool is_prepared = all_succeeded(result.answers, setup.count);
     if (is_prepared) {
@@ -520,6 +585,7 @@
         context_.connections.release(std::move(connection), is_prepared);
         attempt_result refusal = classify_read(*server, std::move(result.answers.back()));
         refusal.next = next_step::retry; // no statement has run
+        refusal.contact = server_contact::refused;
         co_return refusal;
     }
     server->lag_count = 0;
@@ -535,7 +601,8 @@
     const clock::time_point deadline = asked_at + transaction_.route->statement_timeout;
     budget_ = wait_budget(asked_at, transaction_.route->latency_objective);
     line_answer last = make_refusal(acquire_error::saturated, transaction_);
-    for (attempts_ = 1; attempts_ <= max_attempts && clock::now() < deadline; ++attempts_) {
+    const std::uint32_t attempt_limit = pinned_ ? 1 : max_attempts;
+    for (attempts_ = 1; attempts_ <= attempt_limit && clock::now() < deadline; ++attempts_) {
         const std::optional<log_position> minimum =
             is_read_only_ ? minimum_position(transaction_, clock::now()) : std::nullopt;
         connection_request request = make_request(
@@ -544,8 +611,11 @@
         if (!acquired.connection) {
             if (minimum && acquired.error == acquire_error::no_server) {
                 prefers_primary_ = true;
+                contact_ = server_contact::none;
                 continue;
             }
+            contact_ = acquired.error == acquire_error::saturated ? server_contact::saturated
+                                                                  : server_contact::none;
             co_return make_refusal(acquired.error, transaction_);
         }
         last_server_ = acquired.connection->server->id;
@@ -554,16 +624,39 @@
         if (connection_) {
             co_return std::nullopt;
         }
+        contact_ = result.contact;
         record_retry(transaction_, first, last_server_, result.answer.code);
         last = std::move(result.answer);
     }
     co_return last;
 }
 
+// Waits until the server of the transaction may run another statement. At a home its queue has
+// decided this.
+net::awaitable<bool> execution::start_statement(std::shared_ptr<pooled_server> server,
+                                                clock::time_point deadline)
+{
+    if (pinned_) {
+        context_.connections.record_start(*server);
+        co_return true;
+    }
+    co_return co_await context_.connections.start_when_admitted(server, deadline);
+}
+
 net::awaitable<line_answer> execution::run(const server_statement& statement)
 {
     const line_dialect& dialect = context_.dialect;
     connection_wait_ = clock::duration(0);
+    if (home_transaction_) {
+        co_return co_await continue_at_home(statement, false);
+    }
+    if (!connection_ && !prefetch_ && may_use_home(transaction_)) {
+        std::optional<line_answer> at_home = co_await begin_at_home(statement, false);
+        if (at_home) {
+            co_return std::move(*at_home);
+        }
+    }
+    contact_ = server_contact::saturated;
     if (!connection_) {
         std::optional<line_answer> refusal = co_await ensure_connection(statement);
         if (refusal) {
@@ -571,6 +664,7 @@
             co_return std::move(*refusal);
         }
     }
+    contact_ = server_contact::answered;
     const std::shared_ptr<pooled_server> server = connection_->server;
     const clock::time_point deadline = clock::now() + transaction_.route->statement_timeout;
     line_exchange result;
@@ -579,7 +673,7 @@
             make_setup_queries(*connection_, session_, statement.prepared, true, dialect);
         const std::string queries = fmt::format("{}{} {} {}\r\n", setup.queries, dialect.query,
                                                 statement.id, statement.text);
-        const bool may_run = co_await context_.connections.start_when_admitted(server, deadline);
+        const bool may_run = co_await start_statement(server, deadline);
         if (!may_run) {
             roll_back();
             co_return make_error_answer(
@@ -596,6 +690,7 @@
                 context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
             }
             is_open_ = false;
+            contact_ = server_contact::lost;
             co_return make_error_answer(
                 answer_cause::server_silent, dialect.aborted,
                 "rolled back: the connection to the server failed; retry the transaction");
@@ -628,6 +723,16 @@
     statement.id = id;
     statement.text = dialect.commit;
     connection_wait_ = clock::duration(0);
+    if (home_transaction_) {
+        co_return co_await continue_at_home(statement, true);
+    }
+    if (!connection_ && !prefetch_ && may_use_home(transaction_)) {
+        std::optional<line_answer> at_home = co_await begin_at_home(statement, true);
+        if (at_home) {
+            co_return std::move(*at_home);
+        }
+    }
+    contact_ = server_contact::saturated;
     if (!connection_) {
         std::optional<line_answer> refusal = co_await ensure_connection(statement);
         if (refusal) {
@@ -635,13 +740,14 @@
             co_return std::move(*refusal);
         }
     }
+    contact_ = server_contact::answered;
     const std::shared_ptr<pooled_server> server = connection_->server;
     const clock::time_point deadline = clock::now() + transaction_.route->statement_timeout;
     const std::string queries = fmt::format("{} {} {}\r\n", dialect.query, id, dialect.commit);
     line_exchange result;
     clock::time_point sent_at;
     while (true) {
-        const bool may_run = co_await context_.connections.start_when_admitted(server, deadline);
+        const bool may_run = co_await start_statement(server, deadline);
         if (!may_run) {
             roll_back();
             co_return make_error_answer(
@@ -663,6 +769,7 @@
     }
     is_open_ = false;
     if (result.answers.empty()) {
+        contact_ = server_contact::lost;
         context_.connections.release(std::move(connection_), false);
         context_.connections.mark_unreachable(*server, !result.has_timed_out, clock::now());
         context_.connections.primary_of(server->group).record_write_failure(sent_at);
@@ -705,6 +812,7 @@
 {
     is_open_ = false;
     prefetch_.reset();
+    roll_back_at_home();
     if (connection_) {
         net::co_spawn(context_.executor, reset_connection(context_, std::move(connection_)),
                       net::detached);
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -8,6 +8,8 @@
 #include "document.h"
 #include "line_answer.h"
 #include "pooler_context.h"
+#include "pooler_home_message.h"
+#include "pooler_home_table.h"
 #include "pooler_pool.h"
 #include "pooler_state.h"
 #include "pooler_wait.h"
@@ -23,6 +25,10 @@
 #include <string_view>
 #include <vector>
 
+namespace primrosehead::pb {
+class home_request;
+}
+
 namespace primrosehead::pooler {
 
 // Parameters of an operation, fixed when it begins.
@@ -41,6 +47,21 @@
     const prepared_statement* prepared = nullptr; // to prepare on the connection first, if any
 };
 
+// What is known about the last statement at a server.
+enum class server_contact {
+    none,      // not sent: no connection to the server
+    saturated, // not sent: no connection became free in time
+    refused,   // not sent: the server did not begin the transaction that it needs
+    answered,
+    lost, // sent, not answered
+};
+
+// At a home: the server that the origin chose, and the position that a replica must have.
+struct pinned_server {
+    std::string id;
+    std::optional<log_position> minimum;
+};
+
 class execution {
   public:
     execution(context& ctx, session_context& session) : context_(ctx), session_(session) {}
@@ -52,6 +73,13 @@
     [[nodiscard]] boost::asio::awaitable<line_answer> run_single(const operation& op,
                                                                  const server_statement& statement);
 
+    // At a home: limits the execution to one server and to one attempt.
+    void pin(pinned_server pinned) { pinned_ = std::move(pinned); }
+    [[nodiscard]] boost::asio::awaitable<line_answer>
+    run_pinned(const operation& op, const server_statement& statement, clock::time_point deadline);
+    void begin_pinned(const operation& op, bool read_only);
+    [[nodiscard]] server_contact contact() const noexcept { return contact_; }
+
     // Begins a transaction. Its connection is acquired in the background, while the client prepares
     // the first statement.
     void begin(const operation& op, bool read_only);
@@ -65,6 +93,8 @@
 
     // Server of the last statement and the number of attempts, for the log.
     [[nodiscard]] const std::string& last_server() const noexcept { return last_server_; }
+    // The home that ran the last statement; empty: an own connection.
+    [[nodiscard]] const std::string& last_home() const noexcept { return last_home_; }
     [[nodiscard]] std::uint32_t attempts() const noexcept { return attempts_; }
 
     // False if the last operation never obtained a connection to a server.
@@ -75,10 +105,18 @@
 
   private:
     struct connection_prefetch;
+    // A transaction that a home runs.
+    struct home_transaction {
+        std::shared_ptr<pooled_server> server;
+        home_address home;
+        std::uint64_t number = 0;
+        std::uint32_t step = 0; // of the last statement
+    };
     enum class next_step { finish, retry };
     struct attempt_result {
         next_step next = next_step::finish;
         line_answer answer;
+        server_contact contact = server_contact::answered;
     };
 
     [[nodiscard]] boost::asio::awaitable<attempt_result>
@@ -106,6 +144,35 @@
                                                                 clock::time_point deadline,
                                                                 attempt_result& outcome);
 
+    [[nodiscard]] boost::asio::awaitable<bool>
+    start_statement(std::shared_ptr<pooled_server> server, clock::time_point deadline);
+
+    // Operations that a home runs (pooler_execution_home.cpp).
+    [[nodiscard]] bool may_use_home(const operation& op) const;
+    // Returns nothing if no home can be used.
+    [[nodiscard]] boost::asio::awaitable<std::optional<attempt_result>>
+    run_at_home(const operation& op, const server_statement& statement,
+                std::optional<log_position> minimum, clock::time_point deadline);
+    [[nodiscard]] boost::asio::awaitable<std::optional<line_answer>>
+    begin_at_home(const server_statement& first, bool is_commit);
+    [[nodiscard]] boost::asio::awaitable<line_answer>
+    continue_at_home(const server_statement& statement, bool is_commit);
+    [[nodiscard]] boost::asio::awaitable<home_result>
+    call_home(const home_address& home, pooled_server& server, pb::home_request& request,
+              home_call_kind kind, clock::time_point deadline);
+    void describe_call(const operation& op, const server_statement& statement,
+                       const pooled_server& server, clock::time_point deadline,
+                       pb::home_request& request) const;
+    [[nodiscard]] attempt_result classify_home_result(const operation& op, pooled_server& server,
+                                                      home_call_kind kind, home_result result,
+                                                      clock::time_point sent_at);
+    [[nodiscard]] attempt_result classify_home_write(pooled_server& server, line_answer answer,
+                                                     clock::time_point sent_at);
+    [[nodiscard]] bool has_other_server(const operation& op, clock::time_point deadline) const;
+    [[nodiscard]] line_answer finish_at_home(home_result result, bool is_commit, bool is_write,
+                                             clock::time_point sent_at);
+    void roll_back_at_home();
+
     [[nodiscard]] boost::asio::awaitable<line_exchange> exchange(pooled_connection& connection,
                                                                  const std::string& queries,
                                                                  std::size_t count,
@@ -131,9 +198,13 @@
     std::unique_ptr<pooled_connection> connection_;
     std::shared_ptr<connection_prefetch> prefetch_; // until the first statement
 
+    std::optional<pinned_server> pinned_;
+    server_contact contact_ = server_contact::none;
+    std::optional<home_transaction> home_transaction_; // set while it is open at a home
     std::vector<std::string> excluded_servers_;
     bool prefers_primary_ = false;
     std::string last_server_;
+    std::string last_home_;
     std::uint32_t attempts_ = 0;
     clock::duration connection_wait_{0};
     bool has_reached_server_ = false;
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -55,7 +55,8 @@
     : executor_(std::move(executor)), settings_(settings), incarnation_(incarnation),
       parser_(std::move(parser)), connections_(connections), events_(events),
       lease_(settings.revocation * lease_tenths / 10),
-      relays_(settings.instance, settings.failure_domain.text())
+      relays_(settings.instance, settings.failure_domain.text()),
+      homes_(settings.instance, settings.regions, settings.homes_per_server)
 {
     set_seeds(settings.control);
 }
@@ -335,6 +336,7 @@
         confirmed_at_ = std::max(confirmed_at_, confirmed_at);
     }
     apply_relays(reply, now);
+    homes_.apply_peers(reply, now);
 }
 
 // Follows a relay while the leader asks for it: the preferred one, unless it has lost the leader.
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -5,6 +5,7 @@
 
 #include "deployment_settings.h"
 #include "document.h"
+#include "pooler_home_table.h"
 #include "pooler_limit_table.h"
 #include "pooler_relay_chooser.h"
 
@@ -90,6 +91,10 @@
     // True while the instance follows a relay, which also observes the primaries' log positions.
     [[nodiscard]] bool follows_relay() const noexcept { return relays_.has_relays(); }
 
+    // The homes of backend servers, from the list of live pooler instances.
+    [[nodiscard]] home_table& homes() noexcept { return homes_; }
+    [[nodiscard]] std::uint32_t live_instances() const noexcept { return live_instances_; }
+
   private:
     void send(clock::time_point now);
     [[nodiscard]] pb::envelope make_envelope() const;
@@ -135,6 +140,7 @@
     std::set<std::string> endpoints_;
     std::set<std::string> seeds_;
     relay_chooser relays_;
+    home_table homes_;
     std::string endpoint_; // of the leader or relay that this instance follows
     clock::time_point sent_at_{};
     clock::time_point last_reply_at_{};
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -7,6 +7,8 @@
 #include "incarnation.h"
 #include "pooler_context.h"
 #include "pooler_follower.h"
+#include "pooler_home_client.h"
+#include "pooler_home_server.h"
 #include "pooler_metrics.h"
 #include "pooler_pool.h"
 #include "pooler_session.h"
@@ -80,11 +82,18 @@
           events(STDOUT_FILENO, instance_settings.instance), settings_file(std::move(path)),
           acceptor(context), connections(context.get_executor(), parts.dialect, events,
                                          instance_settings.failure_domain.text()),
-          control(context.get_executor(), instance_settings, make_incarnation(),
-                  parts.parse_document, connections, events),
+          incarnation(make_incarnation()),
+          control(context.get_executor(), instance_settings, incarnation, parts.parse_document,
+                  connections, events),
           session_resources{context.get_executor(), parts.dialect, connections, control, events,
-                            statement_metrics}
+                            statement_metrics},
+          home(session_resources, instance_settings.cell.text(), instance_settings.instance),
+          homes(context.get_executor(),
+                home_client_settings{instance_settings.cell.text(), instance_settings.instance,
+                                     incarnation, instance_settings.home_connections_per_instance},
+                control, home, events, statement_metrics)
     {
+        session_resources.homes = &homes;
         redirect_spdlog(events, instance_settings.log.level);
     }
 
@@ -93,6 +102,7 @@
 
     [[nodiscard]] status listen();
     [[nodiscard]] status serve_probes();
+    void receive(const bus_origin& origin, const pb::envelope& message);
     net::awaitable<void> accept_loop();
     net::awaitable<void> run_session(std::shared_ptr<session> served, std::uint64_t number);
     net::awaitable<void> tick_loop();
@@ -113,8 +123,11 @@
     tcp::acceptor acceptor;
     instance_metrics statement_metrics;
     pool connections;
+    const std::uint64_t incarnation;
     follower control;
     pooler::context session_resources;
+    home_server home;
+    home_client homes;
     std::unique_ptr<bus_runner> messages;
     std::shared_ptr<http::listener> readiness;
     std::shared_ptr<http::listener> metrics_listener;
@@ -194,6 +207,29 @@
     return std::monostate{};
 }
 
+void instance::implementation::receive(const bus_origin& origin, const pb::envelope& message)
+{
+    if (message.cell() != settings.cell.text()) {
+        return;
+    }
+    const clock::time_point now = clock::now();
+    if (message.has_follow_answer()) {
+        control.receive(message.follow_answer(), now);
+    }
+    else if (message.has_tokens()) {
+        control.receive_tokens(message.tokens(), now);
+    }
+    else if (message.has_home_call()) {
+        home.receive(origin, message.from(), message.home_call(), now);
+    }
+    else if (message.has_home_answer()) {
+        homes.receive(message.from(), message.home_answer(), now);
+    }
+    else if (message.has_home_alive()) {
+        homes.receive(message.from(), message.home_alive(), now);
+    }
+}
+
 status instance::implementation::open()
 {
     result<std::unique_ptr<bus>> opened =
@@ -203,18 +239,16 @@
     }
     messages =
         std::make_unique<bus_runner>(std::move(value(opened)), context.get_executor(),
-                                     [this](const bus_origin&, const pb::envelope& message) {
-                                         if (message.cell() != settings.cell.text()) {
-                                             return;
-                                         }
-                                         if (message.has_follow_answer()) {
-                                             control.receive(message.follow_answer(), clock::now());
-                                         }
-                                         else if (message.has_tokens()) {
-                                             control.receive_tokens(message.tokens(), clock::now());
-                                         }
+                                     [this](const bus_origin& origin, const pb::envelope& message) {
+                                         receive(origin, message);
                                      });
     control.set_bus(messages->messages());
+    homes.set_sender([this](std::string_view endpoint, const pb::envelope& message) {
+        messages->messages().send(endpoint, message);
+    });
+    home.set_replier([this](const bus_origin& origin, const pb::envelope& message) {
+        messages->messages().reply(origin, message);
+    });
     const status listening = listen();
     return ok(listening) ? serve_probes() : listening;
 }
@@ -369,6 +403,8 @@
     while (true) {
         const clock::time_point now = clock::now();
         control.tick(now);
+        homes.tick(now);
+        home.tick(now);
         run_housekeeping(now);
         timer.expires_after(tick_interval);
         co_await timer.async_wait(no_throw);
@@ -382,6 +418,7 @@
     const clock::time_point began_at = clock::now();
     is_draining = true;
     control.begin_leaving();
+    home.begin_leaving();
     events.decision("process", "drain")
         .field("sessions", static_cast<std::int64_t>(sessions.size()));
     net::steady_timer timer(context);
@@ -392,7 +429,7 @@
     const std::size_t closed_per_interval = sessions.size() / turns + 1;
     const clock::time_point transactions_end = began_at + settings.grace / 2;
     const clock::time_point end = began_at + settings.grace * 5 / 6;
-    while (!sessions.empty() && clock::now() < end) {
+    while ((!sessions.empty() || home.has_work()) && clock::now() < end) {
         const bool is_late = clock::now() >= transactions_end;
         if (is_late) {
             boost::system::error_code ignored; // new sessions would no longer be served
@@ -400,6 +437,7 @@
             for (const auto& [number, each] : sessions) {
                 each->abort_transaction("this instance is stopping");
             }
+            home.roll_back_all();
         }
         close_idle_sessions(is_late ? sessions.size() : closed_per_interval);
         timer.expires_after(drain_interval);
--- a/src/pooler_metrics.cpp
+++ b/src/pooler_metrics.cpp
@@ -34,7 +34,25 @@
 }
 
 instance_metrics::instance_metrics()
-    : retries_(registry_.counter("primrose_retries_total", "Retries of statements.")),
+    : home_late_replies_(
+          registry_.counter("primrose_home_late_replies_total",
+                            "Replies of homes to calls that had ended or were never made.")),
+      home_answered_(registry_.counter("primrose_home_operations_total",
+                                       "Operations run as a server's home, by result.",
+                                       R"(result="answered")")),
+      home_not_answered_(registry_.counter("primrose_home_operations_total",
+                                           "Operations run as a server's home, by result.",
+                                           R"(result="not_answered")")),
+      home_invalid_(registry_.counter("primrose_home_refusals_total",
+                                      "Requests of origins refused on arrival, by reason.",
+                                      R"(reason="invalid")")),
+      home_declined_(registry_.counter("primrose_home_refusals_total",
+                                       "Requests of origins refused on arrival, by reason.",
+                                       R"(reason="declined")")),
+      home_duplicates_(registry_.counter("primrose_home_refusals_total",
+                                         "Requests of origins refused on arrival, by reason.",
+                                         R"(reason="duplicate")")),
+      retries_(registry_.counter("primrose_retries_total", "Retries of statements.")),
       granted_(
           registry_.counter("primrose_borrowed_tokens_total",
                             "Operations that requested a token from the control leader, by result.",
@@ -77,6 +95,11 @@
             registry_.latency("primrose_statement_ms", "Duration of a statement in milliseconds.",
                               fmt::format(R"(outcome="{}")", to_string(outcome)));
     }
+    for (std::size_t ending = 0; ending < home_ending_count; ++ending) {
+        home_calls_.at(ending) = registry_.counter(
+            "primrose_home_calls_total", "Operations passed to homes, by how the call ended.",
+            fmt::format(R"(ending="{}")", to_string(static_cast<home_ending>(ending))));
+    }
     for (std::size_t phase = 0; phase < phase_count; ++phase) {
         phases_.at(phase) = registry_.latency("primrose_phase_ms",
                                               "Duration of a statement's phases in milliseconds.",
--- a/src/pooler_metrics.h
+++ b/src/pooler_metrics.h
@@ -4,6 +4,7 @@
 #include "document.h"
 #include "event_log.h"
 #include "line_answer.h"
+#include "pooler_home_outcome.h"
 #include "pooler_pool.h"
 
 #include <primrosehead/clock.h>
@@ -43,6 +44,22 @@
         registry_.add(was_granted ? granted_ : not_granted_);
     }
 
+    // Operations passed to homes, and operations that this instance ran as a home.
+    void record_home_call(home_ending ending)
+    {
+        registry_.add(home_calls_.at(static_cast<std::size_t>(ending)));
+    }
+    void record_home_late_reply() { registry_.add(home_late_replies_); }
+    void record_home_work(bool is_answered)
+    {
+        registry_.add(is_answered ? home_answered_ : home_not_answered_);
+    }
+    void record_home_refusal(bool is_invalid)
+    {
+        registry_.add(is_invalid ? home_invalid_ : home_declined_);
+    }
+    void record_home_duplicate() { registry_.add(home_duplicates_); }
+
     [[nodiscard]] std::string prometheus_text(const pool_stats& pool, std::uint32_t sessions,
                                               std::uint64_t document_version,
                                               std::int64_t confirmed_ms_ago,
@@ -59,6 +76,13 @@
     std::array<counter_id, answer_cause_count> causes_;
     std::array<latency_id, outcome_count> latency_;
     std::array<latency_id, phase_count> phases_;
+    std::array<counter_id, home_ending_count> home_calls_;
+    counter_id home_late_replies_;
+    counter_id home_answered_;
+    counter_id home_not_answered_;
+    counter_id home_invalid_;
+    counter_id home_declined_;
+    counter_id home_duplicates_;
     counter_id retries_;
     counter_id granted_;
     counter_id not_granted_;
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "clock_timer.h"
 #include "event_log.h"
+#include "pooler_home_limits.h"
 #include "pooler_placement.h"
 #include "primrosehead.pb.h"
 
@@ -10,6 +11,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace primrosehead::pooler {
@@ -26,6 +28,8 @@
 constexpr clock::duration surplus_idle_timeout{400};
 // Idle timeout of connections within the fair share.
 constexpr clock::duration idle_timeout{8'000};
+// A home keeps its connections for this time after the last operation that an origin passed to it.
+constexpr clock::duration home_idle_time{8'000};
 // Connections left free at each server for the current and the previous control leader.
 constexpr std::uint32_t reserved_control_connections = 2;
 
@@ -128,6 +132,7 @@
         }
         server->slots = std::max(1U, announcement.slots());
         server->is_local = announcement.failure_domain() == failure_domain_;
+        server->failure_domain = announcement.failure_domain();
         server->is_leaving = announcement.leaving();
         server->claims_primary = announcement.is_primary();
     }
@@ -174,6 +179,16 @@
                                                              acquire_error& error) const
 {
     std::vector<std::shared_ptr<pooled_server>> found;
+    if (!request.pinned_server.empty()) {
+        const auto pinned = state.servers.find(request.pinned_server);
+        if (pinned == state.servers.end() || pinned->second->is_avoided(now)) {
+            error = acquire_error::no_server;
+        }
+        else {
+            found.push_back(pinned->second);
+        }
+        return found;
+    }
     if (request.role == required_role::primary) {
         const std::string primary_id = state.primary.likely_primary(now);
         const auto known = state.servers.find(primary_id);
@@ -237,6 +252,71 @@
     }
 }
 
+placement_server pool::describe(const group_state& state, const pooled_server& server,
+                                const connection_request& request, clock::time_point now) const
+{
+    placement_server candidate;
+    candidate.is_local = server.is_local;
+    candidate.slots = server.slots;
+    candidate.open = server.open;
+    candidate.limit = open_limit(state, server, now);
+    candidate.running = server.running;
+    candidate.running_limit = server.running_limit(now);
+    candidate.latency_ms = server.expected_latency_ms(now);
+    candidate.may_open = server.may_open(now);
+    if (!request.pinned_server.empty()) {
+        // The home's queue has decided that the statement may run.
+        candidate.limit = home_connection_limit(state.connection_limit);
+        candidate.running_limit = std::numeric_limits<std::uint32_t>::max();
+        candidate.may_open = true;
+    }
+    for (const std::unique_ptr<pooled_connection>& each : server.idle) {
+        if (each->organisation != request.organisation) {
+            ++candidate.idle_other_organisation;
+        }
+        else if (request.values != nullptr && each->values == *request.values) {
+            ++candidate.idle_matching;
+        }
+        else {
+            ++candidate.idle_needs_setup;
+        }
+    }
+    return candidate;
+}
+
+std::shared_ptr<pooled_server> pool::choose_server(const connection_request& request,
+                                                   clock::time_point now, acquire_error& error)
+{
+    group_state& state = state_of(request.group);
+    const std::vector<std::shared_ptr<pooled_server>> servers =
+        candidates(state, request, now, error);
+    const std::string primary_id =
+        request.role == required_role::any ? state.primary.likely_primary(now) : "";
+    std::vector<placement_server> placement_servers;
+    placement_servers.reserve(servers.size());
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        placement_server candidate = describe(state, *servers[i], request, now);
+        candidate.index = i;
+        candidate.avoid_as_primary = servers[i]->id == primary_id;
+        // The home has the connections and limits what runs.
+        candidate.idle_matching = 1;
+        candidate.running_limit = std::numeric_limits<std::uint32_t>::max();
+        placement_servers.push_back(candidate);
+    }
+    const std::optional<placement> best = choose_placement(placement_servers);
+    return best ? servers[best->index] : nullptr;
+}
+
+std::shared_ptr<pooled_server> pool::find_server(std::string_view group, std::string_view id) const
+{
+    const auto state = groups_.find(group);
+    if (state == groups_.end()) {
+        return nullptr;
+    }
+    const auto found = state->second.servers.find(id);
+    return found == state->second.servers.end() ? nullptr : found->second;
+}
+
 std::optional<pool::choice> pool::choose(group_state& state, const connection_request& request,
                                          clock::time_point now, acquire_error& error)
 {
@@ -247,29 +327,9 @@
     const std::string primary_id =
         request.role == required_role::any ? state.primary.likely_primary(now) : "";
     for (std::size_t i = 0; i < servers.size(); ++i) {
-        const pooled_server& server = *servers[i];
-        placement_server candidate;
+        placement_server candidate = describe(state, *servers[i], request, now);
         candidate.index = i;
-        candidate.is_local = server.is_local;
-        candidate.avoid_as_primary = server.id == primary_id;
-        candidate.slots = server.slots;
-        candidate.open = server.open;
-        candidate.limit = open_limit(state, server, now);
-        candidate.running = server.running;
-        candidate.running_limit = server.running_limit(now);
-        candidate.latency_ms = server.expected_latency_ms(now);
-        candidate.may_open = server.may_open(now);
-        for (const std::unique_ptr<pooled_connection>& each : server.idle) {
-            if (each->organisation != request.organisation) {
-                ++candidate.idle_other_organisation;
-            }
-            else if (request.values != nullptr && each->values == *request.values) {
-                ++candidate.idle_matching;
-            }
-            else {
-                ++candidate.idle_needs_setup;
-            }
-        }
+        candidate.avoid_as_primary = servers[i]->id == primary_id;
         placement_servers.push_back(candidate);
     }
     const std::optional<placement> best = choose_placement(placement_servers);
@@ -377,6 +437,12 @@
 {
     group_state& state = state_of(request.group);
     acquire_result outcome;
+    if (!request.pinned_server.empty()) {
+        const auto pinned = state.servers.find(request.pinned_server);
+        if (pinned != state.servers.end()) {
+            pinned->second->home_until = clock::now() + home_idle_time;
+        }
+    }
     while (true) {
         queued_request queued(executor_, request);
         enqueue(state, queued);
@@ -491,9 +557,12 @@
 void pool::evict_idle(clock::time_point now)
 {
     for (auto& [name, state] : groups_) {
-        const std::uint32_t kept = divide_connections(state.connection_limit, state.instances).kept;
+        const std::uint32_t share =
+            divide_connections(state.connection_limit, state.instances).kept;
         for (auto& [id, server] : state.servers) {
             pooled_server& each = *server;
+            const std::uint32_t kept =
+                now < each.home_until ? home_connection_limit(state.connection_limit) : share;
             std::uint32_t excess = each.open > kept ? each.open - kept : 0;
             const std::size_t closed = std::erase_if(each.idle, [&](const auto& connection) {
                 const clock::duration unused = now - connection->last_used_at;
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -37,6 +37,8 @@
 
 namespace primrosehead::pooler {
 
+struct placement_server;
+
 // Role of the servers that may run an operation.
 enum class required_role { primary, any };
 
@@ -48,6 +50,7 @@
     std::uint32_t priority = 0;
     const session_values* values = nullptr;
     std::vector<std::string> excluded_servers; // already tried
+    std::string pinned_server;  // at a home: the only server that may run it; empty: any
     clock::time_point deadline; // for obtaining the connection, not for the statement
 };
 
@@ -102,6 +105,12 @@
 
     [[nodiscard]] boost::asio::awaitable<acquire_result> acquire(connection_request& request);
 
+    // Chooses the server of an operation that its home runs; null if none is available.
+    [[nodiscard]] std::shared_ptr<pooled_server>
+    choose_server(const connection_request& request, clock::time_point now, acquire_error& error);
+    [[nodiscard]] std::shared_ptr<pooled_server> find_server(std::string_view group,
+                                                             std::string_view id) const;
+
     // Returns a connection to the pool. Closes it if its state is unknown (`is_clean` is false).
     void release(std::unique_ptr<pooled_connection> connection, bool is_clean);
 
@@ -160,6 +169,9 @@
     [[nodiscard]] std::optional<choice> choose(group_state& state,
                                                const connection_request& request,
                                                clock::time_point now, acquire_error& error);
+    [[nodiscard]] placement_server describe(const group_state& state, const pooled_server& server,
+                                            const connection_request& request,
+                                            clock::time_point now) const;
     [[nodiscard]] std::unique_ptr<pooled_connection> take_idle(pooled_server& server,
                                                                const connection_request& request);
     static void close_oldest_foreign(pooled_server& server, std::string_view organisation);
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -22,6 +22,7 @@
     std::string id;
     std::string group;
     std::string address;
+    std::string failure_domain;
     std::uint32_t slots = 1;
     bool is_local = false;
     bool is_leaving = false;
@@ -31,8 +32,9 @@
 
     // Connections of this instance.
     std::vector<std::unique_ptr<pooled_connection>> idle;
-    std::uint32_t open = 0;                         // idle, in use or being opened
-    std::uint32_t running = 0;                      // statements in progress
+    std::uint32_t open = 0;         // idle, in use or being opened
+    clock::time_point home_until{}; // this instance is regarded as the server's home until then
+    std::uint32_t running = 0;      // statements in progress
     std::list<queued_statement*> queued_statements; // of open transactions
 
     // Measurements and failures.
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -419,6 +419,7 @@
         .field("database", database_)
         .field("verb", split_first_word(text).first)
         .field("server", execution_.last_server())
+        .field("home", execution_.last_home())
         .field("attempts", static_cast<std::int64_t>(execution_.attempts()))
         .field("took_ms", (now - began_at).count())
         .field("connection_ms", execution_.connection_wait().count())
--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
@@ -32,6 +33,8 @@
     std::vector<std::string> received;
     std::size_t connections = 0;
     bool drops_write_answers = false;
+    bool drops_commit_answers = false;
+    clock::duration answer_delay{0};
     std::uint64_t log_index = 1;
 };
 
@@ -67,6 +70,16 @@
     state_->drops_write_answers = true;
 }
 
+void line_server::drop_commit_answers()
+{
+    state_->drops_commit_answers = true;
+}
+
+void line_server::delay_answers(clock::duration time)
+{
+    state_->answer_delay = time;
+}
+
 net::awaitable<void> line_server::accept(std::shared_ptr<state> self)
 {
     while (self->acceptor.is_open()) {
@@ -98,9 +111,15 @@
             const std::string text = query.substr(query.find(' ') + 1);
             self->received.push_back(text);
             const bool is_write = text.starts_with(dialect.write);
-            if (is_write && self->drops_write_answers) {
+            const bool is_commit = text == dialect.commit;
+            if ((is_write && self->drops_write_answers) ||
+                (is_commit && self->drops_commit_answers)) {
                 co_return;
             }
+            if (self->answer_delay > clock::duration(0)) {
+                net::steady_timer timer(self->acceptor.get_executor(), self->answer_delay);
+                co_await timer.async_wait(no_throw);
+            }
             self->log_index += is_write ? 1 : 0;
             in_transaction = text == dialect.begin ||
                              (in_transaction && text != dialect.commit && text != dialect.rollback);
--- a/tests/line_server.h
+++ b/tests/line_server.h
@@ -4,6 +4,8 @@
 
 #include "line_dialect.h"
 
+#include <primrosehead/clock.h>
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -33,6 +35,12 @@
     // From now on, records each write and closes its connection without an answer.
     void drop_write_answers();
 
+    // From now on, records each commit and closes its connection without an answer.
+    void drop_commit_answers();
+
+    // Delays the answers to queries.
+    void delay_answers(clock::duration time);
+
   private:
     struct state;
     static boost::asio::awaitable<void> serve(std::shared_ptr<state> self,
