--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -100,6 +100,8 @@
     // True while the instance follows a relay, which also observes the primaries' log positions.
     [[nodiscard]] bool follows_relay() const noexcept { return plan_.relays().has_relays(); }
 
+    [[nodiscard]] std::uint32_t live_instances() const noexcept { return live_instances_; }
+
   private:
     void send(const planned_request& planned, clock::time_point now);
     void close_unneeded_connections();
