--- /dev/null
+++ b/src/server_pace.cpp
@@ -0,0 +1,245 @@
+#include "server_pace.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace primrosehead::admission {
+
+namespace {
+
+// Round trips of real work spread by a factor of two and more (log-normal, 0.7): fewer samples
+// can't tell a slower server from a few long statements.
+constexpr std::uint32_t window_samples = 24;
+constexpr std::uint32_t min_window_samples = 6; // of a window that ended by time
+constexpr clock::duration max_window{1'000};
+constexpr std::uint32_t slow_windows_needed = 2;
+// Spread of the logarithm of round trips: work of 0.7 and a mixture of 8 ms and 40 ms in a class.
+constexpr double assumed_log_spread = 0.9;
+constexpr double threshold_errors = 2.2; // standard errors of a window's mean
+const double min_slowdown = std::log(1.5);
+// Limits the influence of a single slow statement.
+const double max_log_ratio = std::log(6.0);
+
+constexpr double halving = 0.5;
+// Share of the reduction of the limit by which round trips must fall if load is the cause.
+constexpr double load_caused_share = 0.4;
+constexpr clock::duration min_known_bad_time{2'000};
+constexpr clock::duration max_known_bad_time{16'000};
+
+constexpr double reference_samples = 32; // afterwards the average is a moving one
+constexpr double bootstrap_samples = 8;  // light ones, before which loaded samples count too
+
+constexpr double result_time_constant_ms = 1'500;
+constexpr double prior_successes = 8;
+constexpr double tolerated_failure_share = 0.05;
+constexpr double failure_factor = 2; // concurrency lost per share of failures
+constexpr double health_check_weight = 0.2;
+constexpr double busy_factor = 0.7;
+constexpr clock::duration busy_interval{100}; // one reduction for a burst of BUSY answers
+constexpr double idle_time_constant_ms = 3'000;
+constexpr clock::duration idle_reset{10'000}; // afterwards the limit has returned to the slots
+
+double age_ms(clock::time_point since, clock::time_point now)
+{
+    return std::max(0.0, static_cast<double>((now - since).count()));
+}
+
+double slowdown_threshold(std::uint32_t samples)
+{
+    return std::max(min_slowdown, threshold_errors * assumed_log_spread / std::sqrt(samples));
+}
+
+} // namespace
+
+server_pace::server_pace(std::uint32_t announced_slots)
+    : slots_(std::max(1U, announced_slots)), limit_(slots_)
+{
+}
+
+void server_pace::set_announced_slots(std::uint32_t slots, clock::time_point now)
+{
+    if (std::max(1U, slots) != slots_) {
+        slots_ = std::max(1U, slots);
+        restart(now);
+    }
+}
+
+void server_pace::restart(clock::time_point now)
+{
+    *this = server_pace(slots_);
+    recorded_at_ = now;
+}
+
+void server_pace::record(const sample& ended, clock::time_point now)
+{
+    count_result(1, ended.result == outcome::done, now);
+    if (now - recorded_at_ > idle_reset) {
+        reset_limit(now);
+    }
+    recorded_at_ = now;
+    if (ended.result == outcome::busy) {
+        back_off(now);
+    }
+    else if (ended.result == outcome::done) {
+        add_round_trip(ended, now);
+    }
+}
+
+void server_pace::record_health_check(bool succeeded, clock::time_point now)
+{
+    count_result(health_check_weight, succeeded, now);
+}
+
+double server_pace::concurrency(clock::time_point now) const
+{
+    // Without samples the limit returns to the announced slots.
+    const double aged = std::exp(-age_ms(recorded_at_, now) / idle_time_constant_ms);
+    const double limit = slots_ + (limit_ - slots_) * aged;
+    const double excess = std::max(0.0, failure_share(now) - tolerated_failure_share);
+    return std::max(1.0, limit * (1 - std::min(1.0, failure_factor * excess)));
+}
+
+double server_pace::failure_share(clock::time_point now) const
+{
+    const double aged = std::exp(-age_ms(results_aged_at_, now) / result_time_constant_ms);
+    return failed_ * aged / (prior_successes + (succeeded_ + failed_) * aged);
+}
+
+void server_pace::reset_limit(clock::time_point now)
+{
+    limit_ = slots_;
+    is_trial_ = false;
+    slow_windows_ = 0;
+    window_ = window{.began_at = now};
+}
+
+void server_pace::count_result(double weight, bool succeeded, clock::time_point now)
+{
+    const double aged = std::exp(-age_ms(results_aged_at_, now) / result_time_constant_ms);
+    succeeded_ = succeeded_ * aged + (succeeded ? weight : 0);
+    failed_ = failed_ * aged + (succeeded ? 0 : weight);
+    results_aged_at_ = now;
+}
+
+void server_pace::back_off(clock::time_point now)
+{
+    if (now - backed_off_at_ >= busy_interval) {
+        limit_ = std::max(1.0, limit_ * busy_factor);
+        backed_off_at_ = now;
+    }
+}
+
+void server_pace::add_round_trip(const sample& ended, clock::time_point now)
+{
+    // Statements that started under an earlier limit say nothing about the present one.
+    if (ended.started_at < window_.began_at) {
+        return;
+    }
+    const double log_ms = std::log(std::max(1.0, age_ms(ended.started_at, now)));
+    const bool is_light = ended.running <= std::max(1.0, limit_ * halving);
+    reference& known = references_[ended.work_class];
+    if (known.samples > 0) {
+        window_.sum += std::clamp(log_ms - known.log_ms, -max_log_ratio, max_log_ratio);
+        ++window_.samples;
+        window_.reached_limit |= ended.running >= std::floor(limit_);
+    }
+    if (!is_trial_) {
+        learn_reference(known, log_ms, is_light);
+    }
+    evaluate_window(now);
+}
+
+void server_pace::learn_reference(reference& known, double log_ms, bool is_light) const
+{
+    if (is_light && known.light_samples == 0) {
+        known.samples = 0; // light samples replace what was learned from loaded ones
+    }
+    if (!is_light && known.light_samples > 0 && known.light_samples >= bootstrap_samples) {
+        return;
+    }
+    known.light_samples += is_light ? 1 : 0;
+    known.samples = std::min(reference_samples, known.samples + 1);
+    known.log_ms += (log_ms - known.log_ms) / known.samples;
+}
+
+void server_pace::evaluate_window(clock::time_point now)
+{
+    const bool is_full = window_.samples >= window_samples;
+    const bool is_over =
+        now - window_.began_at >= max_window && window_.samples >= min_window_samples;
+    if (!is_full && !is_over) {
+        return;
+    }
+    const double slowdown = window_.mean();
+    if (is_trial_) {
+        evaluate_trial(slowdown, now);
+    }
+    else {
+        evaluate_normal(slowdown, slowdown_threshold(window_.samples), now);
+    }
+    window_ = window{.began_at = now};
+}
+
+void server_pace::evaluate_normal(double slowdown, double threshold, clock::time_point now)
+{
+    if (slowdown > threshold) {
+        if (++slow_windows_ >= slow_windows_needed) {
+            begin_trial(slowdown);
+        }
+        return;
+    }
+    slow_windows_ = 0;
+    if (slowdown < threshold * halving && window_.reached_limit) {
+        raise_limit(now);
+    }
+}
+
+void server_pace::begin_trial(double slowdown)
+{
+    slow_windows_ = 0;
+    if (limit_ < 2) {
+        shift_references(slowdown); // it can't run fewer: this is its pace
+        return;
+    }
+    is_trial_ = true;
+    limit_before_trial_ = limit_;
+    slowdown_before_trial_ = slowdown;
+    limit_ = std::max(1.0, std::floor(limit_ * halving));
+}
+
+void server_pace::evaluate_trial(double slowdown, clock::time_point now)
+{
+    is_trial_ = false;
+    const double expected = std::log(limit_before_trial_ / limit_);
+    if (slowdown_before_trial_ - slowdown < load_caused_share * expected) {
+        limit_ = limit_before_trial_;
+        shift_references(slowdown);
+        return;
+    }
+    known_bad_limit_ = limit_before_trial_;
+    known_bad_time_ = std::clamp(known_bad_time_ * 2, min_known_bad_time, max_known_bad_time);
+    known_bad_until_ = now + known_bad_time_;
+}
+
+// Adds one at a time, and stays below a limit that was too high until it may be tried again.
+void server_pace::raise_limit(clock::time_point now)
+{
+    const double raised = std::min<double>(slots_, std::floor(limit_) + 1);
+    if (known_bad_limit_ > 0 && raised >= known_bad_limit_ && now < known_bad_until_) {
+        return;
+    }
+    if (raised >= known_bad_limit_ && now >= known_bad_until_ + known_bad_time_) {
+        known_bad_limit_ = 0;
+        known_bad_time_ = clock::duration{0};
+    }
+    limit_ = std::max(limit_, raised);
+}
+
+void server_pace::shift_references(double difference)
+{
+    for (auto& [work_class, known] : references_) {
+        known.log_ms += difference;
+    }
+}
+
+} // namespace primrosehead::admission
