--- a/src/admission_fixed_pace.h
+++ b/src/admission_fixed_pace.h
@@ -18,6 +18,7 @@
     void restart(clock::time_point /*now*/) {}
     void record(const server_pace::sample& /*ended*/, clock::time_point /*now*/) {}
     [[nodiscard]] double concurrency(clock::time_point /*now*/) const { return slots_; }
+    [[nodiscard]] double failure_share(clock::time_point /*now*/) const { return 0; }
 
   private:
     std::uint32_t slots_;
--- a/src/admission_queue.cpp
+++ b/src/admission_queue.cpp
@@ -26,6 +26,10 @@
 constexpr double max_retry_after_ms = 1'000; // before it is spread
 constexpr double full_queue_share = 0.125;   // of a full queue that is served before a retry
 
+// A failed statement costs the caller an attempt, not only the time until it failed.
+constexpr double failure_penalty_ms = 500;
+constexpr double max_failure_share = 0.9;
+
 std::uint32_t class_of(const work& item)
 {
     return item.continues_transaction ? 0 : 1 + std::min(item.priority, max_priority);
@@ -163,6 +167,15 @@
     return clock::duration(static_cast<std::int64_t>(std::ceil(wait_ms(entering, now))));
 }
 
+template <pace_model Pace>
+clock::duration basic_queue<Pace>::cost_estimate(const work& item, clock::time_point now) const
+{
+    const double failures = std::min(max_failure_share, pace_.failure_share(now));
+    const double once = ms(wait_estimate(item, now)) + times_.service_ms(class_of(item));
+    const double expected = once / (1 - failures) + failures * failure_penalty_ms;
+    return clock::duration(static_cast<std::int64_t>(std::ceil(expected)));
+}
+
 template <pace_model Pace>
 std::uint32_t basic_queue<Pace>::limit(clock::time_point now) const
 {
--- a/src/admission_queue.h
+++ b/src/admission_queue.h
@@ -63,6 +63,9 @@
     [[nodiscard]] std::size_t running() const noexcept { return running_.size(); }
     // Returns the estimated time until `item` would start if it were submitted now.
     [[nodiscard]] clock::duration wait_estimate(const work& item, clock::time_point now) const;
+    // Returns the estimated time until `item` would be answered, to choose among servers: with its
+    // wait, its service and what a failure of the server would cost.
+    [[nodiscard]] clock::duration cost_estimate(const work& item, clock::time_point now) const;
     [[nodiscard]] Pace& pace() noexcept { return pace_; }
 
   private:
