--- a/src/admission_queue.cpp
+++ b/src/admission_queue.cpp
@@ -400,11 +400,11 @@
 
 // Returns the index of the work to start. Some work waits.
 template <pace_model Pace>
-std::size_t basic_queue<Pace>::select(clock::time_point /*now*/)
+std::size_t basic_queue<Pace>::select(clock::time_point now)
 {
     std::size_t first = 0;
     for (std::size_t index = 1; index < waiting_.size(); ++index) {
-        if (precedes(waiting_[index], waiting_[first])) {
+        if (precedes(waiting_[index], waiting_[first], now)) {
             first = index;
         }
     }
@@ -425,7 +425,8 @@
 }
 
 template <pace_model Pace>
-bool basic_queue<Pace>::precedes(const waiting_work& left, const waiting_work& right) const
+bool basic_queue<Pace>::precedes(const waiting_work& left, const waiting_work& right,
+                                 clock::time_point now) const
 {
     if (left.work_class != right.work_class) {
         return left.work_class < right.work_class;
@@ -437,8 +438,18 @@
             return left_tag < right_tag;
         }
     }
-    return std::tie(left.item.deadline, left.sequence) <
-           std::tie(right.item.deadline, right.sequence);
+    const bool is_left_late = is_late(left, now);
+    const bool is_right_late = is_late(right, now);
+    return std::tie(is_left_late, left.item.deadline, left.sequence) <
+           std::tie(is_right_late, right.item.deadline, right.sequence);
+}
+
+// Returns whether work that started now would likely end after its objective, if that matters.
+template <pace_model Pace>
+bool basic_queue<Pace>::is_late(const waiting_work& each, clock::time_point now) const
+{
+    return order_ == service_order::objective_first &&
+           ms(each.item.objective - now) < times_.service_ms(each.work_class);
 }
 
 template class basic_queue<server_pace>;
--- a/src/admission_queue.h
+++ b/src/admission_queue.h
@@ -33,12 +33,20 @@
         } -> std::convertible_to<double>;
 };
 
+// Order within an organisation. `objective_first` runs work that can still meet its objective
+// before work that can't; `by_deadline` does not look at the objective.
+enum class service_order { by_deadline, objective_first };
+
 template <pace_model Pace>
 class basic_queue {
   public:
     static constexpr std::size_t max_waiting = 512;
 
-    explicit basic_queue(std::uint32_t announced_slots) : pace_(announced_slots) {}
+    explicit basic_queue(std::uint32_t announced_slots,
+                         service_order order = service_order::by_deadline)
+        : order_(order), pace_(announced_slots)
+    {
+    }
 
     // Queues work, or refuses it at once. May displace less urgent work, whose refusal the next
     // `expire` returns.
@@ -97,8 +105,11 @@
     void remove_late(clock::time_point now);
     void remove_hopeless(clock::time_point now);
     [[nodiscard]] std::size_t select(clock::time_point now);
-    [[nodiscard]] bool precedes(const waiting_work& left, const waiting_work& right) const;
+    [[nodiscard]] bool precedes(const waiting_work& left, const waiting_work& right,
+                                clock::time_point now) const;
+    [[nodiscard]] bool is_late(const waiting_work& each, clock::time_point now) const;
 
+    service_order order_;
     Pace pace_;
     service_times times_;
     fair_shares shares_;
--- a/src/server_pace.cpp
+++ b/src/server_pace.cpp
@@ -10,24 +10,33 @@
 // Round trips of real work spread by a factor of two and more (log-normal, 0.7): fewer samples
 // can't tell a slower server from a few long statements.
 constexpr std::uint32_t window_samples = 24;
+constexpr double samples_per_variance = 49;     // 24 for a spread of 0.7
 constexpr std::uint32_t min_window_samples = 6; // of a window that ended by time
 constexpr clock::duration max_window{1'000};
 constexpr std::uint32_t slow_windows_needed = 2;
-// Spread of the logarithm of round trips: work of 0.7 and a mixture of 8 ms and 40 ms in a class.
-constexpr double assumed_log_spread = 0.9;
 constexpr double threshold_errors = 2.2; // standard errors of a window's mean
+// A window ends early if it is slower by so many standard errors: a server that became much slower
+// answers few statements in a second.
+constexpr double early_errors = 3.3;
 const double min_slowdown = std::log(1.5);
 // Limits the influence of a single slow statement.
 const double max_log_ratio = std::log(6.0);
 
 constexpr double halving = 0.5;
 // Share of the reduction of the limit by which round trips must fall if load is the cause.
-constexpr double load_caused_share = 0.4;
+constexpr double load_caused_share = 0.5;
+constexpr double check_load_caused_share = 0.6; // without an observed slowdown
 constexpr clock::duration min_known_bad_time{2'000};
 constexpr clock::duration max_known_bad_time{16'000};
 
 constexpr double reference_samples = 32; // afterwards the average is a moving one
-constexpr double bootstrap_samples = 8;  // light ones, before which loaded samples count too
+// Without light load for so long, a trial shows whether load slows the server down.
+// The interval doubles while checks find nothing.
+constexpr clock::duration min_check_interval{10'000};
+constexpr clock::duration max_check_interval{80'000};
+// Work spreads at least so much, although a few samples may agree.
+constexpr double min_log_variance = 0.49;
+constexpr double speed_up_weight = 0.3; // of a window that is faster than the reference
 
 constexpr double result_time_constant_ms = 1'500;
 constexpr double prior_successes = 8;
@@ -44,15 +53,10 @@
     return std::max(0.0, static_cast<double>((now - since).count()));
 }
 
-double slowdown_threshold(std::uint32_t samples)
-{
-    return std::max(min_slowdown, threshold_errors * assumed_log_spread / std::sqrt(samples));
-}
-
 } // namespace
 
 server_pace::server_pace(std::uint32_t announced_slots)
-    : slots_(std::max(1U, announced_slots)), limit_(slots_)
+    : slots_(std::max(1U, announced_slots)), limit_(slots_), check_interval_(min_check_interval)
 {
 }
 
@@ -110,6 +114,7 @@
     limit_ = slots_;
     is_trial_ = false;
     slow_windows_ = 0;
+    limit_changed_at_ = now;
     window_ = window{.began_at = now};
 }
 
@@ -132,14 +137,18 @@
 void server_pace::add_round_trip(const sample& ended, clock::time_point now)
 {
     // Statements that started under an earlier limit say nothing about the present one.
-    if (ended.started_at < window_.began_at) {
+    if (ended.started_at < limit_changed_at_) {
         return;
     }
     const double log_ms = std::log(std::max(1.0, age_ms(ended.started_at, now)));
     const bool is_light = ended.running <= std::max(1.0, limit_ * halving);
+    if (is_light || light_at_ == clock::time_point{}) {
+        light_at_ = now;
+    }
     reference& known = references_[ended.work_class];
     if (known.samples > 0) {
         window_.sum += std::clamp(log_ms - known.log_ms, -max_log_ratio, max_log_ratio);
+        window_.variance_sum += known.variance;
         ++window_.samples;
         window_.reached_limit |= ended.running >= std::floor(limit_);
     }
@@ -149,25 +158,33 @@
     evaluate_window(now);
 }
 
-void server_pace::learn_reference(reference& known, double log_ms, bool is_light) const
+// Loaded samples count only while there are too few others: a slowdown under load must not become
+// the reference.
+void server_pace::learn_reference(reference& known, double log_ms, bool is_light)
 {
-    if (is_light && known.light_samples == 0) {
-        known.samples = 0; // light samples replace what was learned from loaded ones
-    }
-    if (!is_light && known.light_samples > 0 && known.light_samples >= bootstrap_samples) {
+    if (!is_light && known.samples >= reference_samples) {
         return;
     }
-    known.light_samples += is_light ? 1 : 0;
     known.samples = std::min(reference_samples, known.samples + 1);
-    known.log_ms += (log_ms - known.log_ms) / known.samples;
+    const double difference = std::clamp(log_ms - known.log_ms, -max_log_ratio, max_log_ratio);
+    known.log_ms += (known.samples == 1 ? log_ms - known.log_ms : difference / known.samples);
+    if (known.samples > 1) {
+        known.variance += (difference * difference - known.variance) / reference_samples;
+        known.variance = std::max(min_log_variance, known.variance);
+    }
 }
 
 void server_pace::evaluate_window(clock::time_point now)
 {
-    const bool is_full = window_.samples >= window_samples;
+    const double variance = window_.variance_sum / std::max(1U, window_.samples);
+    const double error = std::sqrt(variance / std::max(1U, window_.samples));
+    const bool is_full =
+        window_.samples >= std::max<double>(window_samples, samples_per_variance * variance);
     const bool is_over =
         now - window_.began_at >= max_window && window_.samples >= min_window_samples;
-    if (!is_full && !is_over) {
+    const bool is_far_slower = !is_trial_ && window_.samples >= min_window_samples &&
+                               window_.mean() > min_slowdown + early_errors * error;
+    if (!is_full && !is_over && !is_far_slower) {
         return;
     }
     const double slowdown = window_.mean();
@@ -175,7 +192,7 @@
         evaluate_trial(slowdown, now);
     }
     else {
-        evaluate_normal(slowdown, slowdown_threshold(window_.samples), now);
+        evaluate_normal(slowdown, std::max(min_slowdown, threshold_errors * error), now);
     }
     window_ = window{.began_at = now};
 }
@@ -184,17 +201,25 @@
 {
     if (slowdown > threshold) {
         if (++slow_windows_ >= slow_windows_needed) {
-            begin_trial(slowdown);
+            is_check_ = false;
+            begin_trial(slowdown, now);
         }
         return;
     }
     slow_windows_ = 0;
-    if (slowdown < threshold * halving && window_.reached_limit) {
+    if (slowdown < 0) {
+        shift_references(speed_up_weight * slowdown);
+    }
+    if (now - std::max(light_at_, checked_at_) >= check_interval_) {
+        is_check_ = true;
+        begin_trial(slowdown, now);
+    }
+    else if (slowdown < threshold * halving && window_.reached_limit) {
         raise_limit(now);
     }
 }
 
-void server_pace::begin_trial(double slowdown)
+void server_pace::begin_trial(double slowdown, clock::time_point now)
 {
     slow_windows_ = 0;
     if (limit_ < 2) {
@@ -205,19 +230,28 @@
     limit_before_trial_ = limit_;
     slowdown_before_trial_ = slowdown;
     limit_ = std::max(1.0, std::floor(limit_ * halving));
+    limit_changed_at_ = now;
 }
 
 void server_pace::evaluate_trial(double slowdown, clock::time_point now)
 {
     is_trial_ = false;
+    checked_at_ = now;
     const double expected = std::log(limit_before_trial_ / limit_);
-    if (slowdown_before_trial_ - slowdown < load_caused_share * expected) {
+    const double least = is_check_ ? check_load_caused_share : load_caused_share;
+    if (slowdown_before_trial_ - slowdown < least * expected) {
         limit_ = limit_before_trial_;
+        limit_changed_at_ = now;
+        check_interval_ = std::min(check_interval_ * 2, max_check_interval);
         shift_references(slowdown);
         return;
     }
+    check_interval_ = min_check_interval;
+    shift_references(std::min(0.0, slowdown));
+    const bool is_repeated = known_bad_limit_ > 0 && limit_before_trial_ >= known_bad_limit_;
     known_bad_limit_ = limit_before_trial_;
-    known_bad_time_ = std::clamp(known_bad_time_ * 2, min_known_bad_time, max_known_bad_time);
+    known_bad_time_ =
+        is_repeated ? std::min(known_bad_time_ * 2, max_known_bad_time) : min_known_bad_time;
     known_bad_until_ = now + known_bad_time_;
 }
 
--- a/src/server_pace.h
+++ b/src/server_pace.h
@@ -45,13 +45,14 @@
     // Logarithm of the round trip in milliseconds at light load.
     struct reference {
         double log_ms = 0;
-        double light_samples = 0;
+        double variance = 0.8; // of the logarithm; learned, as work of a class may be mixed
         double samples = 0;
     };
     struct window {
         clock::time_point began_at{};
         std::uint32_t samples = 0;
         double sum = 0; // of logarithms of the ratios to the reference
+        double variance_sum = 0;
         bool reached_limit = false;
 
         [[nodiscard]] double mean() const { return sum / samples; }
@@ -61,11 +62,11 @@
     void reset_limit(clock::time_point now);
     void back_off(clock::time_point now);
     void add_round_trip(const sample& ended, clock::time_point now);
-    void learn_reference(reference& known, double log_ms, bool is_light) const;
+    static void learn_reference(reference& known, double log_ms, bool is_light);
     void evaluate_window(clock::time_point now);
     void evaluate_normal(double slowdown, double threshold, clock::time_point now);
     void evaluate_trial(double slowdown, clock::time_point now);
-    void begin_trial(double slowdown);
+    void begin_trial(double slowdown, clock::time_point now);
     void raise_limit(clock::time_point now);
     void shift_references(double difference);
 
@@ -76,9 +77,14 @@
     std::uint32_t slow_windows_ = 0; // consecutive
 
     bool is_trial_ = false; // running with a halved limit to see whether load is the cause
+    bool is_check_ = false; // a trial without an observed slowdown
     double limit_before_trial_ = 0;
     double slowdown_before_trial_ = 0;
 
+    clock::time_point limit_changed_at_{};
+    clock::time_point light_at_{};   // last sample at light load
+    clock::time_point checked_at_{}; // last trial
+    clock::duration check_interval_;
     double known_bad_limit_ = 0; // 0: none
     clock::time_point known_bad_until_{};
     clock::duration known_bad_time_{0};
--- a/tests/admission_load.cpp
+++ b/tests/admission_load.cpp
@@ -36,7 +36,7 @@
 template <class Pace>
 class queue_of final : public any_queue {
   public:
-    explicit queue_of(std::uint32_t slots) : queue_(slots) {}
+    queue_of(std::uint32_t slots, service_order order) : queue_(slots, order) {}
     std::optional<refusal> submit(work item, clock::time_point now) override
     {
         return queue_.submit(std::move(item), now);
@@ -82,10 +82,11 @@
             server_state& added = servers_.emplace_back();
             added.model = model;
             if (method == dispatch::learned) {
-                added.admission = std::make_unique<queue_of<server_pace>>(model.slots);
+                added.admission =
+                    std::make_unique<queue_of<server_pace>>(model.slots, played.order);
             }
             else if (method != dispatch::fifo) {
-                added.admission = std::make_unique<queue_of<fixed_pace>>(model.slots);
+                added.admission = std::make_unique<queue_of<fixed_pace>>(model.slots, played.order);
             }
         }
     }
--- a/tests/admission_load.h
+++ b/tests/admission_load.h
@@ -47,6 +47,7 @@
     std::int64_t duration_ms = 20'000;
     std::uint32_t max_attempts = 3;
     unsigned seed = 1;
+    service_order order = service_order::by_deadline;
 };
 
 struct load_counts {
