--- a/tests/admission_queue_test.cpp
+++ b/tests/admission_queue_test.cpp
@@ -301,7 +301,9 @@
 TEST_CASE("admission queue: unequal servers are used by what they can run")
 {
     const auto third = [](std::int64_t, std::size_t) { return 1.0 / 3; };
-    const auto slowing = [](std::int64_t at_ms, std::size_t) { return 1 / (1 + at_ms / 4'000.0); };
+    const auto slowing = [](std::int64_t at_ms, std::size_t) {
+        return 1 / (1 + static_cast<double>(at_ms) / 4'000);
+    };
     const auto flapping = [](std::int64_t at_ms, std::size_t) {
         return at_ms / 2'000 % 2 == 0 ? 1.0 : 0.2;
     };
--- a/tests/server_pace_test.cpp
+++ b/tests/server_pace_test.cpp
@@ -49,7 +49,8 @@
                 pace.record_health_check(true, at(now));
             }
             const double allowed = pace.concurrency(at(now));
-            while (running_.size() < std::min<double>(std::floor(allowed), demand(now))) {
+            const auto limit = static_cast<std::size_t>(allowed);
+            while (running_.size() < std::min<std::size_t>(limit, demand(now))) {
                 start(now);
             }
             trace.push_back(allowed);
@@ -134,7 +135,7 @@
 TEST_CASE("server pace: a single slow statement does not lower the limit")
 {
     server_pace pace(slots);
-    for (int count = 0; count < 40; ++count) {
+    for (std::int64_t count = 0; count < 40; ++count) {
         pace.record({.work_class = 1, .started_at = at(count * 500)}, at(count * 500 + 24));
     }
     pace.record({.work_class = 1, .running = 3, .started_at = at(20'000)}, at(25'000));
@@ -147,9 +148,9 @@
     std::mt19937 random(11);
     std::lognormal_distribution<double> work(std::log(24), 0.7);
     server_pace pace(slots);
-    int lowered = 0;
-    constexpr int samples = 1'200;
-    for (int count = 0; count < samples; ++count) {
+    std::int64_t lowered = 0;
+    constexpr std::int64_t samples = 1'200;
+    for (std::int64_t count = 0; count < samples; ++count) {
         const auto start = at(count * 500);
         const auto round_trip = clock::duration(static_cast<std::int64_t>(work(random)) + 1);
         pace.record({.work_class = 1, .started_at = start}, start + round_trip);
@@ -228,7 +229,7 @@
 TEST_CASE("server pace: BUSY answers lower the limit to one at most, and age out")
 {
     server_pace pace(slots);
-    for (int count = 0; count < 50; ++count) {
+    for (std::int64_t count = 0; count < 50; ++count) {
         const auto now = at(count * 20);
         pace.record({.work_class = 1, .started_at = now, .result = outcome::busy}, now);
     }
@@ -239,7 +240,7 @@
 TEST_CASE("server pace: a restarted server and a new number of slots start from the slots")
 {
     server_pace pace(slots);
-    for (int count = 0; count < 50; ++count) {
+    for (std::int64_t count = 0; count < 50; ++count) {
         const auto now = at(count * 20);
         pace.record({.work_class = 1, .started_at = now, .result = outcome::busy}, now);
     }
