--- a/src/deployment_settings.cpp
+++ b/src/deployment_settings.cpp
@@ -37,7 +37,8 @@
   "max_connections": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"},
   "evacuation_ms": {"type": "integer", "minimum": 500, "description": "milliseconds, 500 or more"},
   "home_connections_per_instance": {"type": "number", "minimum": 0, "description": "connections, 0 or more"},
-  "homes_per_server": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"}
+  "homes_per_server": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"},
+  "learned_concurrency": {"type": "boolean", "description": "true or false"}
 )";
 
 constexpr std::string_view cell_properties_text = R"(,
@@ -109,6 +110,7 @@
     read_field(object, "evacuation_ms", settings.evacuation);
     read_field(object, "home_connections_per_instance", settings.home_connections_per_instance);
     read_field(object, "homes_per_server", settings.homes_per_server);
+    read_field(object, "learned_concurrency", settings.learns_concurrency);
     return settings;
 }
 
--- a/src/deployment_settings.h
+++ b/src/deployment_settings.h
@@ -40,6 +40,8 @@
     // instance; 0: never.
     double home_connections_per_instance = 0;
     std::uint32_t homes_per_server = 1;
+    // Limits the statements at a server by the learned concurrency, without a home too.
+    bool learns_concurrency = false;
 };
 
 struct cell_settings : deployment_settings {
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -49,6 +49,23 @@
     co_await timer.async_wait(no_throw);
 }
 
+// An error that the caller's statement caused counts as done.
+admission::outcome outcome_of(const line_exchange& result, const line_dialect& dialect)
+{
+    if (!result.is_complete()) {
+        return result.has_timed_out ? admission::outcome::silent : admission::outcome::failed;
+    }
+    for (const line_answer& answer : result.answers) {
+        if (answer.is_error && answer.code == dialect.busy) {
+            return admission::outcome::busy;
+        }
+        if (answer.is_error && answer.code == dialect.statement_failed) {
+            return admission::outcome::failed;
+        }
+    }
+    return admission::outcome::done;
+}
+
 } // namespace
 
 // Acquires a transaction's connection while the client prepares its first statement. Works on a
@@ -150,7 +167,10 @@
 {
     const clock::time_point sent_at = clock::now();
     line_exchange result = co_await connection.link->exchange(queries, count, deadline);
-    context_.metrics.record_phase(statement_phase::server, clock::now() - sent_at);
+    const clock::time_point now = clock::now();
+    context_.metrics.record_phase(statement_phase::server, now - sent_at);
+    connection.server->record_exchange(static_cast<std::uint32_t>(count),
+                                       outcome_of(result, context_.dialect), sent_at, now);
     co_return result;
 }
 
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -85,6 +85,7 @@
           session_resources{context.get_executor(), parts.dialect, connections, control, events,
                             statement_metrics}
     {
+        connections.learn_concurrency(instance_settings.learns_concurrency);
         redirect_spdlog(events, instance_settings.log.level);
     }
 
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -104,7 +104,7 @@
 }
 
 void pool::set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
-                       clock::time_point /*now*/)
+                       clock::time_point now)
 {
     std::map<std::string, bool, std::less<>> listed;
     for (const pb::server_announcement& announcement : servers) {
@@ -127,6 +127,12 @@
             server->born_ms = announcement.born_ms();
         }
         server->slots = std::max(1U, announcement.slots());
+        if (learns_concurrency_ && !server->pace) {
+            server->pace.emplace(server->slots);
+        }
+        if (server->pace) {
+            server->pace->set_announced_slots(server->slots, now);
+        }
         server->is_local = announcement.failure_domain() == failure_domain_;
         server->is_leaving = announcement.leaving();
         server->claims_primary = announcement.is_primary();
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -96,6 +96,9 @@
     void set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
                      clock::time_point now);
 
+    // Makes servers that are announced from now on learn their concurrency. Off by default.
+    void learn_concurrency(bool is_enabled) { learns_concurrency_ = is_enabled; }
+
     // Sets a group's connection limit per server and the number of instances that share it.
     void set_limits(std::string_view group, std::uint32_t connection_limit,
                     std::uint32_t instances);
@@ -178,6 +181,7 @@
     std::string failure_domain_;
     std::map<std::string, group_state, std::less<>> groups_;
     pool_stats stats_;
+    bool learns_concurrency_ = false;
 };
 
 } // namespace primrosehead::pooler
--- a/src/pooler_server.cpp
+++ b/src/pooler_server.cpp
@@ -34,6 +34,18 @@
 
 } // namespace
 
+void pooled_server::record_exchange(std::uint32_t queries, admission::outcome result,
+                                    clock::time_point started_at, clock::time_point now)
+{
+    if (pace) {
+        pace->record({.work_class = queries,
+                      .running = std::max(running, 1U),
+                      .started_at = started_at,
+                      .result = result},
+                     now);
+    }
+}
+
 void pooled_server::record_latency(double milliseconds, clock::time_point now)
 {
     latency_ms = expected_latency_ms(now);
@@ -57,6 +69,9 @@
 
 std::uint32_t pooled_server::running_limit(clock::time_point now) const
 {
+    if (pace) {
+        return static_cast<std::uint32_t>(pace->concurrency(now));
+    }
     return is_queueing(now) ? 1 : slots;
 }
 
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "pooler_connection.h"
+#include "server_pace.h"
 
 #include <primrosehead/clock.h>
 #include <primrosehead/error.h>
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +49,11 @@
     std::uint32_t lag_count = 0;   // consecutive reads that it refused for its lag
     clock::time_point lagging_until{};
 
+    std::optional<admission::server_pace> pace; // learned concurrency, if it is enabled
+
+    // Records the end of an exchange of `queries` queries that began at `started_at`.
+    void record_exchange(std::uint32_t queries, admission::outcome result,
+                         clock::time_point started_at, clock::time_point now);
     void record_latency(double milliseconds, clock::time_point now);
     void record_success();
     void record_failure(clock::time_point now, bool refused);
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -230,6 +230,25 @@
     CHECK(server.running_limit(at(20'000)) == 3);
 }
 
+// Guards against the learned concurrency taking effect without its setting, or not at all with it.
+TEST_CASE("pooler server: the running limit follows the learned concurrency if it is enabled")
+{
+    pooled_server server;
+    server.slots = 5;
+    const auto answer_busy = [&](std::int64_t begin) {
+        for (std::int64_t count = 0; count < 20; ++count) {
+            const auto now = at(begin + 100 * count);
+            server.record_exchange(1, admission::outcome::busy, now, now);
+        }
+    };
+    answer_busy(0);
+    CHECK(server.running_limit(at(2'000)) == 5);
+    server.pace.emplace(server.slots);
+    CHECK(server.running_limit(at(2'000)) == 5);
+    answer_busy(2'000);
+    CHECK(server.running_limit(at(4'000)) == 1);
+}
+
 TEST_CASE("pooler server: the avoidance time grows with failures and a success resets it")
 {
     pooled_server server;
