--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -95,6 +95,7 @@
               control, home, events, statement_metrics))
     {
         session_resources.homes = homes.get();
+        connections.learn_concurrency(instance_settings.learns_concurrency);
         redirect_spdlog(events, instance_settings.log.level);
     }
 
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -121,6 +121,9 @@
         return evacuations_.must_end_transactions(server.failure_domain, now);
     }
 
+    // Makes servers that are announced from now on learn their concurrency. Off by default.
+    void learn_concurrency(bool is_enabled) { learns_concurrency_ = is_enabled; }
+
     // Sets a group's connection limit per server and the number of instances that share it.
     void set_limits(std::string_view group, std::uint32_t connection_limit,
                     std::uint32_t instances);
@@ -214,6 +217,7 @@
     std::map<std::string, group_state, std::less<>> groups_;
     evacuations evacuations_;
     pool_stats stats_;
+    bool learns_concurrency_ = false;
 };
 
 } // namespace primrosehead::pooler
