--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -1,5 +1,6 @@
 #include "cell_service.h"
 
+#include "pooler_home_limits.h"
 #include "state_records.h"
 
 #include <algorithm>
@@ -19,6 +20,8 @@
 
 // Relays stay in use until the fleet has been smaller than half of the size that they are used from
 // for a while, so that a partition does not end their use.
+// Older positions are useless for any staleness bound.
+constexpr clock::duration max_position_age{5'000};
 constexpr clock::duration relay_use_retention{10'000};
 
 // Every reply with a change is sent to the whole fleet; instances that leave are not delayed.
@@ -247,6 +250,34 @@
     peers_.add_to(reply, request.peers_revision());
 }
 
+void service::update_home_groups(const document& current, std::uint32_t instances)
+{
+    home_groups_.clear();
+    for (const document_group& group : current.content().groups) {
+        if (pooler::uses_homes(group.connection_limit, instances,
+                               settings_.home_connections_per_instance, true)) {
+            home_groups_.insert(group.name);
+        }
+    }
+}
+
+// Instances that pass operations to homes have no idle connections to observe the primaries with.
+void service::add_positions(pb::follow_reply& reply, clock::time_point now) const
+{
+    for (const auto& [group, planner] : planners_) {
+        const clock::duration age = now - planner.primary_confirmed_at();
+        if (!home_groups_.contains(group) || planner.primary().empty() || age > max_position_age) {
+            continue;
+        }
+        pb::group_position& position = *reply.add_positions();
+        position.set_group(group);
+        position.set_server(planner.primary());
+        position.set_term(planner.primary_position().term);
+        position.set_index(planner.primary_position().index);
+        position.set_age_ms(age.count());
+    }
+}
+
 promotion::planner* service::find_planner(std::string_view group)
 {
     const auto found = planners_.find(group);
@@ -423,6 +454,9 @@
     reply.set_live_instances(live_instances(now));
     reply.set_central_ppm(central_ppm_);
     add_peers(reply, request, sender, now);
+    if (!request.is_relay()) {
+        add_positions(reply, now);
+    }
     return reply;
 }
 
@@ -501,6 +535,7 @@
     }
     update_central_limits(*current, now);
     const std::uint32_t instances = live_instances(now);
+    update_home_groups(*current, instances);
     const domain_set evacuated = evacuated_domains(state);
     for (const document_group& group : current->content().groups) {
         const pb::group_record* const stored = state.group(group.name);
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -20,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,7 @@
 struct service_settings {
     clock::duration instance_lease{3'500};        // validity of a reply
     clock::duration announcement_interval{1'200}; // of the backend servers
+    double home_connections_per_instance = 0; // as for the pooler instances
     // A leader serves fewer pooler instances than this without relays.
     std::uint32_t relays_from_instances = 80;
 };
@@ -119,6 +121,8 @@
     void update_central_limits(const document& current, clock::time_point now);
     void handle_primary_reports(const pb::follow_request& request, clock::time_point now);
     void update_relay_use(clock::time_point now);
+    void update_home_groups(const document& current, std::uint32_t instances);
+    void add_positions(pb::follow_reply& reply, clock::time_point now) const;
         bool is_relaying = false; // of a relay: it serves followers
         bool is_leaving = false;
         std::string endpoint;                // of a relay, or of a pooler instance that can be a home
@@ -142,6 +146,7 @@
     bool has_departure_ = false; // a peer that is listed has begun to leave
     std::map<std::string, instance_state, std::less<>> instances_;
     std::map<std::string, promotion::planner, std::less<>> planners_;
+    std::set<std::string, std::less<>> home_groups_; // whose backend servers have homes
     std::map<std::string, clock::time_point, std::less<>> membership_recorded_at_; // by group
     std::map<std::string, clock::time_point, std::less<>>
         unannounced_since_; // by server; recorded members only
--- a/src/deployment_settings.cpp
+++ b/src/deployment_settings.cpp
@@ -25,6 +25,7 @@
   "grace_s": {"type": "number", "minimum": 1, "description": "seconds, 1 or more"},
   "regions": {"type": "object", "additionalProperties": {"type": "string"},
               "description": "the region of each failure domain"},
+  "home_connections_per_instance": {"type": "number", "minimum": 0, "description": "connections, 0 or more"},
   "log": {"type": "object", "description": "level, format and file",
           "properties": {"level": {"type": "string", "description": "trace, debug, info, warn or error"},
                          "format": {"type": "string", "description": "text or json"},
@@ -36,7 +37,6 @@
   "readiness_listen": {"type": "string", "minLength": 1, "description": "IP:PORT for the load balancer's probe"},
   "max_connections": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"},
   "evacuation_ms": {"type": "integer", "minimum": 500, "description": "milliseconds, 500 or more"},
-  "home_connections_per_instance": {"type": "number", "minimum": 0, "description": "connections, 0 or more"},
   "homes_per_server": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"},
   "learned_concurrency": {"type": "boolean", "description": "true or false"}
 )";
@@ -74,6 +74,7 @@
     read_field(object, "metrics_listen", settings.metrics_listen);
     read_field(object, "revocation_ms", settings.revocation);
     read_field(object, "limit_tolerance", settings.limit_tolerance);
+    read_field(object, "home_connections_per_instance", settings.home_connections_per_instance);
     double grace_s = static_cast<double>(settings.grace.count()) / 1'000;
     read_field(object, "grace_s", grace_s);
     settings.grace = clock::duration(static_cast<std::int64_t>(grace_s * 1'000));
@@ -108,7 +109,6 @@
     read_field(object, "readiness_listen", settings.readiness_listen);
     read_field(object, "max_connections", settings.max_connections);
     read_field(object, "evacuation_ms", settings.evacuation);
-    read_field(object, "home_connections_per_instance", settings.home_connections_per_instance);
     read_field(object, "homes_per_server", settings.homes_per_server);
     read_field(object, "learned_concurrency", settings.learns_concurrency);
     return settings;
--- a/src/deployment_settings.h
+++ b/src/deployment_settings.h
@@ -28,6 +28,9 @@
     clock::duration grace{6'000};      // from the stop request until the process is killed
     double limit_tolerance = 0;        // operations of an organisation beyond its rate and burst
     std::map<std::string, std::string, std::less<>> regions; // by failure domain
+    // A group has homes if its connection limit per server is below this many connections per live
+    // instance; 0: never.
+    double home_connections_per_instance = 0;
     log_settings log;
 };
 
@@ -36,9 +39,6 @@
     std::string readiness_listen; // IP:PORT for the load balancer's readiness probe
     std::uint32_t max_connections = 4'000;
     clock::duration evacuation{5'000}; // nothing reaches an evacuated domain after this
-    // A group has homes if its connection limit per server is below this many connections per live
-    // instance; 0: never.
-    double home_connections_per_instance = 0;
     std::uint32_t homes_per_server = 1;
     // Limits the statements at a server by the learned concurrency, without a home too.
     bool learns_concurrency = false;
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -349,6 +349,9 @@
 
 void follower::apply_positions(const pb::follow_reply& reply)
 {
+    if (reply.positions_size() > 0) {
+        positions_received_at_ = clock::now();
+    }
     const clock::time_point asked_at = from_ms(reply.asked_at_ms());
     for (const pb::group_position& each : reply.positions()) {
         if (each.age_ms() < 0) {
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -94,6 +94,12 @@
         return limits_.find(organisation);
     }
 
+    // True while the leader or a relay reports the primaries' log positions.
+    [[nodiscard]] bool has_positions(clock::time_point now) const noexcept
+    {
+        return now - positions_received_at_ < lease_;
+    }
+
     // The homes of the backend servers (docs/design/homes.md).
     [[nodiscard]] home_table& homes() noexcept { return homes_; }
 
@@ -149,6 +155,7 @@
     clock::time_point tokens_requested_at_{};
     clock::time_point shares_sent_at_{};
     clock::time_point confirmed_at_{};
+    clock::time_point positions_received_at_{};
 
     follow_plan plan_;
     home_table homes_;
--- a/src/pooler_home_client.cpp
+++ b/src/pooler_home_client.cpp
@@ -57,7 +57,7 @@
     const document_group* const found = control_.current_document()->group(group);
     return found != nullptr &&
            uses_homes(found->connection_limit, control_.live_instances(),
-                      settings_.connections_per_instance, control_.follows_relay());
+                      settings_.connections_per_instance, control_.has_positions(clock::now()));
 }
 
 std::vector<home_address> home_client::homes_of(std::string_view server,
--- a/src/pooler_home_limits.cpp
+++ b/src/pooler_home_limits.cpp
@@ -12,9 +12,9 @@
 } // namespace
 
 bool uses_homes(std::uint32_t connection_limit, std::uint32_t live_instances,
-                double connections_per_instance, bool follows_relay) noexcept
+                double connections_per_instance, bool has_positions) noexcept
 {
-    return connections_per_instance > 0 && follows_relay && connection_limit > 0 &&
+    return connections_per_instance > 0 && has_positions && connection_limit > 0 &&
            static_cast<double>(connection_limit) < connections_per_instance * live_instances;
 }
 
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -156,6 +156,11 @@
     // Returns the last known primary; empty if there is none.
     [[nodiscard]] const std::string& primary() const noexcept { return primary_; }
     [[nodiscard]] log_position primary_position() const noexcept { return primary_position_; }
+    // When the latest request was sent that the primary answered as primary.
+    [[nodiscard]] clock::time_point primary_confirmed_at() const noexcept
+    {
+        return primary_confirmed_at_;
+    }
     [[nodiscard]] std::string_view phase() const noexcept;
 
   private:
