--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -33,9 +33,10 @@
 struct service_settings {
     clock::duration instance_lease{3'500};        // validity of a reply
     clock::duration announcement_interval{1'200}; // of the backend servers
-    double home_connections_per_instance = 0; // as for the pooler instances
+    double home_connections_per_instance = 0;     // as for the pooler instances
     // A leader serves fewer pooler instances than this without relays.
     std::uint32_t relays_from_instances = 80;
+    std::map<std::string, std::string, std::less<>> regions; // by failure domain
 };
 
 struct group_action {
@@ -102,10 +103,10 @@
         bool is_relay = false;
         bool is_relaying = false; // of a relay: it serves followers
         bool is_leaving = false;
-        std::string endpoint;                // of a relay, or of a pooler instance that can be a home
-        std::uint32_t followers = 0;         // of a relay
-        std::vector<pb::peer_address> peers; // of a relay: followers
-        clock::time_point peers_sent_at{};   // the whole list
+        std::string endpoint;        // of a relay, or of a pooler instance that can be a home
+        std::uint32_t followers = 0; // of a relay
+        std::vector<pb::peer_address> peers;               // of a relay: followers
+        clock::time_point peers_sent_at{};                 // the whole list
         std::deque<received_request> unconfirmed_requests; // oldest first
     };
 
@@ -123,12 +124,17 @@
     void update_relay_use(clock::time_point now);
     void update_home_groups(const document& current, std::uint32_t instances);
     void add_positions(pb::follow_reply& reply, clock::time_point now) const;
-        bool is_relaying = false; // of a relay: it serves followers
-        bool is_leaving = false;
-        std::string endpoint;                // of a relay, or of a pooler instance that can be a home
-        std::uint32_t followers = 0;         // of a relay
-        std::vector<pb::peer_address> peers; // of a relay: followers
-        clock::time_point peers_sent_at{};   // the whole list
+    void add_relays(pb::follow_reply& reply, bool is_for_relay, clock::time_point now) const;
+    void add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
+                         const state_machine& state, const directory& servers,
+                         clock::time_point now);
+    void add_directory(pb::follow_reply& reply, const pb::follow_request& request,
+                       const directory& servers, clock::time_point now);
+    void record_peers(const pb::follow_request& request, instance_state& sender);
+    [[nodiscard]] peer_list::peer_map live_peers(clock::time_point now) const;
+    void update_peers(clock::time_point now);
+    void add_peers(pb::follow_reply& reply, const pb::follow_request& request,
+                   instance_state& sender, clock::time_point now) const;
 
     service_settings settings_;
     std::uint64_t term_;
