Allowed regions of operations, and a rate limit for cold servers

allowed_regions, warmup_s and warmup_per_s of the published document were ignored: operations reached servers and texts left the regions that they are restricted to, and a server that had just started got the whole load.

Without the new fields nothing changes.

--- a/src/cell_directory.cpp
+++ b/src/cell_directory.cpp
@@ -34,6 +34,13 @@
            left.is_primary() == right.is_primary() && left.born_ms() == right.born_ms();
 }
 
+// True if the server began to warm up anew or became warm.
+bool has_new_warm_up(const pb::server_announcement& next, const pb::server_announcement& known)
+{
+    return next.warm_up_left_ms() > known.warm_up_left_ms() ||
+           (next.warm_up_left_ms() == 0 && known.warm_up_left_ms() > 0);
+}
+
 } // namespace
 
 bool directory::apply(const pb::server_announcement& announcement, clock::time_point now)
@@ -59,7 +66,8 @@
         next.set_gone(true);
         next.set_leaving(true);
     }
-    const bool changed = !has_same_routing(next, entry.announcement);
+    const bool changed =
+        !has_same_routing(next, entry.announcement) || has_new_warm_up(next, entry.announcement);
     entry = directory_entry{std::move(next), announced_at};
     revision_ += changed ? 1 : 0;
     return changed;
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -301,6 +301,7 @@
     timing.instance_lease = settings.revocation * 7 / 10;
     timing.announcement_interval = settings.announcement_interval;
     timing.relays_from_instances = settings.relays_from_instances;
+    timing.regions = settings.regions;
     active_service.emplace(timing, consensus_replica->term(), now);
     executor->discard_answers();
     events.decision("cell", "leads")
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -3,6 +3,8 @@
 #include "state_records.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace primrosehead::cell {
 
@@ -51,8 +53,8 @@
 } // namespace
 
 service::service(service_settings settings, std::uint64_t term, clock::time_point elected_at)
-    : settings_(settings), term_(term), elected_at_(elected_at),
-      share_allocator_(elected_at, settings.instance_lease), token_buckets_(elected_at),
+    : settings_(std::move(settings)), term_(term), elected_at_(elected_at),
+      share_allocator_(elected_at, settings_.instance_lease), token_buckets_(elected_at),
       last_large_at_(elected_at)
 {
 }
@@ -61,7 +63,8 @@
 // as they may be alive without an announcement reaching this leader.
 std::vector<promotion::member> service::members_of(const directory& servers,
                                                    const pb::group_record* stored,
-                                                   std::string_view group, clock::time_point now)
+                                                   std::string_view group,
+                                                   const region_set& regions, clock::time_point now)
 {
     std::vector<promotion::member> members;
     for (const directory_entry* entry : servers.group(group)) {
@@ -69,6 +72,9 @@
         members.push_back({entry->announcement.server(), entry->announcement.address(),
                            entry->announcement.leaving(), entry->announcement.is_primary(),
                            entry->announcement.born_ms()});
+        const auto region = settings_.regions.find(entry->announcement.failure_domain());
+        members.back().is_outside_regions = !regions.contains(
+            region == settings_.regions.end() ? std::string_view() : region->second);
     }
     if (stored == nullptr) {
         return members;
@@ -443,7 +449,8 @@
     const std::uint32_t instances = live_instances(now);
     for (const document_group& group : current->content().groups) {
         const pb::group_record* const stored = state.group(group.name);
-        const std::vector<promotion::member> members = members_of(servers, stored, group.name, now);
+        const std::vector<promotion::member> members =
+            members_of(servers, stored, group.name, current->regions_of_group(group.name), now);
         // A new cell could miss a replica before every live server has announced itself.
         const bool is_known = stored != nullptr && stored->members_size() > 0;
         if (members.empty() || (!is_known && !is_directory_complete(now))) {
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -32,6 +32,7 @@
     clock::duration announcement_interval{1'200}; // of the backend servers
     // A leader serves fewer pooler instances than this without relays.
     std::uint32_t relays_from_instances = 80;
+    std::map<std::string, std::string, std::less<>> regions; // by failure domain
 };
 
 struct group_action {
@@ -102,10 +103,9 @@
     };
 
     [[nodiscard]] bool is_directory_complete(clock::time_point now) const;
-    [[nodiscard]] std::vector<promotion::member> members_of(const directory& servers,
-                                                            const pb::group_record* stored,
-                                                            std::string_view group,
-                                                            clock::time_point now);
+    [[nodiscard]] std::vector<promotion::member>
+    members_of(const directory& servers, const pb::group_record* stored, std::string_view group,
+               const region_set& regions, clock::time_point now);
     void record_membership(const std::string& group, const std::vector<promotion::member>& members,
                            const pb::group_record* stored, clock::time_point now,
                            std::vector<group_action>& actions);
--- a/src/document.cpp
+++ b/src/document.cpp
@@ -105,4 +105,26 @@
     return find_or_null(organisations_, name);
 }
 
+region_set document::regions_for(const document_route& route,
+                                 std::string_view organisation_name) const
+{
+    region_set regions;
+    regions.restrict_to(route.allowed_regions);
+    if (const document_organisation* const found = organisation(organisation_name)) {
+        regions.restrict_to(found->allowed_regions);
+    }
+    return regions;
+}
+
+region_set document::regions_of_group(std::string_view group) const
+{
+    region_set regions;
+    for (const document_route& route : content_.routes) {
+        if (route.group == group) {
+            regions.restrict_to(route.allowed_regions);
+        }
+    }
+    return regions;
+}
+
 } // namespace primrosehead
--- a/src/document.h
+++ b/src/document.h
@@ -2,6 +2,8 @@
 // Immutable. Pure.
 #pragma once
 
+#include "document_regions.h"
+
 #include <primrosehead/clock.h>
 #include <primrosehead/error.h>
 
@@ -29,10 +31,11 @@
     std::string group; // whose servers run the statements
     route_consistency consistency = route_consistency::latest;
     clock::duration statement_timeout{1'000};
-    clock::duration latency_objective{500}; // of an operation, including waits and retries
-    clock::duration max_staleness{0};       // of reads, unless the route is `latest`
-    std::uint32_t priority = 0;             // 0 is the highest
-    bool is_public = false;                 // callers need no API key
+    clock::duration latency_objective{500};   // of an operation, including waits and retries
+    clock::duration max_staleness{0};         // of reads, unless the route is `latest`
+    std::uint32_t priority = 0;               // 0 is the highest
+    bool is_public = false;                   // callers need no API key
+    std::vector<std::string> allowed_regions; // empty: all
 };
 
 struct document_group {
@@ -40,13 +43,16 @@
     std::uint32_t connection_limit = 0; // per server, over all instances
     // A commit is acknowledged once a replica has received it.
     bool commits_wait_for_replica = false;
+    clock::duration warm_up_time{0}; // of a server that has not announced how long it takes
+    double warm_up_per_s = 0;        // requests to a cold server, over all instances; 0: no limit
 };
 
 struct document_organisation {
     std::string name;
     std::vector<std::string> keys;
-    double rate = 0;  // operations per second
-    double burst = 0; // operations
+    double rate = 0;                          // operations per second
+    double burst = 0;                         // operations
+    std::vector<std::string> allowed_regions; // empty: all
 };
 
 struct document_content {
@@ -73,6 +79,12 @@
     [[nodiscard]] const document_group* group(std::string_view name) const;
     [[nodiscard]] const document_organisation* organisation(std::string_view name) const;
 
+    // Returns the regions in which operations of the route by the organisation may run.
+    [[nodiscard]] region_set regions_for(const document_route& route,
+                                         std::string_view organisation) const;
+    // Returns the regions that all routes of the group allow.
+    [[nodiscard]] region_set regions_of_group(std::string_view group) const;
+
   private:
     explicit document(document_content content) : content_(std::move(content)) {}
     [[nodiscard]] status build_index();
--- a/src/line_answer.h
+++ b/src/line_answer.h
@@ -31,8 +31,9 @@
     server_silent, // a server did not answer, or its connection broke
     overloaded,    // the server of the transaction could not run the statement in time
     transaction,   // the transaction had failed before
+    region,        // no server is inside the allowed regions
 };
-inline constexpr std::size_t answer_cause_count = 12;
+inline constexpr std::size_t answer_cause_count = 13;
 
 // The complete answer to one query: `code` and `text` are set if `is_error`, `signature` otherwise.
 struct line_answer {
--- a/src/pooler_cause.cpp
+++ b/src/pooler_cause.cpp
@@ -41,6 +41,8 @@
         return "overloaded";
     case answer_cause::transaction:
         return "transaction";
+    case answer_cause::region:
+        return "region";
     }
     return "server";
 }
--- a/src/pooler_connection.h
+++ b/src/pooler_connection.h
@@ -24,6 +24,7 @@
     session_values values;
     std::set<std::string, std::less<>> prepared; // names assigned by the pool
     clock::time_point last_used_at;
+    bool holds_start = false; // a request to the cold server was granted with the connection
 };
 
 } // namespace primrosehead::pooler
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -85,6 +85,12 @@
             answer_cause::no_server, context_.dialect.busy,
             fmt::format("not run: no server of group {} is available; retry after {} ms",
                         op.route->group, primary_retry_after.count()));
+    case acquire_error::outside_regions:
+        return make_error_answer(
+            answer_cause::region, context_.dialect.busy,
+            fmt::format("not run: no server of group {} that could run it is inside the allowed "
+                        "regions; retry after {} ms",
+                        op.route->group, primary_retry_after.count()));
     case acquire_error::saturated:
     case acquire_error::none:
         break;
@@ -115,6 +121,7 @@
     request.organisation = op.organisation;
     request.role = role;
     request.priority = op.route->priority;
+    request.regions = op.snapshot->regions_for(*op.route, op.organisation);
     request.values = &session_.values;
     request.excluded_servers = excluded_servers_;
     request.deadline = std::min(deadline, budget_.deadline(has_reached_server_, clock::now()));
@@ -579,7 +586,8 @@
             make_setup_queries(*connection_, session_, statement.prepared, true, dialect);
         const std::string queries = fmt::format("{}{} {} {}\r\n", setup.queries, dialect.query,
                                                 statement.id, statement.text);
-        const bool may_run = co_await context_.connections.start_when_admitted(server, deadline);
+        const bool may_run =
+            co_await context_.connections.start_when_admitted(*connection_, deadline);
         if (!may_run) {
             roll_back();
             co_return make_error_answer(
@@ -641,7 +649,8 @@
     line_exchange result;
     clock::time_point sent_at;
     while (true) {
-        const bool may_run = co_await context_.connections.start_when_admitted(server, deadline);
+        const bool may_run =
+            co_await context_.connections.start_when_admitted(*connection_, deadline, true);
         if (!may_run) {
             roll_back();
             co_return make_error_answer(
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -59,6 +59,7 @@
       homes_(settings.instance, settings.regions, settings.homes_per_server)
 {
     set_seeds(settings.control);
+    connections_.set_regions(settings.regions);
 }
 
 void follower::set_seeds(const std::vector<std::string>& addresses)
@@ -330,6 +331,7 @@
         apply_document(reply.document(), now);
     }
     apply_directory(reply, now);
+    connections_.warm_ups().set_fleet_size(reply.live_instances(), now);
     apply_peers(reply, now);
     apply_positions(reply);
     if (!drop_expired_shares(now)) {
@@ -415,6 +417,7 @@
     limits_.apply(*document_, {central_ppm_, tolerance}, now);
     for (const document_group& group : document_->content().groups) {
         connections_.set_limits(group.name, group.connection_limit, live_instances_);
+        connections_.set_warm_up(group.name, group.warm_up_per_s, group.warm_up_time);
     }
 }
 
--- a/src/pooler_home_table.cpp
+++ b/src/pooler_home_table.cpp
@@ -99,10 +99,9 @@
 }
 
 // Rendezvous hashing: an instance that leaves moves only the servers that it was the home of.
-std::vector<home_table::ranked_peer> home_table::rank(std::string_view server,
-                                                      std::string_view failure_domain,
-                                                      scope candidates,
-                                                      std::string_view organisation) const
+std::vector<home_table::ranked_peer>
+home_table::rank(std::string_view server, std::string_view failure_domain, scope candidates,
+                 std::string_view organisation, const region_set& allowed) const
 {
     const auto is_better = [](const ranked_peer& left, const ranked_peer& right) {
         return left.weight != right.weight ? left.weight > right.weight
@@ -111,7 +110,8 @@
     const std::uint64_t seed = hash_of(server, 0);
     std::vector<ranked_peer> ranked;
     for (const auto& [instance, peer] : peers_) {
-        if (is_in_scope(peer, failure_domain, candidates)) {
+        if (is_in_scope(peer, failure_domain, candidates) &&
+            allowed.contains(region_of(peer.failure_domain))) {
             ranked.push_back({hash_of(instance, seed), &peer});
         }
     }
@@ -131,10 +131,12 @@
 std::vector<home_table::ranked_peer> home_table::rank_unsuspected(std::string_view server,
                                                                   std::string_view failure_domain,
                                                                   std::string_view organisation,
-                                                                  clock::time_point now) const
+                                                                  clock::time_point now,
+                                                                  const region_set& allowed) const
 {
     for (const scope candidates : std::array{scope::failure_domain, scope::region, scope::fleet}) {
-        std::vector<ranked_peer> ranked = rank(server, failure_domain, candidates, organisation);
+        std::vector<ranked_peer> ranked =
+            rank(server, failure_domain, candidates, organisation, allowed);
         std::erase_if(ranked, [&](const ranked_peer& each) {
             return is_suspected(each.peer->instance, now);
         });
@@ -147,10 +149,11 @@
 
 std::vector<home_address> home_table::homes_of(std::string_view server,
                                                std::string_view failure_domain,
-                                               std::string_view organisation,
-                                               clock::time_point now) const
+                                               std::string_view organisation, clock::time_point now,
+                                               const region_set& allowed) const
 {
-    std::vector<ranked_peer> ranked = rank_unsuspected(server, failure_domain, organisation, now);
+    std::vector<ranked_peer> ranked =
+        rank_unsuspected(server, failure_domain, organisation, now, allowed);
     ranked.resize(std::min(ranked.size(), homes_per_server_ + alternatives));
     std::vector<home_address> homes;
     homes.reserve(ranked.size());
@@ -162,7 +165,7 @@
 bool home_table::is_home(std::string_view server, std::string_view failure_domain,
                          clock::time_point now) const
 {
-    const std::vector<ranked_peer> ranked = rank_unsuspected(server, failure_domain, {}, now);
+    const std::vector<ranked_peer> ranked = rank_unsuspected(server, failure_domain, {}, now, {});
     const auto end =
         ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), homes_per_server_));
     return std::any_of(ranked.begin(), end, [this](const ranked_peer& each) {
--- a/src/pooler_home_table.h
+++ b/src/pooler_home_table.h
@@ -5,6 +5,8 @@
 // connections (two instances act as home for a moment), not correctness.
 #pragma once
 
+#include "document_regions.h"
+
 #include <primrosehead/clock.h>
 
 #include <cstdint>
@@ -44,11 +46,13 @@
 
     // Returns the best homes of a server, best first, without suspected ones: instances of its
     // failure domain or, if there is none, of its region or, if there is none either, any. Empty if
-    // every peer is suspected or none is known.
+    // every peer is suspected or none is known. Instances outside `allowed` are left out, because
+    // an operation's text must not reach them.
     [[nodiscard]] std::vector<home_address> homes_of(std::string_view server,
                                                      std::string_view failure_domain,
                                                      std::string_view organisation,
-                                                     clock::time_point now) const;
+                                                     clock::time_point now,
+                                                     const region_set& allowed = {}) const;
 
     // True if this instance is one of the server's homes, for any organisation.
     [[nodiscard]] bool is_home(std::string_view server, std::string_view failure_domain,
@@ -81,11 +85,13 @@
                                    scope candidates) const;
     [[nodiscard]] std::vector<ranked_peer> rank(std::string_view server,
                                                 std::string_view failure_domain, scope candidates,
-                                                std::string_view organisation) const;
+                                                std::string_view organisation,
+                                                const region_set& allowed) const;
     [[nodiscard]] std::vector<ranked_peer> rank_unsuspected(std::string_view server,
                                                             std::string_view failure_domain,
                                                             std::string_view organisation,
-                                                            clock::time_point now) const;
+                                                            clock::time_point now,
+                                                            const region_set& allowed) const;
 
     std::string own_instance_;
     std::map<std::string, std::string, std::less<>> regions_; // by failure domain
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -369,6 +369,7 @@
     while (true) {
         const clock::time_point now = clock::now();
         control.tick(now);
+        connections.retry_cold(now);
         run_housekeeping(now);
         timer.expires_after(tick_interval);
         co_await timer.async_wait(no_throw);
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -28,6 +28,8 @@
 constexpr clock::duration idle_timeout{8'000};
 // Connections left free at each server for the current and the previous control leader.
 constexpr std::uint32_t reserved_control_connections = 2;
+// Interval at which a statement of a transaction asks for a start at a cold server.
+constexpr clock::duration cold_retry_interval{25};
 
 } // namespace
 
@@ -51,7 +53,7 @@
 pool::pool(net::any_io_executor executor, const line_dialect& dialect, event_log& events,
            std::string failure_domain)
     : executor_(std::move(executor)), dialect_(dialect), events_(events),
-      failure_domain_(std::move(failure_domain))
+      failure_domain_(std::move(failure_domain)), warm_up_(events.process())
 {
 }
 
@@ -104,7 +106,7 @@
 }
 
 void pool::set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
-                       clock::time_point /*now*/)
+                       clock::time_point now)
 {
     std::map<std::string, bool, std::less<>> listed;
     for (const pb::server_announcement& announcement : servers) {
@@ -127,7 +129,16 @@
             server->born_ms = announcement.born_ms();
         }
         server->slots = std::max(1U, announcement.slots());
+        server->failure_domain = announcement.failure_domain();
         server->is_local = announcement.failure_domain() == failure_domain_;
+        if (server->announced_at == clock::time_point{} ||
+            server->sequence != announcement.sequence()) {
+            // A repeated announcement may understate its age.
+            server->sequence = announcement.sequence();
+            server->announced_at = now - clock::duration(announcement.age_ms());
+            server->cold_until =
+                server->announced_at + clock::duration(announcement.warm_up_left_ms());
+        }
         server->is_leaving = announcement.leaving();
         server->claims_primary = announcement.is_primary();
     }
@@ -151,6 +162,72 @@
     }
 }
 
+void pool::set_regions(std::map<std::string, std::string, std::less<>> regions)
+{
+    regions_ = std::move(regions);
+}
+
+std::string_view pool::region_of(std::string_view failure_domain) const
+{
+    const auto found = regions_.find(failure_domain);
+    return found == regions_.end() ? std::string_view() : std::string_view(found->second);
+}
+
+void pool::set_warm_up(std::string_view name, double per_s, clock::duration time)
+{
+    group_state& state = state_of(name);
+    state.warm_up_per_s = per_s;
+    state.warm_up_time = time;
+}
+
+void pool::set_evacuation_withdrawn(std::string_view failure_domain, clock::time_point at)
+{
+    evacuations_withdrawn_.insert_or_assign(std::string(failure_domain), at);
+}
+
+bool pool::is_cold(const group_state& state, pooled_server& server, clock::time_point now)
+{
+    warm_up_facts facts{server.announced_at, server.cold_until, std::nullopt, state.warm_up_time};
+    const auto withdrawn = evacuations_withdrawn_.find(server.failure_domain);
+    if (withdrawn != evacuations_withdrawn_.end()) {
+        facts.evacuation_withdrawn_at = withdrawn->second;
+    }
+    const bool is_limited = state.warm_up_per_s > 0 && pooler::is_cold(facts, now);
+    if (is_limited == server.is_cold) {
+        return is_limited;
+    }
+    server.is_cold = is_limited;
+    if (!is_limited) {
+        warm_up_.record_warm(server.id);
+    }
+    events_.decision("pool", is_limited ? "server_cold" : "server_warm")
+        .field("server", server.id)
+        .field("group", server.group)
+        .field("left_ms", (server.cold_until - now).count())
+        .field("per_s", static_cast<std::int64_t>(state.warm_up_per_s));
+    return is_limited;
+}
+
+bool pool::may_start(group_state& state, pooled_server& server, warm_up_share share,
+                     clock::time_point now)
+{
+    if (!is_cold(state, server, now)) {
+        return true;
+    }
+    const bool may = warm_up_.may_start(server.id, state.warm_up_per_s, share, now);
+    state.waits_for_cold = state.waits_for_cold || !may;
+    return may;
+}
+
+void pool::retry_cold(clock::time_point /*now*/)
+{
+    for (auto& [name, state] : groups_) {
+        if (std::exchange(state.waits_for_cold, false) && !state.queue.empty()) {
+            dispatch(state);
+        }
+    }
+}
+
 void pool::set_limits(std::string_view name, std::uint32_t connection_limit,
                       std::uint32_t instances)
 {
@@ -168,10 +245,11 @@
     return now < server.saturated_until ? std::min(limit, server.saturated_limit) : limit;
 }
 
-std::vector<std::shared_ptr<pooled_server>> pool::candidates(const group_state& state,
+// No candidate without an error: the request waits for a server that is cold.
+std::vector<std::shared_ptr<pooled_server>> pool::candidates(group_state& state,
                                                              const connection_request& request,
                                                              clock::time_point now,
-                                                             acquire_error& error) const
+                                                             acquire_error& error)
 {
     std::vector<std::shared_ptr<pooled_server>> found;
     if (request.role == required_role::primary) {
@@ -181,19 +259,39 @@
             error = acquire_error::no_primary;
             return found;
         }
-        found.push_back(known->second);
+        if (!request.regions.contains(region_of(known->second->failure_domain))) {
+            error = acquire_error::outside_regions;
+            return found;
+        }
+        if (may_start(state, *known->second, request.share, now)) {
+            found.push_back(known->second);
+        }
         return found;
     }
+    bool is_any_inside = state.servers.empty();
+    bool waits_for_cold = false;
     for (const auto& [id, server] : state.servers) {
+        if (!request.regions.contains(region_of(server->failure_domain))) {
+            continue;
+        }
+        is_any_inside = true;
         const bool was_tried =
             std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
             request.excluded_servers.end();
         if (!was_tried && !server->is_avoided(now) && !server->is_lagging(now) &&
             !server->is_leaving) {
-            found.push_back(server);
+            if (may_start(state, *server, request.share, now)) {
+                found.push_back(server);
+            }
+            else {
+                waits_for_cold = true;
+            }
         }
     }
-    if (found.empty()) {
+    if (!is_any_inside) {
+        error = acquire_error::outside_regions;
+    }
+    else if (found.empty() && !waits_for_cold) {
         error = acquire_error::no_server;
     }
     return found;
@@ -278,6 +376,10 @@
     }
     choice result;
     result.server = servers[best->index];
+    result.is_cold = is_cold(state, *result.server, now);
+    if (result.is_cold) {
+        warm_up_.record_start(result.server->id, now);
+    }
     if (best->choice == connection_choice::matching ||
         best->choice == connection_choice::needs_setup) {
         result.connection = take_idle(*result.server, request);
@@ -392,6 +494,7 @@
         }
         if (queued.assigned->connection && queued.assigned->connection->link->is_usable()) {
             outcome.connection = std::move(queued.assigned->connection);
+            outcome.connection->holds_start = queued.assigned->is_cold;
             co_return outcome;
         }
         const std::shared_ptr<pooled_server> server = queued.assigned->server;
@@ -400,6 +503,7 @@
         }
         outcome.connection = co_await open(server, request, clock::now() + open_timeout);
         if (outcome.connection) {
+            outcome.connection->holds_start = queued.assigned->is_cold;
             co_return outcome;
         }
         dispatch(state);
@@ -425,9 +529,38 @@
     dispatch(state_of(server->group));
 }
 
-net::awaitable<bool> pool::start_when_admitted(std::shared_ptr<pooled_server> server,
-                                               clock::time_point deadline)
+net::awaitable<bool> pool::start_at_cold(std::shared_ptr<pooled_server> server,
+                                         clock::time_point deadline)
+{
+    net::steady_timer timer(executor_);
+    while (!may_start(state_of(server->group), *server, warm_up_share::instance, clock::now())) {
+        if (clock::now() + cold_retry_interval >= deadline) {
+            co_return false;
+        }
+        timer.expires_after(cold_retry_interval);
+        co_await timer.async_wait(no_throw);
+    }
+    if (is_cold(state_of(server->group), *server, clock::now())) {
+        warm_up_.record_start(server->id, clock::now());
+    }
+    co_return true;
+}
+
+net::awaitable<bool> pool::start_when_admitted(pooled_connection& connection,
+                                               clock::time_point deadline, bool is_commit)
 {
+    const std::shared_ptr<pooled_server> server = connection.server;
+    const bool holds_start = std::exchange(connection.holds_start, false);
+    const group_state& state = state_of(server->group);
+    if (!holds_start && is_cold(state, *server, clock::now())) {
+        if (is_commit) {
+            warm_up_.record_unlimited_start(server->id, state.warm_up_per_s,
+                                            warm_up_share::instance, clock::now());
+        }
+        else if (!co_await start_at_cold(server, deadline)) {
+            co_return false;
+        }
+    }
     if (server->running < server->running_limit(clock::now())) {
         ++server->running;
         co_return true;
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -2,11 +2,13 @@
 // for a connection. Single-threaded.
 #pragma once
 
+#include "document_regions.h"
 #include "line_dialect.h"
 #include "pooler_connection.h"
 #include "pooler_freshness.h"
 #include "pooler_primary.h"
 #include "pooler_server.h"
+#include "pooler_warm_up.h"
 
 #include <primrosehead/clock.h>
 #include <primrosehead/error.h>
@@ -47,15 +49,18 @@
     required_role role = required_role::any;
     std::uint32_t priority = 0;
     const session_values* values = nullptr;
+    region_set regions;                        // of servers that may run the operation
     std::vector<std::string> excluded_servers; // already tried
+    warm_up_share share = warm_up_share::instance;
     clock::time_point deadline; // for obtaining the connection, not for the statement
 };
 
 enum class acquire_error {
     none,
-    no_server,  // no known server is available
-    no_primary, // no reachable primary is known
-    saturated,  // no connection or slot became free before the deadline
+    no_server,       // no known server is available
+    no_primary,      // no reachable primary is known
+    saturated,       // no connection or slot became free before the deadline
+    outside_regions, // no server, or not the primary, is inside the allowed regions
 };
 
 struct acquire_result {
@@ -100,6 +105,20 @@
     void set_limits(std::string_view group, std::uint32_t connection_limit,
                     std::uint32_t instances);
 
+    // Sets the region of each failure domain.
+    void set_regions(std::map<std::string, std::string, std::less<>> regions);
+    [[nodiscard]] std::string_view region_of(std::string_view failure_domain) const;
+
+    // Sets the rate of requests to a cold server of the group, over all instances (0: no limit),
+    // and the time for which a server counts as cold that has not announced itself after an
+    // evacuation.
+    void set_warm_up(std::string_view group, double per_s, clock::duration time);
+    void set_evacuation_withdrawn(std::string_view failure_domain, clock::time_point at);
+    [[nodiscard]] warm_up& warm_ups() noexcept { return warm_up_; }
+
+    // Starts requests that wait for a cold server. To be called about every 25 ms.
+    void retry_cold(clock::time_point now);
+
     [[nodiscard]] boost::asio::awaitable<acquire_result> acquire(connection_request& request);
 
     // Returns a connection to the pool. Closes it if its state is unknown (`is_clean` is false).
@@ -110,9 +129,10 @@
 
     // Waits until the server may run another statement of an open transaction, and counts it as
     // running. These statements take precedence over operations that have not begun. Returns false
-    // if the deadline passes first.
-    [[nodiscard]] boost::asio::awaitable<bool>
-    start_when_admitted(std::shared_ptr<pooled_server> server, clock::time_point deadline);
+    // if the deadline passes first. `is_commit`: does not wait for a cold server.
+    [[nodiscard]] boost::asio::awaitable<bool> start_when_admitted(pooled_connection& connection,
+                                                                   clock::time_point deadline,
+                                                                   bool is_commit = false);
     void record_finish(pooled_server& server, double latency_ms, clock::time_point now);
 
     // Records a server as unreachable and closes its idle connections.
@@ -144,19 +164,29 @@
         freshness_tracker positions;
         std::uint32_t connection_limit = 0;
         std::uint32_t instances = 1;
+        double warm_up_per_s = 0;
+        clock::duration warm_up_time{0};
+        bool waits_for_cold = false; // a queued request needs a server that is cold
         std::list<queued_request*> queue;
     };
     struct choice {
         std::shared_ptr<pooled_server> server;
         std::unique_ptr<pooled_connection> connection; // null: must be opened
+        bool is_cold = false;
     };
 
     group_state& state_of(std::string_view name);
     [[nodiscard]] std::uint32_t open_limit(const group_state& state, const pooled_server& server,
                                            clock::time_point now) const;
     [[nodiscard]] std::vector<std::shared_ptr<pooled_server>>
-    candidates(const group_state& state, const connection_request& request, clock::time_point now,
-               acquire_error& error) const;
+    candidates(group_state& state, const connection_request& request, clock::time_point now,
+               acquire_error& error);
+    [[nodiscard]] bool is_cold(const group_state& state, pooled_server& server,
+                               clock::time_point now);
+    [[nodiscard]] bool may_start(group_state& state, pooled_server& server, warm_up_share share,
+                                 clock::time_point now);
+    [[nodiscard]] boost::asio::awaitable<bool> start_at_cold(std::shared_ptr<pooled_server> server,
+                                                             clock::time_point deadline);
     [[nodiscard]] std::optional<choice> choose(group_state& state,
                                                const connection_request& request,
                                                clock::time_point now, acquire_error& error);
@@ -176,6 +206,9 @@
     const line_dialect& dialect_;
     event_log& events_;
     std::string failure_domain_;
+    std::map<std::string, std::string, std::less<>> regions_; // by failure domain
+    std::map<std::string, clock::time_point, std::less<>> evacuations_withdrawn_; // by domain
+    warm_up warm_up_;
     std::map<std::string, group_state, std::less<>> groups_;
     pool_stats stats_;
 };
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -23,11 +23,16 @@
     std::string group;
     std::string address;
     std::uint32_t slots = 1;
+    std::string failure_domain;
     bool is_local = false;
     bool is_leaving = false;
     bool claims_primary = false;
     std::uint64_t born_ms = 0;
     bool is_removed = false;
+    std::uint64_t sequence = 0; // of the announcement
+    clock::time_point announced_at{};
+    clock::time_point cold_until{}; // as announced
+    bool is_cold = false;           // when it was last considered
 
     // Connections of this instance.
     std::vector<std::unique_ptr<pooled_connection>> idle;
--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -1,6 +1,7 @@
 #include "promotion_planner.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace primrosehead::promotion {
@@ -224,12 +225,13 @@
     return failing > served && is_significant;
 }
 
-bool planner::has_successor() const
+bool planner::has_successor(bool must_be_inside) const
 {
     return std::any_of(members_.begin(), members_.end(), [&](const member& each) {
         const auto found = servers_.find(each.server);
         const bool answers = found != servers_.end() && !found->second.failing_since;
-        return each.server != primary_ && !each.is_leaving && answers;
+        return each.server != primary_ && !each.is_leaving && answers &&
+               !(must_be_inside && each.is_outside_regions);
     });
 }
 
@@ -249,9 +251,12 @@
     if (now - steady_since_ < settings_.cooldown) {
         return {};
     }
-    if (primary->is_leaving && has_successor()) {
+    if (primary->is_leaving && has_successor(false)) {
         return "the primary is leaving";
     }
+    if (primary->is_outside_regions && has_successor(true)) {
+        return "the primary is outside the allowed regions";
+    }
     return is_failing_for_instances(now) ? "most instances can't use the primary" : "";
 }
 
@@ -349,11 +354,13 @@
     resume_paused_replicas(record, now);
 }
 
-// Chooses the most advanced replica that answers, preferring replicas that are not leaving.
+// Chooses the most advanced replica that answers, preferring replicas that are not leaving, then
+// those inside the allowed regions.
 void planner::choose_candidate(clock::time_point now)
 {
     const auto rank = [&](const member& each) {
-        return std::pair(!each.is_leaving, state_of(each.server).status->received);
+        return std::tuple(!each.is_leaving, !each.is_outside_regions,
+                          state_of(each.server).status->received);
     };
     const member* best = nullptr;
     bool all_answered = true;
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -32,6 +32,7 @@
     bool is_leaving = false;
     bool claims_primary = false;
     std::uint64_t born_ms = 0;
+    bool is_outside_regions = false; // of those that all routes of the group allow
 };
 
 // The group's latest decision in the replicated state.
@@ -188,7 +189,8 @@
     [[nodiscard]] std::string change_reason(clock::time_point now) const;
     [[nodiscard]] bool is_primary_down(clock::time_point now) const;
     [[nodiscard]] bool is_failing_for_instances(clock::time_point now) const;
-    [[nodiscard]] bool has_successor() const;
+    // `must_be_inside`: only a server inside the allowed regions counts.
+    [[nodiscard]] bool has_successor(bool must_be_inside) const;
     void start_decision(const decision_record& record, std::string reason, clock::time_point now);
     void advance_fencing(clock::time_point now);
     void choose_candidate(clock::time_point now);
--- a/tests/pooler_execution_test.cpp
+++ b/tests/pooler_execution_test.cpp
@@ -1,5 +1,6 @@
 #include "pooler_execution.h"
 #include "pooler_fixture.h"
+#include "primrosehead.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -83,3 +84,76 @@
     CHECK(!answer->is_error);
     CHECK(instance.server.connections() == 1);
 }
+
+namespace {
+
+pooler::acquire_error acquire_with(pooler_fixture& instance, pooler::connection_request request)
+{
+    request.group = "g";
+    request.organisation = "org";
+    request.deadline = clock::now() + clock::duration(100);
+    std::optional<pooler::acquire_error> error;
+    boost::asio::co_spawn(
+        instance.io, [&] { return instance.connections.acquire(request); },
+        [&](const std::exception_ptr&, pooler::acquire_result acquired) {
+            error = acquired.error;
+            if (acquired.connection) {
+                instance.connections.release(std::move(acquired.connection), true);
+            }
+        });
+    instance.run(settle_time);
+    REQUIRE(error.has_value());
+    return *error;
+}
+
+} // namespace
+
+// Guards against an operation that reaches a server outside its regions, for either role.
+TEST_CASE("pooler pool: no connection to a server outside the allowed regions")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    for (const auto role : {pooler::required_role::any, pooler::required_role::primary}) {
+        pooler::connection_request request;
+        request.role = role;
+        request.regions.restrict_to({"south"});
+        instance.connections.set_regions({});
+        CHECK(acquire_with(instance, request) == pooler::acquire_error::outside_regions);
+        instance.connections.set_regions({{"zone", "north"}});
+        CHECK(acquire_with(instance, request) == pooler::acquire_error::outside_regions);
+        CHECK(instance.server.connections() == (role == pooler::required_role::any ? 0 : 1));
+        instance.connections.set_regions({{"zone", "south"}});
+        CHECK(acquire_with(instance, request) == pooler::acquire_error::none);
+    }
+}
+
+// Guards against an instance that floods a cold server while it does not know the fleet size.
+TEST_CASE("pooler pool: a cold server gets nothing before the fleet size is known, then its part")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    pb::server_announcement cold;
+    cold.set_server("server-1");
+    cold.set_group("g");
+    cold.set_address(instance.server.address());
+    cold.set_failure_domain("zone");
+    cold.set_slots(2);
+    cold.set_is_primary(true);
+    cold.set_sequence(2);
+    cold.set_warm_up_left_ms(10'000);
+    instance.connections.set_servers(std::vector{cold}, true, clock::now());
+    const pooler::connection_request request;
+    CHECK(acquire_with(instance, request) == pooler::acquire_error::none); // no limit
+    instance.connections.set_warm_up("g", 1'000, clock::duration(5'000));
+    CHECK(acquire_with(instance, request) == pooler::acquire_error::saturated);
+    instance.connections.warm_ups().set_fleet_size(1, clock::now() - clock::duration(2'000));
+    instance.run(clock::duration(1'000));
+    CHECK(acquire_with(instance, request) == pooler::acquire_error::none);
+    cold.set_sequence(3);
+    cold.set_warm_up_left_ms(0);
+    instance.connections.set_servers(std::vector{cold}, true, clock::now());
+    instance.connections.set_warm_up("g", 0.001, clock::duration(5'000));
+    CHECK(acquire_with(instance, request) == pooler::acquire_error::none); // warm
+    instance.connections.set_evacuation_withdrawn("zone", clock::now());
+    CHECK(acquire_with(instance, request) == pooler::acquire_error::saturated);
+}
--- a/tests/pooler_home_table_test.cpp
+++ b/tests/pooler_home_table_test.cpp
@@ -327,6 +327,14 @@
     CHECK(domain_of_home(make_table_of({1, 2, 3}), "north") == "east");
     CHECK(domain_of_home(make_table_of({1, 3}), "north") != "none");
     CHECK(domain_of_home(make_table_of({1, 3}), "unknown") != "none");
+    region_set lower; // an operation's text must not leave its regions
+    lower.restrict_to({"lower"});
+    const pooler::home_table all = make_table_of({0, 1, 2, 3});
+    CHECK(all.homes_of("server", "south", "org", at(0), lower).size() == 1);
+    const auto inside = all.homes_of("server", "north", "org", at(0), lower);
+    CHECK(inside.size() == 2);
+    CHECK(inside.front().failure_domain != "east");
+    CHECK(make_table_of({0, 2}).homes_of("server", "south", "org", at(0), lower).empty());
     pooler::home_table suspecting = make_table_of({1, 2, 3, 4});
     suspecting.record_silence(peer_name(4), at(0));
     CHECK(domain_of_home(suspecting, "north") == "east");
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -315,3 +315,37 @@
     }
     CHECK(lost > 0);
 }
+
+// Guards against operations that stay refused because the primary is outside the regions that the
+// routes allow, and against a change that leaves it outside.
+TEST_CASE("promotion planner: a primary outside the allowed regions is replaced by one inside")
+{
+    for (const bool has_inside : {true, false}) {
+        planner group_planner = steady_plan();
+        std::vector<member> members = group;
+        for (member& each : members) {
+            each.is_outside_regions = !has_inside || each.server != "r2";
+        }
+        bool has_begun = false;
+        std::string ordered;
+        for (std::int64_t now = 1'020; now <= 4'000; now += 20) {
+            if (now % 100 == 0) {
+                group_planner.on_primary("p", {1, 10}, at(now), at(now));
+                group_planner.on_status("r1", replica_at(12), at(now), at(now));
+                group_planner.on_status("r2", replica_at(10), at(now), at(now));
+            }
+            const decision_record record{has_begun ? 1U : 0U, ""};
+            const std::vector<action> actions = group_planner.advance(members, record, at(now));
+            if (const auto* const begun = find_action<begin_decision>(actions)) {
+                has_begun = true;
+                CHECK(begun->reason == "the primary is outside the allowed regions");
+            }
+            if (const auto* const paused = find_action<pause_replica>(actions);
+                paused != nullptr && ordered.empty()) {
+                ordered = paused->server;
+            }
+        }
+        CHECK(has_begun == has_inside);
+        CHECK(ordered == (has_inside ? "r1" : "")); // the others than the candidate are paused
+    }
+}
