--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -60,6 +60,28 @@
     CHECK(servers.revision() == revision);
 }
 
+// Guards against instances that learn neither of a server's warm-up nor of its end, and against a
+// directory that is sent at every announcement of a cold server.
+TEST_CASE("cell directory: the begin and the end of a warm-up are published, its progress is not")
+{
+    cell::directory servers;
+    pb::server_announcement cold = announcement("s1", 1);
+    CHECK(servers.apply(cold, at(0)));
+    std::uint64_t sequence = 1;
+    const auto is_published = [&](std::uint32_t left_ms) {
+        cold.set_sequence(++sequence);
+        cold.set_warm_up_left_ms(left_ms);
+        return servers.apply(cold, at(0));
+    };
+    CHECK(is_published(5'000));
+    CHECK_FALSE(is_published(3'800));
+    CHECK_FALSE(is_published(100));
+    CHECK(is_published(0));
+    CHECK_FALSE(is_published(0));
+    CHECK(is_published(5'000));
+    CHECK(is_published(6'000)); // begins anew
+}
+
 TEST_CASE("cell directory: a deregistered server is absent until it restarts")
 {
     cell::directory servers;
@@ -309,6 +331,56 @@
     CHECK(begins);
 }
 
+// Guards against regions of the document that do not reach the planner, and against a change of a
+// primary that has only not announced itself to a new leader yet.
+TEST_CASE("cell service: a primary outside the regions of all routes is replaced")
+{
+    document_content content;
+    content.version = 1;
+    document_group group;
+    group.name = "kura";
+    content.groups.push_back(group);
+    for (const std::string name : {"r1", "r2"}) {
+        document_route route;
+        route.name = name;
+        route.database = name;
+        route.group = "kura";
+        route.allowed_regions = {"north", name};
+        content.routes.push_back(route);
+    }
+    const auto current = document::make(content);
+    REQUIRE(ok(current));
+    const auto begins = [&](std::string_view region_of_primary) {
+        const state_machine state(cell_name("main"));
+        cell::directory servers;
+        for (const std::string name : {"p", "other"}) {
+            pb::server_announcement server = announcement(name, 1);
+            server.set_failure_domain(name);
+            server.set_is_primary(name == "p");
+            servers.apply(server, at(0));
+        }
+        cell::service_settings settings;
+        settings.regions = {{"p", std::string(region_of_primary)}, {"other", "north"}};
+        cell::service leader(settings, 4, at(0));
+        bool has_begun = false;
+        for (std::int64_t now = 0; now <= 6'000; now += 20) {
+            if (promotion::planner* const planner = leader.find_planner("kura")) {
+                planner->on_primary("p", {1, 10}, at(now), at(now));
+                planner->on_not_primary("other", at(now));
+            }
+            for (const auto& requested :
+                 leader.advance(value(current).get(), state, servers, at(now))) {
+                has_begun = has_begun ||
+                            std::holds_alternative<promotion::begin_decision>(requested.action);
+            }
+        }
+        return has_begun;
+    };
+    CHECK_FALSE(begins("north"));
+    CHECK(begins("r1")); // only one of the routes allows it
+    CHECK(begins("south"));
+}
+
 TEST_CASE("state: the highest published version is in force in any order of arrival")
 {
     state_machine state(cell_name("main"));
--- a/tests/pooler_execution_test.cpp
+++ b/tests/pooler_execution_test.cpp
@@ -157,3 +157,31 @@
     instance.connections.set_evacuation_withdrawn("zone", clock::now());
     CHECK(acquire_with(instance, request) == pooler::acquire_error::saturated);
 }
+
+// Guards against lists of peers and fleet sizes that do not reach the tables that use them.
+TEST_CASE("pooler follower: a reply's peers and fleet size are applied, malformed peers are not")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    pb::follow_reply reply;
+    reply.set_is_leader(true);
+    reply.set_sequence(100);
+    reply.set_control_term(1);
+    reply.set_asked_at_ms(to_ms(clock::now()));
+    reply.set_live_instances(7);
+    reply.set_peers_revision(5);
+    pb::peer_address& peer = *reply.add_peers();
+    peer.set_instance("entry-2");
+    peer.set_endpoint("tcp://127.0.0.1:7");
+    peer.set_failure_domain("zone");
+    reply.add_peers()->set_instance("entry-3"); // without endpoint
+    instance.control.receive(reply, clock::now());
+    CHECK(instance.control.homes().revision() == 5);
+    CHECK(instance.control.homes().has_peer("entry-2"));
+    CHECK_FALSE(instance.control.homes().has_peer("entry-3"));
+    const pooler::warm_up& warm_ups = instance.connections.warm_ups();
+    CHECK(warm_ups.fleet_size(clock::now() + clock::duration(2'000)) == 7);
+    reply.set_peers_revision(6);
+    instance.control.receive(reply, clock::now()); // repeated
+    CHECK(instance.control.homes().revision() == 5);
+}
--- a/tests/pooler_home_table_test.cpp
+++ b/tests/pooler_home_table_test.cpp
@@ -159,7 +159,8 @@
     }
 
     double loss = 0;
-    std::size_t peers_sent = 0; // to pooler instances
+    std::size_t peers_sent = 0;                        // to pooler instances
+    std::map<std::size_t, std::size_t> bytes_of_peers; // sent to each
 
   private:
     static cell::service_settings settings()
@@ -199,6 +200,9 @@
         }
         const pb::follow_reply reply = relays_[sender.relay]->follow(request, nullptr, now_);
         peers_sent += static_cast<std::size_t>(reply.peers_size());
+        for (const pb::peer_address& peer : reply.peers()) {
+            bytes_of_peers[number] += peer.ByteSizeLong() + 3; // field tag and length
+        }
         if (!is_lost()) {
             sender.table.apply_peers(reply, now_);
         }
@@ -548,3 +552,17 @@
     CHECK(fleet.known_by(0) == 10);
     CHECK(fleet.at_number(10).table.revision() == 0);
 }
+
+// Guards against a start of a large fleet whose lists fill the instances' links.
+TEST_CASE("peers: 300 instances that start at once know each other soon, from few bytes")
+{
+    peer_fleet fleet = make_fleet(300, 8);
+    fleet.run(clock::duration(5'000));
+    std::size_t most_bytes = 0;
+    for (std::size_t i = 0; i < 300; ++i) {
+        REQUIRE(fleet.known_by(i) == 300);
+        most_bytes = std::max(most_bytes, fleet.bytes_of_peers[i]);
+    }
+    MESSAGE(fmt::format("300 instances: {} bytes of peers at most to one of them", most_bytes));
+    CHECK(most_bytes < 30'000);
+}
