--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -340,6 +340,7 @@
     timing.announcement_interval = settings.announcement_interval;
     timing.relays_from_instances = settings.relays_from_instances;
     timing.home_connections_per_instance = settings.home_connections_per_instance;
+    timing.regions = settings.regions;
     active_service.emplace(timing, consensus_replica->term(), now);
     executor->discard_answers();
     events.decision("cell", "leads")
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
+#include <utility>
 
 namespace primrosehead::cell {
 
@@ -55,8 +57,8 @@
 } // namespace
 
 service::service(service_settings settings, std::uint64_t term, clock::time_point elected_at)
-    : settings_(settings), term_(term), elected_at_(elected_at),
-      share_allocator_(elected_at, settings.instance_lease), token_buckets_(elected_at),
+    : settings_(std::move(settings)), term_(term), elected_at_(elected_at),
+      share_allocator_(elected_at, settings_.instance_lease), token_buckets_(elected_at),
       last_large_at_(elected_at)
 {
 }
@@ -66,7 +68,8 @@
 // domains are presented as leaving, so that their primaries are replaced.
 std::vector<promotion::member>
 service::members_of(const directory& servers, const pb::group_record* stored,
-                    std::string_view group, const domain_set& evacuated, clock::time_point now)
+                    std::string_view group, const domain_set& evacuated, const region_set& regions,
+                    clock::time_point now)
 {
     std::vector<promotion::member> members;
     for (const directory_entry* entry : servers.group(group)) {
@@ -75,6 +78,9 @@
                            entry->announcement.leaving() ||
                                evacuated.contains(entry->announcement.failure_domain()),
                            entry->announcement.is_primary(), entry->announcement.born_ms()});
+        const auto region = settings_.regions.find(entry->announcement.failure_domain());
+        members.back().is_outside_regions = !regions.contains(
+            region == settings_.regions.end() ? std::string_view() : region->second);
     }
     if (stored == nullptr) {
         return members;
@@ -540,7 +546,8 @@
     for (const document_group& group : current->content().groups) {
         const pb::group_record* const stored = state.group(group.name);
         const std::vector<promotion::member> members =
-            members_of(servers, stored, group.name, evacuated, now);
+            members_of(servers, stored, group.name, evacuated,
+                       current->regions_of_group(group.name), now);
         // A new cell could miss a replica before every live server has announced itself.
         const bool is_known = stored != nullptr && stored->members_size() > 0;
         if (members.empty() || (!is_known && !is_directory_complete(now))) {
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -113,7 +113,7 @@
     [[nodiscard]] bool is_directory_complete(clock::time_point now) const;
     [[nodiscard]] std::vector<promotion::member>
     members_of(const directory& servers, const pb::group_record* stored, std::string_view group,
-               const domain_set& evacuated, clock::time_point now);
+               const domain_set& evacuated, const region_set& regions, clock::time_point now);
     void record_membership(const std::string& group, const std::vector<promotion::member>& members,
                            const pb::group_record* stored, clock::time_point now,
                            std::vector<group_action>& actions);
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -105,6 +105,12 @@
             answer_cause::no_server, context_.dialect.busy,
             fmt::format("not run: no server of group {} is available; retry after {} ms",
                         op.route->group, primary_retry_after.count()));
+    case acquire_error::outside_regions:
+        return make_error_answer(
+            answer_cause::region, context_.dialect.busy,
+            fmt::format("not run: no server of group {} that could run it is inside the allowed "
+                        "regions; retry after {} ms",
+                        op.route->group, primary_retry_after.count()));
     case acquire_error::saturated:
     case acquire_error::none:
         break;
@@ -135,6 +141,9 @@
     request.organisation = op.organisation;
     request.role = role;
     request.priority = op.route->priority;
+    if (!pinned_) { // the origin has applied the regions
+        request.regions = op.snapshot->regions_for(*op.route, op.organisation);
+    }
     request.values = &session_.values;
     request.excluded_servers = excluded_servers_;
     request.deadline = std::min(deadline, budget_.deadline(has_reached_server_, clock::now()));
@@ -689,17 +698,22 @@
 
 // Waits until the server of the transaction may run another statement. At a home its queue has
 // decided this.
-net::awaitable<bool> execution::start_statement(std::shared_ptr<pooled_server> server,
-                                                clock::time_point deadline)
+net::awaitable<bool> execution::start_statement(clock::time_point deadline, bool is_commit)
 {
-    if (pinned_) {
-        if (context_.connections.must_end_transactions(*server, clock::now())) {
-            co_return false;
-        }
-        context_.connections.record_start(*server);
-        co_return true;
+    pool& connections = context_.connections;
+    if (!pinned_) {
+        co_return co_await connections.start_when_admitted(*connection_, deadline, is_commit);
+    }
+    const std::shared_ptr<pooled_server> server = connection_->server;
+    if (connections.must_end_transactions(*server, clock::now())) {
+        co_return false;
+    }
+    const bool may_start = co_await connections.wait_if_cold(
+        *connection_, warm_up_share::home, deadline, is_commit);
+    if (may_start) {
+        connections.record_start(*server);
     }
-    co_return co_await context_.connections.start_when_admitted(server, deadline);
+    co_return may_start;
 }
 
 net::awaitable<line_answer> execution::run(const server_statement& statement)
@@ -732,7 +746,7 @@
             make_setup_queries(*connection_, session_, statement.prepared, true, dialect);
         const std::string queries = fmt::format("{}{} {} {}\r\n", setup.queries, dialect.query,
                                                 statement.id, statement.text);
-        const bool may_run = co_await start_statement(server, deadline);
+        const bool may_run = co_await start_statement(deadline, false);
         if (!may_run) {
             co_return abort_unsent(*server);
         }
@@ -803,7 +817,7 @@
     line_exchange result;
     clock::time_point sent_at;
     while (true) {
-        const bool may_run = co_await start_statement(server, deadline);
+        const bool may_run = co_await start_statement(deadline, true);
         if (!may_run) {
             co_return abort_unsent(*server);
         }
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -155,7 +155,7 @@
                                                                 attempt_result& outcome);
 
     [[nodiscard]] boost::asio::awaitable<bool>
-    start_statement(std::shared_ptr<pooled_server> server, clock::time_point deadline);
+    start_statement(clock::time_point deadline, bool is_commit);
 
     // Operations that a home runs (pooler_execution_home.cpp).
     [[nodiscard]] bool may_use_home(const operation& op) const;
@@ -178,6 +178,8 @@
                                                       clock::time_point sent_at);
     [[nodiscard]] attempt_result classify_home_write(pooled_server& server, line_answer answer,
                                                      clock::time_point sent_at);
+    [[nodiscard]] std::vector<home_address> allowed_homes(const pooled_server& server,
+                                                          const operation& op);
     [[nodiscard]] bool has_other_server(const operation& op, clock::time_point deadline) const;
     [[nodiscard]] boost::asio::awaitable<std::optional<attempt_result>>
     begin_at_server(std::shared_ptr<pooled_server> server, const server_statement& first,
--- a/src/pooler_execution_home.cpp
+++ b/src/pooler_execution_home.cpp
@@ -132,6 +132,19 @@
     return {has_not_run ? next_step::retry : next_step::finish, std::move(answer)};
 }
 
+// Returns the homes of a server that the route and the organisation allow: an operation's text
+// reaches no instance outside its regions but the one that the caller is connected to.
+std::vector<home_address> execution::allowed_homes(const pooled_server& server, const operation& op)
+{
+    std::vector<home_address> homes = context_.homes->homes_of(server.id, server.failure_domain,
+                                                               op.organisation, clock::now());
+    const region_set regions = op.snapshot->regions_for(*op.route, op.organisation);
+    std::erase_if(homes, [&](const home_address& each) {
+        return !regions.contains(context_.connections.region_of(each.failure_domain));
+    });
+    return homes;
+}
+
 bool execution::has_other_server(const operation& op, clock::time_point deadline) const
 {
     const connection_request request = make_request(op, required_role::any, deadline);
@@ -200,7 +213,7 @@
                                  make_refusal(error, op)};
     }
     const std::vector<home_address> homes =
-        context_.homes->homes_of(server->id, server->failure_domain, op.organisation, clock::now());
+        allowed_homes(*server, op);
     const home_call_kind kind = kind_of_single(statement);
     home_ending ending = home_ending::leaving;
     for (std::size_t i = 0; i < homes.size() && i < max_homes_tried && clock::now() < deadline;
@@ -296,7 +309,7 @@
     const home_call_kind kind = home_call_kind::first_statement;
     const operation& op = transaction_;
     const std::vector<home_address> homes =
-        context_.homes->homes_of(server->id, server->failure_domain, op.organisation, clock::now());
+        allowed_homes(*server, op);
     home_ending ending = home_ending::leaving;
     for (std::size_t i = 0; i < homes.size() && i < max_homes_tried; ++i) {
         home_transaction_ = home_transaction{context_.homes->weak_from_this(), server, homes[i],
