--- a/soak/soak.py
+++ b/soak/soak.py
@@ -29,6 +29,7 @@
 ZONES = ("d0", "d1", "d2")  # of the database servers
 EVACUATION_S = 5.0
 ORDER_TIMEOUT_S = 6.0
+SLOW_TRANSACTIONS = 0.2
 FAULTS = ["kill_cell", "kill_entry", "stop_entry", "pause_cell", "pause_entry", "crash_server",
           "silence_server", "deaf_replica", "reset_server", "revoke", "publish", "hup", "kill_cells"]
 
@@ -408,7 +409,10 @@
         code, _ = await self.send("BEGIN FETCH" if read_only else "BEGIN")
         if code:
             return self.state == "I"
-        for step in range(self.random.randrange(1, 5)):
+        # Slow transactions are open for longer than the half of the bound that they get.
+        is_slow = self.cluster.options.evacuations and self.random.random() < SLOW_TRANSACTIONS
+        pause_s = 1.0 if is_slow else 0.1
+        for step in range(self.random.randrange(4, 7) if is_slow else self.random.randrange(1, 5)):
             text, operation = self.make_statement(not read_only and step == 0)
             code, _ = await self.send(text, operation, began_at, attempt)
             if code:
@@ -416,7 +420,7 @@
                 self.check_refusal(attempt, code)
                 code, _ = await self.send("ROLLBACK")
                 return self.state == "I"
-            await asyncio.sleep(self.random.uniform(0, 0.1))
+            await asyncio.sleep(self.random.uniform(0, pause_s))
         if self.random.random() < 0.1:
             await self.send("ROLLBACK")
             return True
--- a/src/state_records.h
+++ b/src/state_records.h
@@ -37,8 +37,8 @@
     // Returns the live records whose keys start with `prefix`, ordered by key.
     [[nodiscard]] std::vector<const pb::state_record*> with_prefix(std::string_view prefix) const;
 
-    // Returns the version of the latest change of a record whose key starts with `prefix`, including
-    // tombstones; 0 if there is none.
+    // Returns the version of the latest change of a record whose key starts with `prefix`,
+    // including tombstones; 0 if there is none.
     [[nodiscard]] std::uint64_t latest_change(std::string_view prefix) const;
 
     // Returns the records changed after `version`, including tombstones, ordered by version.
