Arrival model: control instances have a processor; tests of the follow plan

The model delays replies by an assumed processor time for requests, bytes and connections at 0.3 of a core.

--- a/tests/fleet_start_test.cpp
+++ b/tests/fleet_start_test.cpp
@@ -40,9 +40,12 @@
     std::int64_t announced_until_ms = -1; // the servers announce themselves until then
 };
 
-// Assumed processor time of a control instance for a request and for a byte that it sends.
+// Assumed processor time of a control instance for a request, a byte that it sends and a connection
+// that it accepts; it has `processor` of a core.
 constexpr double request_cost_ms = 0.06;
 constexpr double byte_cost_ms = 0.000'01;
+constexpr double connection_cost_ms = 0.3;
+constexpr double processor = 0.3;
 
 std::string endpoint_of(std::size_t control)
 {
@@ -129,7 +132,8 @@
         [[nodiscard]] double cost_ms() const
         {
             return request_cost_ms * static_cast<double>(requests) +
-                   byte_cost_ms * static_cast<double>(bytes);
+                   byte_cost_ms * static_cast<double>(bytes) +
+                   connection_cost_ms * static_cast<double>(connections);
         }
     };
     [[nodiscard]] const control_load& load(std::size_t number) const
@@ -148,6 +152,7 @@
         explicit control(const cell::relay_settings& settings) : relay(settings, 1) {}
         cell::relay relay;
         control_load load;
+        double processor_free_at_ms = 0;
     };
     struct follower {
         follower(std::size_t number, std::size_t domains)
@@ -228,6 +233,9 @@
         }
         if (sender.connections.insert(planned->endpoint).second) {
             ++controls_[target]->load.connections;
+            controls_[target]->processor_free_at_ms =
+                std::max(controls_[target]->processor_free_at_ms, static_cast<double>(now_ms_)) +
+                connection_cost_ms / processor;
         }
         pb::follow_request request;
         request.set_instance(sender.name);
@@ -265,13 +273,17 @@
             reply.set_retry_after_ms(
                 cell::reply_pacer::retry_after_ms(request.instance(), at(now_ms_)));
         }
+        const double cost_before = receiver.load.cost_ms();
         const std::size_t bytes = record_sent(target, reply);
+        receiver.processor_free_at_ms =
+            std::max(receiver.processor_free_at_ms, static_cast<double>(now_ms_)) +
+            (receiver.load.cost_ms() - cost_before) / processor;
         documents_sent += reply.has_document() ? 1 : 0;
         servers_sent += static_cast<std::uint64_t>(reply.servers_size());
         full_directories_sent +=
             reply.servers_size() > 0 && reply.directory_base_revision() == 0 ? 1 : 0;
         double& free_at = followers_[number]->link_free_at_ms;
-        free_at = std::max(free_at, static_cast<double>(now_ms_)) +
+        free_at = std::max(free_at, receiver.processor_free_at_ms) +
                   static_cast<double>(bytes) / settings_.bytes_per_ms;
         later(static_cast<std::int64_t>(free_at) - now_ms_ + settings_.delay_ms,
               [this, number, target, reply] { receive(number, target, reply); });
@@ -493,3 +505,135 @@
     CHECK(base == 0); // held by a follower of the previous leader
     CHECK(reply_since(servers.revision() + 5, 1).directory_base_revision() == 0); // unknown
 }
+
+namespace {
+
+pb::follow_reply not_leading(std::uint64_t sequence, std::string_view hint)
+{
+    pb::follow_reply reply;
+    reply.set_sequence(sequence);
+    reply.set_leader_hint(std::string(hint));
+    return reply;
+}
+
+pb::follow_reply leading(std::uint64_t sequence, const std::vector<std::string>& relays = {})
+{
+    pb::follow_reply reply;
+    reply.set_sequence(sequence);
+    reply.set_is_leader(true);
+    for (const std::string& endpoint : relays) {
+        reply.add_relays()->set_endpoint(endpoint);
+    }
+    return reply;
+}
+
+// Sends the requests that are due until `until_ms`; returns the times of changes of the endpoint.
+std::vector<std::int64_t> run_silently(pooler::follow_plan& plan, std::int64_t from_ms,
+                                       std::int64_t until_ms)
+{
+    std::vector<std::int64_t> changes;
+    for (std::int64_t now = from_ms; now < until_ms; now += 20) {
+        static_cast<void>(plan.next_request(at(now)));
+        if (plan.take_change()) {
+            changes.push_back(now - from_ms);
+        }
+    }
+    return changes;
+}
+
+} // namespace
+
+// Guards against a search that closes and opens a connection every 0.5 s.
+TEST_CASE("follow plan: silent endpoints are changed with backoff, connections are kept")
+{
+    pooler::follow_plan plan("entry-1", "domain-1");
+    plan.set_seeds({"tcp://a", "tcp://b", "tcp://c"});
+    const std::vector<std::int64_t> changes = run_silently(plan, 0, 12'000);
+    REQUIRE(changes.size() >= 4);
+    CHECK(changes.size() <= 6);
+    CHECK(changes[1] <= 540); // the first one as fast as a lease needs it
+    CHECK(changes[2] - changes[1] >= 1'000);
+    CHECK(changes[3] - changes[2] >= 2'000);
+    CHECK(plan.take_unneeded().empty()); // three addresses, three connections
+}
+
+TEST_CASE("follow plan: instances begin at different addresses")
+{
+    std::set<std::string> first;
+    for (int i = 0; i < 30; ++i) {
+        pooler::follow_plan plan("entry-" + std::to_string(i), "domain-1");
+        plan.set_seeds({"tcp://a", "tcp://b", "tcp://c"});
+        first.insert(plan.next_request(at(0))->endpoint);
+    }
+    CHECK(first.size() == 3);
+}
+
+// Guards against instances that return to a frozen leader because the others still name it.
+TEST_CASE("follow plan: a leader that fell silent is not returned to, its successor is found")
+{
+    pooler::follow_plan plan("entry-1", "domain-1");
+    plan.set_seeds({"tcp://a"});
+    const auto first = plan.next_request(at(0));
+    REQUIRE(first);
+    CHECK(plan.receive(leading(first->sequence), "tcp://a", at(5)) == pooler::reply_use::all);
+    plan.set_seeds({"tcp://a", "tcp://b"});
+    plan.set_is_behind(false);
+    std::int64_t successor_found_at = 0;
+    for (std::int64_t now = 20; now < 3'000 && successor_found_at == 0; now += 20) {
+        const auto planned = plan.next_request(at(now));
+        if (!planned || planned->endpoint == "tcp://a") {
+            CHECK((plan.endpoint() != "tcp://a" || now < 540));
+            continue;
+        }
+        if (planned->endpoint == "tcp://c") {
+            successor_found_at = now;
+            continue;
+        }
+        const std::string_view hint = now < 1'000 ? "tcp://a" : "tcp://c";
+        CHECK(plan.receive(not_leading(planned->sequence, hint), planned->endpoint, at(now + 5)) ==
+              pooler::reply_use::none);
+    }
+    CHECK(successor_found_at >= 1'000);
+    CHECK(successor_found_at <= 1'300);
+}
+
+// Guards against followers that go back and forth between the leader and a relay that starts.
+TEST_CASE("follow plan: a relay that does not serve yet is waited for, one that never does is left")
+{
+    pooler::follow_plan plan("entry-1", "domain-1");
+    plan.set_seeds({"tcp://leader"});
+    const auto first = plan.next_request(at(0));
+    REQUIRE(first);
+    CHECK(!first->wants_large_parts); // the reply may name a better endpoint
+    const pb::follow_reply reply = leading(first->sequence, {"tcp://relay"});
+    CHECK(plan.receive(reply, "tcp://leader", at(5)) == pooler::reply_use::all);
+    plan.apply_relays(reply, at(5));
+    CHECK(plan.endpoint() == "tcp://relay");
+    CHECK(plan.take_unneeded().empty()); // the leader's connection is kept until the relay answers
+    std::int64_t left_at = 0;
+    for (std::int64_t now = 20; now < 3'000 && left_at == 0; now += 20) {
+        const auto planned = plan.next_request(at(now));
+        if (planned && planned->endpoint == "tcp://relay") {
+            static_cast<void>(plan.receive(not_leading(planned->sequence, "tcp://leader"),
+                                           "tcp://relay", at(now + 5)));
+        }
+        left_at = plan.endpoint() == "tcp://leader" ? now : 0;
+    }
+    CHECK(left_at >= 1'000);
+    CHECK(left_at <= 1'500);
+}
+
+// Guards against losing a document that took longer than the endpoint was waited for.
+TEST_CASE("follow plan: a late reply counts for its parts, and only once for its confirmation")
+{
+    pooler::follow_plan plan("entry-1", "domain-1");
+    plan.set_seeds({"tcp://a", "tcp://b"});
+    CHECK(run_silently(plan, 0, 600).size() == 2);
+    const std::string current = plan.endpoint();
+    const std::string left = current == "tcp://a" ? "tcp://b" : "tcp://a";
+    CHECK(plan.receive(leading(3), current, at(610)) == pooler::reply_use::all);
+    CHECK(plan.take_unneeded() == std::vector<std::string>{left});
+    CHECK(plan.receive(leading(2), left, at(620)) == pooler::reply_use::parts);
+    CHECK(plan.receive(leading(0), current, at(620)) == pooler::reply_use::none);
+    CHECK(plan.endpoint() == current);
+}
