--- a/src/pooler_home_server.cpp
+++ b/src/pooler_home_server.cpp
@@ -144,8 +144,12 @@
 };
 
 struct home_server::server_queue {
-    explicit server_queue(std::uint32_t slots) : order(slots) {}
+    explicit server_queue(std::uint32_t announced_slots)
+        : order(announced_slots), slots(announced_slots)
+    {
+    }
     admission::queue order;
+    std::uint32_t slots;
 };
 
 home_server::home_server(context& ctx, std::string cell, std::string instance)
@@ -309,7 +313,10 @@
         context_.connections.find_server(work.request.group(), work.request.server());
     const std::uint32_t slots = server ? server->slots : 1;
     server_queue& queue = queues_.try_emplace(work.request.server(), slots).first->second;
-    queue.order.set_announced_slots(slots, now);
+    if (queue.slots != slots) {
+        queue.slots = slots;
+        queue.order.set_announced_slots(slots, now);
+    }
     admission::work item;
     item.id = work.id;
     item.organisation = work.request.organisation();
--- a/tests/pooler_home_path_test.cpp
+++ b/tests/pooler_home_path_test.cpp
@@ -2,6 +2,7 @@
 // server. Guards against effects that happen twice, untrue "not run" answers, and lost connections.
 #include "event_trace.h"
 #include "home_fleet.h"
+#include "primrosehead.pb.h"
 
 #include <doctest/doctest.h>
 
@@ -77,6 +78,25 @@
     return lines;
 }
 
+// The first statement of a transaction, of the fifth start of an origin.
+pb::home_request make_transaction_request()
+{
+    pb::home_request request;
+    request.set_call(1);
+    request.set_incarnation(5);
+    request.set_operation(pb::HOME_STATEMENT);
+    request.set_server("server-1");
+    request.set_group("g");
+    request.set_organisation("org");
+    request.set_remaining_ms(1'000);
+    request.set_transaction(7);
+    request.set_step(1);
+    request.set_statement_id("id1");
+    request.set_statement("PUT a 1");
+    request.set_write(true);
+    return request;
+}
+
 } // namespace
 
 TEST_CASE("home path: a write, reads at the primary and at a replica run at the home")
@@ -333,6 +353,68 @@
     CHECK(fleet.server.connections() == 1);
 }
 
+TEST_CASE("home path: a prepared statement is prepared once on the home's connection")
+{
+    home_fleet fleet;
+    caller session(fleet);
+    pooler::prepared_statement prepared;
+    prepared.shape = "GET ?";
+    prepared.pool_name = pooler::pooled_statement_name(false, prepared.shape);
+    pooler::server_statement statement = make("EXECUTE " + prepared.pool_name + " a");
+    statement.prepared = &prepared;
+    const pooler::operation op = fleet.operation();
+    for (int i = 0; i < 2; ++i) {
+        CHECK(!session.require([&] { return session.run.run_single(op, statement); }).is_error);
+    }
+    const texts& received = fleet.server.received();
+    CHECK(std::count_if(received.begin(), received.end(),
+                        [](const std::string& text) { return text.starts_with("PREPARE"); }) == 1);
+    CHECK(count(received, statement.text) == 2);
+}
+
+TEST_CASE("home path: requests that may not run get a typed refusal and send nothing")
+{
+    home_fleet fleet;
+    pooler::home_server& home = *fleet.node(2).home;
+    std::vector<pb::home_result> results;
+    pb::home_request request = make_transaction_request();
+    const auto submit = [&] {
+        home.submit_local(request,
+                          [&](const pb::home_reply& reply) { results.push_back(reply.result()); });
+        fleet.run(settle_time);
+    };
+    submit(); // begins the transaction
+    REQUIRE(results == std::vector<pb::home_result>{pb::HOME_ANSWERED});
+    const texts expected = fleet.server.received();
+    request.set_call(2);
+    SUBCASE("a repeated step")
+    {
+        request.set_step(1);
+    }
+    SUBCASE("a skipped step")
+    {
+        request.set_step(3);
+    }
+    SUBCASE("an unknown transaction")
+    {
+        request.set_step(2);
+        request.set_transaction(8);
+    }
+    SUBCASE("an earlier start of the origin")
+    {
+        request.set_incarnation(4);
+    }
+    SUBCASE("a malformed message")
+    {
+        request.set_step(2);
+        request.set_statement("PUT b 1\r\nRUN x COMMIT");
+    }
+    submit();
+    CHECK(results == std::vector<pb::home_result>{pb::HOME_ANSWERED, pb::HOME_INVALID});
+    CHECK(fleet.server.received() == expected);
+    CHECK(home.has_work()); // the transaction is not affected
+}
+
 TEST_CASE("home path: without a usable home an instance uses its own connections")
 {
     home_fleet fleet;
