primrosectl config check: checks a published document before it is sent

Operators learned of one mistake per rejected document, and never of entries without effect or limits that contradict each other. Exit status 0 clean, 1 findings, 2 unreadable.

--- a/tools/ctl.cpp
+++ b/tools/ctl.cpp
@@ -1,10 +1,12 @@
 // primrosectl: the command-line tool for operators, described in docs/OPERATIONS.md.
 #include "command_line.h"
 #include "ctl_cell.h"
+#include "ctl_config.h"
 #include "ctl_environments.h"
 #include "ctl_explain.h"
 #include "ctl_keys.h"
 #include "ctl_target.h"
+#include "document_audit.h"
 
 #include <primrosehead/keys.h>
 
@@ -36,6 +38,9 @@
 ABSL_FLAG(std::int64_t, timeout_ms, 10'000,
           "timeout of a request, including retries, in milliseconds");
 ABSL_FLAG(bool, json, false, "print JSON");
+ABSL_FLAG(std::string, in_force, "", "file with the document in force, for config check");
+ABSL_FLAG(std::uint32_t, instances, 1,
+          "pooler instances that share a server's connections, for config check");
 
 namespace {
 
@@ -46,6 +51,7 @@
 constexpr std::string_view usage_text = R"(primrosectl [FLAGS] COMMAND
 
   check FILE                      checks an environment document
+  config check FILE               checks a published document; 1: findings, 2: unreadable
   trial NAME FILE                 stores a document as the trial of the environment
   promote NAME --base-version N   makes trial version N the production document
   diff NAME                       prints what promoting the trial would change
@@ -60,7 +66,8 @@
   keygen                          generates a bus key pair and a session secret
 
 Flags: --config FILE | --cell NAME --control ENDPOINT[,...]; --request-id ID, --base-version N,
---timeout-ms N, --json, --entry ENDPOINT[,...], --decision-log FILE[,...], --log FILE[,...], --help, --version.
+--timeout-ms N, --json, --entry ENDPOINT[,...], --decision-log FILE[,...], --log FILE[,...],
+--in-force FILE, --instances N, --help, --version.
 Exit codes: 0 done, 1 refused, 2 bad usage or settings, 3 outcome unknown.
 )";
 
@@ -148,6 +155,9 @@
     if (command == "check" && command_args.size() == 1) {
         return check_document(command_args[0]);
     }
+    if (command == "config" && command_args.size() == 2 && command_args[0] == "check") {
+        return check_config(command_args[1], platform::read_draft);
+    }
     if (command == "keygen" && command_args.empty()) {
         return keygen();
     }
