--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <limits>
 #include <utility>
 
 namespace primrosehead::testing {
@@ -35,6 +36,8 @@
     bool drops_write_answers = false;
     bool drops_commit_answers = false;
     clock::duration answer_delay{0};
+    std::size_t open = 0;
+    std::size_t open_limit = std::numeric_limits<std::size_t>::max();
     std::uint64_t log_index = 1;
 };
 
@@ -75,6 +78,11 @@
     state_->drops_commit_answers = true;
 }
 
+void line_server::limit_connections(std::size_t limit)
+{
+    state_->open_limit = limit;
+}
+
 void line_server::delay_answers(clock::duration time)
 {
     state_->answer_delay = time;
@@ -95,6 +103,14 @@
 net::awaitable<void> line_server::serve(std::shared_ptr<state> self, tcp::socket socket)
 {
     const line_dialect& dialect = self->dialect;
+    if (self->open >= self->open_limit) {
+        const std::string rejection =
+            fmt::format("{} {} limit\r\n", dialect.failed, dialect.too_many);
+        co_await net::async_write(socket, net::buffer(rejection), no_throw);
+        co_return;
+    }
+    ++self->open;
+    const std::shared_ptr<void> on_close(nullptr, [self](void*) { --self->open; });
     std::string input;
     bool in_transaction = false;
     while (true) {
--- a/tests/line_server.h
+++ b/tests/line_server.h
@@ -38,6 +38,9 @@
     // From now on, records each commit and closes its connection without an answer.
     void drop_commit_answers();
 
+    // From now on, rejects connections beyond `limit` open ones.
+    void limit_connections(std::size_t limit);
+
     // Delays the answers to queries.
     void delay_answers(clock::duration time);
 
--- a/tests/pooler_home_path_test.cpp
+++ b/tests/pooler_home_path_test.cpp
@@ -415,6 +415,46 @@
     CHECK(home.has_work()); // the transaction is not affected
 }
 
+TEST_CASE("home path: a home does not go on opening connections at a full server")
+{
+    home_fleet fleet;
+    fleet.set_peers(fleet.node(1), {2, 3});
+    fleet.server.limit_connections(1); // another instance may hold the others
+    caller first(fleet);
+    first.begin();
+    CHECK(!first.statement("PUT a 1").is_error);
+    caller second(fleet);
+    const line_answer refused = second.single("PUT b 1");
+    CHECK(refused.code == "BUSY");
+    CHECK(refused.text.starts_with("not run: "));
+    CHECK(fleet.server.connections() <= 3); // each opening takes the server a slot
+    CHECK(!first.commit().is_error);
+    CHECK(count(fleet.server.received(), "PUT b 1") == 0);
+}
+
+TEST_CASE("home path: a home without the server is passed over, and all of them mean not run")
+{
+    home_fleet fleet;
+    fleet.set_peers(fleet.node(1), {2, 3});
+    const auto avoid_server = [](home_node& node) {
+        const auto server = node.connections.find_server("g", "server-1");
+        for (int i = 0; i < 4; ++i) { // long enough for the test
+            node.connections.mark_unreachable(*server, false, clock::now());
+        }
+    };
+    caller session(fleet);
+    home_node& best = fleet.best_home();
+    avoid_server(best);
+    CHECK(!session.single("PUT a 1").is_error);
+    CHECK(session.run.last_home() != best.name);
+    avoid_server(fleet.node(2));
+    avoid_server(fleet.node(3));
+    const line_answer refused = session.single("PUT b 1");
+    CHECK(refused.code == "BUSY");
+    CHECK(refused.text.starts_with("not run: "));
+    CHECK(count(fleet.server.received(), "PUT b 1") == 0);
+}
+
 TEST_CASE("home path: without a usable home an instance uses its own connections")
 {
     home_fleet fleet;
