server_pace: smaller trials that end as soon as they are clear

A trial at 2 of 5 slots for a full window cost a nearly full server its backlog, and at 3 slots it skipped the best limit. Trials now halve rounding up, end early, need three quarters of the predicted fall, and are repeated when unclear.

--- a/src/server_pace.cpp
+++ b/src/server_pace.cpp
@@ -24,8 +24,11 @@
 
 constexpr double halving = 0.5;
 // Share of the reduction of the limit by which round trips must fall if load is the cause.
-constexpr double load_caused_share = 0.5;
-constexpr double check_load_caused_share = 0.6; // without an observed slowdown
+constexpr double load_caused_share = 0.75;
+// Between this and the share above, the trial is repeated if the server stays slow.
+constexpr double unclear_share = 0.4;
+constexpr std::uint32_t min_trial_samples = 8;
+constexpr double clear_errors = 2.0; // standard errors that end a trial early
 constexpr clock::duration min_known_bad_time{2'000};
 constexpr clock::duration max_known_bad_time{16'000};
 
@@ -192,7 +195,7 @@
         now - window_.began_at >= max_window && window_.samples >= min_window_samples;
     const bool is_far_slower = !is_trial_ && window_.samples >= min_window_samples &&
                                window_.mean() > min_slowdown + early_errors * error;
-    if (!is_full && !is_over && !is_far_slower) {
+    if (!is_full && !is_over && !is_far_slower && !is_trial_clear(error)) {
         return;
     }
     const double slowdown = window_.mean();
@@ -205,6 +208,18 @@
     window_ = window{.began_at = now};
 }
 
+// Returns whether few samples of a trial show already whether load is the cause: a trial costs half
+// of the slots.
+bool server_pace::is_trial_clear(double error) const
+{
+    if (!is_trial_ || window_.samples < min_trial_samples) {
+        return false;
+    }
+    const double drop = slowdown_before_trial_ - window_.mean();
+    const double expected = std::log(limit_before_trial_ / limit_);
+    return std::abs(drop - load_caused_share * expected) > clear_errors * error;
+}
+
 void server_pace::evaluate_normal(double slowdown, double threshold, clock::time_point now)
 {
     if (slowdown > threshold) {
@@ -237,7 +252,7 @@
     is_trial_ = true;
     limit_before_trial_ = limit_;
     slowdown_before_trial_ = slowdown;
-    limit_ = std::max(1.0, std::floor(limit_ * halving));
+    limit_ = std::max(1.0, std::ceil(std::floor(limit_) * halving));
     limit_changed_at_ = now;
 }
 
@@ -246,20 +261,22 @@
     is_trial_ = false;
     checked_at_ = now;
     const double expected = std::log(limit_before_trial_ / limit_);
-    const double least = is_check_ ? check_load_caused_share : load_caused_share;
-    if (slowdown_before_trial_ - slowdown < least * expected) {
+    const double fallen_share = (slowdown_before_trial_ - slowdown) / expected;
+    if (fallen_share < load_caused_share) {
         limit_ = limit_before_trial_;
         limit_changed_at_ = now;
         check_interval_ = std::min(check_interval_ * 2, max_check_interval);
-        shift_references(slowdown);
+        if (is_check_ || fallen_share < unclear_share) {
+            shift_references(is_check_ ? slowdown : slowdown_before_trial_);
+        }
         return;
     }
     check_interval_ = min_check_interval;
     shift_references(std::min(0.0, slowdown));
     const bool is_repeated = known_bad_limit_ > 0 && limit_before_trial_ >= known_bad_limit_;
     known_bad_limit_ = limit_before_trial_;
-    known_bad_time_ =
-        is_repeated ? std::min(known_bad_time_ * 2, max_known_bad_time) : min_known_bad_time;
+    known_bad_time_ = is_repeated && limit_ > 1 ? std::min(known_bad_time_ * 2, max_known_bad_time)
+                                                : min_known_bad_time;
     known_bad_until_ = now + known_bad_time_;
 }
 
--- a/src/server_pace.h
+++ b/src/server_pace.h
@@ -66,6 +66,7 @@
     void add_round_trip(const sample& ended, clock::time_point now);
     static void learn_reference(reference& known, double log_ms, bool is_light);
     void evaluate_window(clock::time_point now);
+    [[nodiscard]] bool is_trial_clear(double error) const;
     void evaluate_normal(double slowdown, double threshold, clock::time_point now);
     void evaluate_trial(double slowdown, clock::time_point now);
     void begin_trial(double slowdown, clock::time_point now);
