--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -66,10 +66,11 @@
 // Returns the servers that announced themselves, and those that an earlier leader recorded, as long
 // as they may be alive without an announcement reaching this leader. Those of evacuated failure
 // domains are presented as leaving, so that their primaries are replaced.
-std::vector<promotion::member>
-service::members_of(const directory& servers, const pb::group_record* stored,
-                    std::string_view group, const domain_set& evacuated, const region_set& regions,
-                    clock::time_point now)
+std::vector<promotion::member> service::members_of(const directory& servers,
+                                                   const pb::group_record* stored,
+                                                   std::string_view group,
+                                                   const domain_set& evacuated,
+                                                   const region_set& regions, clock::time_point now)
 {
     std::vector<promotion::member> members;
     for (const directory_entry* entry : servers.group(group)) {
@@ -231,7 +232,7 @@
 {
     const bool is_due = now - peers_published_at_ >= peers_interval &&
                         now - peers_checked_at_ >= peers_check_interval;
-    if (!uses_relays_ || now - elected_at_ < peers_complete_after || !(is_due || has_departure_)) {
+    if (!tells_peers() || now - elected_at_ < peers_complete_after || !(is_due || has_departure_)) {
         return;
     }
     has_departure_ = false;
@@ -244,7 +245,7 @@
 void service::add_peers(pb::follow_reply& reply, const pb::follow_request& request,
                         instance_state& sender, clock::time_point now) const
 {
-    if (!uses_relays_ || request.endpoint().empty()) {
+    if (!tells_peers() || request.endpoint().empty()) {
         return;
     }
     if (peers_.needs_complete(request.peers_revision())) {
@@ -545,9 +546,8 @@
     const domain_set evacuated = evacuated_domains(state);
     for (const document_group& group : current->content().groups) {
         const pb::group_record* const stored = state.group(group.name);
-        const std::vector<promotion::member> members =
-            members_of(servers, stored, group.name, evacuated,
-                       current->regions_of_group(group.name), now);
+        const std::vector<promotion::member> members = members_of(
+            servers, stored, group.name, evacuated, current->regions_of_group(group.name), now);
         // A new cell could miss a replica before every live server has announced itself.
         const bool is_known = stored != nullptr && stored->members_size() > 0;
         if (members.empty() || (!is_known && !is_directory_complete(now))) {
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -132,6 +132,11 @@
                        const directory& servers, clock::time_point now);
     void record_peers(const pb::follow_request& request, instance_state& sender);
     [[nodiscard]] peer_list::peer_map live_peers(clock::time_point now) const;
+    // True while instances may need the list of live ones.
+    [[nodiscard]] bool tells_peers() const noexcept
+    {
+        return uses_relays_ || !home_groups_.empty();
+    }
     void update_peers(clock::time_point now);
     void add_peers(pb::follow_reply& reply, const pb::follow_request& request,
                    instance_state& sender, clock::time_point now) const;
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -708,8 +708,8 @@
     if (connections.must_end_transactions(*server, clock::now())) {
         co_return false;
     }
-    const bool may_start = co_await connections.wait_if_cold(
-        *connection_, warm_up_share::home, deadline, is_commit);
+    const bool may_start =
+        co_await connections.wait_if_cold(*connection_, warm_up_share::home, deadline, is_commit);
     if (may_start) {
         connections.record_start(*server);
     }
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -154,8 +154,8 @@
                                                                 clock::time_point deadline,
                                                                 attempt_result& outcome);
 
-    [[nodiscard]] boost::asio::awaitable<bool>
-    start_statement(clock::time_point deadline, bool is_commit);
+    [[nodiscard]] boost::asio::awaitable<bool> start_statement(clock::time_point deadline,
+                                                               bool is_commit);
 
     // Operations that a home runs (pooler_execution_home.cpp).
     [[nodiscard]] bool may_use_home(const operation& op) const;
--- a/src/pooler_execution_home.cpp
+++ b/src/pooler_execution_home.cpp
@@ -136,8 +136,8 @@
 // reaches no instance outside its regions but the one that the caller is connected to.
 std::vector<home_address> execution::allowed_homes(const pooled_server& server, const operation& op)
 {
-    std::vector<home_address> homes = context_.homes->homes_of(server.id, server.failure_domain,
-                                                               op.organisation, clock::now());
+    std::vector<home_address> homes =
+        context_.homes->homes_of(server.id, server.failure_domain, op.organisation, clock::now());
     const region_set regions = op.snapshot->regions_for(*op.route, op.organisation);
     std::erase_if(homes, [&](const home_address& each) {
         return !regions.contains(context_.connections.region_of(each.failure_domain));
@@ -212,8 +212,7 @@
         co_return attempt_result{tries_primary ? next_step::retry : next_step::finish,
                                  make_refusal(error, op)};
     }
-    const std::vector<home_address> homes =
-        allowed_homes(*server, op);
+    const std::vector<home_address> homes = allowed_homes(*server, op);
     const home_call_kind kind = kind_of_single(statement);
     home_ending ending = home_ending::leaving;
     for (std::size_t i = 0; i < homes.size() && i < max_homes_tried && clock::now() < deadline;
@@ -308,8 +307,7 @@
     // A commit that begins its transaction has nothing to lose, so it counts as a first statement.
     const home_call_kind kind = home_call_kind::first_statement;
     const operation& op = transaction_;
-    const std::vector<home_address> homes =
-        allowed_homes(*server, op);
+    const std::vector<home_address> homes = allowed_homes(*server, op);
     home_ending ending = home_ending::leaving;
     for (std::size_t i = 0; i < homes.size() && i < max_homes_tried; ++i) {
         home_transaction_ = home_transaction{context_.homes->weak_from_this(), server, homes[i],
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -217,8 +217,7 @@
 bool pool::is_cold(const group_state& state, pooled_server& server, clock::time_point now)
 {
     const warm_up_facts facts{server.announced_at, server.cold_until,
-                              evacuations_.withdrawn_at(server.failure_domain),
-                              state.warm_up_time};
+                              evacuations_.withdrawn_at(server.failure_domain), state.warm_up_time};
     const bool is_limited = state.warm_up_per_s > 0 && pooler::is_cold(facts, now);
     if (is_limited == server.is_cold) {
         return is_limited;
@@ -632,8 +631,8 @@
     dispatch(state_of(server->group));
 }
 
-net::awaitable<bool> pool::start_at_cold(std::shared_ptr<pooled_server> server,
-                                         warm_up_share share, clock::time_point deadline)
+net::awaitable<bool> pool::start_at_cold(std::shared_ptr<pooled_server> server, warm_up_share share,
+                                         clock::time_point deadline)
 {
     net::steady_timer timer(executor_);
     while (!may_start(state_of(server->group), *server, share, clock::now())) {
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -54,7 +54,7 @@
     const session_values* values = nullptr;
     region_set regions;                        // of servers that may run the operation
     std::vector<std::string> excluded_servers; // already tried
-    std::string pinned_server;  // at a home: the only server that may run it; empty: any
+    std::string pinned_server; // at a home: the only server that may run it; empty: any
     warm_up_share share = warm_up_share::instance;
     clock::time_point deadline; // for obtaining the connection, not for the statement
 };
