--- a/src/pooler_home_table.cpp
+++ b/src/pooler_home_table.cpp
@@ -13,8 +13,8 @@
 
 } // namespace
 
-home_table::home_table(std::string /*own_instance*/,
-                       std::map<std::string, std::string, std::less<>> /*regions*/,
+home_table::home_table(const std::string& /*own_instance*/,
+                       const std::map<std::string, std::string, std::less<>>& /*regions*/,
                        std::uint32_t /*homes_per_server*/)
 {
 }
--- a/src/pooler_home_table.h
+++ b/src/pooler_home_table.h
@@ -25,7 +25,8 @@
 
 class home_table {
   public:
-    home_table(std::string own_instance, std::map<std::string, std::string, std::less<>> regions,
+    home_table(const std::string& own_instance,
+               const std::map<std::string, std::string, std::less<>>& regions,
                std::uint32_t homes_per_server);
 
     void apply_peers(const pb::follow_reply& reply, clock::time_point now);
