--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -26,7 +26,6 @@
     std::string address;
     std::string failure_domain;
     std::uint32_t slots = 1;
-    std::string failure_domain;
     bool is_local = false;
     bool is_leaving = false;
     bool claims_primary = false;
