Warm-up: statements of a transaction use the share of their connection

Later statements of a transaction always used an equal part of the rate, also at the home, which has all of it.

--- a/src/pooler_connection.h
+++ b/src/pooler_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "line_connection.h"
+#include "pooler_warm_up.h"
 
 #include <primrosehead/clock.h>
 
@@ -25,6 +26,7 @@
     std::set<std::string, std::less<>> prepared; // names assigned by the pool
     clock::time_point last_used_at;
     bool holds_start = false; // a request to the cold server was granted with the connection
+    warm_up_share share = warm_up_share::instance; // of the operation that holds the connection
 };
 
 } // namespace primrosehead::pooler
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -495,6 +495,7 @@
         if (queued.assigned->connection && queued.assigned->connection->link->is_usable()) {
             outcome.connection = std::move(queued.assigned->connection);
             outcome.connection->holds_start = queued.assigned->is_cold;
+            outcome.connection->share = request.share;
             co_return outcome;
         }
         const std::shared_ptr<pooled_server> server = queued.assigned->server;
@@ -504,6 +505,7 @@
         outcome.connection = co_await open(server, request, clock::now() + open_timeout);
         if (outcome.connection) {
             outcome.connection->holds_start = queued.assigned->is_cold;
+            outcome.connection->share = request.share;
             co_return outcome;
         }
         dispatch(state);
@@ -529,11 +531,11 @@
     dispatch(state_of(server->group));
 }
 
-net::awaitable<bool> pool::start_at_cold(std::shared_ptr<pooled_server> server,
+net::awaitable<bool> pool::start_at_cold(std::shared_ptr<pooled_server> server, warm_up_share share,
                                          clock::time_point deadline)
 {
     net::steady_timer timer(executor_);
-    while (!may_start(state_of(server->group), *server, warm_up_share::instance, clock::now())) {
+    while (!may_start(state_of(server->group), *server, share, clock::now())) {
         if (clock::now() + cold_retry_interval >= deadline) {
             co_return false;
         }
@@ -551,13 +553,13 @@
 {
     const std::shared_ptr<pooled_server> server = connection.server;
     const bool holds_start = std::exchange(connection.holds_start, false);
+    const warm_up_share share = connection.share;
     const group_state& state = state_of(server->group);
     if (!holds_start && is_cold(state, *server, clock::now())) {
         if (is_commit) {
-            warm_up_.record_unlimited_start(server->id, state.warm_up_per_s,
-                                            warm_up_share::instance, clock::now());
+            warm_up_.record_unlimited_start(server->id, state.warm_up_per_s, share, clock::now());
         }
-        else if (!co_await start_at_cold(server, deadline)) {
+        else if (!co_await start_at_cold(server, share, deadline)) {
             co_return false;
         }
     }
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -186,6 +186,7 @@
     [[nodiscard]] bool may_start(group_state& state, pooled_server& server, warm_up_share share,
                                  clock::time_point now);
     [[nodiscard]] boost::asio::awaitable<bool> start_at_cold(std::shared_ptr<pooled_server> server,
+                                                             warm_up_share share,
                                                              clock::time_point deadline);
     [[nodiscard]] std::optional<choice> choose(group_state& state,
                                                const connection_request& request,
