--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -143,12 +143,14 @@
     request.priority = op.route->priority;
     if (!pinned_) { // the origin has applied the regions
         request.regions = op.snapshot->regions_for(*op.route, op.organisation);
+        request.share = may_use_home(op) ? warm_up_share::beside_home : warm_up_share::instance;
     }
     request.values = &session_.values;
     request.excluded_servers = excluded_servers_;
     request.deadline = std::min(deadline, budget_.deadline(has_reached_server_, clock::now()));
     if (pinned_) {
         request.pinned_server = pinned_->id;
+        request.share = warm_up_share::home;
         request.deadline = std::min(deadline, clock::now() + home_connection_wait);
     }
     return request;
@@ -708,8 +710,7 @@
     if (connections.must_end_transactions(*server, clock::now())) {
         co_return false;
     }
-    const bool may_start =
-        co_await connections.wait_if_cold(*connection_, warm_up_share::home, deadline, is_commit);
+    const bool may_start = co_await connections.wait_if_cold(*connection_, deadline, is_commit);
     if (may_start) {
         connections.record_start(*server);
     }
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -62,7 +62,7 @@
     void begin_leaving() noexcept
     {
         is_leaving_ = true;
-        sends_soon_ = true; // its servers need other homes
+        plan_.hasten(); // its servers need other homes
     }
 
     // Null until a document has been received.
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -594,6 +594,7 @@
         if (queued.assigned->connection && queued.assigned->connection->link->is_usable()) {
             outcome.connection = std::move(queued.assigned->connection);
             outcome.connection->holds_start = queued.assigned->is_cold;
+            outcome.connection->share = request.share;
             co_return outcome;
         }
         if (queued.assigned->connection) {
@@ -602,6 +603,7 @@
         outcome.connection = co_await open(server, request, clock::now() + open_timeout);
         if (outcome.connection && !is_evacuated(*server)) {
             outcome.connection->holds_start = queued.assigned->is_cold;
+            outcome.connection->share = request.share;
             co_return outcome;
         }
         if (outcome.connection) { // evacuated while it was being opened
@@ -648,11 +650,12 @@
     co_return true;
 }
 
-net::awaitable<bool> pool::wait_if_cold(pooled_connection& connection, warm_up_share share,
-                                        clock::time_point deadline, bool is_commit)
+net::awaitable<bool> pool::wait_if_cold(pooled_connection& connection, clock::time_point deadline,
+                                        bool is_commit)
 {
     const std::shared_ptr<pooled_server> server = connection.server;
     const bool holds_start = std::exchange(connection.holds_start, false);
+    const warm_up_share share = connection.share;
     const group_state& state = state_of(server->group);
     if (holds_start || !is_cold(state, *server, clock::now())) {
         co_return true;
@@ -671,7 +674,7 @@
     if (must_end_transactions(*server, clock::now())) {
         co_return false;
     }
-    if (!co_await wait_if_cold(connection, warm_up_share::instance, deadline, is_commit)) {
+    if (!co_await wait_if_cold(connection, deadline, is_commit)) {
         co_return false;
     }
     if (server->running < server->running_limit(clock::now())) {
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -170,10 +170,8 @@
 
     // Waits until a cold server may get another request; at once if the server is warm. Returns
     // false if the deadline passes first.
-    [[nodiscard]] boost::asio::awaitable<bool> wait_if_cold(pooled_connection& connection,
-                                                            warm_up_share share,
-                                                            clock::time_point deadline,
-                                                            bool is_commit);
+    [[nodiscard]] boost::asio::awaitable<bool>
+    wait_if_cold(pooled_connection& connection, clock::time_point deadline, bool is_commit);
     void record_finish(pooled_server& server, double latency_ms, clock::time_point now);
 
     // Records a server as unreachable and closes its idle connections.
