--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -1,3 +1,4 @@
+#include "deployment_settings.h"
 #include "pooler_freshness.h"
 #include "pooler_limits.h"
 #include "pooler_placement.h"
@@ -249,6 +250,21 @@
     CHECK(server.running_limit(at(4'000)) == 1);
 }
 
+// Guards against the setting being rejected, ignored, or on by default.
+TEST_CASE("pooler settings: the learned concurrency is off unless it is enabled")
+{
+    const std::string required =
+        R"({"instance":"e1","failure_domain":"d1","host":"127.0.0.1","bus_port":7000,"control":["127.0.0.1:7001"],
+            "listen":"127.0.0.1:7002","readiness_listen":"127.0.0.1:7003")";
+    const auto without = parse_pooler_settings(required + "}");
+    const auto with = parse_pooler_settings(required + R"(,"learned_concurrency":true})");
+    REQUIRE(ok(without));
+    REQUIRE(ok(with));
+    CHECK(!value(without).learns_concurrency);
+    CHECK(value(with).learns_concurrency);
+    CHECK(!ok(parse_pooler_settings(required + R"(,"learned_concurrency":1})")));
+}
+
 TEST_CASE("pooler server: the avoidance time grows with failures and a success resets it")
 {
     pooled_server server;
