--- a/tests/home_fleet.cpp
+++ b/tests/home_fleet.cpp
@@ -171,6 +171,10 @@
     reply.set_directory_complete(true);
     reply.set_live_instances(2);
     reply.add_relays()->set_endpoint("tcp://127.0.0.1:1");
+    // Homes are used while control reports positions. This group's are not those of the tests.
+    pb::group_position& position = *reply.add_positions();
+    position.set_group("other");
+    position.set_server("other-1");
     pb::server_announcement& server_record = *reply.add_servers();
     server_record.set_server("server-1");
     server_record.set_group("g");
--- a/tests/pooler_home_test.cpp
+++ b/tests/pooler_home_test.cpp
@@ -154,10 +154,10 @@
     CHECK(!calls.finish(1, "entry-2")); // a repeated reply
 }
 
-TEST_CASE("home limits: homes are used by large fleets with relays only")
+TEST_CASE("home limits: homes are used by large fleets that get positions from control only")
 {
     CHECK(uses_homes(61, 75, 2, true));
-    CHECK(!uses_homes(61, 75, 2, false)); // no relay observes the primaries
+    CHECK(!uses_homes(61, 75, 2, false)); // nobody reports the primaries' positions
     CHECK(!uses_homes(61, 75, 0, true));  // off
     CHECK(!uses_homes(61, 30, 2, true));
     CHECK(!uses_homes(0, 75, 2, true)); // no limit is known
