--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -381,6 +381,49 @@
     CHECK(begins("south"));
 }
 
+// Guards against instances whose groups have homes, and which therefore can't observe the
+// primaries, reading at the primaries for lack of positions; and against positions that look newer
+// than they are.
+TEST_CASE("cell service: positions of the primaries are told to groups with homes, with their age")
+{
+    document_content content;
+    content.version = 1;
+    document_group group;
+    group.name = "kura";
+    group.connection_limit = 1;
+    content.groups.push_back(group);
+    const auto current = document::make(content);
+    REQUIRE(ok(current));
+    const auto positions = [&](double connections_per_instance, bool is_relay) {
+        const state_machine state(cell_name("main"));
+        cell::directory servers;
+        servers.apply(announcement("p", 1), at(0));
+        cell::service_settings settings;
+        settings.home_connections_per_instance = connections_per_instance;
+        cell::service leader(settings, 4, at(0));
+        static_cast<void>(leader.follow(follow_request_from("entry-1", 1), state, servers, at(0)));
+        for (std::int64_t now = 0; now <= 3'000; now += 100) {
+            static_cast<void>(
+                leader.follow(follow_request_from("entry-1", 2 + static_cast<std::uint64_t>(now)),
+                              state, servers, at(now)));
+            static_cast<void>(leader.advance(value(current).get(), state, servers, at(now)));
+        }
+        promotion::planner* const planner = leader.find_planner("kura");
+        REQUIRE(planner != nullptr);
+        planner->on_primary("p", {1, 10}, at(2'900), at(2'950));
+        pb::follow_request request = follow_request_from("entry-2", 1);
+        request.set_is_relay(is_relay);
+        return leader.follow(request, state, servers, at(3'000)).positions();
+    };
+    CHECK(positions(0, false).empty());
+    CHECK(positions(2, true).empty()); // relays observe the primaries themselves
+    const auto told = positions(2, false);
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].server() == "p");
+    CHECK(told[0].index() == 10);
+    CHECK(told[0].age_ms() == 100);
+}
+
 TEST_CASE("state: the highest published version is in force in any order of arrival")
 {
     state_machine state(cell_name("main"));
