--- a/src/cell_relay.cpp
+++ b/src/cell_relay.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace primrosehead::cell {
 
@@ -14,7 +15,8 @@
 // A withdrawn key is refused within the lease, which every hop of a confirmation shortens.
 constexpr clock::duration follow_interval{200};
 // Until the leader asks for relays, it only needs to know that this instance could be one.
-constexpr clock::duration idle_follow_interval{1'000};
+// Followers that the leader sends here find it serving after at most this time.
+constexpr clock::duration idle_follow_interval{400};
 constexpr clock::duration share_report_interval{400};
 constexpr clock::duration follower_timeout{1'000}; // several follow requests
 // A round trip to the leader and back takes a few milliseconds, within the time that a follower
@@ -26,6 +28,13 @@
 constexpr clock::duration isolated_after =
     confirmation_timeout + timely_round_trip + clock::duration(50);
 constexpr clock::duration max_position_age{5'000};
+// A change of the followers is reported at most this often, and again while it is unconfirmed.
+constexpr clock::duration peers_report_interval{500};
+constexpr clock::duration peer_timeout{1'500};
+// The whole list of a large fleet takes a noticeable part of a link's capacity for this long.
+constexpr clock::duration peers_resend_interval{1'000};
+// The leader forgets what it was told by a relay that it does not hear from.
+constexpr clock::duration peers_report_lifetime{1'000};
 // Leaves room for relays that join or leave while their parts are in use.
 constexpr double tolerance_fraction = 0.7;
 
@@ -50,7 +59,7 @@
 } // namespace
 
 relay::relay(relay_settings settings, std::uint64_t incarnation)
-    : settings_(std::move(settings)), incarnation_(incarnation)
+    : settings_(std::move(settings)), incarnation_(incarnation), request_pacer_(settings_.instance)
 {
 }
 
@@ -62,15 +71,57 @@
         }));
 }
 
-void relay::add_document(pb::follow_reply& reply, const pb::follow_request& request,
-                         const pb::published_record* stored) const
+// Returns false if the document has to be sent later.
+bool relay::add_document(pb::follow_reply& reply, const pb::follow_request& request,
+                         const pb::published_record* stored, clock::time_point now)
 {
     const pb::published_record* newest = document_ ? &*document_ : nullptr;
     if (stored != nullptr && (newest == nullptr || stored->version() > newest->version())) {
         newest = stored;
     }
-    if (newest != nullptr && newest->version() > request.document_version()) {
-        *reply.mutable_document() = *newest;
+    if (newest == nullptr || newest->version() <= request.document_version()) {
+        return true;
+    }
+    const std::uint32_t wait = reply_pacer_.admit(request.instance(), newest->ByteSizeLong(), now);
+    if (wait > 0) {
+        reply.set_retry_after_ms(wait);
+        return false;
+    }
+    *reply.mutable_document() = *newest;
+    return true;
+}
+
+// Adds at most one large part. The directory of an earlier leader is not passed on.
+void relay::add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
+                            const pb::published_record* stored, clock::time_point now)
+{
+    const bool is_current = directory_.term() == latest_.control_term();
+    reply.set_directory_revision(is_current ? directory_.revision() : 0);
+    reply.set_directory_complete(is_current && directory_.is_complete());
+    if (!request.wants_document() && !request.wants_directory()) {
+        return;
+    }
+    reply_pacer_.release(request.instance());
+    if (request.wants_document() && !add_document(reply, request, stored, now)) {
+        return;
+    }
+    if (!request.wants_directory() || !is_current || directory_.is_held_by(request)) {
+        return;
+    }
+    std::uint64_t base_revision = 0;
+    std::vector<pb::server_announcement> changes = directory_.changes_for(request, base_revision);
+    std::size_t bytes = 0;
+    for (const pb::server_announcement& each : changes) {
+        bytes += each.ByteSizeLong();
+    }
+    const std::uint32_t wait = reply_pacer_.admit(request.instance(), bytes, now);
+    if (wait == 0) {
+        reply.mutable_servers()->Assign(std::make_move_iterator(changes.begin()),
+                                        std::make_move_iterator(changes.end()));
+        reply.set_directory_base_revision(base_revision);
+    }
+    else if (!reply.has_document()) { // otherwise requested once the document has arrived
+        reply.set_retry_after_ms(wait);
     }
 }
 
@@ -90,6 +141,71 @@
     }
 }
 
+// Instances that leave are reported as such: another relay may still count them as live.
+std::vector<relay::reported_peer> relay::live_peers(clock::time_point now) const
+{
+    std::vector<reported_peer> live;
+    for (const auto& [name, follower] : followers_) {
+        const bool is_live = now - follower.seen_at < peer_timeout;
+        if (is_live && (follower.is_leaving || !follower.endpoint.empty())) {
+            live.push_back({name, follower.endpoint, follower.failure_domain, follower.is_leaving});
+        }
+    }
+    return live;
+}
+
+void relay::report_peers(pb::follow_request& request, clock::time_point now)
+{
+    std::vector<reported_peer> live = live_peers(now);
+    const auto departures = [](const std::vector<reported_peer>& peers) {
+        return std::count_if(peers.begin(), peers.end(),
+                             [](const reported_peer& each) { return each.is_leaving; });
+    };
+    const bool is_known = peers_report_term_ == latest_.control_term() && live == reported_peers_;
+    const bool has_departure = departures(live) > departures(reported_peers_);
+    if (!is_enabled_ || is_known ||
+        (!has_departure && now - peers_reported_at_ < peers_report_interval)) {
+        return;
+    }
+    peers_reported_at_ = now;
+    peers_report_sequence_ = request.sequence();
+    peers_report_term_ = 0;
+    request.set_peers_changed(true);
+    for (const reported_peer& each : live) {
+        pb::peer_address& peer = *request.add_peers();
+        peer.set_instance(each.instance);
+        peer.set_endpoint(each.endpoint);
+        peer.set_failure_domain(each.failure_domain);
+        peer.set_gone(each.is_leaving);
+    }
+    reported_peers_ = std::move(live);
+}
+
+void relay::confirm_report(const pb::follow_reply& reply, clock::time_point asked_at)
+{
+    if (asked_at - confirmed_at_ > peers_report_lifetime) {
+        peers_report_term_ = 0;
+    }
+    if (reply.sequence() == peers_report_sequence_) {
+        peers_report_term_ = reply.control_term();
+    }
+}
+
+void relay::add_peers(pb::follow_reply& reply, const pb::follow_request& request,
+                      follower_state& sender, clock::time_point now) const
+{
+    if (request.endpoint().empty()) {
+        return;
+    }
+    if (peers_.needs_complete(request.peers_revision())) {
+        if (now - sender.peers_sent_at < peers_resend_interval) {
+            return;
+        }
+        sender.peers_sent_at = now;
+    }
+    peers_.add_to(reply, request.peers_revision());
+}
+
 pb::follow_reply relay::follow(const pb::follow_request& request,
                                const pb::published_record* stored, clock::time_point now)
 {
@@ -109,22 +225,21 @@
     sender.sequence = request.sequence();
     sender.seen_at = now;
     sender.sightings.assign(request.sightings().begin(), request.sightings().end());
+    sender.endpoint = request.endpoint();
+    sender.failure_domain = request.failure_domain();
+    sender.is_leaving = request.leaving();
     reply.set_document_version(latest_.document_version());
     reply.set_confirmed_age_ms((now - confirmed_at_).count());
-    add_document(reply, request, stored);
-    reply.set_directory_revision(directory_revision_);
-    const bool has_directory = request.control_term() == directory_term_ &&
-                               request.directory_revision() == directory_revision_;
-    if (!has_directory) {
-        reply.mutable_servers()->Add(servers_.begin(), servers_.end());
-        reply.set_directory_complete(is_directory_complete_);
-    }
+    add_large_parts(reply, request, stored, now);
     *reply.mutable_leads() = latest_.leads();
     *reply.mutable_control_endpoints() = latest_.control_endpoints();
     *reply.mutable_relays() = latest_.relays();
+    *reply.mutable_evacuated_domains() = latest_.evacuated_domains();
+    reply.set_evacuation_version(latest_.evacuation_version());
     reply.set_live_instances(latest_.live_instances());
     reply.set_central_ppm(full_share_ppm);
     add_positions(reply, now);
+    add_peers(reply, request, sender, now);
     return reply;
 }
 
@@ -239,20 +354,29 @@
     request.set_incarnation(incarnation_);
     request.set_sequence(++sequence_);
     request.set_asked_at_ms(to_ms(now));
-    request.set_document_version(limits_document_ ? limits_document_->version() : 0);
-    request.set_control_term(directory_term_);
-    request.set_directory_revision(directory_revision_);
+    // The leader's copy counts, so that it is not sent again while the own log is behind.
+    request.set_document_version(std::max(limits_document_ ? limits_document_->version() : 0,
+                                          document_ ? document_->version() : 0));
+    request.set_control_term(directory_.term());
+    request.set_directory_revision(directory_.revision());
     request.set_failure_domain(settings_.failure_domain);
     request.set_answered_sequence(timely_sequence_);
     request.set_is_relay(true);
     request.set_is_relaying(is_enabled_);
     request.set_followers(live_followers(now));
     request.set_endpoint(settings_.endpoint);
+    request.set_peers_revision(peers_.revision());
+    report_peers(request, now);
     if (is_enabled_ && now - shares_sent_at_ >= share_report_interval) {
         shares_sent_at_ = now;
         limits_.report_shares(request, pooler::share_report_scope::all, false, now);
     }
     join_sightings(request, now);
+    if (request_pacer_.is_ready(now)) {
+        request_pacer_.record_request(sequence_, now);
+        request.set_wants_document(true);
+        request.set_wants_directory(true);
+    }
     return request;
 }
 
@@ -293,19 +417,6 @@
     return is_overdue;
 }
 
-void relay::apply_directory(const pb::follow_reply& reply)
-{
-    if (reply.servers_size() == 0) {
-        return;
-    }
-    servers_.assign(reply.servers().begin(), reply.servers().end());
-    is_directory_complete_ = reply.directory_complete();
-    if (is_directory_complete_) { // an incomplete one is requested again
-        directory_term_ = reply.control_term();
-        directory_revision_ = reply.directory_revision();
-    }
-}
-
 void relay::receive(const pb::follow_reply& reply, clock::time_point now)
 {
     const bool is_late = reply.sequence() == 0 || reply.sequence() <= last_reply_sequence_ ||
@@ -327,16 +438,20 @@
     if (!drop_expired_shares(now)) {
         limits_.apply_shares(reply, now);
     }
+    confirm_report(reply, asked_at);
     confirmed_at_ = std::max(confirmed_at_, asked_at);
     is_enabled_ = reply.relays_size() > 0;
     if (reply.has_document()) {
         document_ = reply.document();
     }
-    apply_directory(reply);
+    directory_.apply(reply);
+    static_cast<void>(peers_.apply(reply));
+    request_pacer_.record_answer(reply.sequence(), clock::duration(reply.retry_after_ms()), now);
     latest_ = reply;
     latest_.clear_document();
     latest_.clear_servers();
     latest_.clear_shares();
+    latest_.clear_peers();
     if (has_new_division && limits_document_) {
         set_document(limits_document_, now);
     }
@@ -386,10 +501,12 @@
         return found;
     }
     for (const pb::group_lead& lead : latest_.leads()) {
-        const auto server = std::find_if(servers_.begin(), servers_.end(), [&](const auto& each) {
-            return each.server() == lead.server();
-        });
-        if (server != servers_.end() && !server->gone()) {
+        const pb::server_announcement* const server = directory_.find(lead.server());
+        const bool is_available =
+            server != nullptr && !server->gone() &&
+            std::find(latest_.evacuated_domains().begin(), latest_.evacuated_domains().end(),
+                      server->failure_domain()) == latest_.evacuated_domains().end();
+        if (is_available) {
             found.push_back({lead.group(), lead.server(), server->address()});
         }
     }
--- a/src/cell_relay.h
+++ b/src/cell_relay.h
@@ -7,8 +7,12 @@
 // followers keep getting tokens while a leader is being elected.
 #pragma once
 
+#include "cell_directory_copy.h"
+#include "cell_peer_list.h"
+#include "cell_reply_pacer.h"
 #include "pooler_limit_table.h"
 #include "primrosehead.pb.h"
+#include "request_pacer.h"
 
 #include <primrosehead/bus.h>
 #include <primrosehead/clock.h>
@@ -88,18 +92,35 @@
     void record_position(std::string_view group, std::string_view server, log_position position,
                          clock::time_point requested_at);
 
-    // The primaries whose log positions the followers need; empty while not serving.
+    // The primaries whose log positions the followers need, without those in evacuated failure
+    // domains; empty while not serving.
     [[nodiscard]] std::vector<relay_lead> leads() const;
 
     [[nodiscard]] std::uint32_t live_followers(clock::time_point now) const;
     [[nodiscard]] clock::time_point confirmed_at() const noexcept { return confirmed_at_; }
 
+    // Large replies in flight and those deferred so far.
+    [[nodiscard]] const reply_pacer& large_replies() const noexcept { return reply_pacer_; }
+
   private:
     struct follower_state {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         clock::time_point seen_at;
         std::vector<pb::group_sighting> sightings;
+        std::string endpoint; // empty: it can't be a home
+        std::string failure_domain;
+        bool is_leaving = false;
+        clock::time_point peers_sent_at{}; // the whole list
+    };
+    // A follower as it was reported to the leader.
+    struct reported_peer {
+        std::string instance;
+        std::string endpoint;
+        std::string failure_domain;
+        bool is_leaving = false;
+
+        friend bool operator==(const reported_peer&, const reported_peer&) = default;
     };
     struct token_wait {
         bus_origin origin;
@@ -113,17 +134,25 @@
         clock::time_point requested_at;
     };
 
-    void add_document(pb::follow_reply& reply, const pb::follow_request& request,
-                      const pb::published_record* stored) const;
+    [[nodiscard]] bool add_document(pb::follow_reply& reply, const pb::follow_request& request,
+                                    const pb::published_record* stored, clock::time_point now);
+    void add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
+                         const pb::published_record* stored, clock::time_point now);
     void add_positions(pb::follow_reply& reply, clock::time_point now) const;
-    void apply_directory(const pb::follow_reply& reply);
     [[nodiscard]] bool drop_expired_shares(clock::time_point now);
     [[nodiscard]] pb::token_amount grant(const token_wait& wait, std::uint32_t tokens);
     void join_sightings(pb::follow_request& request, clock::time_point now) const;
+    [[nodiscard]] std::vector<reported_peer> live_peers(clock::time_point now) const;
+    void report_peers(pb::follow_request& request, clock::time_point now);
+    void confirm_report(const pb::follow_reply& reply, clock::time_point asked_at);
+    void add_peers(pb::follow_reply& reply, const pb::follow_request& request,
+                   follower_state& sender, clock::time_point now) const;
 
     relay_settings settings_;
     std::uint64_t incarnation_;
     std::map<std::string, follower_state, std::less<>> followers_;
+    reply_pacer reply_pacer_;
+    request_pacer request_pacer_; // of this relay's own requests to the leader
     pooler::limit_table limits_;
     std::deque<token_wait> token_waits_;
     std::map<std::string, clock::time_point, std::less<>> tokens_requested_at_; // by organisation
@@ -131,15 +160,17 @@
     clock::time_point top_up_requested_at_{};
     std::shared_ptr<const document> limits_document_;
     std::map<std::string, observed_position, std::less<>> positions_; // by group
+    std::vector<reported_peer> reported_peers_;
+    clock::time_point peers_reported_at_{};
+    std::uint64_t peers_report_sequence_ = 0; // of the request that carried the report
+    std::uint64_t peers_report_term_ = 0;     // of the leader that received it; 0: none yet
 
     // From the leader.
     bool is_enabled_ = false;
     pb::follow_reply latest_; // without shares, document and servers
     std::optional<pb::published_record> document_;
-    std::vector<pb::server_announcement> servers_;
-    std::uint64_t directory_term_ = 0;
-    std::uint64_t directory_revision_ = 0;
-    bool is_directory_complete_ = false;
+    directory_copy directory_;
+    peer_list peers_;
     clock::time_point confirmed_at_{};
 
     std::uint64_t sequence_ = 0;
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -1,8 +1,12 @@
 #include "cell_service.h"
 
+#include "pooler_home_limits.h"
 #include "state_records.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
 
 namespace primrosehead::cell {
 
@@ -18,8 +22,18 @@
 
 // Relays stay in use until the fleet has been smaller than half of the size that they are used from
 // for a while, so that a partition does not end their use.
+// Older positions are useless for any staleness bound.
+constexpr clock::duration max_position_age{5'000};
 constexpr clock::duration relay_use_retention{10'000};
 
+// Every reply with a change is sent to the whole fleet; instances that leave are not delayed.
+constexpr clock::duration peers_interval{500};
+constexpr clock::duration peers_check_interval{100};
+// A new leader first hears from all relays, so that its first list does not lack their followers.
+constexpr clock::duration peers_complete_after = live_timeout;
+// The whole list of a large fleet takes a noticeable part of a link's capacity for this long.
+constexpr clock::duration peers_resend_interval{1'000};
+
 constexpr clock::duration membership_record_interval{300};
 // Longer than any network partition: a recorded server that does not announce itself for this long
 // is considered gone.
@@ -43,24 +57,31 @@
 } // namespace
 
 service::service(service_settings settings, std::uint64_t term, clock::time_point elected_at)
-    : settings_(settings), term_(term), elected_at_(elected_at),
-      share_allocator_(elected_at, settings.instance_lease), token_buckets_(elected_at),
+    : settings_(std::move(settings)), term_(term), elected_at_(elected_at),
+      share_allocator_(elected_at, settings_.instance_lease), token_buckets_(elected_at),
       last_large_at_(elected_at)
 {
 }
 
 // Returns the servers that announced themselves, and those that an earlier leader recorded, as long
-// as they may be alive without an announcement reaching this leader.
+// as they may be alive without an announcement reaching this leader. Those of evacuated failure
+// domains are presented as leaving, so that their primaries are replaced.
 std::vector<promotion::member> service::members_of(const directory& servers,
                                                    const pb::group_record* stored,
-                                                   std::string_view group, clock::time_point now)
+                                                   std::string_view group,
+                                                   const domain_set& evacuated,
+                                                   const region_set& regions, clock::time_point now)
 {
     std::vector<promotion::member> members;
     for (const directory_entry* entry : servers.group(group)) {
         unannounced_since_.erase(entry->announcement.server());
         members.push_back({entry->announcement.server(), entry->announcement.address(),
-                           entry->announcement.leaving(), entry->announcement.is_primary(),
-                           entry->announcement.born_ms()});
+                           entry->announcement.leaving() ||
+                               evacuated.contains(entry->announcement.failure_domain()),
+                           entry->announcement.is_primary(), entry->announcement.born_ms()});
+        const auto region = settings_.regions.find(entry->announcement.failure_domain());
+        members.back().is_outside_regions = !regions.contains(
+            region == settings_.regions.end() ? std::string_view() : region->second);
     }
     if (stored == nullptr) {
         return members;
@@ -76,8 +97,11 @@
         const clock::time_point since =
             unannounced_since_.try_emplace(recorded.server(), now).first->second;
         if (now - since < unannounced_retention) {
-            members.push_back({recorded.server(), recorded.address(), false,
-                               recorded.server() == stored->seen_primary(), recorded.born_ms()});
+            // The failure domain of a server that has not announced itself is unknown. While one
+            // is evacuated, it is a candidate for promotion only if there is no other.
+            const bool is_primary = recorded.server() == stored->seen_primary();
+            members.push_back({recorded.server(), recorded.address(),
+                               !evacuated.empty() && !is_primary, is_primary, recorded.born_ms()});
         }
     }
     return members;
@@ -134,13 +158,16 @@
     }
 }
 
-void service::add_relays(pb::follow_reply& reply, clock::time_point now) const
+// Pooler instances learn only of relays that serve already. The relays learn of all: this asks them
+// to serve, and each keeps its part of the limits.
+void service::add_relays(pb::follow_reply& reply, bool is_for_relay, clock::time_point now) const
 {
     if (!uses_relays_) {
         return;
     }
     for (const auto& [name, each] : instances_) {
-        if (each.is_relay && now - each.last_seen_at < live_timeout) {
+        if (each.is_relay && (is_for_relay || each.is_relaying) &&
+            now - each.last_seen_at < live_timeout) {
             pb::relay_address& relay = *reply.add_relays();
             relay.set_endpoint(each.endpoint);
             relay.set_failure_domain(each.failure_domain);
@@ -148,6 +175,116 @@
     }
 }
 
+void service::record_peers(const pb::follow_request& request, instance_state& sender)
+{
+    const bool was_leaving = sender.is_leaving;
+    sender.is_leaving = request.leaving();
+    has_departure_ = has_departure_ || (sender.is_leaving && !was_leaving);
+    if (!request.is_relay() || !request.peers_changed()) {
+        return;
+    }
+    sender.peers.clear();
+    for (const pb::peer_address& peer : request.peers()) {
+        if (is_valid_peer(peer)) {
+            sender.peers.push_back(peer);
+            has_departure_ = has_departure_ || (peer.gone() && peers_.contains(peer.instance()));
+        }
+    }
+}
+
+// A follower that moves from one relay to another is listed by both for a while. Only instances
+// that told their endpoint are listed.
+peer_list::peer_map service::live_peers(clock::time_point now) const
+{
+    peer_list::peer_map live;
+    std::vector<std::string_view> leaving;
+    for (const auto& [name, each] : instances_) {
+        if (now - each.last_seen_at >= live_timeout) {
+            continue;
+        }
+        for (const pb::peer_address& peer : each.peers) {
+            if (peer.gone()) {
+                leaving.push_back(peer.instance());
+            }
+            else {
+                live.insert_or_assign(peer.instance(), peer);
+            }
+        }
+        if (each.is_leaving) {
+            leaving.push_back(name);
+        }
+        else if (!each.is_relay && !each.endpoint.empty()) {
+            pb::peer_address& peer = live[name];
+            peer.set_instance(name);
+            peer.set_endpoint(each.endpoint);
+            peer.set_failure_domain(each.failure_domain);
+        }
+    }
+    for (const std::string_view name : leaving) {
+        if (const auto found = live.find(name); found != live.end()) {
+            live.erase(found);
+        }
+    }
+    return live;
+}
+
+void service::update_peers(clock::time_point now)
+{
+    const bool is_due = now - peers_published_at_ >= peers_interval &&
+                        now - peers_checked_at_ >= peers_check_interval;
+    if (!tells_peers() || now - elected_at_ < peers_complete_after || !(is_due || has_departure_)) {
+        return;
+    }
+    has_departure_ = false;
+    peers_checked_at_ = now;
+    if (peers_.publish(live_peers(now), term_)) {
+        peers_published_at_ = now;
+    }
+}
+
+void service::add_peers(pb::follow_reply& reply, const pb::follow_request& request,
+                        instance_state& sender, clock::time_point now) const
+{
+    if (!tells_peers() || request.endpoint().empty()) {
+        return;
+    }
+    if (peers_.needs_complete(request.peers_revision())) {
+        if (now - sender.peers_sent_at < peers_resend_interval) {
+            return;
+        }
+        sender.peers_sent_at = now;
+    }
+    peers_.add_to(reply, request.peers_revision());
+}
+
+void service::update_home_groups(const document& current, std::uint32_t instances)
+{
+    home_groups_.clear();
+    for (const document_group& group : current.content().groups) {
+        if (pooler::uses_homes(group.connection_limit, instances,
+                               settings_.home_connections_per_instance, true)) {
+            home_groups_.insert(group.name);
+        }
+    }
+}
+
+// Instances that pass operations to homes have no idle connections to observe the primaries with.
+void service::add_positions(pb::follow_reply& reply, clock::time_point now) const
+{
+    for (const auto& [group, planner] : planners_) {
+        const clock::duration age = now - planner.primary_confirmed_at();
+        if (!home_groups_.contains(group) || planner.primary().empty() || age > max_position_age) {
+            continue;
+        }
+        pb::group_position& position = *reply.add_positions();
+        position.set_group(group);
+        position.set_server(planner.primary());
+        position.set_term(planner.primary_position().term);
+        position.set_index(planner.primary_position().index);
+        position.set_age_ms(age.count());
+    }
+}
+
 promotion::planner* service::find_planner(std::string_view group)
 {
     const auto found = planners_.find(group);
@@ -198,6 +335,64 @@
     }
 }
 
+void service::add_directory(pb::follow_reply& reply, const pb::follow_request& request,
+                            const directory& servers, clock::time_point now)
+{
+    const bool is_same_term = request.control_term() == term_;
+    const std::uint64_t held = is_same_term ? request.directory_revision() : 0;
+    if (!request.wants_directory() || held == servers.revision()) {
+        return;
+    }
+    std::uint64_t base_revision = 0;
+    std::vector<pb::server_announcement> changes = servers.changes_since(held, now, base_revision);
+    std::size_t bytes = 0;
+    for (const pb::server_announcement& each : changes) {
+        bytes += each.ByteSizeLong();
+    }
+    if (const std::uint32_t wait = reply_pacer_.admit(request.instance(), bytes, now); wait > 0) {
+        reply.set_retry_after_ms(wait);
+        return;
+    }
+    reply.mutable_servers()->Assign(std::make_move_iterator(changes.begin()),
+                                    std::make_move_iterator(changes.end()));
+    reply.set_directory_base_revision(base_revision);
+}
+
+// Adds at most one large part. Pooler instances get theirs from relays as soon as some serve.
+void service::add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
+                              const state_machine& state, const directory& servers,
+                              clock::time_point now)
+{
+    reply.set_directory_revision(servers.revision());
+    reply.set_directory_complete(is_directory_complete(now));
+    const pb::published_record* const newest = state.published(document_name);
+    if (newest != nullptr) {
+        reply.set_document_version(newest->version());
+    }
+    if (!request.wants_document() && !request.wants_directory()) {
+        return;
+    }
+    reply_pacer_.release(request.instance());
+    if (!request.is_relay() && reply.relays_size() > 0) {
+        reply.set_retry_after_ms(reply_pacer::retry_after_ms(request.instance(), now));
+        return;
+    }
+    if (newest != nullptr && request.wants_document() &&
+        newest->version() > request.document_version()) {
+        const std::uint32_t wait =
+            reply_pacer_.admit(request.instance(), newest->ByteSizeLong(), now);
+        if (wait > 0) {
+            reply.set_retry_after_ms(wait);
+            return;
+        }
+        *reply.mutable_document() = *newest;
+    }
+    add_directory(reply, request, servers, now);
+    if (reply.has_document()) {
+        reply.clear_retry_after_ms(); // the directory is requested once the document has arrived
+    }
+}
+
 pb::follow_reply service::follow(const pb::follow_request& request, const state_machine& state,
                                  const directory& servers, clock::time_point now)
 {
@@ -223,8 +418,10 @@
     sender.last_seen_at = now;
     sender.failure_domain = request.failure_domain();
     sender.is_relay = request.is_relay();
+    sender.is_relaying = request.is_relaying();
     sender.endpoint = request.endpoint();
     sender.followers = request.followers();
+    record_peers(request, sender);
     if (request.is_relaying() && now - elected_at_ < relay_use_retention) {
         uses_relays_ = true; // as the previous leader decided
     }
@@ -247,19 +444,8 @@
                                                           report.demand_per_s(), now)
                                 : report.share_ppm());
     }
-    if (const pb::published_record* const newest = state.published(document_name)) {
-        reply.set_document_version(newest->version());
-        if (newest->version() > request.document_version()) {
-            *reply.mutable_document() = *newest;
-        }
-    }
-    reply.set_directory_revision(servers.revision());
-    if (request.control_term() != term_ || request.directory_revision() != servers.revision()) {
-        for (pb::server_announcement& server : servers.servers(now)) {
-            *reply.add_servers() = std::move(server);
-        }
-        reply.set_directory_complete(is_directory_complete(now));
-    }
+    add_relays(reply, request.is_relay(), now);
+    add_large_parts(reply, request, state, servers, now);
     for (const auto& [group, planner] : planners_) {
         if (!planner.primary().empty()) {
             pb::group_lead& lead = *reply.add_leads();
@@ -268,9 +454,16 @@
             lead.set_generation(decision_record_of(state, group).number);
         }
     }
+    for (const std::string& domain : evacuated_domains(state)) {
+        reply.add_evacuated_domains(domain);
+    }
+    reply.set_evacuation_version(evacuation_version(state));
     reply.set_live_instances(live_instances(now));
     reply.set_central_ppm(central_ppm_);
-    add_relays(reply, now);
+    add_peers(reply, request, sender, now);
+    if (!request.is_relay()) {
+        add_positions(reply, now);
+    }
     return reply;
 }
 
@@ -340,6 +533,7 @@
     std::vector<group_action> actions;
     share_allocator_.expire(now);
     update_relay_use(now);
+    update_peers(now);
     std::erase_if(instances_, [&](const auto& item) {
         return now - item.second.last_seen_at > settings_.instance_lease;
     });
@@ -348,9 +542,12 @@
     }
     update_central_limits(*current, now);
     const std::uint32_t instances = live_instances(now);
+    update_home_groups(*current, instances);
+    const domain_set evacuated = evacuated_domains(state);
     for (const document_group& group : current->content().groups) {
         const pb::group_record* const stored = state.group(group.name);
-        const std::vector<promotion::member> members = members_of(servers, stored, group.name, now);
+        const std::vector<promotion::member> members = members_of(
+            servers, stored, group.name, evacuated, current->regions_of_group(group.name), now);
         // A new cell could miss a replica before every live server has announced itself.
         const bool is_known = stored != nullptr && stored->members_size() > 0;
         if (members.empty() || (!is_known && !is_directory_complete(now))) {
--- a/src/pooler_metrics.cpp
+++ b/src/pooler_metrics.cpp
@@ -34,7 +34,25 @@
 }
 
 instance_metrics::instance_metrics()
-    : retries_(registry_.counter("primrose_retries_total", "Retries of statements.")),
+    : home_late_replies_(
+          registry_.counter("primrose_home_late_replies_total",
+                            "Replies of homes to calls that had ended or were never made.")),
+      home_answered_(registry_.counter("primrose_home_operations_total",
+                                       "Operations run as a server's home, by result.",
+                                       R"(result="answered")")),
+      home_not_answered_(registry_.counter("primrose_home_operations_total",
+                                           "Operations run as a server's home, by result.",
+                                           R"(result="not_answered")")),
+      home_invalid_(registry_.counter("primrose_home_refusals_total",
+                                      "Requests of origins refused on arrival, by reason.",
+                                      R"(reason="invalid")")),
+      home_declined_(registry_.counter("primrose_home_refusals_total",
+                                       "Requests of origins refused on arrival, by reason.",
+                                       R"(reason="declined")")),
+      home_duplicates_(registry_.counter("primrose_home_refusals_total",
+                                         "Requests of origins refused on arrival, by reason.",
+                                         R"(reason="duplicate")")),
+      retries_(registry_.counter("primrose_retries_total", "Retries of statements.")),
       granted_(
           registry_.counter("primrose_borrowed_tokens_total",
                             "Operations that requested a token from the control leader, by result.",
@@ -50,6 +68,8 @@
                                         "Age of the last confirmation by the leader.")),
       connections_(registry_.gauge("primrose_server_connections", "Open connections to servers.")),
       waiting_(registry_.gauge("primrose_waiting", "Operations waiting for a connection.")),
+      evacuated_domains_(registry_.gauge("primrose_evacuated_domains",
+                                         "Failure domains whose servers are not used.")),
       opened_(registry_.gauge("primrose_connections_opened_total", "Connections opened.")),
       open_failures_(registry_.gauge("primrose_connection_failures_total",
                                      "Connections that failed to open.")),
@@ -77,6 +97,11 @@
             registry_.latency("primrose_statement_ms", "Duration of a statement in milliseconds.",
                               fmt::format(R"(outcome="{}")", to_string(outcome)));
     }
+    for (std::size_t ending = 0; ending < home_ending_count; ++ending) {
+        home_calls_.at(ending) = registry_.counter(
+            "primrose_home_calls_total", "Operations passed to homes, by how the call ended.",
+            fmt::format(R"(ending="{}")", to_string(static_cast<home_ending>(ending))));
+    }
     for (std::size_t phase = 0; phase < phase_count; ++phase) {
         phases_.at(phase) = registry_.latency("primrose_phase_ms",
                                               "Duration of a statement's phases in milliseconds.",
@@ -113,6 +138,7 @@
     registry_.set(confirmed_ms_ago_, confirmed_ms_ago);
     registry_.set(connections_, pool.open);
     registry_.set(waiting_, pool.waiting);
+    registry_.set(evacuated_domains_, pool.evacuated_domains);
     registry_.set(opened_, static_cast<std::int64_t>(pool.opened));
     registry_.set(open_failures_, static_cast<std::int64_t>(pool.open_failures));
     registry_.set(reused_, static_cast<std::int64_t>(pool.reused));
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -2,14 +2,18 @@
 
 #include "clock_timer.h"
 #include "event_log.h"
+#include "pooler_home_limits.h"
 #include "pooler_placement.h"
 #include "primrosehead.pb.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
+#include <limits>
+#include <set>
 #include <utility>
 
 namespace primrosehead::pooler {
@@ -26,8 +30,12 @@
 constexpr clock::duration surplus_idle_timeout{400};
 // Idle timeout of connections within the fair share.
 constexpr clock::duration idle_timeout{8'000};
+// A home keeps its connections for this time after the last operation that an origin passed to it.
+constexpr clock::duration home_idle_time{8'000};
 // Connections left free at each server for the current and the previous control leader.
 constexpr std::uint32_t reserved_control_connections = 2;
+// Interval at which a statement of a transaction asks for a start at a cold server.
+constexpr clock::duration cold_retry_interval{25};
 
 } // namespace
 
@@ -51,7 +59,7 @@
 pool::pool(net::any_io_executor executor, const line_dialect& dialect, event_log& events,
            std::string failure_domain)
     : executor_(std::move(executor)), dialect_(dialect), events_(events),
-      failure_domain_(std::move(failure_domain))
+      failure_domain_(std::move(failure_domain)), warm_up_(events.process())
 {
 }
 
@@ -98,20 +106,24 @@
 {
     std::vector<primary_tracker::known_server> known;
     for (const auto& [id, server] : state.servers) {
-        known.push_back({id, server->claims_primary});
+        if (!is_evacuated(*server)) {
+            known.push_back({id, server->claims_primary});
+        }
     }
     state.primary.set_servers(std::move(known));
 }
 
 void pool::set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
-                       clock::time_point /*now*/)
+                       clock::time_point now)
 {
-    std::map<std::string, bool, std::less<>> listed;
+    std::set<std::string_view> listed;
+    std::set<std::string_view> gone;
     for (const pb::server_announcement& announcement : servers) {
         if (announcement.gone()) {
+            gone.insert(announcement.server());
             continue;
         }
-        listed.emplace(announcement.server(), true);
+        listed.insert(announcement.server());
         std::shared_ptr<pooled_server>& server =
             state_of(announcement.group()).servers[announcement.server()];
         const bool is_restarted = server && server->born_ms != announcement.born_ms();
@@ -127,19 +139,32 @@
             server->born_ms = announcement.born_ms();
         }
         server->slots = std::max(1U, announcement.slots());
+        server->failure_domain = announcement.failure_domain();
+        if (learns_concurrency_ && !server->pace) {
+            server->pace.emplace(server->slots);
+        }
+        if (server->pace) {
+            server->pace->set_announced_slots(server->slots, now);
+        }
         server->is_local = announcement.failure_domain() == failure_domain_;
+        if (server->announced_at == clock::time_point{} ||
+            server->sequence != announcement.sequence()) {
+            // A repeated announcement may understate its age.
+            server->sequence = announcement.sequence();
+            server->announced_at = now - clock::duration(announcement.age_ms());
+            server->cold_until =
+                server->announced_at + clock::duration(announcement.warm_up_left_ms());
+        }
         server->is_leaving = announcement.leaving();
         server->claims_primary = announcement.is_primary();
+        if (is_evacuated(*server)) {
+            close_idle(*server); // its failure domain has changed
+        }
     }
     for (auto& [name, state] : groups_) {
         std::erase_if(state.servers, [&](auto& item) {
             const bool was_listed = listed.contains(item.first);
-            const bool is_removed =
-                !was_listed &&
-                (is_complete ||
-                 std::any_of(servers.begin(), servers.end(), [&](const auto& announcement) {
-                     return announcement.gone() && announcement.server() == item.first;
-                 }));
+            const bool is_removed = !was_listed && (is_complete || gone.contains(item.first));
             if (is_removed) {
                 item.second->is_removed = true;
                 close_idle(*item.second);
@@ -151,6 +176,84 @@
     }
 }
 
+void pool::set_evacuations(std::span<const std::string> domains, std::uint64_t version,
+                           clock::time_point now)
+{
+    if (!evacuations_.apply(domains, version, now)) {
+        return;
+    }
+    events_.decision("evacuation", "in_force")
+        .field("domains", fmt::format("{}", fmt::join(domains, " ")))
+        .field("version", static_cast<std::int64_t>(version));
+    for (auto& [name, state] : groups_) {
+        for (auto& [id, server] : state.servers) {
+            if (is_evacuated(*server)) {
+                close_idle(*server);
+            }
+        }
+        update_primary_candidates(state);
+        dispatch(state);
+    }
+}
+
+void pool::set_regions(std::map<std::string, std::string, std::less<>> regions)
+{
+    regions_ = std::move(regions);
+}
+
+std::string_view pool::region_of(std::string_view failure_domain) const
+{
+    const auto found = regions_.find(failure_domain);
+    return found == regions_.end() ? std::string_view() : std::string_view(found->second);
+}
+
+void pool::set_warm_up(std::string_view name, double per_s, clock::duration time)
+{
+    group_state& state = state_of(name);
+    state.warm_up_per_s = per_s;
+    state.warm_up_time = time;
+}
+
+bool pool::is_cold(const group_state& state, pooled_server& server, clock::time_point now)
+{
+    const warm_up_facts facts{server.announced_at, server.cold_until,
+                              evacuations_.withdrawn_at(server.failure_domain), state.warm_up_time};
+    const bool is_limited = state.warm_up_per_s > 0 && pooler::is_cold(facts, now);
+    if (is_limited == server.is_cold) {
+        return is_limited;
+    }
+    server.is_cold = is_limited;
+    if (!is_limited) {
+        warm_up_.record_warm(server.id);
+    }
+    events_.decision("pool", is_limited ? "server_cold" : "server_warm")
+        .field("server", server.id)
+        .field("group", server.group)
+        .field("left_ms", (server.cold_until - now).count())
+        .field("per_s", static_cast<std::int64_t>(state.warm_up_per_s));
+    return is_limited;
+}
+
+bool pool::may_start(group_state& state, pooled_server& server, warm_up_share share,
+                     clock::time_point now)
+{
+    if (!is_cold(state, server, now)) {
+        return true;
+    }
+    const bool may = warm_up_.may_start(server.id, state.warm_up_per_s, share, now);
+    state.waits_for_cold = state.waits_for_cold || !may;
+    return may;
+}
+
+void pool::retry_cold(clock::time_point /*now*/)
+{
+    for (auto& [name, state] : groups_) {
+        if (std::exchange(state.waits_for_cold, false) && !state.queue.empty()) {
+            dispatch(state);
+        }
+    }
+}
+
 void pool::set_limits(std::string_view name, std::uint32_t connection_limit,
                       std::uint32_t instances)
 {
@@ -168,32 +271,65 @@
     return now < server.saturated_until ? std::min(limit, server.saturated_limit) : limit;
 }
 
-std::vector<std::shared_ptr<pooled_server>> pool::candidates(const group_state& state,
+// No candidate without an error: the request waits for a server that is cold.
+std::vector<std::shared_ptr<pooled_server>> pool::candidates(group_state& state,
                                                              const connection_request& request,
                                                              clock::time_point now,
-                                                             acquire_error& error) const
+                                                             acquire_error& error)
 {
     std::vector<std::shared_ptr<pooled_server>> found;
+    if (!request.pinned_server.empty()) {
+        const auto pinned = state.servers.find(request.pinned_server);
+        if (pinned == state.servers.end() || pinned->second->is_avoided(now) ||
+            is_evacuated(*pinned->second)) {
+            error = acquire_error::no_server;
+        }
+        else if (may_start(state, *pinned->second, warm_up_share::home, now)) {
+            found.push_back(pinned->second);
+        }
+        return found;
+    }
     if (request.role == required_role::primary) {
         const std::string primary_id = state.primary.likely_primary(now);
         const auto known = state.servers.find(primary_id);
-        if (known == state.servers.end() || known->second->is_avoided(now)) {
+        if (known == state.servers.end() || known->second->is_avoided(now) ||
+            is_evacuated(*known->second)) {
             error = acquire_error::no_primary;
             return found;
         }
-        found.push_back(known->second);
+        if (!request.regions.contains(region_of(known->second->failure_domain))) {
+            error = acquire_error::outside_regions;
+            return found;
+        }
+        if (may_start(state, *known->second, request.share, now)) {
+            found.push_back(known->second);
+        }
         return found;
     }
+    bool is_any_inside = state.servers.empty();
+    bool waits_for_cold = false;
     for (const auto& [id, server] : state.servers) {
+        if (!request.regions.contains(region_of(server->failure_domain))) {
+            continue;
+        }
+        is_any_inside = true;
         const bool was_tried =
             std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
             request.excluded_servers.end();
         if (!was_tried && !server->is_avoided(now) && !server->is_lagging(now) &&
-            !server->is_leaving) {
-            found.push_back(server);
+            !server->is_leaving && !is_evacuated(*server)) {
+            if (may_start(state, *server, request.share, now)) {
+                found.push_back(server);
+            }
+            else {
+                waits_for_cold = true;
+            }
         }
     }
-    if (found.empty()) {
+    if (!is_any_inside) {
+        error = acquire_error::outside_regions;
+    }
+    else if (found.empty() && !waits_for_cold) {
         error = acquire_error::no_server;
     }
     return found;
@@ -237,6 +373,75 @@
     }
 }
 
+placement_server pool::describe(const group_state& state, const pooled_server& server,
+                                const connection_request& request, clock::time_point now) const
+{
+    placement_server candidate;
+    candidate.is_local = server.is_local;
+    candidate.slots = server.slots;
+    candidate.open = server.open;
+    candidate.limit = open_limit(state, server, now);
+    candidate.running = server.running;
+    candidate.running_limit = server.running_limit(now);
+    candidate.latency_ms = server.expected_latency_ms(now);
+    candidate.may_open = server.may_open(now);
+    if (!request.pinned_server.empty()) {
+        // The home's queue has decided that the statement may run.
+        const std::uint32_t limit = home_connection_limit(state.connection_limit);
+        candidate.limit =
+            now < server.saturated_until ? std::min(limit, server.saturated_limit) : limit;
+        candidate.running_limit = std::numeric_limits<std::uint32_t>::max();
+        candidate.may_open = true;
+    }
+    for (const std::unique_ptr<pooled_connection>& each : server.idle) {
+        if (each->organisation != request.organisation) {
+            ++candidate.idle_other_organisation;
+        }
+        else if (request.values != nullptr && each->values == *request.values) {
+            ++candidate.idle_matching;
+        }
+        else {
+            ++candidate.idle_needs_setup;
+        }
+    }
+    return candidate;
+}
+
+std::shared_ptr<pooled_server> pool::choose_server(const connection_request& request,
+                                                   clock::time_point now, acquire_error& error)
+{
+    group_state& state = state_of(request.group);
+    connection_request passed = request;
+    passed.share = warm_up_share::home; // the home limits requests to a cold server
+    const std::vector<std::shared_ptr<pooled_server>> servers =
+        candidates(state, passed, now, error);
+    const std::string primary_id =
+        request.role == required_role::any ? state.primary.likely_primary(now) : "";
+    std::vector<placement_server> placement_servers;
+    placement_servers.reserve(servers.size());
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        placement_server candidate = describe(state, *servers[i], request, now);
+        candidate.index = i;
+        candidate.avoid_as_primary = servers[i]->id == primary_id;
+        // The home has the connections and limits what runs.
+        candidate.idle_matching = 1;
+        candidate.running_limit = std::numeric_limits<std::uint32_t>::max();
+        placement_servers.push_back(candidate);
+    }
+    const std::optional<placement> best = choose_placement(placement_servers);
+    return best ? servers[best->index] : nullptr;
+}
+
+std::shared_ptr<pooled_server> pool::find_server(std::string_view group, std::string_view id) const
+{
+    const auto state = groups_.find(group);
+    if (state == groups_.end()) {
+        return nullptr;
+    }
+    const auto found = state->second.servers.find(id);
+    return found == state->second.servers.end() ? nullptr : found->second;
+}
+
 std::optional<pool::choice> pool::choose(group_state& state, const connection_request& request,
                                          clock::time_point now, acquire_error& error)
 {
@@ -247,29 +452,9 @@
     const std::string primary_id =
         request.role == required_role::any ? state.primary.likely_primary(now) : "";
     for (std::size_t i = 0; i < servers.size(); ++i) {
-        const pooled_server& server = *servers[i];
-        placement_server candidate;
+        placement_server candidate = describe(state, *servers[i], request, now);
         candidate.index = i;
-        candidate.is_local = server.is_local;
-        candidate.avoid_as_primary = server.id == primary_id;
-        candidate.slots = server.slots;
-        candidate.open = server.open;
-        candidate.limit = open_limit(state, server, now);
-        candidate.running = server.running;
-        candidate.running_limit = server.running_limit(now);
-        candidate.latency_ms = server.expected_latency_ms(now);
-        candidate.may_open = server.may_open(now);
-        for (const std::unique_ptr<pooled_connection>& each : server.idle) {
-            if (each->organisation != request.organisation) {
-                ++candidate.idle_other_organisation;
-            }
-            else if (request.values != nullptr && each->values == *request.values) {
-                ++candidate.idle_matching;
-            }
-            else {
-                ++candidate.idle_needs_setup;
-            }
-        }
+        candidate.avoid_as_primary = servers[i]->id == primary_id;
         placement_servers.push_back(candidate);
     }
     const std::optional<placement> best = choose_placement(placement_servers);
@@ -278,6 +463,10 @@
     }
     choice result;
     result.server = servers[best->index];
+    result.is_cold = is_cold(state, *result.server, now);
+    if (result.is_cold) {
+        warm_up_.record_start(result.server->id, now);
+    }
     if (best->choice == connection_choice::matching ||
         best->choice == connection_choice::needs_setup) {
         result.connection = take_idle(*result.server, request);
@@ -377,6 +566,12 @@
 {
     group_state& state = state_of(request.group);
     acquire_result outcome;
+    if (!request.pinned_server.empty()) {
+        const auto pinned = state.servers.find(request.pinned_server);
+        if (pinned != state.servers.end()) {
+            pinned->second->home_until = clock::now() + home_idle_time;
+        }
+    }
     while (true) {
         queued_request queued(executor_, request);
         enqueue(state, queued);
@@ -390,18 +585,30 @@
                 queued.error == acquire_error::none ? acquire_error::saturated : queued.error;
             co_return outcome;
         }
+        const std::shared_ptr<pooled_server> server = queued.assigned->server;
+        if (is_evacuated(*server)) { // since it was assigned
+            queued.assigned->connection.reset();
+            --server->open;
+            continue;
+        }
         if (queued.assigned->connection && queued.assigned->connection->link->is_usable()) {
             outcome.connection = std::move(queued.assigned->connection);
+            outcome.connection->holds_start = queued.assigned->is_cold;
+            outcome.connection->share = request.share;
             co_return outcome;
         }
-        const std::shared_ptr<pooled_server> server = queued.assigned->server;
         if (queued.assigned->connection) {
             queued.assigned->connection.reset(); // closed by the server; a new one replaces it
         }
         outcome.connection = co_await open(server, request, clock::now() + open_timeout);
-        if (outcome.connection) {
+        if (outcome.connection && !is_evacuated(*server)) {
+            outcome.connection->holds_start = queued.assigned->is_cold;
+            outcome.connection->share = request.share;
             co_return outcome;
         }
+        if (outcome.connection) { // evacuated while it was being opened
+            release(std::move(outcome.connection), false);
+        }
         dispatch(state);
         if (clock::now() >= request.deadline) {
             outcome.error = acquire_error::saturated;
@@ -413,7 +620,8 @@
 void pool::release(std::unique_ptr<pooled_connection> connection, bool is_clean)
 {
     const std::shared_ptr<pooled_server> server = connection->server;
-    const bool is_kept = is_clean && !server->is_removed && !server->is_leaving;
+    const bool is_kept =
+        is_clean && !server->is_removed && !server->is_leaving && !is_evacuated(*server);
     if (is_kept) {
         connection->last_used_at = clock::now();
         server->idle.push_back(std::move(connection));
@@ -425,9 +633,50 @@
     dispatch(state_of(server->group));
 }
 
-net::awaitable<bool> pool::start_when_admitted(std::shared_ptr<pooled_server> server,
-                                               clock::time_point deadline)
+net::awaitable<bool> pool::start_at_cold(std::shared_ptr<pooled_server> server, warm_up_share share,
+                                         clock::time_point deadline)
+{
+    net::steady_timer timer(executor_);
+    while (!may_start(state_of(server->group), *server, share, clock::now())) {
+        if (clock::now() + cold_retry_interval >= deadline) {
+            co_return false;
+        }
+        timer.expires_after(cold_retry_interval);
+        co_await timer.async_wait(no_throw);
+    }
+    if (is_cold(state_of(server->group), *server, clock::now())) {
+        warm_up_.record_start(server->id, clock::now());
+    }
+    co_return true;
+}
+
+net::awaitable<bool> pool::wait_if_cold(pooled_connection& connection, clock::time_point deadline,
+                                        bool is_commit)
+{
+    const std::shared_ptr<pooled_server> server = connection.server;
+    const bool holds_start = std::exchange(connection.holds_start, false);
+    const warm_up_share share = connection.share;
+    const group_state& state = state_of(server->group);
+    if (holds_start || !is_cold(state, *server, clock::now())) {
+        co_return true;
+    }
+    if (is_commit) {
+        warm_up_.record_unlimited_start(server->id, state.warm_up_per_s, share, clock::now());
+        co_return true;
+    }
+    co_return co_await start_at_cold(server, share, deadline);
+}
+
+net::awaitable<bool> pool::start_when_admitted(pooled_connection& connection,
+                                               clock::time_point deadline, bool is_commit)
 {
+    const std::shared_ptr<pooled_server> server = connection.server;
+    if (must_end_transactions(*server, clock::now())) {
+        co_return false;
+    }
+    if (!co_await wait_if_cold(connection, deadline, is_commit)) {
+        co_return false;
+    }
     if (server->running < server->running_limit(clock::now())) {
         ++server->running;
         co_return true;
@@ -438,13 +687,16 @@
     server->queued_statements.push_back(&queued);
     co_await wakeup.async_wait(no_throw);
     server->queued_statements.remove(&queued);
+    if (queued.is_admitted && must_end_transactions(*server, clock::now())) {
+        --server->running;
+        admit_queued_statements(*server, clock::now());
+        co_return false;
+    }
     co_return queued.is_admitted;
 }
 
-void pool::record_finish(pooled_server& server, double latency_ms, clock::time_point now)
+void pool::admit_queued_statements(pooled_server& server, clock::time_point now)
 {
-    --server.running;
-    server.record_latency(latency_ms, now);
     for (queued_statement* each : server.queued_statements) {
         if (server.running >= server.running_limit(now)) {
             break;
@@ -455,6 +707,13 @@
             each->wakeup->cancel();
         }
     }
+}
+
+void pool::record_finish(pooled_server& server, double latency_ms, clock::time_point now)
+{
+    --server.running;
+    server.record_latency(latency_ms, now);
+    admit_queued_statements(server, now);
     dispatch(state_of(server.group));
 }
 
@@ -491,9 +750,12 @@
 void pool::evict_idle(clock::time_point now)
 {
     for (auto& [name, state] : groups_) {
-        const std::uint32_t kept = divide_connections(state.connection_limit, state.instances).kept;
+        const std::uint32_t share =
+            divide_connections(state.connection_limit, state.instances).kept;
         for (auto& [id, server] : state.servers) {
             pooled_server& each = *server;
+            const std::uint32_t kept =
+                now < each.home_until ? home_connection_limit(state.connection_limit) : share;
             std::uint32_t excess = each.open > kept ? each.open - kept : 0;
             const std::size_t closed = std::erase_if(each.idle, [&](const auto& connection) {
                 const clock::duration unused = now - connection->last_used_at;
@@ -528,6 +790,7 @@
 pool_stats pool::stats() const
 {
     pool_stats now = stats_;
+    now.evacuated_domains = static_cast<std::uint32_t>(evacuations_.size());
     for (const auto& [name, state] : groups_) {
         now.waiting += static_cast<std::uint32_t>(state.queue.size());
         for (const auto& [id, server] : state.servers) {
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -2,11 +2,14 @@
 // for a connection. Single-threaded.
 #pragma once
 
+#include "document_regions.h"
 #include "line_dialect.h"
 #include "pooler_connection.h"
+#include "pooler_evacuations.h"
 #include "pooler_freshness.h"
 #include "pooler_primary.h"
 #include "pooler_server.h"
+#include "pooler_warm_up.h"
 
 #include <primrosehead/clock.h>
 #include <primrosehead/error.h>
@@ -37,6 +40,8 @@
 
 namespace primrosehead::pooler {
 
+struct placement_server;
+
 // Role of the servers that may run an operation.
 enum class required_role { primary, any };
 
@@ -47,15 +52,19 @@
     required_role role = required_role::any;
     std::uint32_t priority = 0;
     const session_values* values = nullptr;
+    region_set regions;                        // of servers that may run the operation
     std::vector<std::string> excluded_servers; // already tried
+    std::string pinned_server; // at a home: the only server that may run it; empty: any
+    warm_up_share share = warm_up_share::instance;
     clock::time_point deadline; // for obtaining the connection, not for the statement
 };
 
 enum class acquire_error {
     none,
-    no_server,  // no known server is available
-    no_primary, // no reachable primary is known
-    saturated,  // no connection or slot became free before the deadline
+    no_server,       // no known server is available
+    no_primary,      // no reachable primary is known
+    saturated,       // no connection or slot became free before the deadline
+    outside_regions, // no server, or not the primary, is inside the allowed regions
 };
 
 struct acquire_result {
@@ -72,6 +81,7 @@
     std::uint64_t saturated = 0;
     std::uint32_t open = 0;
     std::uint32_t waiting = 0;
+    std::uint32_t evacuated_domains = 0;
 };
 
 // State of a server group as this instance sees it, for the log.
@@ -96,12 +106,54 @@
     void set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
                      clock::time_point now);
 
+    void set_evacuation_bound(clock::duration bound) noexcept { evacuations_.set_bound(bound); }
+
+    // Excludes the servers of the evacuated failure domains, as of `version` of the replicated
+    // state, and closes the idle connections to them.
+    void set_evacuations(std::span<const std::string> domains, std::uint64_t version,
+                         clock::time_point now);
+
+    [[nodiscard]] const evacuations& evacuated() const noexcept { return evacuations_; }
+    [[nodiscard]] bool is_evacuated(const pooled_server& server) const
+    {
+        return evacuations_.contains(server.failure_domain);
+    }
+
+    // True once transactions that are open at the server must be rolled back.
+    [[nodiscard]] bool must_end_transactions(const pooled_server& server,
+                                             clock::time_point now) const
+    {
+        return evacuations_.must_end_transactions(server.failure_domain, now);
+    }
+
+    // Makes servers that are announced from now on learn their concurrency. Off by default.
+    void learn_concurrency(bool is_enabled) { learns_concurrency_ = is_enabled; }
+
     // Sets a group's connection limit per server and the number of instances that share it.
     void set_limits(std::string_view group, std::uint32_t connection_limit,
                     std::uint32_t instances);
 
+    // Sets the region of each failure domain.
+    void set_regions(std::map<std::string, std::string, std::less<>> regions);
+    [[nodiscard]] std::string_view region_of(std::string_view failure_domain) const;
+
+    // Sets the rate of requests to a cold server of the group, over all instances (0: no limit),
+    // and the time for which a server counts as cold that has not announced itself after an
+    // evacuation.
+    void set_warm_up(std::string_view group, double per_s, clock::duration time);
+    [[nodiscard]] warm_up& warm_ups() noexcept { return warm_up_; }
+
+    // Starts requests that wait for a cold server. To be called about every 25 ms.
+    void retry_cold(clock::time_point now);
+
     [[nodiscard]] boost::asio::awaitable<acquire_result> acquire(connection_request& request);
 
+    // Chooses the server of an operation that its home runs; null if none is available.
+    [[nodiscard]] std::shared_ptr<pooled_server>
+    choose_server(const connection_request& request, clock::time_point now, acquire_error& error);
+    [[nodiscard]] std::shared_ptr<pooled_server> find_server(std::string_view group,
+                                                             std::string_view id) const;
+
     // Returns a connection to the pool. Closes it if its state is unknown (`is_clean` is false).
     void release(std::unique_ptr<pooled_connection> connection, bool is_clean);
 
@@ -110,9 +162,16 @@
 
     // Waits until the server may run another statement of an open transaction, and counts it as
     // running. These statements take precedence over operations that have not begun. Returns false
-    // if the deadline passes first.
+    // if the deadline passes first, or if open transactions at the server must be rolled back.
+    // `is_commit`: does not wait for a cold server.
+    [[nodiscard]] boost::asio::awaitable<bool> start_when_admitted(pooled_connection& connection,
+                                                                   clock::time_point deadline,
+                                                                   bool is_commit = false);
+
+    // Waits until a cold server may get another request; at once if the server is warm. Returns
+    // false if the deadline passes first.
     [[nodiscard]] boost::asio::awaitable<bool>
-    start_when_admitted(std::shared_ptr<pooled_server> server, clock::time_point deadline);
+    wait_if_cold(pooled_connection& connection, clock::time_point deadline, bool is_commit);
     void record_finish(pooled_server& server, double latency_ms, clock::time_point now);
 
     // Records a server as unreachable and closes its idle connections.
@@ -144,22 +203,36 @@
         freshness_tracker positions;
         std::uint32_t connection_limit = 0;
         std::uint32_t instances = 1;
+        double warm_up_per_s = 0;
+        clock::duration warm_up_time{0};
+        bool waits_for_cold = false; // a queued request needs a server that is cold
         std::list<queued_request*> queue;
     };
     struct choice {
         std::shared_ptr<pooled_server> server;
         std::unique_ptr<pooled_connection> connection; // null: must be opened
+        bool is_cold = false;
     };
 
     group_state& state_of(std::string_view name);
     [[nodiscard]] std::uint32_t open_limit(const group_state& state, const pooled_server& server,
                                            clock::time_point now) const;
     [[nodiscard]] std::vector<std::shared_ptr<pooled_server>>
-    candidates(const group_state& state, const connection_request& request, clock::time_point now,
-               acquire_error& error) const;
+    candidates(group_state& state, const connection_request& request, clock::time_point now,
+               acquire_error& error);
+    [[nodiscard]] bool is_cold(const group_state& state, pooled_server& server,
+                               clock::time_point now);
+    [[nodiscard]] bool may_start(group_state& state, pooled_server& server, warm_up_share share,
+                                 clock::time_point now);
+    [[nodiscard]] boost::asio::awaitable<bool> start_at_cold(std::shared_ptr<pooled_server> server,
+                                                             warm_up_share share,
+                                                             clock::time_point deadline);
     [[nodiscard]] std::optional<choice> choose(group_state& state,
                                                const connection_request& request,
                                                clock::time_point now, acquire_error& error);
+    [[nodiscard]] placement_server describe(const group_state& state, const pooled_server& server,
+                                            const connection_request& request,
+                                            clock::time_point now) const;
     [[nodiscard]] std::unique_ptr<pooled_connection> take_idle(pooled_server& server,
                                                                const connection_request& request);
     static void close_oldest_foreign(pooled_server& server, std::string_view organisation);
@@ -171,13 +244,18 @@
     void dispatch(group_state& state);
     void close_idle(pooled_server& server);
     void update_primary_candidates(group_state& state);
+    static void admit_queued_statements(pooled_server& server, clock::time_point now);
 
     boost::asio::any_io_executor executor_;
     const line_dialect& dialect_;
     event_log& events_;
     std::string failure_domain_;
+    std::map<std::string, std::string, std::less<>> regions_; // by failure domain
+    warm_up warm_up_;
     std::map<std::string, group_state, std::less<>> groups_;
+    evacuations evacuations_;
     pool_stats stats_;
+    bool learns_concurrency_ = false;
 };
 
 } // namespace primrosehead::pooler
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "pooler_connection.h"
+#include "server_pace.h"
 
 #include <primrosehead/clock.h>
 #include <primrosehead/error.h>
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,17 +24,23 @@
     std::string id;
     std::string group;
     std::string address;
+    std::string failure_domain;
     std::uint32_t slots = 1;
     bool is_local = false;
     bool is_leaving = false;
     bool claims_primary = false;
     std::uint64_t born_ms = 0;
     bool is_removed = false;
+    std::uint64_t sequence = 0; // of the announcement
+    clock::time_point announced_at{};
+    clock::time_point cold_until{}; // as announced
+    bool is_cold = false;           // when it was last considered
 
     // Connections of this instance.
     std::vector<std::unique_ptr<pooled_connection>> idle;
-    std::uint32_t open = 0;                         // idle, in use or being opened
-    std::uint32_t running = 0;                      // statements in progress
+    std::uint32_t open = 0;         // idle, in use or being opened
+    clock::time_point home_until{}; // this instance is regarded as the server's home until then
+    std::uint32_t running = 0;      // statements in progress
     std::list<queued_statement*> queued_statements; // of open transactions
 
     // Measurements and failures.
@@ -47,6 +55,11 @@
     std::uint32_t lag_count = 0;   // consecutive reads that it refused for its lag
     clock::time_point lagging_until{};
 
+    std::optional<admission::server_pace> pace; // learned concurrency, if it is enabled
+
+    // Records the end of an exchange of `queries` queries that began at `started_at`.
+    void record_exchange(std::uint32_t queries, admission::outcome result,
+                         clock::time_point started_at, clock::time_point now);
     void record_latency(double milliseconds, clock::time_point now);
     void record_success();
     void record_failure(clock::time_point now, bool refused);
--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -5,10 +5,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <limits>
 #include <utility>
 
 namespace primrosehead::testing {
@@ -32,6 +34,10 @@
     std::vector<std::string> received;
     std::size_t connections = 0;
     bool drops_write_answers = false;
+    bool drops_commit_answers = false;
+    clock::duration answer_delay{0};
+    std::size_t open = 0;
+    std::size_t open_limit = std::numeric_limits<std::size_t>::max();
     std::uint64_t log_index = 1;
 };
 
@@ -67,6 +73,21 @@
     state_->drops_write_answers = true;
 }
 
+void line_server::drop_commit_answers()
+{
+    state_->drops_commit_answers = true;
+}
+
+void line_server::limit_connections(std::size_t limit)
+{
+    state_->open_limit = limit;
+}
+
+void line_server::delay_answers(clock::duration time)
+{
+    state_->answer_delay = time;
+}
+
 net::awaitable<void> line_server::accept(std::shared_ptr<state> self)
 {
     while (self->acceptor.is_open()) {
@@ -82,6 +103,14 @@
 net::awaitable<void> line_server::serve(std::shared_ptr<state> self, tcp::socket socket)
 {
     const line_dialect& dialect = self->dialect;
+    if (self->open >= self->open_limit) {
+        const std::string rejection =
+            fmt::format("{} {} limit\r\n", dialect.failed, dialect.too_many);
+        co_await net::async_write(socket, net::buffer(rejection), no_throw);
+        co_return;
+    }
+    ++self->open;
+    const std::shared_ptr<void> on_close(nullptr, [self](void*) { --self->open; });
     std::string input;
     bool in_transaction = false;
     while (true) {
@@ -98,9 +127,15 @@
             const std::string text = query.substr(query.find(' ') + 1);
             self->received.push_back(text);
             const bool is_write = text.starts_with(dialect.write);
-            if (is_write && self->drops_write_answers) {
+            const bool is_commit = text == dialect.commit;
+            if ((is_write && self->drops_write_answers) ||
+                (is_commit && self->drops_commit_answers)) {
                 co_return;
             }
+            if (self->answer_delay > clock::duration(0)) {
+                net::steady_timer timer(self->acceptor.get_executor(), self->answer_delay);
+                co_await timer.async_wait(no_throw);
+            }
             self->log_index += is_write ? 1 : 0;
             in_transaction = text == dialect.begin ||
                              (in_transaction && text != dialect.commit && text != dialect.rollback);
