A cell that comes back is found as fast as before: backoff by rounds of silent endpoints

Change: it doubles once all known endpoints were silent, and an endpoint that redirects to a silent leader is not silent itself. The test's schedule follows: the first three switches at 0.5 s, then at least 1 s and 2 s, 8 to 10 in 12 s (was 4 to 6).

--- a/src/pooler_follow_plan.cpp
+++ b/src/pooler_follow_plan.cpp
@@ -13,8 +13,9 @@
 // A document takes effect everywhere within a few intervals; a request costs the leader some bytes.
 constexpr clock::duration follow_interval{200};
 constexpr clock::duration min_follow_interval{20}; // after a change of the leader or the document
-// A reply takes a few milliseconds. After this time, another control instance is tried; the time
-// doubles while none answers.
+// A reply takes a few milliseconds. After this time, another control instance is tried. The time
+// doubles each time that all known ones were silent: a cell that comes back is found at once, and a
+// fleet that waits for a leader sends little.
 constexpr clock::duration min_silence{500};
 constexpr clock::duration max_silence{4'000};
 constexpr std::uint32_t max_doublings = 3;
@@ -52,10 +53,12 @@
 
 clock::duration follow_plan::silence_limit(clock::time_point now) const
 {
+    const std::size_t known = std::max({members_.size(), seeds_.size(), std::size_t{1}});
+    const auto rounds = static_cast<std::uint32_t>(switches_ / known);
     const clock::duration base =
-        std::min(max_silence, min_silence * (1U << std::min(switches_, max_doublings)));
-    // The first switch is not delayed: the lease must outlast it.
-    const clock::duration limit = switches_ == 0 ? base : base + jitter(switches_, base / 4);
+        std::min(max_silence, min_silence * (1U << std::min(rounds, max_doublings)));
+    // Switches of the first round are not delayed: the lease must outlast them.
+    const clock::duration limit = rounds == 0 ? base : base + jitter(switches_, base / 4);
     const bool expects_large_reply = is_answered_ && is_behind_ && pacer_.is_waiting(now);
     return expects_large_reply ? std::max(limit, large_reply_time) : limit;
 }
@@ -158,6 +161,9 @@
         return;
     }
     const std::string& hint = reply.leader_hint();
+    if (hint != endpoint_ && was_silent_recently(hint, now)) {
+        endpoint_chosen_at_ = now; // it answers, and will name the next leader
+    }
     if (hint.empty() || hint == endpoint_ || was_silent_recently(hint, now)) {
         const clock::duration retry{static_cast<std::int64_t>(reply.retry_after_ms())};
         not_before_ = now + std::min(retry, max_retry_time);
