--- a/src/pooler_follow_plan.cpp
+++ b/src/pooler_follow_plan.cpp
@@ -161,10 +161,14 @@
         return;
     }
     const std::string& hint = reply.leader_hint();
-    if (hint != endpoint_ && was_silent_recently(hint, now)) {
+    // Others may go on naming a leader that froze; one elected since was silent as a candidate
+    // only.
+    const bool is_silent_leader =
+        reply.control_term() <= last_term_ && was_silent_recently(hint, now);
+    if (hint != endpoint_ && is_silent_leader) {
         endpoint_chosen_at_ = now; // it answers, and will name the next leader
     }
-    if (hint.empty() || hint == endpoint_ || was_silent_recently(hint, now)) {
+    if (hint.empty() || hint == endpoint_ || is_silent_leader) {
         const clock::duration retry{static_cast<std::int64_t>(reply.retry_after_ms())};
         not_before_ = now + std::min(retry, max_retry_time);
         return;
@@ -206,6 +210,7 @@
     }
     last_reply_sequence_ = reply.sequence();
     last_reply_at_ = now;
+    last_term_ = std::max(last_term_, reply.control_term());
     if (is_from_current) {
         sends_soon_ = sends_soon_ || !is_answered_;
         is_answered_ = true;
--- a/src/pooler_follow_plan.h
+++ b/src/pooler_follow_plan.h
@@ -115,6 +115,7 @@
     clock::time_point not_serving_since_{}; // when a relay first redirected; zero: it did not
     std::uint64_t sequence_ = 0;
     std::uint64_t last_reply_sequence_ = 0;
+    std::uint64_t last_term_ = 0;    // of a leader or relay that replied
     std::uint32_t switches_ = 0;     // away from silent endpoints, since the last reply
     std::uint32_t stale_relays_ = 0; // left in a row because they had lost the leader
     bool is_answered_ = false;
--- a/tests/fleet_start_test.cpp
+++ b/tests/fleet_start_test.cpp
@@ -627,6 +627,28 @@
     CHECK(successor_found_at <= 1'300);
 }
 
+// Guards against instances that ignore the leader for seconds after all power was lost, because it
+// did not answer before it was elected.
+TEST_CASE("follow plan: a redirect to a leader that was silent before its election is followed")
+{
+    pooler::follow_plan plan("entry-1", "domain-1");
+    plan.set_seeds({"tcp://a"});
+    static_cast<void>(plan.next_request(at(0)));
+    plan.set_seeds({"tcp://a", "tcp://b"});
+    std::int64_t led_from = 0;
+    for (std::int64_t now = 20; now < 3'000 && led_from == 0; now += 20) {
+        const auto planned = plan.next_request(at(now));
+        if (planned && planned->endpoint == "tcp://b") {
+            pb::follow_reply redirect = not_leading(planned->sequence, "tcp://a");
+            redirect.set_control_term(1);
+            static_cast<void>(plan.receive(redirect, "tcp://b", at(now + 5)));
+            led_from = plan.endpoint() == "tcp://a" ? now : 0;
+        }
+    }
+    CHECK(led_from > 0);
+    CHECK(led_from <= 800);
+}
+
 // Guards against followers that go back and forth between the leader and a relay that starts.
 TEST_CASE("follow plan: a relay that does not serve yet is waited for, one that never does is left")
 {
