Leader and relays build the parts of their replies with one piece of code

Documents, directory changes, positions and the paced list of peers were added twice, with two copies of a constant each; the servers removed from a directory were appended twice. One function each serves both. The outcome of an operator's change was derived twice in cell_instance. A comment that had come between another one and its constant is gone.

--- a/src/cell_directory.cpp
+++ b/src/cell_directory.cpp
@@ -107,12 +107,7 @@
             changed.push_back(with_age(entry, now));
         }
     }
-    for (const auto& [name, removed_at] : changes_.removed()) {
-        if (removed_at > revision) {
-            changed.emplace_back().set_server(name);
-            changed.back().set_gone(true);
-        }
-    }
+    changes_.append_removed(revision, changed);
     return changed;
 }
 
--- a/src/cell_directory_changes.cpp
+++ b/src/cell_directory_changes.cpp
@@ -49,4 +49,16 @@
     return found != changed_.end() && found->second > since;
 }
 
+void directory_changes::append_removed(std::uint64_t revision,
+                                       std::vector<pb::server_announcement>& announcements) const
+{
+    for (const auto& [server, removed_at] : removed_) {
+        if (removed_at > revision) {
+            pb::server_announcement& gone = announcements.emplace_back();
+            gone.set_server(server);
+            gone.set_gone(true);
+        }
+    }
+}
+
 } // namespace primrosehead::cell
--- a/src/cell_directory_changes.h
+++ b/src/cell_directory_changes.h
@@ -1,11 +1,14 @@
 // Records at which revision of a directory each server last changed, for deltas. Pure.
 #pragma once
 
+#include "primrosehead.pb.h"
+
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace primrosehead::cell {
 
@@ -23,11 +26,9 @@
     }
     [[nodiscard]] bool has_changed(std::string_view server, std::uint64_t since) const;
 
-    // The removed servers with the revision of their removal.
-    [[nodiscard]] const std::map<std::string, std::uint64_t, std::less<>>& removed() const noexcept
-    {
-        return removed_;
-    }
+    // Appends an announcement that is gone for each server removed since `revision`.
+    void append_removed(std::uint64_t revision,
+                        std::vector<pb::server_announcement>& announcements) const;
 
   private:
     std::map<std::string, std::uint64_t, std::less<>> changed_;
--- a/src/cell_directory_copy.cpp
+++ b/src/cell_directory_copy.cpp
@@ -78,11 +78,8 @@
             changes.push_back(server);
         }
     }
-    for (const auto& [name, removed_at] : changes_.removed()) {
-        if (has_delta && removed_at > held) {
-            changes.emplace_back().set_server(name);
-            changes.back().set_gone(true);
-        }
+    if (has_delta) {
+        changes_.append_removed(held, changes);
     }
     return changes;
 }
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -87,17 +87,18 @@
     return domains;
 }
 
-// True if repeating the change gets the same rejection.
-bool is_final_rejection(const pb::operator_reply& reply)
+// The outcome of a change for the operator: its rejection, if repeating the change gets the same
+// one, and otherwise an error that makes the operator repeat it.
+status outcome_of(const pb::operator_reply& reply)
 {
-    const error_kind kind = parse_error_kind(reply.error().kind());
-    return !reply.ok() && !reply.not_leader() && reply.error().ran() == "no" &&
-           (kind == error_kind::version_conflict || kind == error_kind::bad_request);
-}
-
-error error_from(const pb::request_error& reported)
-{
-    return error{parse_error_kind(reported.kind()), reported.message(), reported.remedy()};
+    if (reply.ok()) {
+        return std::monostate{};
+    }
+    const pb::request_error& reported = reply.error();
+    const error_kind kind = parse_error_kind(reported.kind());
+    const bool is_final = !reply.not_leader() && reported.ran() == "no" &&
+                          (kind == error_kind::version_conflict || kind == error_kind::bad_request);
+    return is_final ? error{kind, reported.message(), reported.remedy()} : no_leader_error();
 }
 
 // A request to the leader whose reply is awaited. The timer expires at the timeout and is cancelled
@@ -924,10 +925,7 @@
         .field("version", static_cast<std::int64_t>(version))
         .field("held", static_cast<std::int64_t>(reply.version()))
         .field("error", reply.error().kind());
-    if (reply.ok()) {
-        co_return std::monostate{};
-    }
-    co_return is_final_rejection(reply) ? error_from(reply.error()) : no_leader_error();
+    co_return outcome_of(reply);
 }
 
 // True if an order that is read now may have arrived while this process was stopped.
@@ -960,10 +958,7 @@
         .field("error", reply.error().kind())
         .field("took_ms", (clock::now() - received_at).count());
     metrics_endpoint->record_evacuation_order(reply.ok());
-    if (reply.ok()) {
-        co_return std::monostate{};
-    }
-    co_return is_final_rejection(reply) ? error_from(reply.error()) : no_leader_error();
+    co_return outcome_of(reply);
 }
 
 net::awaitable<result<std::string>> instance::implementation::latest_document()
--- a/src/cell_peer_list.cpp
+++ b/src/cell_peer_list.cpp
@@ -11,6 +11,8 @@
 // Departures of several minutes, also when every instance of a fleet is replaced.
 constexpr std::size_t max_departures = 1'024;
 constexpr std::size_t max_field_size = 256;
+// The whole list of a large fleet takes a noticeable part of a link's capacity for this long.
+constexpr clock::duration complete_resend_interval{1'000};
 
 bool is_same_address(const pb::peer_address& left, const pb::peer_address& right)
 {
@@ -152,6 +154,18 @@
     }
 }
 
+void peer_list::add_to(pb::follow_reply& reply, std::uint64_t held, clock::time_point& sent_at,
+                       clock::time_point now) const
+{
+    if (needs_complete(held)) {
+        if (now - sent_at < complete_resend_interval) {
+            return;
+        }
+        sent_at = now;
+    }
+    add_to(reply, held);
+}
+
 bool peer_list::contains(std::string_view instance) const
 {
     const auto found = entries_.find(instance);
--- a/src/cell_peer_list.h
+++ b/src/cell_peer_list.h
@@ -7,6 +7,8 @@
 
 #include "primrosehead.pb.h"
 
+#include <primrosehead/clock.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -33,6 +35,11 @@
     // Adds what a receiver that holds revision `held` lacks.
     void add_to(pb::follow_reply& reply, std::uint64_t held) const;
 
+    // Does the same, but sends the whole list to a receiver at most once per second. `sent_at` is
+    // when this receiver last got it.
+    void add_to(pb::follow_reply& reply, std::uint64_t held, clock::time_point& sent_at,
+                clock::time_point now) const;
+
     // True if a receiver that holds revision `held` needs the whole list.
     [[nodiscard]] bool needs_complete(std::uint64_t held) const noexcept;
 
--- a/src/cell_relay.cpp
+++ b/src/cell_relay.cpp
@@ -1,12 +1,13 @@
 #include "cell_relay.h"
 
+#include "cell_reply_parts.h"
 #include "cell_share_allocator.h"
 #include "cell_token_buckets.h"
 #include "promotion_planner.h"
 
 #include <algorithm>
 #include <array>
-#include <iterator>
+#include <utility>
 
 namespace primrosehead::cell {
 
@@ -27,12 +28,9 @@
 // The leader reserves a relay's part after this time (see cell_token_buckets.h).
 constexpr clock::duration isolated_after =
     confirmation_timeout + timely_round_trip + clock::duration(50);
-constexpr clock::duration max_position_age{5'000};
 // A change of the followers is reported at most this often, and again while it is unconfirmed.
 constexpr clock::duration peers_report_interval{500};
 constexpr clock::duration peer_timeout{1'500};
-// The whole list of a large fleet takes a noticeable part of a link's capacity for this long.
-constexpr clock::duration peers_resend_interval{1'000};
 // The leader forgets what it was told by a relay that it does not hear from.
 constexpr clock::duration peers_report_lifetime{1'000};
 // Leaves room for relays that join or leave while their parts are in use.
@@ -71,26 +69,6 @@
         }));
 }
 
-// Returns false if the document has to be sent later.
-bool relay::add_document(pb::follow_reply& reply, const pb::follow_request& request,
-                         const pb::published_record* stored, clock::time_point now)
-{
-    const pb::published_record* newest = document_ ? &*document_ : nullptr;
-    if (stored != nullptr && (newest == nullptr || stored->version() > newest->version())) {
-        newest = stored;
-    }
-    if (newest == nullptr || newest->version() <= request.document_version()) {
-        return true;
-    }
-    const std::uint32_t wait = reply_pacer_.admit(request.instance(), newest->ByteSizeLong(), now);
-    if (wait > 0) {
-        reply.set_retry_after_ms(wait);
-        return false;
-    }
-    *reply.mutable_document() = *newest;
-    return true;
-}
-
 // Adds at most one large part. The directory of an earlier leader is not passed on.
 void relay::add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
                             const pb::published_record* stored, clock::time_point now)
@@ -102,7 +80,11 @@
         return;
     }
     reply_pacer_.release(request.instance());
-    if (request.wants_document() && !add_document(reply, request, stored, now)) {
+    const pb::published_record* newest = document_ ? &*document_ : nullptr;
+    if (stored != nullptr && (newest == nullptr || stored->version() > newest->version())) {
+        newest = stored;
+    }
+    if (request.wants_document() && !offer_document(reply_pacer_, request, newest, now, reply)) {
         return;
     }
     if (!request.wants_directory() || !is_current || directory_.is_held_by(request)) {
@@ -110,34 +92,13 @@
     }
     std::uint64_t base_revision = 0;
     std::vector<pb::server_announcement> changes = directory_.changes_for(request, base_revision);
-    std::size_t bytes = 0;
-    for (const pb::server_announcement& each : changes) {
-        bytes += each.ByteSizeLong();
-    }
-    const std::uint32_t wait = reply_pacer_.admit(request.instance(), bytes, now);
-    if (wait == 0) {
-        reply.mutable_servers()->Assign(std::make_move_iterator(changes.begin()),
-                                        std::make_move_iterator(changes.end()));
-        reply.set_directory_base_revision(base_revision);
-    }
-    else if (!reply.has_document()) { // otherwise requested once the document has arrived
-        reply.set_retry_after_ms(wait);
-    }
+    offer_directory(reply_pacer_, request, std::move(changes), base_revision, now, reply);
 }
 
 void relay::add_positions(pb::follow_reply& reply, clock::time_point now) const
 {
     for (const auto& [group, observed] : positions_) {
-        const clock::duration age = now - observed.requested_at;
-        if (age > max_position_age) {
-            continue;
-        }
-        pb::group_position& position = *reply.add_positions();
-        position.set_group(group);
-        position.set_server(observed.server);
-        position.set_term(observed.position.term);
-        position.set_index(observed.position.index);
-        position.set_age_ms(age.count());
+        add_position(reply, group, observed.server, observed.position, now - observed.requested_at);
     }
 }
 
@@ -191,21 +152,6 @@
     }
 }
 
-void relay::add_peers(pb::follow_reply& reply, const pb::follow_request& request,
-                      follower_state& sender, clock::time_point now) const
-{
-    if (request.endpoint().empty()) {
-        return;
-    }
-    if (peers_.needs_complete(request.peers_revision())) {
-        if (now - sender.peers_sent_at < peers_resend_interval) {
-            return;
-        }
-        sender.peers_sent_at = now;
-    }
-    peers_.add_to(reply, request.peers_revision());
-}
-
 pb::follow_reply relay::follow(const pb::follow_request& request,
                                const pb::published_record* stored, clock::time_point now)
 {
@@ -239,7 +185,9 @@
     reply.set_live_instances(latest_.live_instances());
     reply.set_central_ppm(full_share_ppm);
     add_positions(reply, now);
-    add_peers(reply, request, sender, now);
+    if (!request.endpoint().empty()) {
+        peers_.add_to(reply, request.peers_revision(), sender.peers_sent_at, now);
+    }
     return reply;
 }
 
--- a/src/cell_relay.h
+++ b/src/cell_relay.h
@@ -134,8 +134,6 @@
         clock::time_point requested_at;
     };
 
-    [[nodiscard]] bool add_document(pb::follow_reply& reply, const pb::follow_request& request,
-                                    const pb::published_record* stored, clock::time_point now);
     void add_large_parts(pb::follow_reply& reply, const pb::follow_request& request,
                          const pb::published_record* stored, clock::time_point now);
     void add_positions(pb::follow_reply& reply, clock::time_point now) const;
@@ -145,8 +143,6 @@
     [[nodiscard]] std::vector<reported_peer> live_peers(clock::time_point now) const;
     void report_peers(pb::follow_request& request, clock::time_point now);
     void confirm_report(const pb::follow_reply& reply, clock::time_point asked_at);
-    void add_peers(pb::follow_reply& reply, const pb::follow_request& request,
-                   follower_state& sender, clock::time_point now) const;
 
     relay_settings settings_;
     std::uint64_t incarnation_;
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -1,10 +1,10 @@
 #include "cell_service.h"
 
+#include "cell_reply_parts.h"
 #include "pooler_home_limits.h"
 #include "state_records.h"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <utility>
 
@@ -22,8 +22,6 @@
 
 // Relays stay in use until the fleet has been smaller than half of the size that they are used from
 // for a while, so that a partition does not end their use.
-// Older positions are useless for any staleness bound.
-constexpr clock::duration max_position_age{5'000};
 constexpr clock::duration relay_use_retention{10'000};
 
 // Every reply with a change is sent to the whole fleet; instances that leave are not delayed.
@@ -31,8 +29,6 @@
 constexpr clock::duration peers_check_interval{100};
 // A new leader first hears from all relays, so that its first list does not lack their followers.
 constexpr clock::duration peers_complete_after = live_timeout;
-// The whole list of a large fleet takes a noticeable part of a link's capacity for this long.
-constexpr clock::duration peers_resend_interval{1'000};
 
 constexpr clock::duration membership_record_interval{300};
 // Longer than any network partition: a recorded server that does not announce itself for this long
@@ -242,21 +238,6 @@
     }
 }
 
-void service::add_peers(pb::follow_reply& reply, const pb::follow_request& request,
-                        instance_state& sender, clock::time_point now) const
-{
-    if (!tells_peers() || request.endpoint().empty()) {
-        return;
-    }
-    if (peers_.needs_complete(request.peers_revision())) {
-        if (now - sender.peers_sent_at < peers_resend_interval) {
-            return;
-        }
-        sender.peers_sent_at = now;
-    }
-    peers_.add_to(reply, request.peers_revision());
-}
-
 void service::update_home_groups(const document& current, std::uint32_t instances)
 {
     home_groups_.clear();
@@ -272,16 +253,10 @@
 void service::add_positions(pb::follow_reply& reply, clock::time_point now) const
 {
     for (const auto& [group, planner] : planners_) {
-        const clock::duration age = now - planner.primary_confirmed_at();
-        if (!home_groups_.contains(group) || planner.primary().empty() || age > max_position_age) {
-            continue;
+        if (home_groups_.contains(group) && !planner.primary().empty()) {
+            add_position(reply, group, planner.primary(), planner.primary_position(),
+                         now - planner.primary_confirmed_at());
         }
-        pb::group_position& position = *reply.add_positions();
-        position.set_group(group);
-        position.set_server(planner.primary());
-        position.set_term(planner.primary_position().term);
-        position.set_index(planner.primary_position().index);
-        position.set_age_ms(age.count());
     }
 }
 
@@ -345,17 +320,7 @@
     }
     std::uint64_t base_revision = 0;
     std::vector<pb::server_announcement> changes = servers.changes_since(held, now, base_revision);
-    std::size_t bytes = 0;
-    for (const pb::server_announcement& each : changes) {
-        bytes += each.ByteSizeLong();
-    }
-    if (const std::uint32_t wait = reply_pacer_.admit(request.instance(), bytes, now); wait > 0) {
-        reply.set_retry_after_ms(wait);
-        return;
-    }
-    reply.mutable_servers()->Assign(std::make_move_iterator(changes.begin()),
-                                    std::make_move_iterator(changes.end()));
-    reply.set_directory_base_revision(base_revision);
+    offer_directory(reply_pacer_, request, std::move(changes), base_revision, now, reply);
 }
 
 // Adds at most one large part. Pooler instances get theirs from relays as soon as some serve.
@@ -377,20 +342,10 @@
         reply.set_retry_after_ms(reply_pacer::retry_after_ms(request.instance(), now));
         return;
     }
-    if (newest != nullptr && request.wants_document() &&
-        newest->version() > request.document_version()) {
-        const std::uint32_t wait =
-            reply_pacer_.admit(request.instance(), newest->ByteSizeLong(), now);
-        if (wait > 0) {
-            reply.set_retry_after_ms(wait);
-            return;
-        }
-        *reply.mutable_document() = *newest;
+    if (request.wants_document() && !offer_document(reply_pacer_, request, newest, now, reply)) {
+        return;
     }
     add_directory(reply, request, servers, now);
-    if (reply.has_document()) {
-        reply.clear_retry_after_ms(); // the directory is requested once the document has arrived
-    }
 }
 
 pb::follow_reply service::follow(const pb::follow_request& request, const state_machine& state,
@@ -460,7 +415,9 @@
     reply.set_evacuation_version(evacuation_version(state));
     reply.set_live_instances(live_instances(now));
     reply.set_central_ppm(central_ppm_);
-    add_peers(reply, request, sender, now);
+    if (tells_peers() && !request.endpoint().empty()) {
+        peers_.add_to(reply, request.peers_revision(), sender.peers_sent_at, now);
+    }
     if (!request.is_relay()) {
         add_positions(reply, now);
     }
--- a/src/cell_service.h
+++ b/src/cell_service.h
@@ -138,8 +138,6 @@
         return uses_relays_ || !home_groups_.empty();
     }
     void update_peers(clock::time_point now);
-    void add_peers(pb::follow_reply& reply, const pb::follow_request& request,
-                   instance_state& sender, clock::time_point now) const;
 
     service_settings settings_;
     std::uint64_t term_;
