Pooler: one classification of writes, one preparation of a transaction's step, one list of placements

The origin of a home had a copy of the classification of a write's answer and of the limit of attempts; run and commit began with the same lines; the choice of a server with and without a home built the same list, for which the request was copied on every operation. Regions of homes are applied by the home table, which had a parameter for them, instead of to its result: with a restriction it now finds allowed homes beyond the first four. Otherwise no change of behaviour.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -23,7 +23,6 @@
 
 constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
-constexpr std::uint32_t max_attempts = 4;
 // A read that a replica does not answer in time is retried elsewhere. The timeout is the greater of
 // this and a multiple of the server's expected latency.
 constexpr clock::duration replica_read_timeout{250};
@@ -369,6 +368,29 @@
     co_return classify_read(*server, std::move(result.answers.back()));
 }
 
+// Decides whether a write is retried: only if it certainly did not run.
+execution::attempt_result execution::classify_write(pooled_server& server, line_answer answer,
+                                                    clock::time_point sent_at)
+{
+    const line_dialect& dialect = context_.dialect;
+    if (!answer.is_error) {
+        record_commit(answer, server, sent_at);
+        return {next_step::finish, std::move(answer)};
+    }
+    primary_tracker& primary = context_.connections.primary_of(server.group);
+    if (answer.code == dialect.read_only) {
+        primary.record_refusal(server.id, clock::now());
+        return {next_step::retry, std::move(answer)};
+    }
+    if (answer.code == dialect.timed_out) {
+        primary.record_write_failure(sent_at);
+    }
+    const bool has_not_run = answer.code == dialect.busy ||
+                             answer.code == dialect.unknown_statement ||
+                             answer.code == dialect.wrong_server;
+    return {has_not_run ? next_step::retry : next_step::finish, std::move(answer)};
+}
+
 net::awaitable<execution::attempt_result>
 execution::write_at_primary(std::unique_ptr<pooled_connection> connection,
                             const server_statement& statement, clock::time_point deadline)
@@ -399,22 +421,7 @@
                               "the primary did not answer; the write may have taken effect"),
             server_contact::lost};
     }
-    line_answer answer = std::move(result.answers.back());
-    if (!answer.is_error) {
-        record_commit(answer, *server, sent_at);
-        co_return attempt_result{next_step::finish, std::move(answer)};
-    }
-    if (answer.code == dialect.read_only) {
-        context_.connections.primary_of(server->group).record_refusal(server->id, now);
-        co_return attempt_result{next_step::retry, std::move(answer)};
-    }
-    if (answer.code == dialect.timed_out) {
-        context_.connections.primary_of(server->group).record_write_failure(sent_at);
-    }
-    const bool has_not_run = answer.code == dialect.busy ||
-                             answer.code == dialect.unknown_statement ||
-                             answer.code == dialect.wrong_server;
-    co_return attempt_result{has_not_run ? next_step::retry : next_step::finish, std::move(answer)};
+    co_return classify_write(*server, std::move(result.answers.back()), sent_at);
 }
 
 net::awaitable<line_answer> execution::run_pinned(const operation& op,
@@ -717,17 +724,19 @@
     co_return may_start;
 }
 
-net::awaitable<line_answer> execution::run(const server_statement& statement)
+// Passes a statement of the transaction to its home, or ensures that there is a connection to run
+// it on. Returns the answer if the statement has been answered.
+net::awaitable<std::optional<line_answer>>
+execution::prepare_step(const server_statement& statement, bool is_commit)
 {
-    const line_dialect& dialect = context_.dialect;
     connection_wait_ = clock::duration(0);
     if (home_transaction_) {
-        co_return co_await continue_at_home(statement, false);
+        co_return co_await continue_at_home(statement, is_commit);
     }
     if (!connection_ && !prefetch_ && may_use_home(transaction_)) {
-        std::optional<line_answer> at_home = co_await begin_at_home(statement, false);
+        std::optional<line_answer> at_home = co_await begin_at_home(statement, is_commit);
         if (at_home) {
-            co_return std::move(*at_home);
+            co_return at_home;
         }
     }
     contact_ = server_contact::saturated;
@@ -735,10 +744,28 @@
         std::optional<line_answer> refusal = co_await ensure_connection(statement);
         if (refusal) {
             is_open_ = false;
-            co_return std::move(*refusal);
+            co_return refusal;
         }
     }
     contact_ = server_contact::answered;
+    co_return std::nullopt;
+}
+
+// True if the server's queue was full and there is time to send the statement again.
+bool execution::may_run_again(const line_answer& answer, clock::time_point now,
+                              clock::time_point deadline) const
+{
+    return answer.is_error && answer.code == context_.dialect.busy &&
+           answer.state == session_state::in_transaction && now + busy_retry_delay * 2 < deadline;
+}
+
+net::awaitable<line_answer> execution::run(const server_statement& statement)
+{
+    const line_dialect& dialect = context_.dialect;
+    std::optional<line_answer> answered = co_await prepare_step(statement, false);
+    if (answered) {
+        co_return std::move(*answered);
+    }
     const std::shared_ptr<pooled_server> server = connection_->server;
     const clock::time_point deadline = clock::now() + transaction_.route->statement_timeout;
     line_exchange result;
@@ -767,11 +794,7 @@
                 "rolled back: the connection to the server failed; retry the transaction");
         }
         record_setup(*connection_, session_, statement.prepared, true);
-        const line_answer& answer = result.answers.back();
-        const bool may_wait = answer.is_error && answer.code == dialect.busy &&
-                              answer.state == session_state::in_transaction &&
-                              now + busy_retry_delay * 2 < deadline;
-        if (!may_wait) {
+        if (!may_run_again(result.answers.back(), now, deadline)) {
             break;
         }
         co_await sleep_for(context_.executor, busy_retry_delay);
@@ -793,25 +816,10 @@
     server_statement statement;
     statement.id = id;
     statement.text = dialect.commit;
-    connection_wait_ = clock::duration(0);
-    if (home_transaction_) {
-        co_return co_await continue_at_home(statement, true);
+    std::optional<line_answer> answered = co_await prepare_step(statement, true);
+    if (answered) {
+        co_return std::move(*answered);
     }
-    if (!connection_ && !prefetch_ && may_use_home(transaction_)) {
-        std::optional<line_answer> at_home = co_await begin_at_home(statement, true);
-        if (at_home) {
-            co_return std::move(*at_home);
-        }
-    }
-    contact_ = server_contact::saturated;
-    if (!connection_) {
-        std::optional<line_answer> refusal = co_await ensure_connection(statement);
-        if (refusal) {
-            is_open_ = false;
-            co_return std::move(*refusal);
-        }
-    }
-    contact_ = server_contact::answered;
     const std::shared_ptr<pooled_server> server = connection_->server;
     const clock::time_point deadline = clock::now() + transaction_.route->statement_timeout;
     const std::string queries = fmt::format("{} {} {}\r\n", dialect.query, id, dialect.commit);
@@ -826,11 +834,7 @@
         result = co_await exchange(*connection_, queries, 1, deadline);
         const clock::time_point now = clock::now();
         context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
-        const bool may_wait = result.is_complete() && result.answers.front().is_error &&
-                              result.answers.front().code == dialect.busy &&
-                              result.answers.front().state == session_state::in_transaction &&
-                              now + busy_retry_delay * 2 < deadline;
-        if (!may_wait) {
+        if (!result.is_complete() || !may_run_again(result.answers.front(), now, deadline)) {
             break;
         }
         co_await sleep_for(context_.executor, busy_retry_delay);
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -112,6 +112,8 @@
     [[nodiscard]] clock::duration connection_wait() const noexcept { return connection_wait_; }
 
   private:
+    static constexpr std::uint32_t max_attempts = 4;
+
     struct connection_prefetch;
     // A transaction that a home runs.
     struct home_transaction {
@@ -154,6 +156,10 @@
                                                                 clock::time_point deadline,
                                                                 attempt_result& outcome);
 
+    [[nodiscard]] boost::asio::awaitable<std::optional<line_answer>>
+    prepare_step(const server_statement& statement, bool is_commit);
+    [[nodiscard]] bool may_run_again(const line_answer& answer, clock::time_point now,
+                                     clock::time_point deadline) const;
     [[nodiscard]] boost::asio::awaitable<bool> start_statement(clock::time_point deadline,
                                                                bool is_commit);
 
@@ -176,8 +182,6 @@
     [[nodiscard]] attempt_result classify_home_result(const operation& op, pooled_server& server,
                                                       home_call_kind kind, home_result result,
                                                       clock::time_point sent_at);
-    [[nodiscard]] attempt_result classify_home_write(pooled_server& server, line_answer answer,
-                                                     clock::time_point sent_at);
     [[nodiscard]] std::vector<home_address> allowed_homes(const pooled_server& server,
                                                           const operation& op);
     [[nodiscard]] bool has_other_server(const operation& op, clock::time_point deadline) const;
@@ -204,6 +208,8 @@
     [[nodiscard]] line_answer abort_unsent(const pooled_server& server);
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
     [[nodiscard]] attempt_result classify_read(pooled_server& server, line_answer answer);
+    [[nodiscard]] attempt_result classify_write(pooled_server& server, line_answer answer,
+                                                clock::time_point sent_at);
     void record_retry(const operation& op, const server_statement& statement,
                       std::string_view server, std::string_view reason);
     void record_commit(const line_answer& answer, pooled_server& server, clock::time_point sent_at);
--- a/src/pooler_execution_home.cpp
+++ b/src/pooler_execution_home.cpp
@@ -19,7 +19,6 @@
 
 // Homes that are tried for one attempt, before an own connection is used.
 constexpr std::size_t max_homes_tried = 2;
-constexpr std::uint32_t max_attempts = 4;
 
 std::uint32_t remaining_ms(clock::time_point until, clock::time_point now)
 {
@@ -109,40 +108,12 @@
     co_return result;
 }
 
-// As `write_at_primary` does with the answer on an own connection.
-execution::attempt_result execution::classify_home_write(pooled_server& server, line_answer answer,
-                                                         clock::time_point sent_at)
-{
-    const line_dialect& dialect = context_.dialect;
-    if (!answer.is_error) {
-        record_commit(answer, server, sent_at);
-        return {next_step::finish, std::move(answer)};
-    }
-    primary_tracker& primary = context_.connections.primary_of(server.group);
-    if (answer.code == dialect.read_only) {
-        primary.record_refusal(server.id, clock::now());
-        return {next_step::retry, std::move(answer)};
-    }
-    if (answer.code == dialect.timed_out) {
-        primary.record_write_failure(sent_at);
-    }
-    const bool has_not_run = answer.code == dialect.busy ||
-                             answer.code == dialect.unknown_statement ||
-                             answer.code == dialect.wrong_server;
-    return {has_not_run ? next_step::retry : next_step::finish, std::move(answer)};
-}
-
 // Returns the homes of a server that the route and the organisation allow: an operation's text
 // reaches no instance outside its regions but the one that the caller is connected to.
 std::vector<home_address> execution::allowed_homes(const pooled_server& server, const operation& op)
 {
-    std::vector<home_address> homes =
-        context_.homes->homes_of(server.id, server.failure_domain, op.organisation, clock::now());
-    const region_set regions = op.snapshot->regions_for(*op.route, op.organisation);
-    std::erase_if(homes, [&](const home_address& each) {
-        return !regions.contains(context_.connections.region_of(each.failure_domain));
-    });
-    return homes;
+    return context_.homes->homes_of(server.id, server.failure_domain, op.organisation, clock::now(),
+                                    op.snapshot->regions_for(*op.route, op.organisation));
 }
 
 bool execution::has_other_server(const operation& op, clock::time_point deadline) const
@@ -192,7 +163,7 @@
         return refusal;
     }
     if (kind == home_call_kind::write) {
-        return classify_home_write(server, std::move(answer), sent_at);
+        return classify_write(server, std::move(answer), sent_at);
     }
     return classify_read(server, std::move(answer));
 }
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -323,9 +323,8 @@
         receive_first(reply);
     }
     apply_fleet(reply, now);
-    connections_.warm_ups().set_fleet_size(reply.live_instances(), now);
     apply_peers(reply, now);
-    apply_positions(reply);
+    apply_positions(reply, now);
     if (!drop_expired_shares(now)) {
         limits_.apply_shares(reply, now);
     }
@@ -349,10 +348,10 @@
     }
 }
 
-void follower::apply_positions(const pb::follow_reply& reply)
+void follower::apply_positions(const pb::follow_reply& reply, clock::time_point now)
 {
     if (reply.positions_size() > 0) {
-        positions_received_at_ = clock::now();
+        positions_received_at_ = now;
     }
     const clock::time_point asked_at = from_ms(reply.asked_at_ms());
     for (const pb::group_position& each : reply.positions()) {
@@ -446,6 +445,7 @@
     if (reply.control_endpoints_size() > 0) {
         plan_.set_members({reply.control_endpoints().begin(), reply.control_endpoints().end()});
     }
+    connections_.warm_ups().set_fleet_size(reply.live_instances(), now);
     const bool has_changed =
         reply.live_instances() != live_instances_ || reply.central_ppm() != central_ppm_;
     if (has_changed && reply.live_instances() > 0 && document_) {
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -117,7 +117,7 @@
     [[nodiscard]] pb::envelope make_envelope() const;
     void request_missing_tokens(clock::time_point now);
     void apply_relays(const pb::follow_reply& reply, clock::time_point now);
-    void apply_positions(const pb::follow_reply& reply);
+    void apply_positions(const pb::follow_reply& reply, clock::time_point now);
     [[nodiscard]] boost::asio::awaitable<bool> request_token(const std::string& organisation,
                                                              const std::string& endpoint);
     [[nodiscard]] pb::envelope make_token_request(const std::string& organisation,
--- a/src/pooler_home_client.cpp
+++ b/src/pooler_home_client.cpp
@@ -63,10 +63,10 @@
 std::vector<home_address> home_client::homes_of(std::string_view server,
                                                 std::string_view failure_domain,
                                                 std::string_view organisation,
-                                                clock::time_point now)
+                                                clock::time_point now, const region_set& allowed)
 {
     std::vector<home_address> homes =
-        control_.homes().homes_of(server, failure_domain, organisation, now);
+        control_.homes().homes_of(server, failure_domain, organisation, now, allowed);
     const std::string_view best = homes.empty() ? std::string_view() : homes.front().instance;
     auto found = chosen_.find(server);
     if (found == chosen_.end()) {
--- a/src/pooler_home_client.h
+++ b/src/pooler_home_client.h
@@ -60,11 +60,10 @@
     // True if operations of the group are passed to homes.
     [[nodiscard]] bool is_active(std::string_view group) const;
 
-    // Returns the homes to try for a server, best first; empty: use own connections.
-    [[nodiscard]] std::vector<home_address> homes_of(std::string_view server,
-                                                     std::string_view failure_domain,
-                                                     std::string_view organisation,
-                                                     clock::time_point now);
+    // Returns the homes in `allowed` to try for a server, best first; empty: use own connections.
+    [[nodiscard]] std::vector<home_address>
+    homes_of(std::string_view server, std::string_view failure_domain,
+             std::string_view organisation, clock::time_point now, const region_set& allowed);
 
     // Sends the request and waits for its end. `home` and `request` must stay alive until then.
     [[nodiscard]] boost::asio::awaitable<home_result> call(const home_address& home,
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -264,18 +264,10 @@
     state.instances = std::max(1U, instances);
 }
 
-std::uint32_t pool::open_limit(const group_state& state, const pooled_server& server,
-                               clock::time_point now) const
-{
-    const std::uint32_t limit = divide_connections(state.connection_limit, state.instances).limit;
-    return now < server.saturated_until ? std::min(limit, server.saturated_limit) : limit;
-}
-
 // No candidate without an error: the request waits for a server that is cold.
-std::vector<std::shared_ptr<pooled_server>> pool::candidates(group_state& state,
-                                                             const connection_request& request,
-                                                             clock::time_point now,
-                                                             acquire_error& error)
+std::vector<std::shared_ptr<pooled_server>>
+pool::candidates(group_state& state, const connection_request& request, warm_up_share share,
+                 clock::time_point now, acquire_error& error)
 {
     std::vector<std::shared_ptr<pooled_server>> found;
     if (!request.pinned_server.empty()) {
@@ -284,7 +276,7 @@
             is_evacuated(*pinned->second)) {
             error = acquire_error::no_server;
         }
-        else if (may_start(state, *pinned->second, warm_up_share::home, now)) {
+        else if (may_start(state, *pinned->second, share, now)) {
             found.push_back(pinned->second);
         }
         return found;
@@ -301,7 +293,7 @@
             error = acquire_error::outside_regions;
             return found;
         }
-        if (may_start(state, *known->second, request.share, now)) {
+        if (may_start(state, *known->second, share, now)) {
             found.push_back(known->second);
         }
         return found;
@@ -318,7 +310,7 @@
             request.excluded_servers.end();
         if (!was_tried && !server->is_avoided(now) && !server->is_lagging(now) &&
             !server->is_leaving && !is_evacuated(*server)) {
-            if (may_start(state, *server, request.share, now)) {
+            if (may_start(state, *server, share, now)) {
                 found.push_back(server);
             }
             else {
@@ -380,19 +372,20 @@
     candidate.is_local = server.is_local;
     candidate.slots = server.slots;
     candidate.open = server.open;
-    candidate.limit = open_limit(state, server, now);
+    candidate.limit = divide_connections(state.connection_limit, state.instances).limit;
     candidate.running = server.running;
     candidate.running_limit = server.running_limit(now);
     candidate.latency_ms = server.expected_latency_ms(now);
     candidate.may_open = server.may_open(now);
     if (!request.pinned_server.empty()) {
         // The home's queue has decided that the statement may run.
-        const std::uint32_t limit = home_connection_limit(state.connection_limit);
-        candidate.limit =
-            now < server.saturated_until ? std::min(limit, server.saturated_limit) : limit;
+        candidate.limit = home_connection_limit(state.connection_limit);
         candidate.running_limit = std::numeric_limits<std::uint32_t>::max();
         candidate.may_open = true;
     }
+    if (now < server.saturated_until) {
+        candidate.limit = std::min(candidate.limit, server.saturated_limit);
+    }
     for (const std::unique_ptr<pooled_connection>& each : server.idle) {
         if (each->organisation != request.organisation) {
             ++candidate.idle_other_organisation;
@@ -407,26 +400,36 @@
     return candidate;
 }
 
+std::vector<placement_server>
+pool::describe_all(const group_state& state,
+                   std::span<const std::shared_ptr<pooled_server>> servers,
+                   const connection_request& request, clock::time_point now) const
+{
+    const std::string primary_id =
+        request.role == required_role::any ? state.primary.likely_primary(now) : "";
+    std::vector<placement_server> described;
+    described.reserve(servers.size());
+    for (const std::shared_ptr<pooled_server>& server : servers) {
+        placement_server candidate = describe(state, *server, request, now);
+        candidate.index = described.size();
+        candidate.avoid_as_primary = server->id == primary_id;
+        described.push_back(candidate);
+    }
+    return described;
+}
+
 std::shared_ptr<pooled_server> pool::choose_server(const connection_request& request,
                                                    clock::time_point now, acquire_error& error)
 {
     group_state& state = state_of(request.group);
-    connection_request passed = request;
-    passed.share = warm_up_share::home; // the home limits requests to a cold server
+    // The home limits requests to a cold server.
     const std::vector<std::shared_ptr<pooled_server>> servers =
-        candidates(state, passed, now, error);
-    const std::string primary_id =
-        request.role == required_role::any ? state.primary.likely_primary(now) : "";
-    std::vector<placement_server> placement_servers;
-    placement_servers.reserve(servers.size());
-    for (std::size_t i = 0; i < servers.size(); ++i) {
-        placement_server candidate = describe(state, *servers[i], request, now);
-        candidate.index = i;
-        candidate.avoid_as_primary = servers[i]->id == primary_id;
+        candidates(state, request, warm_up_share::home, now, error);
+    std::vector<placement_server> placement_servers = describe_all(state, servers, request, now);
+    for (placement_server& candidate : placement_servers) {
         // The home has the connections and limits what runs.
         candidate.idle_matching = 1;
         candidate.running_limit = std::numeric_limits<std::uint32_t>::max();
-        placement_servers.push_back(candidate);
     }
     const std::optional<placement> best = choose_placement(placement_servers);
     return best ? servers[best->index] : nullptr;
@@ -446,18 +449,9 @@
                                          clock::time_point now, acquire_error& error)
 {
     const std::vector<std::shared_ptr<pooled_server>> servers =
-        candidates(state, request, now, error);
-    std::vector<placement_server> placement_servers;
-    placement_servers.reserve(servers.size());
-    const std::string primary_id =
-        request.role == required_role::any ? state.primary.likely_primary(now) : "";
-    for (std::size_t i = 0; i < servers.size(); ++i) {
-        placement_server candidate = describe(state, *servers[i], request, now);
-        candidate.index = i;
-        candidate.avoid_as_primary = servers[i]->id == primary_id;
-        placement_servers.push_back(candidate);
-    }
-    const std::optional<placement> best = choose_placement(placement_servers);
+        candidates(state, request, request.share, now, error);
+    const std::optional<placement> best =
+        choose_placement(describe_all(state, servers, request, now));
     if (!best) {
         return std::nullopt;
     }
@@ -593,14 +587,11 @@
         }
         if (queued.assigned->connection && queued.assigned->connection->link->is_usable()) {
             outcome.connection = std::move(queued.assigned->connection);
-            outcome.connection->holds_start = queued.assigned->is_cold;
-            outcome.connection->share = request.share;
-            co_return outcome;
         }
-        if (queued.assigned->connection) {
+        else {
             queued.assigned->connection.reset(); // closed by the server; a new one replaces it
+            outcome.connection = co_await open(server, request, clock::now() + open_timeout);
         }
-        outcome.connection = co_await open(server, request, clock::now() + open_timeout);
         if (outcome.connection && !is_evacuated(*server)) {
             outcome.connection->holds_start = queued.assigned->is_cold;
             outcome.connection->share = request.share;
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -215,11 +215,9 @@
     };
 
     group_state& state_of(std::string_view name);
-    [[nodiscard]] std::uint32_t open_limit(const group_state& state, const pooled_server& server,
-                                           clock::time_point now) const;
     [[nodiscard]] std::vector<std::shared_ptr<pooled_server>>
-    candidates(group_state& state, const connection_request& request, clock::time_point now,
-               acquire_error& error);
+    candidates(group_state& state, const connection_request& request, warm_up_share share,
+               clock::time_point now, acquire_error& error);
     [[nodiscard]] bool is_cold(const group_state& state, pooled_server& server,
                                clock::time_point now);
     [[nodiscard]] bool may_start(group_state& state, pooled_server& server, warm_up_share share,
@@ -233,6 +231,9 @@
     [[nodiscard]] placement_server describe(const group_state& state, const pooled_server& server,
                                             const connection_request& request,
                                             clock::time_point now) const;
+    [[nodiscard]] std::vector<placement_server>
+    describe_all(const group_state& state, std::span<const std::shared_ptr<pooled_server>> servers,
+                 const connection_request& request, clock::time_point now) const;
     [[nodiscard]] std::unique_ptr<pooled_connection> take_idle(pooled_server& server,
                                                                const connection_request& request);
     static void close_oldest_foreign(pooled_server& server, std::string_view organisation);
