--- a/tests/home_fleet.cpp
+++ b/tests/home_fleet.cpp
@@ -2,7 +2,7 @@
 
 #include "bus_runner.h"
 #include "deployment_settings.h"
-#include "document_codec.h"
+#include "follow_replies.h"
 #include "primrosehead.pb.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -159,29 +159,14 @@
 
 void home_fleet::set_peers(home_node& node, const std::vector<std::size_t>& peers)
 {
-    const clock::time_point now = clock::now();
-    pb::follow_reply reply;
-    reply.set_is_leader(true);
-    reply.set_sequence(++sequence_);
-    reply.set_asked_at_ms(to_ms(now));
-    reply.set_control_term(1);
-    reply.set_document_version(1);
-    *reply.mutable_document() = compress_document("document", 1, "{}");
-    reply.set_directory_revision(1);
-    reply.set_directory_complete(true);
-    reply.set_live_instances(2);
+    pb::follow_reply reply = make_follow_reply(++sequence_, 2);
+    add_first_state(reply);
     reply.add_relays()->set_endpoint("tcp://127.0.0.1:1");
     // Homes are used while control reports positions. This group's are not those of the tests.
     pb::group_position& position = *reply.add_positions();
     position.set_group("other");
     position.set_server("other-1");
-    pb::server_announcement& server_record = *reply.add_servers();
-    server_record.set_server("server-1");
-    server_record.set_group("g");
-    server_record.set_address(server.address());
-    server_record.set_failure_domain("zone");
-    server_record.set_slots(2);
-    server_record.set_is_primary(true);
+    add_server(reply, "server-1", server.address()).set_is_primary(true);
     reply.set_peers_revision(sequence_);
     for (const std::size_t number : peers) {
         pb::peer_address& peer = *reply.add_peers();
@@ -189,7 +174,7 @@
         peer.set_endpoint(this->node(number).endpoint);
         peer.set_failure_domain("zone");
     }
-    node.control.receive(reply, now);
+    node.control.receive(reply, clock::now());
 }
 
 home_node& home_fleet::best_home()
--- a/tests/pooler_fixture.cpp
+++ b/tests/pooler_fixture.cpp
@@ -1,6 +1,6 @@
 #include "pooler_fixture.h"
 
-#include "document_codec.h"
+#include "follow_replies.h"
 #include "pooler_session.h"
 #include "primrosehead.pb.h"
 
@@ -71,53 +71,20 @@
 void pooler_fixture::confirm(double rate)
 {
     document_ = one_database(rate);
-    const clock::time_point now = clock::now();
-    pb::follow_reply reply;
-    reply.set_is_leader(true);
-    reply.set_sequence(++sequence_);
-    reply.set_asked_at_ms(to_ms(now));
-    reply.set_control_term(1);
-    reply.set_document_version(1);
-    *reply.mutable_document() = compress_document("document", 1, "{}");
-    reply.set_directory_revision(1);
-    reply.set_directory_complete(true);
-    reply.set_live_instances(1);
-    pb::server_announcement& server_record = *reply.add_servers();
-    server_record.set_server("server-1");
-    server_record.set_group("g");
-    server_record.set_address(server.address());
-    server_record.set_failure_domain("zone");
-    server_record.set_slots(2);
-    server_record.set_is_primary(true);
-    control.receive(reply, now);
-    pb::follow_reply shares;
-    shares.set_is_leader(true);
-    shares.set_sequence(++sequence_);
-    shares.set_asked_at_ms(to_ms(now));
-    shares.set_control_term(1);
-    shares.set_document_version(1);
-    shares.set_live_instances(1);
+    pb::follow_reply reply = make_follow_reply(++sequence_);
+    add_first_state(reply);
+    add_server(reply, "server-1", server.address()).set_is_primary(true);
+    control.receive(reply, clock::now());
+    pb::follow_reply shares = make_follow_reply(++sequence_);
     pb::share_grant& grant = *shares.add_shares();
     grant.set_organisation("org");
     grant.set_share_ppm(1'000'000);
-    control.receive(shares, now);
-}
-
-pb::follow_reply pooler_fixture::next_reply()
-{
-    pb::follow_reply reply;
-    reply.set_is_leader(true);
-    reply.set_sequence(++sequence_);
-    reply.set_asked_at_ms(to_ms(clock::now()));
-    reply.set_control_term(1);
-    reply.set_document_version(1);
-    reply.set_live_instances(1);
-    return reply;
+    control.receive(shares, clock::now());
 }
 
 void pooler_fixture::evacuate(const std::vector<std::string>& domains, std::uint64_t version)
 {
-    pb::follow_reply reply = next_reply();
+    pb::follow_reply reply = make_follow_reply(++sequence_);
     for (const std::string& domain : domains) {
         reply.add_evacuated_domains(domain);
     }
@@ -128,14 +95,9 @@
 void pooler_fixture::add_primary(std::string_view name, std::string_view failure_domain,
                                  std::string_view address)
 {
-    pb::follow_reply reply = next_reply();
+    pb::follow_reply reply = make_follow_reply(++sequence_);
     reply.set_directory_revision(2);
-    pb::server_announcement& server_record = *reply.add_servers();
-    server_record.set_server(std::string(name));
-    server_record.set_group("g");
-    server_record.set_address(std::string(address));
-    server_record.set_failure_domain(std::string(failure_domain));
-    server_record.set_slots(2);
+    add_server(reply, name, address, failure_domain);
     pb::group_lead& lead = *reply.add_leads();
     lead.set_group("g");
     lead.set_server(std::string(name));
--- a/tests/pooler_fixture.h
+++ b/tests/pooler_fixture.h
@@ -23,10 +23,6 @@
 #include <string_view>
 #include <vector>
 
-namespace primrosehead::pb {
-class follow_reply;
-}
-
 namespace primrosehead::testing {
 
 class pooler_fixture {
@@ -68,8 +64,6 @@
     pooler::context shared;
 
   private:
-    [[nodiscard]] pb::follow_reply next_reply();
-
     std::shared_ptr<const document> document_;
     std::uint64_t sequence_ = 0;
 };
--- a/tests/server_pace_test.cpp
+++ b/tests/server_pace_test.cpp
@@ -112,6 +112,18 @@
     return at_ms < 2'000 ? 2 : slots;
 }
 
+// From 5 s on, more than two statements at once run at less than half of the throughput of two.
+saturated_server make_overload_sensitive_server(unsigned seed)
+{
+    saturated_server server(seed);
+    server.demand = [](std::int64_t at_ms) { return at_ms < 5'000 ? 4U : slots; };
+    server.speed = [](std::int64_t at_ms, std::size_t running) {
+        const auto count = static_cast<double>(running);
+        return at_ms >= 5'000 && running > 2 ? 4.0 / (count * count) : 1.0;
+    };
+    return server;
+}
+
 } // namespace
 
 // Guards against taking long statements for overload, which halves a healthy server's throughput.
@@ -164,12 +176,7 @@
 TEST_CASE("server pace: a server that slows down under load gets fewer statements within a second")
 {
     for (unsigned seed = 1; seed <= 5; ++seed) {
-        saturated_server server(seed);
-        server.demand = [](std::int64_t at_ms) { return at_ms < 5'000 ? 4U : slots; };
-        server.speed = [](std::int64_t at_ms, std::size_t running) {
-            const auto count = static_cast<double>(running);
-            return at_ms >= 5'000 && running > 2 ? 4.0 / (count * count) : 1.0;
-        };
+        saturated_server server = make_overload_sensitive_server(seed);
         server_pace pace(slots);
         const auto trace = server.run(pace, 30'000);
         CAPTURE(seed);
@@ -184,12 +191,7 @@
 TEST_CASE("server pace: a server that slows down under load is near its best load within a second")
 {
     for (unsigned seed = 1; seed <= 5; ++seed) {
-        saturated_server server(seed);
-        server.demand = [](std::int64_t at_ms) { return at_ms < 5'000 ? 4U : slots; };
-        server.speed = [](std::int64_t at_ms, std::size_t running) {
-            const auto count = static_cast<double>(running);
-            return at_ms >= 5'000 && running > 2 ? 4.0 / (count * count) : 1.0;
-        };
+        saturated_server server = make_overload_sensitive_server(seed);
         server_pace pace(slots);
         const auto trace = server.run(pace, 30'000);
         CAPTURE(seed);
