Operations wait through an outage instead of using up their callers' retries

While a primary is replaced, which takes 2.5 s, an operation was refused three times within 0.3 s.

Change. pooler_wait tells an overload (servers run statements) from an outage (nothing is served for several statements' time). In an outage an operation waits until three quarters of its statement time-out, if the backlog can be run in that time and control can still name another primary; otherwise it is refused at once. A session that opens waits for the first document, an operation for the first share. A server that refused a connection is asked again with backoff, one that failed gets one connection at a time.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -3,6 +3,7 @@
 #include "clock_timer.h"
 #include "event_log.h"
 #include "pooler_cause.h"
+#include "pooler_follower.h"
 #include "pooler_metrics.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -146,11 +147,16 @@
     }
     request.values = &session_.values;
     request.excluded_servers = excluded_servers_;
-    request.deadline = std::min(deadline, budget_.deadline(has_reached_server_, clock::now()));
+    const clock::time_point now = clock::now();
+    request.deadline = std::min(deadline, budget_.deadline(has_reached_server_, now));
+    request.outage_deadline = std::min(deadline, budget_.outage_deadline());
+    request.waits_for_primary = now - context_.control.last_reply_at() < leader_contact_timeout;
     if (pinned_) {
         request.pinned_server = pinned_->id;
         request.share = warm_up_share::home;
-        request.deadline = std::min(deadline, clock::now() + home_connection_wait);
+        request.deadline = std::min(deadline, now + home_connection_wait);
+        request.outage_deadline = request.deadline;
+        request.waits_for_primary = false;
     }
     return request;
 }
@@ -455,14 +461,15 @@
 net::awaitable<line_answer> execution::run_single(const operation& op,
                                                   const server_statement& statement)
 {
-    const clock::time_point deadline = clock::now() + op.route->statement_timeout;
+    const clock::time_point deadline = op.began_at + op.route->statement_timeout;
     excluded_servers_.clear();
     prefers_primary_ = false;
     last_home_.clear();
     attempt_result last{next_step::retry, make_refusal(acquire_error::saturated, op)};
     connection_wait_ = clock::duration(0);
     has_reached_server_ = false;
-    budget_ = wait_budget(op.began_at, op.route->latency_objective);
+    budget_ = wait_budget(op.began_at, clock::now(), op.route->latency_objective,
+                          op.route->statement_timeout);
     for (attempts_ = 1; attempts_ <= max_attempts && clock::now() < deadline; ++attempts_) {
         const std::optional<log_position> minimum =
             statement.is_write ? std::nullopt : minimum_position(op, clock::now());
@@ -547,7 +554,7 @@
     // A failure is not final: the first statement retries.
     server_statement none;
     none.id = "-";
-    co_await prefetch->opener.open_transaction(none);
+    co_await prefetch->opener.open_transaction(none, clock::now());
     prefetch->is_finished = true;
     prefetch->finished.cancel();
 }
@@ -579,11 +586,12 @@
 net::awaitable<std::optional<line_answer>>
 execution::ensure_connection(const server_statement& first)
 {
+    const clock::time_point received_at = clock::now();
     co_await await_prefetch();
     if (connection_) {
         co_return std::nullopt;
     }
-    co_return co_await open_transaction(first);
+    co_return co_await open_transaction(first, received_at);
 }
 
 net::awaitable<execution::attempt_result>
@@ -641,11 +649,11 @@
 
 // Acquires a connection and begins the transaction on it. Returns the error answer on failure.
 net::awaitable<std::optional<line_answer>>
-execution::open_transaction(const server_statement& first)
+execution::open_transaction(const server_statement& first, clock::time_point received_at)
 {
-    const clock::time_point asked_at = clock::now();
-    const clock::time_point deadline = asked_at + transaction_.route->statement_timeout;
-    budget_ = wait_budget(asked_at, transaction_.route->latency_objective);
+    const clock::time_point deadline = received_at + transaction_.route->statement_timeout;
+    budget_ = wait_budget(received_at, clock::now(), transaction_.route->latency_objective,
+                          transaction_.route->statement_timeout);
     line_answer last = make_refusal(acquire_error::saturated, transaction_);
     const std::uint32_t attempt_limit = pinned_ ? 1 : max_attempts;
     for (attempts_ = 1; attempts_ <= attempt_limit && clock::now() < deadline; ++attempts_) {
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -36,7 +36,7 @@
     std::shared_ptr<const document> snapshot; // keeps `route` alive
     const document_route* route = nullptr;
     std::string organisation;
-    clock::time_point began_at;
+    clock::time_point began_at; // when it was received
 };
 
 // A statement to send to a server. `text` uses the pool's names of prepared statements.
@@ -141,8 +141,9 @@
     [[nodiscard]] boost::asio::awaitable<attempt_result>
     write_at_primary(std::unique_ptr<pooled_connection> connection,
                      const server_statement& statement, clock::time_point deadline);
+    // `received_at`: when the transaction was to obtain its connection.
     [[nodiscard]] boost::asio::awaitable<std::optional<line_answer>>
-    open_transaction(const server_statement& first);
+    open_transaction(const server_statement& first, clock::time_point received_at);
     [[nodiscard]] boost::asio::awaitable<std::optional<line_answer>>
     ensure_connection(const server_statement& first);
     [[nodiscard]] boost::asio::awaitable<void> await_prefetch();
--- a/src/pooler_execution_home.cpp
+++ b/src/pooler_execution_home.cpp
@@ -233,7 +233,8 @@
 {
     const operation& op = transaction_;
     const clock::time_point deadline = clock::now() + op.route->statement_timeout;
-    budget_ = wait_budget(clock::now(), op.route->latency_objective);
+    budget_ = wait_budget(clock::now(), clock::now(), op.route->latency_objective,
+                          op.route->statement_timeout);
     line_answer last = make_refusal(acquire_error::saturated, op);
     for (attempts_ = 1; attempts_ <= max_attempts && clock::now() < deadline; ++attempts_) {
         const std::optional<log_position> minimum =
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -6,9 +6,6 @@
 #include "pooler_pool.h"
 #include "primrosehead.pb.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -150,14 +147,11 @@
 {
     const clock::time_point now = clock::now();
     token_wait& wait = token_waits_[organisation];
-    if (wait.timers.empty() || now - wait.requested_at > borrow_timeout) {
+    if (wait.operations.empty() || now - wait.requested_at > borrow_timeout) {
         wait.requested_at = now;
         messages_->send(endpoint, make_token_request(organisation, now));
     }
-    net::steady_timer timer(executor_, borrow_timeout);
-    const auto position = wait.timers.insert(wait.timers.end(), &timer);
-    co_await timer.async_wait(net::as_tuple(net::use_awaitable));
-    token_waits_[organisation].timers.erase(position);
+    co_await wait.operations.wait(executor_, now + borrow_timeout);
     limiter* const limits_after = limiter_for(organisation);
     co_return limits_after != nullptr && limits_after->try_take_uncounted(clock::now());
 }
@@ -190,6 +184,32 @@
     co_return is_granted;
 }
 
+net::awaitable<void> follower::await_first_document(clock::time_point deadline)
+{
+    if (confirmed_at_ == clock::time_point{}) {
+        co_await document_waits_.wait(executor_, deadline);
+    }
+}
+
+net::awaitable<bool> follower::await_share(const std::string& organisation,
+                                           clock::time_point deadline)
+{
+    while (true) {
+        limiter* const limits = limiter_for(organisation);
+        if (limits == nullptr || follows_relay()) {
+            co_return false;
+        }
+        if (limits->share() > 0) {
+            co_return limits->try_take_uncounted(clock::now());
+        }
+        if (clock::now() >= deadline) {
+            co_return false;
+        }
+        plan_.hasten(); // the next request reports the demand
+        co_await share_waits_.wait(executor_, deadline);
+    }
+}
+
 bool follower::is_without_tokens(clock::time_point now) const noexcept
 {
     return follows_relay() && now - plan_.last_reply_at() > relay_switch_time;
@@ -210,9 +230,7 @@
             continue;
         }
         wait->second.answered_at = now;
-        for (net::steady_timer* timer : wait->second.timers) {
-            timer->cancel();
-        }
+        wait->second.operations.wake_all();
     }
 }
 
@@ -327,12 +345,16 @@
     apply_positions(reply, now);
     if (!drop_expired_shares(now)) {
         limits_.apply_shares(reply, now);
+        if (reply.shares_size() > 0) {
+            share_waits_.wake_all();
+        }
     }
     // The version was the newest one when the leader replied, and so also when the request was
     // sent. A relay tells how long ago it asked.
     const clock::time_point confirmed_at = asked_at - clock::duration(reply.confirmed_age_ms());
     if (document_ && document_->version() >= reply.document_version()) {
         confirmed_at_ = std::max(confirmed_at_, confirmed_at);
+        document_waits_.wake_all();
     }
     apply_relays(reply, now);
     close_unneeded_connections();
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -9,17 +9,16 @@
 #include "pooler_follow_plan.h"
 #include "pooler_home_table.h"
 #include "pooler_limit_table.h"
+#include "wait_list.h"
 
 #include <primrosehead/bus.h>
 #include <primrosehead/clock.h>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -76,6 +75,14 @@
     {
         return document_ != nullptr && now - confirmed_at_ < lease_;
     }
+    // Waits for the first confirmed document since this process started; at once if there was one.
+    [[nodiscard]] boost::asio::awaitable<void> await_first_document(clock::time_point deadline);
+
+    // Waits until this instance has a share of the organisation's limits, and takes a token of it.
+    // False: there is none, or the deadline has passed.
+    [[nodiscard]] boost::asio::awaitable<bool> await_share(const std::string& organisation,
+                                                           clock::time_point deadline);
+
     [[nodiscard]] clock::time_point last_reply_at() const noexcept { return plan_.last_reply_at(); }
 
     // True if no operation within a limit can be admitted: the instance follows relays, which hold
@@ -148,9 +155,11 @@
     struct token_wait {
         clock::time_point requested_at;
         clock::time_point answered_at;
-        std::list<boost::asio::steady_timer*> timers;
+        wait_list operations;
     };
     std::map<std::string, token_wait, std::less<>> token_waits_;
+    wait_list document_waits_; // for the first document
+    wait_list share_waits_;
     clock::time_point alternative_silent_at_{}; // when an alternative relay last did not reply
     clock::time_point tokens_requested_at_{};
     clock::time_point shares_sent_at_{};
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -414,7 +414,7 @@
         control.tick(now);
         homes->tick(now);
         home.tick(now);
-        connections.retry_cold(now);
+        connections.retry_waiting();
         run_housekeeping(now);
         timer.expires_after(tick_interval);
         co_await timer.async_wait(no_throw);
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -4,6 +4,7 @@
 #include "event_log.h"
 #include "pooler_home_limits.h"
 #include "pooler_placement.h"
+#include "pooler_wait.h"
 #include "primrosehead.pb.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -54,6 +55,8 @@
     net::steady_timer wakeup;
     std::optional<choice> assigned;
     acquire_error error = acquire_error::none;
+
+    [[nodiscard]] bool is_waiting() const { return !assigned && error == acquire_error::none; }
 };
 
 pool::pool(net::any_io_executor executor, const line_dialect& dialect, event_log& events,
@@ -240,15 +243,13 @@
     if (!is_cold(state, server, now)) {
         return true;
     }
-    const bool may = warm_up_.may_start(server.id, state.warm_up_per_s, share, now);
-    state.waits_for_cold = state.waits_for_cold || !may;
-    return may;
+    return warm_up_.may_start(server.id, state.warm_up_per_s, share, now);
 }
 
-void pool::retry_cold(clock::time_point /*now*/)
+void pool::retry_waiting()
 {
     for (auto& [name, state] : groups_) {
-        if (std::exchange(state.waits_for_cold, false) && !state.queue.empty()) {
+        if (!state.queue.empty()) {
             dispatch(state);
         }
     }
@@ -264,6 +265,13 @@
     state.instances = std::max(1U, instances);
 }
 
+bool pool::can_reach_primary(const group_state& state, clock::time_point now) const
+{
+    const auto known = state.servers.find(state.primary.likely_primary(now));
+    return known != state.servers.end() && !known->second->is_avoided(now) &&
+           !is_evacuated(*known->second);
+}
+
 // No candidate without an error: the request waits for a server that is cold.
 std::vector<std::shared_ptr<pooled_server>>
 pool::candidates(group_state& state, const connection_request& request, warm_up_share share,
@@ -282,13 +290,11 @@
         return found;
     }
     if (request.role == required_role::primary) {
-        const std::string primary_id = state.primary.likely_primary(now);
-        const auto known = state.servers.find(primary_id);
-        if (known == state.servers.end() || known->second->is_avoided(now) ||
-            is_evacuated(*known->second)) {
+        if (!can_reach_primary(state, now)) {
             error = acquire_error::no_primary;
             return found;
         }
+        const auto known = state.servers.find(state.primary.likely_primary(now));
         if (!request.regions.contains(region_of(known->second->failure_domain))) {
             error = acquire_error::outside_regions;
             return found;
@@ -490,6 +496,7 @@
     const clock::time_point now = clock::now();
     if (auto* const link = std::get_if<std::unique_ptr<line_connection>>(&opened)) {
         server->record_success();
+        server->record_opened();
         auto result = std::make_unique<pooled_connection>();
         result->link = std::move(*link);
         result->server = server;
@@ -534,11 +541,15 @@
 void pool::dispatch(group_state& state)
 {
     const clock::time_point now = clock::now();
+    std::size_t waiting = 0;
     for (auto each = state.queue.begin(); each != state.queue.end();) {
         queued_request& queued = **each;
         acquire_error error = acquire_error::none;
         queued.assigned = choose(state, queued.request, now, error);
-        if (!queued.assigned && error == acquire_error::none) {
+        const bool waits_for_primary = error == acquire_error::no_primary &&
+                                       may_wait_for_primary(state, queued.request, waiting, now);
+        if (waits_for_primary || (!queued.assigned && error == acquire_error::none)) {
+            ++waiting;
             ++each;
             continue;
         }
@@ -553,9 +564,43 @@
     ++stats_.waited;
     queued.wakeup.expires_at(to_steady_time(queued.request.deadline));
     co_await queued.wakeup.async_wait(no_throw);
+    const clock::time_point now = clock::now();
+    if (queued.is_waiting() && now < queued.request.outage_deadline &&
+        is_stalled(state, queued.request, now)) {
+        queued.wakeup.expires_at(to_steady_time(queued.request.outage_deadline));
+        co_await queued.wakeup.async_wait(no_throw);
+    }
     state.queue.remove(&queued);
 }
 
+bool pool::is_stalled(const group_state& state, const connection_request& request,
+                      clock::time_point now) const
+{
+    const std::string primary_id =
+        request.role == required_role::primary ? state.primary.likely_primary(now) : "";
+    return std::all_of(state.servers.begin(), state.servers.end(), [&](const auto& item) {
+        const pooled_server& server = *item.second;
+        const bool is_candidate =
+            request.role == required_role::any ? !server.is_leaving : server.id == primary_id;
+        return !is_candidate || has_stalled(server.served_at, server.expected_latency_ms(now), now);
+    });
+}
+
+bool pool::may_wait_for_primary(const group_state& state, const connection_request& request,
+                                std::size_t waiting, clock::time_point now) const
+{
+    const auto successor =
+        std::find_if(state.servers.begin(), state.servers.end(),
+                     [this](const auto& item) { return !is_evacuated(*item.second); });
+    if (!request.waits_for_primary || successor == state.servers.end()) {
+        return false;
+    }
+    const pooled_server& server = *successor->second;
+    const clock::duration backlog =
+        backlog_time(waiting, server.unloaded_latency_ms, server.slots, state.instances);
+    return now + backlog < request.outage_deadline;
+}
+
 net::awaitable<acquire_result> pool::acquire(connection_request& request)
 {
     group_state& state = state_of(request.group);
@@ -570,13 +615,16 @@
         queued_request queued(executor_, request);
         enqueue(state, queued);
         dispatch(state);
-        const bool is_waiting = !queued.assigned && queued.error == acquire_error::none;
-        if (is_waiting) {
+        if (queued.is_waiting()) {
             co_await wait(state, queued);
         }
         if (!queued.assigned) {
-            outcome.error =
-                queued.error == acquire_error::none ? acquire_error::saturated : queued.error;
+            outcome.error = queued.error;
+            if (queued.is_waiting()) {
+                const bool has_primary =
+                    request.role == required_role::any || can_reach_primary(state, clock::now());
+                outcome.error = has_primary ? acquire_error::saturated : acquire_error::no_primary;
+            }
             co_return outcome;
         }
         const std::shared_ptr<pooled_server> server = queued.assigned->server;
@@ -601,7 +649,11 @@
             release(std::move(outcome.connection), false);
         }
         dispatch(state);
-        if (clock::now() >= request.deadline) {
+        const clock::time_point now = clock::now();
+        const clock::time_point deadline = is_stalled(state, request, now)
+                                               ? std::max(request.deadline, request.outage_deadline)
+                                               : request.deadline;
+        if (now >= deadline) {
             outcome.error = acquire_error::saturated;
             co_return outcome;
         }
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -57,6 +57,9 @@
     std::string pinned_server; // at a home: the only server that may run it; empty: any
     warm_up_share share = warm_up_share::instance;
     clock::time_point deadline; // for obtaining the connection, not for the statement
+    // Replaces `deadline` while no server that could run the operation serves this instance.
+    clock::time_point outage_deadline{};
+    bool waits_for_primary = false; // otherwise refused at once if no primary can be reached
 };
 
 enum class acquire_error {
@@ -143,8 +146,9 @@
     void set_warm_up(std::string_view group, double per_s, clock::duration time);
     [[nodiscard]] warm_up& warm_ups() noexcept { return warm_up_; }
 
-    // Starts requests that wait for a cold server. To be called about every 25 ms.
-    void retry_cold(clock::time_point now);
+    // Starts requests that wait for time to pass: for a cold server, a failing one or one that
+    // refused a connection. To be called about every 25 ms.
+    void retry_waiting();
 
     [[nodiscard]] boost::asio::awaitable<acquire_result> acquire(connection_request& request);
 
@@ -205,7 +209,6 @@
         std::uint32_t instances = 1;
         double warm_up_per_s = 0;
         clock::duration warm_up_time{0};
-        bool waits_for_cold = false; // a queued request needs a server that is cold
         std::list<queued_request*> queue;
     };
     struct choice {
@@ -218,6 +221,7 @@
     [[nodiscard]] std::vector<std::shared_ptr<pooled_server>>
     candidates(group_state& state, const connection_request& request, warm_up_share share,
                clock::time_point now, acquire_error& error);
+    [[nodiscard]] bool can_reach_primary(const group_state& state, clock::time_point now) const;
     [[nodiscard]] bool is_cold(const group_state& state, pooled_server& server,
                                clock::time_point now);
     [[nodiscard]] bool may_start(group_state& state, pooled_server& server, warm_up_share share,
@@ -241,6 +245,14 @@
     open(std::shared_ptr<pooled_server> server, const connection_request& request,
          clock::time_point deadline);
     boost::asio::awaitable<void> wait(group_state& state, queued_request& queued);
+    // True while no server that could run the operation has served this instance recently.
+    [[nodiscard]] bool is_stalled(const group_state& state, const connection_request& request,
+                                  clock::time_point now) const;
+    // True if the operation may wait until the primary can be reached. `waiting`: operations of the
+    // group that wait ahead of it.
+    [[nodiscard]] bool may_wait_for_primary(const group_state& state,
+                                            const connection_request& request, std::size_t waiting,
+                                            clock::time_point now) const;
     void enqueue(group_state& state, queued_request& queued);
     void dispatch(group_state& state);
     void close_idle(pooled_server& server);
--- a/src/pooler_server.cpp
+++ b/src/pooler_server.cpp
@@ -22,6 +22,11 @@
 constexpr clock::duration max_avoidance{1'500};
 constexpr clock::duration saturation_time{
     500}; // other instances close idle connections within this time
+// Dead connections count towards a server's limit until it notices, which takes seconds.
+constexpr clock::duration min_open_backoff{20};
+constexpr clock::duration max_open_backoff{160};
+// An attempt to open a connection to a server that does not answer ends in this time.
+constexpr clock::duration probe_time{600};
 constexpr clock::duration min_lag_backoff{40};
 constexpr clock::duration max_lag_backoff{640};
 
@@ -37,6 +42,9 @@
 void pooled_server::record_exchange(std::uint32_t queries, admission::outcome result,
                                     clock::time_point started_at, clock::time_point now)
 {
+    if (result == admission::outcome::done) {
+        served_at = now;
+    }
     if (pace) {
         pace->record({.work_class = queries,
                       .running = std::max(running, 1U),
@@ -63,6 +71,9 @@
 
 bool pooled_server::may_open(clock::time_point now) const
 {
+    if (now < open_retry_at || (failures > 0 && now - opened_at < probe_time)) {
+        return false;
+    }
     const bool is_overloaded = expected_latency_ms(now) > overload_factor * unloaded_latency_ms;
     return open == 0 || !is_overloaded || now - opened_at >= overloaded_open_interval;
 }
@@ -99,6 +110,17 @@
 {
     saturated_limit = std::max(open, 1U);
     saturated_until = now + saturation_time;
+    if (now >= open_retry_at) {
+        open_retry_at =
+            now + exponential_backoff(min_open_backoff, refused_opens, max_open_backoff);
+        ++refused_opens;
+    }
+}
+
+void pooled_server::record_opened() noexcept
+{
+    refused_opens = 0;
+    open_retry_at = clock::time_point{};
 }
 
 void pooled_server::record_lag(clock::time_point now)
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -44,6 +44,7 @@
     std::list<queued_statement*> queued_statements; // of open transactions
 
     // Measurements and failures.
+    clock::time_point served_at{};          // when it last answered without an error
     double latency_ms = 20;                 // average of recent statements
     clock::time_point latency_updated_at{}; // when `latency_ms` was updated
     double unloaded_latency_ms = 20;        // latency without queueing
@@ -51,8 +52,10 @@
     clock::time_point avoided_until{};      // set by failures
     std::uint32_t saturated_limit = 0;      // limit of `open` after the server refused a connection
     clock::time_point saturated_until{};
-    clock::time_point opened_at{}; // when the last connection was opened
-    std::uint32_t lag_count = 0;   // consecutive reads that it refused for its lag
+    std::uint32_t refused_opens = 0;   // in a row, at most one for each retry
+    clock::time_point open_retry_at{}; // after the server refused a connection
+    clock::time_point opened_at{};     // when the last connection was requested
+    std::uint32_t lag_count = 0;       // consecutive reads that it refused for its lag
     clock::time_point lagging_until{};
 
     std::optional<admission::server_pace> pace; // learned concurrency, if it is enabled
@@ -63,7 +66,9 @@
     void record_latency(double milliseconds, clock::time_point now);
     void record_success();
     void record_failure(clock::time_point now, bool refused);
+    // The server refused a connection because it has too many.
     void record_saturation(clock::time_point now);
+    void record_opened() noexcept;
     void record_lag(clock::time_point now);
 
     // Returns the average latency, which decays to the default as the last measurement ages.
@@ -72,7 +77,8 @@
     [[nodiscard]] bool is_queueing(clock::time_point now) const;
 
     // A new connection occupies a slot for as long as a statement. While the server is overloaded,
-    // one is opened at intervals, which is enough for every organisation to be served.
+    // one is opened at intervals, which is enough for every organisation to be served. One at a
+    // time is opened to a server that failed, and at growing intervals to one that refused one.
     [[nodiscard]] bool may_open(clock::time_point now) const;
 
     // Returns how many statements this instance runs there concurrently: fewer while they queue at
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -166,6 +166,8 @@
         const split_text database = split_first_word(message.remainder);
         database_ = database.first;
         key_ = database.remainder;
+        // After a restart of the whole fleet no other instance could serve the caller any sooner.
+        co_await context_.control.await_first_document(clock::now() + first_document_wait);
         refusal = check_access();
     }
     if (refusal) {
@@ -204,10 +206,15 @@
     if (limits == nullptr || limits->try_take(now)) {
         co_return std::nullopt;
     }
-    const bool has_borrowed = co_await context_.control.borrow_token(op.organisation);
-    context_.metrics.record_borrowing(has_borrowed);
+    bool is_admitted = co_await context_.control.borrow_token(op.organisation);
+    context_.metrics.record_borrowing(is_admitted);
+    if (!is_admitted) {
+        // Until the instance has a share, it does not know whether the rate is used up.
+        is_admitted = co_await context_.control.await_share(
+            op.organisation, outage_deadline(now, op.route->statement_timeout));
+    }
     context_.metrics.record_phase(statement_phase::admission, clock::now() - now);
-    if (has_borrowed) {
+    if (is_admitted) {
         co_return std::nullopt;
     }
     limiter* const current_limits = context_.control.limiter_for(op.organisation);
--- a/src/pooler_wait.h
+++ b/src/pooler_wait.h
@@ -1,29 +1,62 @@
-// Limits how long an operation waits for a connection before it is refused. Pure.
+// Decides how long callers wait for what an operation needs, and what is refused at once. Pure.
 //
-// When the primary receives more operations than it can run, because replicas lag or it is slow,
-// some operations can't be served. They are refused early enough for their callers to go
-// elsewhere, however often they were retried, while the others keep every slot busy.
+// Two loads are told apart. When servers run statements but receive more than they can run, some
+// operations can't be served: they are refused early, so that the others keep every slot busy and
+// are served in time. When nothing runs at all, because a primary is being replaced, a fleet has
+// just restarted or a server's connections are taken by peers that are gone, the operations would
+// be refused at every instance until service resumes: they wait for it within their time-out.
 #pragma once
 
 #include <primrosehead/clock.h>
 
+#include <cstddef>
+#include <cstdint>
+
 namespace primrosehead::pooler {
 
+// How long a session that opens waits for this process's first document after a start. Callers
+// close a session that is not open within 2 s.
+inline constexpr clock::duration first_document_wait{1'800};
+
+// An instance that has not heard from the control leader for longer than an election takes is cut
+// off itself, and will not learn of another primary.
+inline constexpr clock::duration leader_contact_timeout{2'000};
+
 class wait_budget {
   public:
     wait_budget() = default;
-    // Starts at `began_at`, when the operation was received or its transaction requested its first
+    // `received_at`: when the statement was received; `asked_at`: when it requested its first
     // connection. `objective` is the operation's latency objective.
-    wait_budget(clock::time_point began_at, clock::duration objective) noexcept;
+    wait_budget(clock::time_point received_at, clock::time_point asked_at,
+                clock::duration objective, clock::duration statement_timeout) noexcept;
 
-    // Returns when to stop waiting. An operation that has reached a server gets the full allowance
-    // again.
+    // Returns when to stop waiting for servers that are running other statements. An operation that
+    // has reached a server gets the full allowance again.
     [[nodiscard]] clock::time_point deadline(bool has_reached_server,
                                              clock::time_point now) const noexcept;
 
+    // Returns when to stop waiting for service to resume. The remainder of the time-out is for the
+    // statement itself.
+    [[nodiscard]] clock::time_point outage_deadline() const noexcept { return outage_deadline_; }
+
   private:
     clock::time_point initial_deadline_{};
     clock::duration allowance_{0};
+    clock::time_point outage_deadline_{};
 };
 
+// Returns until when a statement received at `received_at` may wait for an outage to end.
+[[nodiscard]] clock::time_point outage_deadline(clock::time_point received_at,
+                                                clock::duration statement_timeout) noexcept;
+
+// Returns whether a server has stopped serving this instance: no statement has been answered since
+// `last_served_at`, though statements take `expected_latency_ms`.
+[[nodiscard]] bool has_stalled(clock::time_point last_served_at, double expected_latency_ms,
+                               clock::time_point now) noexcept;
+
+// Returns the time in which a server will have run the statements that wait for it here. `slots`
+// are shared with as many statements of each other instance.
+[[nodiscard]] clock::duration backlog_time(std::size_t waiting, double latency_ms,
+                                           std::uint32_t slots, std::uint32_t instances) noexcept;
+
 } // namespace primrosehead::pooler
--- a/tests/pooler_fixture.cpp
+++ b/tests/pooler_fixture.cpp
@@ -69,16 +69,26 @@
 }
 
 void pooler_fixture::confirm(double rate)
+{
+    confirm_without_share(rate);
+    grant_share(1'000'000);
+}
+
+void pooler_fixture::confirm_without_share(double rate)
 {
     document_ = one_database(rate);
     pb::follow_reply reply = make_follow_reply(++sequence_);
     add_first_state(reply);
     add_server(reply, "server-1", server.address()).set_is_primary(true);
     control.receive(reply, clock::now());
+}
+
+void pooler_fixture::grant_share(std::uint32_t millionths)
+{
     pb::follow_reply shares = make_follow_reply(++sequence_);
     pb::share_grant& grant = *shares.add_shares();
     grant.set_organisation("org");
-    grant.set_share_ppm(1'000'000);
+    grant.set_share_ppm(millionths);
     control.receive(shares, clock::now());
 }
 
--- a/tests/pooler_fixture.h
+++ b/tests/pooler_fixture.h
@@ -34,6 +34,10 @@
     // the organisation "org", which has `rate` as rate and burst and the whole share.
     void confirm(double rate);
 
+    // Does the same without the share.
+    void confirm_without_share(double rate);
+    void grant_share(std::uint32_t millionths);
+
     // Runs the event loop for `time`.
     void run(clock::duration time);
 
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -307,7 +307,7 @@
     for (std::int64_t ms = 0; ms < simulated_ms; ++ms) {
         const clock::time_point now = at(ms);
         if (random() % 1'000 < 229) { // 1.6 * 2 slots / 14 ms
-            queue.push_back({now, wait_budget(now, objective)});
+            queue.push_back({now, wait_budget(now, now, objective, clock::duration(1'000))});
         }
         for (clock::time_point& slot : free_at) {
             if (slot > now || queue.empty()) {
@@ -349,7 +349,7 @@
 
 TEST_CASE("pooler wait: an operation that reached a server gets another wait budget")
 {
-    const wait_budget budget(at(0), clock::duration(200));
+    const wait_budget budget(at(0), at(0), clock::duration(200), clock::duration(1'000));
     CHECK(budget.deadline(false, at(30)) == at(40));
     CHECK(budget.deadline(true, at(100)) == at(140));
 }
