Operations are refused at once while no primary can be reached

A change of primary takes about 2.5 s, longer than the time-outs, and an operation that waited was mostly refused in the end.

A refused connection is retried at once before the backoff begins: another instance may just have closed one.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -3,7 +3,6 @@
 #include "clock_timer.h"
 #include "event_log.h"
 #include "pooler_cause.h"
-#include "pooler_follower.h"
 #include "pooler_metrics.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -150,13 +149,11 @@
     const clock::time_point now = clock::now();
     request.deadline = std::min(deadline, budget_.deadline(has_reached_server_, now));
     request.outage_deadline = std::min(deadline, budget_.outage_deadline());
-    request.waits_for_primary = now - context_.control.last_reply_at() < leader_contact_timeout;
     if (pinned_) {
         request.pinned_server = pinned_->id;
         request.share = warm_up_share::home;
         request.deadline = std::min(deadline, now + home_connection_wait);
         request.outage_deadline = request.deadline;
-        request.waits_for_primary = false;
     }
     return request;
 }
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -541,15 +541,11 @@
 void pool::dispatch(group_state& state)
 {
     const clock::time_point now = clock::now();
-    std::size_t waiting = 0;
     for (auto each = state.queue.begin(); each != state.queue.end();) {
         queued_request& queued = **each;
         acquire_error error = acquire_error::none;
         queued.assigned = choose(state, queued.request, now, error);
-        const bool waits_for_primary = error == acquire_error::no_primary &&
-                                       may_wait_for_primary(state, queued.request, waiting, now);
-        if (waits_for_primary || (!queued.assigned && error == acquire_error::none)) {
-            ++waiting;
+        if (!queued.assigned && error == acquire_error::none) {
             ++each;
             continue;
         }
@@ -586,21 +582,6 @@
     });
 }
 
-bool pool::may_wait_for_primary(const group_state& state, const connection_request& request,
-                                std::size_t waiting, clock::time_point now) const
-{
-    const auto successor =
-        std::find_if(state.servers.begin(), state.servers.end(),
-                     [this](const auto& item) { return !is_evacuated(*item.second); });
-    if (!request.waits_for_primary || successor == state.servers.end()) {
-        return false;
-    }
-    const pooled_server& server = *successor->second;
-    const clock::duration backlog =
-        backlog_time(waiting, server.unloaded_latency_ms, server.slots, state.instances);
-    return now + backlog < request.outage_deadline;
-}
-
 net::awaitable<acquire_result> pool::acquire(connection_request& request)
 {
     group_state& state = state_of(request.group);
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -59,7 +59,6 @@
     clock::time_point deadline; // for obtaining the connection, not for the statement
     // Replaces `deadline` while no server that could run the operation serves this instance.
     clock::time_point outage_deadline{};
-    bool waits_for_primary = false; // otherwise refused at once if no primary can be reached
 };
 
 enum class acquire_error {
@@ -248,11 +247,6 @@
     // True while no server that could run the operation has served this instance recently.
     [[nodiscard]] bool is_stalled(const group_state& state, const connection_request& request,
                                   clock::time_point now) const;
-    // True if the operation may wait until the primary can be reached. `waiting`: operations of the
-    // group that wait ahead of it.
-    [[nodiscard]] bool may_wait_for_primary(const group_state& state,
-                                            const connection_request& request, std::size_t waiting,
-                                            clock::time_point now) const;
     void enqueue(group_state& state, queued_request& queued);
     void dispatch(group_state& state);
     void close_idle(pooled_server& server);
--- a/src/pooler_server.cpp
+++ b/src/pooler_server.cpp
@@ -111,8 +111,11 @@
     saturated_limit = std::max(open, 1U);
     saturated_until = now + saturation_time;
     if (now >= open_retry_at) {
+        // Another instance may just have closed one, so that the first retry is not delayed.
         open_retry_at =
-            now + exponential_backoff(min_open_backoff, refused_opens, max_open_backoff);
+            refused_opens == 0
+                ? now
+                : now + exponential_backoff(min_open_backoff, refused_opens - 1, max_open_backoff);
         ++refused_opens;
     }
 }
--- a/src/pooler_wait.cpp
+++ b/src/pooler_wait.cpp
@@ -43,11 +43,4 @@
     return now - last_served_at > std::max(min_stall_time, latency_limit);
 }
 
-clock::duration backlog_time(std::size_t waiting, double latency_ms, std::uint32_t slots,
-                             std::uint32_t instances) noexcept
-{
-    const double all_waiting = static_cast<double>(waiting) * std::max(instances, 1U);
-    return clock::duration(static_cast<clock::rep>(all_waiting * latency_ms / std::max(slots, 1U)));
-}
-
 } // namespace primrosehead::pooler
--- a/src/pooler_wait.h
+++ b/src/pooler_wait.h
@@ -2,26 +2,19 @@
 //
 // Two loads are told apart. When servers run statements but receive more than they can run, some
 // operations can't be served: they are refused early, so that the others keep every slot busy and
-// are served in time. When nothing runs at all, because a primary is being replaced, a fleet has
-// just restarted or a server's connections are taken by peers that are gone, the operations would
-// be refused at every instance until service resumes: they wait for it within their time-out.
+// are served in time. When nothing runs at all, because the fleet has just restarted or a server's
+// connections are taken by peers that are gone, the operations would be refused at every instance
+// until service resumes: they wait for it within their time-out.
 #pragma once
 
 #include <primrosehead/clock.h>
 
-#include <cstddef>
-#include <cstdint>
-
 namespace primrosehead::pooler {
 
 // How long a session that opens waits for this process's first document after a start. Callers
 // close a session that is not open within 2 s.
 inline constexpr clock::duration first_document_wait{1'800};
 
-// An instance that has not heard from the control leader for longer than an election takes is cut
-// off itself, and will not learn of another primary.
-inline constexpr clock::duration leader_contact_timeout{2'000};
-
 class wait_budget {
   public:
     wait_budget() = default;
@@ -54,9 +47,4 @@
 [[nodiscard]] bool has_stalled(clock::time_point last_served_at, double expected_latency_ms,
                                clock::time_point now) noexcept;
 
-// Returns the time in which a server will have run the statements that wait for it here. `slots`
-// are shared with as many statements of each other instance.
-[[nodiscard]] clock::duration backlog_time(std::size_t waiting, double latency_ms,
-                                           std::uint32_t slots, std::uint32_t instances) noexcept;
-
 } // namespace primrosehead::pooler
