Operations above their organisation's tokens wait for the next one

An operation whose token comes within the time that it has waits for it, in the order of arrival. In a burst that time is the one for outages; once operations have waited without a break for a second, the organisation sends more than its rate, and only those wait that can still meet their objective.

--- a/tests/pooler_wait_test.cpp
+++ b/tests/pooler_wait_test.cpp
@@ -1,4 +1,5 @@
 #include "pooler_fixture.h"
+#include "pooler_limits.h"
 #include "pooler_server.h"
 #include "pooler_wait.h"
 
@@ -223,3 +224,105 @@
     server.record_success();
     CHECK(server.may_open(at(1'001)));
 }
+
+namespace {
+
+// An organisation with a rate of 40 operations per second and a burst of 10, at an instance that
+// has the whole share.
+struct rate_result {
+    int admitted = 0;
+    int admitted_in_first_second = 0;
+    int refused = 0;
+    clock::duration longest_wait{0};
+    clock::duration longest_late_wait{0}; // of those that arrived after two seconds
+};
+
+// Sends `burst` operations at once, then `per_s` for five seconds.
+rate_result simulate_rate(int burst, int per_s)
+{
+    struct waiting_operation {
+        clock::time_point received_at;
+        clock::time_point token_at;
+    };
+    limiter limits(at(0));
+    limits.set_limits(40, 10, {}, 0);
+    limits.set_share(1'000'000, at(0));
+    std::list<waiting_operation> waiting;
+    rate_result result;
+    const auto record = [&](clock::time_point received_at, clock::time_point now) {
+        ++result.admitted;
+        result.admitted_in_first_second += now < at(1'000) ? 1 : 0;
+        result.longest_wait = std::max(result.longest_wait, now - received_at);
+        if (received_at > at(2'000)) {
+            result.longest_late_wait = std::max(result.longest_late_wait, now - received_at);
+        }
+    };
+    for (std::int64_t ms = 0; ms < 6'000; ++ms) {
+        const clock::time_point now = at(ms);
+        for (auto each = waiting.begin(); each != waiting.end();) {
+            if (each->token_at > now) {
+                ++each;
+                continue;
+            }
+            REQUIRE(limits.end_wait(now));
+            record(each->received_at, now);
+            each = waiting.erase(each);
+        }
+        const bool is_sending = per_s > 0 && ms < 5'000 && ms % (1'000 / per_s) == 0;
+        const int arrivals = (ms == 0 ? burst : 0) + (is_sending ? 1 : 0);
+        for (int i = 0; i < arrivals; ++i) {
+            if (limits.try_take(now)) {
+                record(now, now);
+                continue;
+            }
+            const wait_budget budget(now, now, objective, statement_timeout);
+            const auto token_at = limits.next_token_at(now);
+            REQUIRE(token_at.has_value());
+            if (*token_at > budget.token_deadline(limits.waiting_since(now), now)) {
+                ++result.refused;
+                continue;
+            }
+            limits.begin_wait(now);
+            waiting.push_back({now, *token_at});
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against refusals of callers who return all at once after an outage, although their
+// organisation is under its rate.
+TEST_CASE("pooler wait: a burst above an organisation's tokens is spread over the time-out")
+{
+    const rate_result result = simulate_rate(35, 0);
+    CHECK(result.refused == 0);
+    CHECK(result.admitted_in_first_second == 35);
+    CHECK(result.longest_wait <= statement_timeout * 3 / 4);
+}
+
+// Guards against a standing queue: all operations of an organisation that sends more than its rate
+// would be late, though none more would be served.
+TEST_CASE("pooler wait: above its rate an organisation is served in time, and gets no more than it")
+{
+    const rate_result result = simulate_rate(0, 100);
+    CHECK(result.admitted <= 10 + 40 * 5.2);
+    CHECK(result.admitted >= 0.95 * 40 * 5);
+    CHECK(result.longest_late_wait <= objective / 2);
+}
+
+// Guards against later operations that take the tokens of those that wait.
+TEST_CASE("pooler limits: an operation gets no token while others wait for theirs")
+{
+    limiter limits(at(0));
+    limits.set_limits(10, 1, {}, 0);
+    limits.set_share(1'000'000, at(0));
+    CHECK(limits.try_take(at(0)));
+    CHECK(limits.next_token_at(at(0)) == at(100));
+    limits.begin_wait(at(0));
+    CHECK(limits.next_token_at(at(0)) == at(200));
+    CHECK(!limits.try_take(at(100)));
+    CHECK(limits.end_wait(at(100)));
+    limits.drop_share(at(101));
+    CHECK(!limits.next_token_at(at(101)).has_value());
+}
