--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -1,16 +1,11 @@
 #include "pooler_follower.h"
 
 #include "cell_token_buckets.h"
-#include "clock_timer.h"
 #include "document_codec.h"
 #include "event_log.h"
 #include "pooler_pool.h"
 #include "primrosehead.pb.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -205,7 +200,7 @@
             co_return false;
         }
         if (limits->share() > 0) {
-            co_return true;
+            co_return limits->try_take_uncounted(clock::now());
         }
         if (clock::now() >= deadline) {
             co_return false;
@@ -215,29 +210,6 @@
     }
 }
 
-net::awaitable<bool> follower::await_token(const std::string& organisation, wait_budget budget)
-{
-    const bool has_share = co_await await_share(organisation, budget.outage_deadline());
-    if (!has_share) {
-        co_return false;
-    }
-    const clock::time_point now = clock::now();
-    limiter& limits = *limiter_for(organisation);
-    const std::optional<clock::time_point> token_at = limits.next_token_at(now);
-    if (!token_at || *token_at > budget.token_deadline(limits.waiting_since(now), now)) {
-        co_return false;
-    }
-    if (*token_at <= now) {
-        co_return limits.try_take_uncounted(now);
-    }
-    limits.begin_wait(now);
-    net::steady_timer timer(executor_);
-    timer.expires_at(to_steady_time(*token_at));
-    co_await timer.async_wait(net::as_tuple(net::use_awaitable));
-    limiter* const current_limits = limiter_for(organisation); // null if it has been removed
-    co_return current_limits != nullptr && current_limits->end_wait(clock::now());
-}
-
 bool follower::is_without_tokens(clock::time_point now) const noexcept
 {
     return follows_relay() && now - plan_.last_reply_at() > relay_switch_time;
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -9,7 +9,6 @@
 #include "pooler_follow_plan.h"
 #include "pooler_home_table.h"
 #include "pooler_limit_table.h"
-#include "pooler_wait.h"
 #include "wait_list.h"
 
 #include <primrosehead/bus.h>
@@ -79,10 +78,10 @@
     // Waits for the first confirmed document since this process started; at once if there was one.
     [[nodiscard]] boost::asio::awaitable<void> await_first_document(clock::time_point deadline);
 
-    // Waits until this instance has a share of the organisation's limits and a token of it, if it
-    // comes within the time that the operation has. False: the operation got none.
-    [[nodiscard]] boost::asio::awaitable<bool> await_token(const std::string& organisation,
-                                                           wait_budget budget);
+    // Waits until this instance has a share of the organisation's limits, and takes a token of it.
+    // False: there is none, or the deadline has passed.
+    [[nodiscard]] boost::asio::awaitable<bool> await_share(const std::string& organisation,
+                                                           clock::time_point deadline);
 
     [[nodiscard]] clock::time_point last_reply_at() const noexcept { return plan_.last_reply_at(); }
 
@@ -117,9 +116,6 @@
     [[nodiscard]] std::uint32_t live_instances() const noexcept { return live_instances_; }
 
   private:
-    // Returns false if the organisation has no share at the deadline.
-    [[nodiscard]] boost::asio::awaitable<bool> await_share(const std::string& organisation,
-                                                           clock::time_point deadline);
     void send(const planned_request& planned, clock::time_point now);
     void close_unneeded_connections();
     void log_endpoint_change();
--- a/src/pooler_limits.cpp
+++ b/src/pooler_limits.cpp
@@ -111,34 +111,6 @@
         return true;
     }
     refill(now);
-    if (tokens_ < 1 + waiting_) {
-        return false;
-    }
-    tokens_ -= 1;
-    return true;
-}
-
-std::optional<clock::time_point> limiter::next_token_at(clock::time_point now) noexcept
-{
-    refill(now);
-    const double per_ms = rate_ * own_share(distributed_.rate) / ms_per_s;
-    if (per_ms <= 0) {
-        return std::nullopt;
-    }
-    const double missing = std::max(0.0, 1 + waiting_ - tokens_);
-    return now + clock::duration(static_cast<clock::rep>(std::ceil(missing / per_ms)));
-}
-
-void limiter::begin_wait(clock::time_point now) noexcept
-{
-    waiting_since_ = waiting_since(now);
-    ++waiting_;
-}
-
-bool limiter::end_wait(clock::time_point now) noexcept
-{
-    waiting_ -= waiting_ > 0 ? 1 : 0; // the limiter may have been replaced during the wait
-    refill(now);
     if (tokens_ < 1) {
         return false;
     }
--- a/src/pooler_limits.h
+++ b/src/pooler_limits.h
@@ -57,19 +57,6 @@
     // Does the same for an operation that is already counted in the demand.
     [[nodiscard]] bool try_take_uncounted(clock::time_point now) noexcept;
 
-    // Operations that wait for a token get theirs in the order of arrival, before later ones.
-    // Returns when one more would get its token; nothing without a share.
-    [[nodiscard]] std::optional<clock::time_point> next_token_at(clock::time_point now) noexcept;
-    void begin_wait(clock::time_point now) noexcept;
-    // Ends a wait. Returns whether the operation gets a token.
-    [[nodiscard]] bool end_wait(clock::time_point now) noexcept;
-
-    // Returns since when operations have waited without a break; `now` if none waits.
-    [[nodiscard]] clock::time_point waiting_since(clock::time_point now) const noexcept
-    {
-        return waiting_ > 0 ? waiting_since_ : now;
-    }
-
     // Adds tokens from the leader's part. Tokens above this instance's capacity expire soon.
     void add_granted_tokens(std::uint32_t tokens, clock::time_point now) noexcept;
 
@@ -103,8 +90,6 @@
     clock::time_point granted_at_{};
     clock::time_point refilled_at_;
     bool never_had_share_ = true;
-    std::uint32_t waiting_ = 0; // operations that wait for a token
-    clock::time_point waiting_since_{};
     std::optional<clock::duration> told_retry_after_;
 
     std::uint32_t arrivals_ = 0;
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -209,9 +209,9 @@
     bool is_admitted = co_await context_.control.borrow_token(op.organisation);
     context_.metrics.record_borrowing(is_admitted);
     if (!is_admitted) {
-        is_admitted = co_await context_.control.await_token(
-            op.organisation,
-            wait_budget(now, now, op.route->latency_objective, op.route->statement_timeout));
+        // Until the instance has a share, it does not know whether the rate is used up.
+        is_admitted = co_await context_.control.await_share(
+            op.organisation, outage_deadline(now, op.route->statement_timeout));
     }
     context_.metrics.record_phase(statement_phase::admission, clock::now() - now);
     if (is_admitted) {
--- a/src/pooler_wait.cpp
+++ b/src/pooler_wait.cpp
@@ -12,8 +12,6 @@
 constexpr int outage_wait_quarters = 3;
 constexpr clock::duration min_stall_time{250};
 constexpr double stall_latency_factor = 3;
-// A burst that is not over after this time is a rate.
-constexpr clock::duration max_burst_time{1'000};
 
 } // namespace
 
@@ -21,8 +19,7 @@
                          clock::duration objective, clock::duration statement_timeout) noexcept
     : initial_deadline_(asked_at + objective / objective_divisor),
       allowance_(objective / objective_divisor),
-      outage_deadline_(pooler::outage_deadline(received_at, statement_timeout)),
-      objective_half_(received_at + objective / 2)
+      outage_deadline_(pooler::outage_deadline(received_at, statement_timeout))
 {
 }
 
@@ -32,13 +29,6 @@
     return has_reached_server ? now + allowance_ : initial_deadline_;
 }
 
-clock::time_point wait_budget::token_deadline(clock::time_point waiting_since,
-                                              clock::time_point now) const noexcept
-{
-    return now - waiting_since < max_burst_time ? outage_deadline_
-                                                : std::min(objective_half_, outage_deadline_);
-}
-
 clock::time_point outage_deadline(clock::time_point received_at,
                                   clock::duration statement_timeout) noexcept
 {
--- a/src/pooler_wait.h
+++ b/src/pooler_wait.h
@@ -32,18 +32,10 @@
     // statement itself.
     [[nodiscard]] clock::time_point outage_deadline() const noexcept { return outage_deadline_; }
 
-    // Returns when to stop waiting for a token of the organisation's rate. A short burst, such as
-    // that of callers who return after an outage, is spread over the time-out. Once operations have
-    // waited without a break since `waiting_since` for longer, the organisation sends more than its
-    // rate: only those that can still meet their objective wait.
-    [[nodiscard]] clock::time_point token_deadline(clock::time_point waiting_since,
-                                                   clock::time_point now) const noexcept;
-
   private:
     clock::time_point initial_deadline_{};
     clock::duration allowance_{0};
     clock::time_point outage_deadline_{};
-    clock::time_point objective_half_{};
 };
 
 // Returns until when a statement received at `received_at` may wait for an outage to end.
