--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -184,13 +184,6 @@
     co_return is_granted;
 }
 
-net::awaitable<void> follower::await_first_document(clock::time_point deadline)
-{
-    if (confirmed_at_ == clock::time_point{}) {
-        co_await document_waits_.wait(executor_, deadline);
-    }
-}
-
 net::awaitable<bool> follower::await_share(const std::string& organisation,
                                            clock::time_point deadline)
 {
@@ -354,7 +347,6 @@
     const clock::time_point confirmed_at = asked_at - clock::duration(reply.confirmed_age_ms());
     if (document_ && document_->version() >= reply.document_version()) {
         confirmed_at_ = std::max(confirmed_at_, confirmed_at);
-        document_waits_.wake_all();
     }
     apply_relays(reply, now);
     close_unneeded_connections();
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -75,8 +75,6 @@
     {
         return document_ != nullptr && now - confirmed_at_ < lease_;
     }
-    // Waits for the first confirmed document since this process started; at once if there was one.
-    [[nodiscard]] boost::asio::awaitable<void> await_first_document(clock::time_point deadline);
 
     // Waits until this instance has a share of the organisation's limits, and takes a token of it.
     // False: there is none, or the deadline has passed.
@@ -158,7 +156,6 @@
         wait_list operations;
     };
     std::map<std::string, token_wait, std::less<>> token_waits_;
-    wait_list document_waits_; // for the first document
     wait_list share_waits_;
     clock::time_point alternative_silent_at_{}; // when an alternative relay last did not reply
     clock::time_point tokens_requested_at_{};
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -166,8 +166,6 @@
         const split_text database = split_first_word(message.remainder);
         database_ = database.first;
         key_ = database.remainder;
-        // After a restart of the whole fleet no other instance could serve the caller any sooner.
-        co_await context_.control.await_first_document(clock::now() + first_document_wait);
         refusal = check_access();
     }
     if (refusal) {
--- a/src/pooler_wait.h
+++ b/src/pooler_wait.h
@@ -2,19 +2,15 @@
 //
 // Two loads are told apart. When servers run statements but receive more than they can run, some
 // operations can't be served: they are refused early, so that the others keep every slot busy and
-// are served in time. When nothing runs at all, because the fleet has just restarted or a server's
-// connections are taken by peers that are gone, the operations would be refused at every instance
-// until service resumes: they wait for it within their time-out.
+// are served in time. When nothing runs at all, because an instance has no share of a rate yet or a
+// server's connections are taken by peers that are gone, the operations would be refused at every
+// instance until service resumes: they wait for it within their time-out.
 #pragma once
 
 #include <primrosehead/clock.h>
 
 namespace primrosehead::pooler {
 
-// How long a session that opens waits for this process's first document after a start. Callers
-// close a session that is not open within 2 s.
-inline constexpr clock::duration first_document_wait{1'800};
-
 class wait_budget {
   public:
     wait_budget() = default;
