Log what a promotion request is based on, and changes of the primary

The log couldn't tell the hypotheses on the lost commit apart: 'call' was written when the answer came, orders named no decision, and nothing said which replicas were paused, and where, when a request was sent. 'requested' is written when a request is sent, with the position of the server, of the paused replicas and of a demoted primary; 'primary' when another server is regarded as the primary; orders have their decision's number and the time until the answer. No decision changes.

--- a/src/cell_action_executor.cpp
+++ b/src/cell_action_executor.cpp
@@ -93,12 +93,14 @@
     });
 }
 
-void action_executor::log_action(std::string_view group, std::string_view event,
-                                 std::string_view server, const promotion::status_answer& answer)
+void action_executor::log_order(std::string_view event, const order_context& order,
+                                const promotion::status_answer& answer)
 {
     events_.decision("promotion", event)
-        .field("group", group)
-        .field("server", server)
+        .field("group", order.group)
+        .field("server", order.server)
+        .field("number", static_cast<std::int64_t>(order.number))
+        .field("took_ms", (clock::now() - order.sent_at).count())
         .field("result", name_of(answer.result))
         .field("code", answer.code)
         .field("received", format_position(answer.status.received))
@@ -159,8 +161,9 @@
     const auto probe = probe_for(group, action.server, action.address);
     const std::uint64_t generation = generation_;
     const std::string statement = fmt::format("{} {}", dialect_.pause, action.term);
+    const order_context order{group, action.server, action.number, clock::now()};
     const promotion::status_answer answer = co_await probe->execute(statement);
-    log_action(group, "pause", action.server, answer);
+    log_order("pause", order, answer);
     if (answer.result == promotion::probe_result::answered && generation == generation_) {
         collect(group, [server = action.server, answer](promotion::planner& planner,
                                                         clock::time_point now) {
@@ -174,8 +177,9 @@
     const auto probe = probe_for(group, action.server, action.address);
     const std::uint64_t generation = generation_;
     const std::string statement = fmt::format("{} {}", dialect_.step_down, action.term);
+    const order_context order{group, action.server, action.number, clock::now()};
     const promotion::status_answer answer = co_await probe->execute(statement);
-    log_action(group, "demote", action.server, answer);
+    log_order("demote", order, answer);
     if (answer.result == promotion::probe_result::answered && generation == generation_) {
         collect(group, [server = action.server, answer](promotion::planner& planner,
                                                         clock::time_point now) {
@@ -188,8 +192,29 @@
 {
     const auto probe = probe_for(group, action.server, action.address);
     const std::string statement(dialect_.resume);
+    const order_context order{group, action.server, action.number, clock::now()};
     const promotion::status_answer answer = co_await probe->execute(statement);
-    log_action(group, "resume", action.server, answer);
+    log_order("resume", order, answer);
+}
+
+// Together with the answer this tells which requests may be carried out late, and what their server
+// had when they were sent.
+void action_executor::log_request(std::string_view group,
+                                  const promotion::request_promotion& action)
+{
+    std::string paused;
+    for (const auto& [server, position] : action.evidence.paused) {
+        paused +=
+            fmt::format("{}{}={}", paused.empty() ? "" : ",", server, format_position(position));
+    }
+    events_.decision("promotion", "requested")
+        .field("group", group)
+        .field("server", action.server)
+        .field("number", static_cast<std::int64_t>(action.number))
+        .field("primary", action.evidence.primary)
+        .field("received", format_position(action.evidence.received))
+        .field("paused", paused)
+        .field("demoted", format_position(action.evidence.demoted));
 }
 
 net::awaitable<void> action_executor::request_promotion(std::string group,
@@ -201,12 +226,15 @@
     request.server = action.server;
     request.holder = holder_;
     request.number = action.number;
+    log_request(group, action);
+    const clock::time_point sent_at = clock::now();
     const promotion::promotion_outcome outcome =
-        co_await platform_.promote(request, clock::now() + promotion_request_timeout);
+        co_await platform_.promote(request, sent_at + promotion_request_timeout);
     events_.decision("promotion", "call")
         .field("group", group)
         .field("server", action.server)
         .field("number", static_cast<std::int64_t>(action.number))
+        .field("took_ms", (clock::now() - sent_at).count())
         .field("result", name_of(outcome));
     if (generation == generation_) {
         collect(group, [action, outcome](promotion::planner& planner, clock::time_point now) {
--- a/src/cell_action_executor.h
+++ b/src/cell_action_executor.h
@@ -47,6 +47,14 @@
         answer_handler deliver;
     };
 
+    // An order to a server, for the log.
+    struct order_context {
+        std::string_view group;
+        std::string_view server;
+        std::uint64_t number = 0; // of the decision
+        clock::time_point sent_at;
+    };
+
     [[nodiscard]] std::shared_ptr<promotion::probe>
     probe_for(const std::string& group, const std::string& server, const std::string& address);
     boost::asio::awaitable<void> check_primary(std::string group, promotion::check_primary action);
@@ -56,8 +64,9 @@
     boost::asio::awaitable<void> resume(std::string group, promotion::resume_replica action);
     boost::asio::awaitable<void> request_promotion(std::string group,
                                                    promotion::request_promotion action);
-    void log_action(std::string_view group, std::string_view event, std::string_view server,
-                    const promotion::status_answer& answer);
+    void log_order(std::string_view event, const order_context& order,
+                   const promotion::status_answer& answer);
+    void log_request(std::string_view group, const promotion::request_promotion& action);
     void collect(const std::string& group, answer_handler deliver);
 
     boost::asio::any_io_executor executor_;
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -397,6 +397,14 @@
         command.mutable_finish()->set_primary_url(finish->address);
         command.mutable_finish()->set_start_index(finish->position.index);
     }
+    else if (const auto* const seen = std::get_if<promotion::report_primary>(&requested.action)) {
+        events.decision("promotion", "primary")
+            .field("group", requested.group)
+            .field("server", seen->server)
+            .field("previous", seen->previous)
+            .field("position", format_position(seen->position));
+        return std::monostate{};
+    }
     else if (const auto* const record = std::get_if<promotion::record_members>(&requested.action)) {
         events.decision("promotion", "members")
             .field("group", requested.group)
--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -16,7 +16,8 @@
 planner::planner(std::string group, std::string seen_primary, planner_settings settings,
                  clock::time_point now)
     : group_(std::move(group)), settings_(settings), primary_(std::move(seen_primary)),
-      primary_confirmed_at_(now), steady_since_(now), phase_started_at_(now)
+      reported_primary_(primary_), primary_confirmed_at_(now), steady_since_(now),
+      phase_started_at_(now)
 {
 }
 
@@ -310,7 +311,7 @@
         else if (state.status->term_held != 0 && now - state.ordered_at >= resume_check_interval) {
             state.ordered_at = now;
             state.status.reset();
-            actions_.emplace_back(resume_replica{each.server, each.address});
+            actions_.emplace_back(resume_replica{each.server, each.address, record.number});
         }
     }
 }
@@ -393,7 +394,8 @@
             continue;
         }
         state.ordered_at = now;
-        actions_.emplace_back(pause_replica{each.server, each.address, latest_term_ + 1});
+        actions_.emplace_back(
+            pause_replica{each.server, each.address, latest_term_ + 1, decision_number_});
     }
 }
 
@@ -433,7 +435,7 @@
     if (!state.demoted_position && now - state.ordered_at >= settings_.order_retry_interval) {
         state.ordered_at = now;
         actions_.emplace_back(
-            demote_primary{old_primary->server, old_primary->address, latest_term_ + 1});
+            demote_primary{old_primary_, old_primary->address, latest_term_ + 1, decision_number_});
     }
 }
 
@@ -524,7 +526,25 @@
         phase_started_at_ = now;
     }
     requested_at_ = now;
-    actions_.emplace_back(request_promotion{candidate_, decision_number_});
+    actions_.emplace_back(request_promotion{candidate_, decision_number_, evidence()});
+}
+
+promotion_evidence planner::evidence() const
+{
+    promotion_evidence basis;
+    basis.primary = old_primary_;
+    for (const auto& [server, state] : servers_) {
+        if (server == candidate_ && state.status) {
+            basis.received = state.status->received;
+        }
+        if (server != candidate_ && state.paused_position) {
+            basis.paused.emplace(server, *state.paused_position);
+        }
+        if (server == old_primary_) {
+            basis.demoted = state.demoted_position;
+        }
+    }
+    return basis;
 }
 
 void planner::advance_calling(const decision_record& record, clock::time_point now)
@@ -594,6 +614,10 @@
         }
         break;
     }
+    if (primary_ != reported_primary_) {
+        actions_.emplace_back(report_primary{primary_, reported_primary_, primary_position_});
+        reported_primary_ = primary_;
+    }
     return std::exchange(actions_, {});
 }
 
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -60,25 +60,42 @@
     std::string server;
     std::string address;
     std::uint64_t term = 0;
+    std::uint64_t number = 0; // of the decision
 };
 struct demote_primary {
     std::string server;
     std::string address;
     std::uint64_t term = 0;
+    std::uint64_t number = 0;
 };
 struct resume_replica {
     std::string server;
     std::string address;
+    std::uint64_t number = 0; // of the latest decision
 };
 // Commits a new decision.
 struct begin_decision {
     std::uint64_t number = 0;
     std::string reason;
 };
+// What a request for a promotion is based on, for the log.
+struct promotion_evidence {
+    std::string primary; // the server to be replaced, or the candidate if it is confirmed
+    log_position received;
+    std::map<std::string, log_position> paused; // the other replicas
+    std::optional<log_position> demoted;        // log of the old primary
+};
 // Requests a promotion from the platform.
 struct request_promotion {
     std::string server;
     std::uint64_t number = 0;
+    promotion_evidence evidence;
+};
+// Another server is regarded as the primary. For the log.
+struct report_primary {
+    std::string server; // empty: none
+    std::string previous;
+    log_position position;
 };
 // Commits that the server is the primary.
 struct finish_decision {
@@ -88,9 +105,9 @@
     log_position position;
 };
 
-using action =
-    std::variant<check_primary, check_status, pause_replica, demote_primary, resume_replica,
-                 begin_decision, request_promotion, finish_decision, record_members>;
+using action = std::variant<check_primary, check_status, pause_replica, demote_primary,
+                            resume_replica, begin_decision, request_promotion, finish_decision,
+                            record_members, report_primary>;
 
 enum class promotion_outcome { accepted, refused, unknown };
 
@@ -205,6 +222,7 @@
     [[nodiscard]] bool has_all_commits(std::string_view server) const;
     void demote_old_primary(clock::time_point now);
     void send_promotion_request(clock::time_point now);
+    [[nodiscard]] promotion_evidence evidence() const;
     void advance_calling(const decision_record& record, clock::time_point now);
     void check_role(const member& target, clock::duration interval, clock::time_point now);
     void request_status(const member& target, clock::duration interval, clock::time_point now);
@@ -219,6 +237,7 @@
     std::vector<action> actions_;
 
     std::string primary_;
+    std::string reported_primary_;
     clock::time_point primary_confirmed_at_{};
     log_position primary_position_;
     std::uint64_t latest_term_ = 0;
