Tests: promotions lose acknowledged commits after a change of the control leader

The other five show single steps: a decision that ends while its request is unanswered, pauses that nobody checks once they were answered, servers that join during a promotion, and a group that stays without a primary.

--- a/tests/promotion_model.cpp
+++ b/tests/promotion_model.cpp
@@ -10,7 +10,6 @@
 using namespace primrosehead::promotion;
 
 constexpr clock::duration step{10};
-constexpr clock::duration promotion_delay{300};
 constexpr std::size_t server_count = 3;
 
 struct model_server {
@@ -262,7 +261,7 @@
             }
             highest_decision_number_ = request.number;
             if (find_server(request.server).name != current_primary().name) {
-                schedule(promotion_delay, [this, request] { promote(request.server); });
+                schedule(settings_.promotion_delay, [this, request] { promote(request.server); });
             }
             return true;
         };
--- a/tests/promotion_model.h
+++ b/tests/promotion_model.h
@@ -20,9 +20,10 @@
 struct promotion_model_settings {
     std::uint64_t seed = 1;
     clock::duration run_time{30'000};
-    double crash_chance = 0;             // per server and step
-    double partition_chance = 0;         // between the control leader and a server, per step
-    double replica_partition_chance = 0; // between the primary and a replica, per step
+    clock::duration promotion_delay{300}; // from an accepted request to its effect
+    double crash_chance = 0;              // per server and step
+    double partition_chance = 0;          // between the control leader and a server, per step
+    double replica_partition_chance = 0;  // between the primary and a replica, per step
     double delay_chance = 0; // of an order or request: no answer, applied 2 to 12 s later
     double leader_change_chance = 0;
     bool ignores_pauses = false; // injected fault: replicas report a pause that they did not make
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -279,6 +279,121 @@
     CHECK(call->number == 5);
 }
 
+// Returns a planner that has requested the promotion of r1, with r2 paused at the same position.
+planner requested_plan()
+{
+    planner group_planner = steady_plan();
+    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    const decision_record open{1, {}};
+    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
+    group_planner.on_status("r2", replica_at(9), at(2'100), at(2'110));
+    static_cast<void>(group_planner.advance(group, open, at(2'120)));
+    group_planner.on_paused("r2", replica_at(10, 2), at(2'130));
+    REQUIRE(find_action<request_promotion>(group_planner.advance(group, open, at(2'140))) !=
+            nullptr);
+    return group_planner;
+}
+
+TEST_CASE("promotion planner: a decision does not end before the platform has accepted its number")
+{
+    planner group_planner("kura", "p", {}, at(0));
+    decision_record open{4, {}};
+    bool is_requested = false;
+    const auto play = [&](std::int64_t from, std::int64_t until) {
+        for (std::int64_t now = from; now < until; now += 20) {
+            group_planner.on_primary("p", {1, 10}, at(now), at(now));
+            for (const action& each : group_planner.advance(group, open, at(now))) {
+                if (const auto* const begin = std::get_if<begin_decision>(&each)) {
+                    open = {begin->number, {}};
+                }
+                is_requested = is_requested || std::holds_alternative<request_promotion>(each);
+                if (std::holds_alternative<finish_decision>(each)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    };
+    CHECK(!play(0, 3'000));
+    CHECK(is_requested);
+    group_planner.on_promotion_answer("p", 5, promotion_outcome::accepted, at(3'000));
+    CHECK(play(3'000, 3'500));
+}
+
+TEST_CASE("promotion planner: a paused replica that receives again delays the request")
+{
+    planner group_planner = steady_plan();
+    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    const decision_record open{1, {}};
+    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    group_planner.on_status("r1", replica_at(9), at(2'100), at(2'110));
+    group_planner.on_status("r2", replica_at(8), at(2'100), at(2'110));
+    static_cast<void>(group_planner.advance(group, open, at(2'120)));
+    group_planner.on_paused("r2", replica_at(10, 2), at(2'130));
+    group_planner.on_status("r2", replica_at(10), at(2'200), at(2'210)); // it restarted
+    group_planner.on_status("r1", replica_at(10), at(2'200), at(2'210));
+    const auto actions = group_planner.advance(group, open, at(2'400));
+    CHECK(find_action<request_promotion>(actions) == nullptr);
+    const auto* const pause = find_action<pause_replica>(actions);
+    REQUIRE(pause != nullptr);
+    CHECK(pause->server == "r2");
+}
+
+TEST_CASE("promotion planner: a replica that receives again during a promotion is paused again")
+{
+    planner group_planner = requested_plan();
+    const decision_record open{1, {}};
+    bool is_checked = false;
+    std::string paused;
+    for (std::int64_t now = 2'160; now <= 3'000 && paused.empty(); now += 20) {
+        const auto actions = group_planner.advance(group, open, at(now));
+        for (const action& each : actions) {
+            if (const auto* const status = std::get_if<check_status>(&each)) {
+                is_checked = is_checked || status->server == "r2";
+                group_planner.on_status(status->server, replica_at(11), at(now), at(now + 5));
+            }
+            if (const auto* const pause = std::get_if<pause_replica>(&each)) {
+                paused = pause->server;
+            }
+        }
+    }
+    CHECK(is_checked);
+    CHECK(paused == "r2");
+}
+
+TEST_CASE("promotion planner: a server that joins during a promotion is paused")
+{
+    planner group_planner = requested_plan();
+    const decision_record open{1, {}};
+    std::vector<member> grown = group;
+    grown.push_back({"r3", "r3", false, false, 5});
+    std::string paused;
+    for (std::int64_t now = 2'160; now <= 3'000 && paused.empty(); now += 20) {
+        const auto actions = group_planner.advance(grown, open, at(now));
+        if (const auto* const pause = find_action<pause_replica>(actions)) {
+            paused = pause->server;
+        }
+    }
+    CHECK(paused == "r3");
+}
+
+// An order to step down that was carried out late, after its decision had ended.
+TEST_CASE("promotion planner: a group whose primary was demoted gets a primary")
+{
+    planner group_planner = steady_plan();
+    const decision_record finished{3, "p"};
+    bool has_begun = false;
+    for (std::int64_t now = 1'020; now <= 5'000 && !has_begun; now += 20) {
+        for (const char* server : {"p", "r1", "r2"}) {
+            group_planner.on_not_primary(server, at(now));
+        }
+        has_begun =
+            find_action<begin_decision>(group_planner.advance(group, finished, at(now))) != nullptr;
+    }
+    CHECK(has_begun);
+}
+
 TEST_CASE("promotion planner: no acknowledged commit is lost under random faults")
 {
     const char* const seeds_variable = std::getenv("PRIMROSEHEAD_SEEDS");
@@ -302,6 +417,30 @@
     CHECK(promotions > seeds);
 }
 
+// The next leader finds a decision whose request may be carried out at any time.
+TEST_CASE("promotion planner: no acknowledged commit is lost when leaders change in a promotion")
+{
+    const char* const seeds_variable = std::getenv("PRIMROSEHEAD_SEEDS");
+    const std::uint64_t seeds =
+        seeds_variable == nullptr ? 150 : std::strtoull(seeds_variable, nullptr, 10);
+    std::uint64_t promotions = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        testing::promotion_model_settings settings;
+        settings.seed = seed;
+        settings.run_time = clock::duration(60'000);
+        settings.promotion_delay = clock::duration(seed % 2 == 0 ? 300 : 1'000);
+        settings.crash_chance = 0.0002;
+        settings.partition_chance = 0.002;
+        settings.delay_chance = 0.4;
+        settings.leader_change_chance = 0.003;
+        const auto result = testing::run_promotion_model(settings);
+        CAPTURE(seed);
+        CHECK(result.lossy_promotions == 0);
+        promotions += result.promotions;
+    }
+    CHECK(promotions > seeds);
+}
+
 TEST_CASE("promotion planner: the model detects replicas that ignore pauses")
 {
     std::uint64_t lost = 0;
