A request for a promotion is treated as pending until the platform has outdated it

Cause: a request may be carried out seconds after it was sent, also by a platform that never answered, but the planner treated it as a part of its own decision only. (1) A decision ended as soon as its candidate answered as the primary. When an interrupted decision was ended by confirming the present primary, that was so from the start: it ended, and resumed the replicas, while the platform still accepted the earlier request. (2) The next leader did not know whose promotion was requested; it confirmed the old primary or chose another candidate and paused the one that was about to lead. A confirmation that came second took the lead back from a server with newer commits. (3) The pauses a request relies on were ordered once: a replica that restarted, joined or stopped answering afterwards could acknowledge commits alone. (4) What a server told before a restart, or answered to an order of an earlier decision, still counted; a new leader took the recorded primary for confirmed.

Change: a request is recorded in the replicated state before it is sent and stays there until a decision is finished; a new leader requests the same server again, and confirms the primary only if that server does not answer for longer than an accepted request takes. A decision is finished once the platform has accepted its number and the candidate was confirmed after that. While a request is under way the other replicas are checked and paused again; a request is sent or repeated only while all of them are known to be paused and the candidate has what they have.

--- a/src/cell_action_executor.cpp
+++ b/src/cell_action_executor.cpp
@@ -165,9 +165,8 @@
     const promotion::status_answer answer = co_await probe->execute(statement);
     log_order("pause", order, answer);
     if (answer.result == promotion::probe_result::answered && generation == generation_) {
-        collect(group, [server = action.server, answer](promotion::planner& planner,
-                                                        clock::time_point now) {
-            planner.on_paused(server, answer.status, now);
+        collect(group, [action, answer](promotion::planner& planner, clock::time_point now) {
+            planner.on_paused(action.server, action.number, answer.status, now);
         });
     }
 }
@@ -181,9 +180,8 @@
     const promotion::status_answer answer = co_await probe->execute(statement);
     log_order("demote", order, answer);
     if (answer.result == promotion::probe_result::answered && generation == generation_) {
-        collect(group, [server = action.server, answer](promotion::planner& planner,
-                                                        clock::time_point now) {
-            planner.on_demoted(server, answer.status, now);
+        collect(group, [action, answer](promotion::planner& planner, clock::time_point now) {
+            planner.on_demoted(action.server, action.number, answer.status, now);
         });
     }
 }
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -397,6 +397,12 @@
         command.mutable_finish()->set_primary_url(finish->address);
         command.mutable_finish()->set_start_index(finish->position.index);
     }
+    else if (const auto* const request =
+                 std::get_if<promotion::record_request>(&requested.action)) {
+        command.mutable_request()->set_database(requested.group);
+        command.mutable_request()->set_term(request->number);
+        command.mutable_request()->set_server(request->server);
+    }
     else if (const auto* const seen = std::get_if<promotion::report_primary>(&requested.action)) {
         events.decision("promotion", "primary")
             .field("group", requested.group)
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -46,8 +46,12 @@
 promotion::decision_record decision_record_of(const state_machine& state, std::string_view group)
 {
     const pb::group_record* const stored = state.group(group);
-    return stored == nullptr ? promotion::decision_record{}
-                             : promotion::decision_record{stored->term(), stored->primary()};
+    if (stored == nullptr) {
+        return {};
+    }
+    return {stored->term(),
+            stored->primary(),
+            {stored->requested().begin(), stored->requested().end()}};
 }
 
 } // namespace
--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -8,8 +8,12 @@
 
 namespace {
 
-// Interval between checks for replicas that are still paused; also the delay after a promotion.
 constexpr clock::duration resume_check_interval{1'000};
+// After a decision; a request that the platform accepted before takes up to a second to take
+// effect.
+constexpr clock::duration resume_delay{2'000};
+// For how long servers may still carry out orders of earlier decisions.
+constexpr clock::duration late_order_period{15'000};
 
 } // namespace
 
@@ -17,7 +21,7 @@
                  clock::time_point now)
     : group_(std::move(group)), settings_(settings), primary_(std::move(seen_primary)),
       reported_primary_(primary_), primary_confirmed_at_(now), steady_since_(now),
-      phase_started_at_(now)
+      phase_started_at_(now + clock::duration(1))
 {
 }
 
@@ -88,6 +92,7 @@
         state.failing_since = now;
     }
     state.refused = refused;
+    state.is_pause_verified = false;
 }
 
 void planner::on_status(std::string_view server, const server_status& status,
@@ -95,42 +100,68 @@
 {
     server_state& state = state_of(server);
     state.failing_since.reset();
-    state.status = status;
-    state.status_sent_at = std::max(state.status_sent_at, sent_at);
     latest_term_ = std::max(latest_term_, status.term);
+    if (state.status && sent_at < state.status_sent_at) {
+        return;
+    }
+    state.status = status;
+    state.status_sent_at = sent_at;
+    if (sent_at <= state.obeyed_at) {
+        return;
+    }
+    // A restart ends a pause, and perhaps a demotion.
+    if (state.paused_position) {
+        if (status.term_held == 0) {
+            state.paused_position.reset();
+        }
+        else {
+            state.paused_position = std::max(*state.paused_position, status.received);
+            state.is_pause_verified = true;
+        }
+    }
+    if (state.demoted_position && status.is_primary) {
+        state.demoted_position.reset();
+    }
 }
 
-void planner::on_paused(std::string_view server, const server_status& status, clock::time_point now)
+void planner::on_paused(std::string_view server, std::uint64_t number, const server_status& status,
+                        clock::time_point now)
 {
-    if (phase_ != phase_kind::fencing) {
+    if (!is_fencing() || number != decision_number_) {
         return;
     }
     on_status(server, status, now, now);
     server_state& state = state_of(server);
     if (!status.is_primary && status.term_held != 0) {
         state.paused_position = status.received;
+        state.is_pause_verified = true;
+        state.obeyed_at = now;
     }
 }
 
-void planner::on_demoted(std::string_view server, const server_status& status,
+void planner::on_demoted(std::string_view server, std::uint64_t number, const server_status& status,
                          clock::time_point now)
 {
-    if (phase_ != phase_kind::fencing) {
+    if (!is_fencing() || number != decision_number_) {
         return;
     }
     on_status(server, status, now, now);
+    server_state& state = state_of(server);
     if (!status.is_primary) {
-        state_of(server).demoted_position = status.received;
+        state.demoted_position = status.received;
+        state.obeyed_at = now;
     }
 }
 
 void planner::on_promotion_answer(std::string_view server, std::uint64_t number,
-                                  promotion_outcome outcome, clock::time_point /*now*/)
+                                  promotion_outcome outcome, clock::time_point now)
 {
     if (number != decision_number_ || server != candidate_) {
         return;
     }
-    request_accepted_ = request_accepted_ || outcome == promotion_outcome::accepted;
+    if (outcome == promotion_outcome::accepted && !request_accepted_at_) {
+        request_accepted_at_ = now;
+    }
     request_refused_ = outcome == promotion_outcome::refused;
 }
 
@@ -153,6 +184,12 @@
                                    member_left_at_.value_or(clock::time_point{}));
         required_position_ = std::max(required_position_, primary_position_);
     }
+    for (const member& each : members) {
+        const member* const previous = find_member(each.server);
+        if (previous != nullptr && previous->born_ms != each.born_ms) {
+            servers_.erase(each.server); // nothing that it told before the restart holds
+        }
+    }
     members_ = members;
 }
 
@@ -174,15 +211,10 @@
     }
 }
 
-// Checks the members that claim to be the primary, or all members if none does.
 void planner::check_for_primary(clock::time_point now)
 {
-    const bool has_claimant = std::any_of(members_.begin(), members_.end(),
-                                          [](const member& each) { return each.claims_primary; });
     for (const member& each : members_) {
-        if (each.claims_primary || !has_claimant) {
-            check_role(each, settings_.check_interval, now);
-        }
+        check_role(each, settings_.check_interval, now);
     }
 }
 
@@ -269,7 +301,8 @@
     phase_started_at_ = now;
     old_primary_ = primary_;
     for (const member& each : members_) {
-        if (old_primary_.empty() && each.claims_primary) {
+        // One that answers is not the primary, and may be the only one with some commits.
+        if (old_primary_.empty() && each.claims_primary && state_of(each.server).failing_since) {
             old_primary_ = each.server;
         }
     }
@@ -277,7 +310,10 @@
     is_candidate_paused_ = false;
     is_reconfirmation_ = false;
     others_paused_since_.reset();
-    request_accepted_ = false;
+    not_paused_since_.reset();
+    not_fenced_since_.reset();
+    recorded_at_ = clock::time_point{};
+    request_accepted_at_.reset();
     request_refused_ = false;
     for (auto& [server, state] : servers_) {
         state.paused_position.reset();
@@ -289,23 +325,22 @@
     actions_.emplace_back(begin_decision{decision_number_, std::move(reason)});
 }
 
-// Resumes replicas that are still paused after a promotion, as a paused replica can keep commits
-// from being acknowledged. This is safe because no earlier promotion can take effect once the
-// latest decision is confirmed.
+// Resumes replicas that are paused though no decision is in progress, as a paused replica can keep
+// commits from being acknowledged. The latest decision was accepted by the platform, so no earlier
+// request can take effect after the delay.
 void planner::resume_paused_replicas(const decision_record& record, clock::time_point now)
 {
-    if (record.primary.empty() && record.number > 0) {
-        return;
-    }
-    if (now - steady_since_ < resume_check_interval || primary_.empty()) {
+    if (now - steady_since_ < resume_delay || primary_.empty()) {
         return;
     }
+    const bool may_be_paused_late = now - steady_since_ < late_order_period;
     for (const member& each : members_) {
         if (each.server == primary_) {
             continue;
         }
         server_state& state = state_of(each.server);
-        if (!state.status) {
+        const bool is_outdated = state.status && now - state.status_sent_at >= resume_delay;
+        if (!state.status || (is_outdated && may_be_paused_late)) {
             request_status(each, resume_check_interval, now);
         }
         else if (state.status->term_held != 0 && now - state.ordered_at >= resume_check_interval) {
@@ -316,17 +351,34 @@
     }
 }
 
+// Returns whether there is no reason to replace the primary, which has answered as the primary
+// since the phase began.
+bool planner::may_keep_primary() const
+{
+    const member* const primary = find_member(primary_);
+    return primary != nullptr && primary_confirmed_at_ >= phase_started_at_ &&
+           !primary->is_leaving && !primary->is_outside_regions;
+}
+
+// An earlier leader left the decision unfinished. If it requested a promotion, the same one is
+// requested again: another server could be promoted only together with the risk that the earlier
+// request makes a server the primary that lacks commits.
+void planner::continue_decision(const decision_record& record, clock::time_point now)
+{
+    check_for_primary(now);
+    const bool has_primary = !primary_.empty() && primary_confirmed_at_ >= phase_started_at_;
+    if (!record.requested.empty() || has_primary ||
+        now - phase_started_at_ >= settings_.primary_timeout) {
+        const bool keeps_primary = record.requested.empty() && may_keep_primary();
+        start_decision(record, "an earlier decision was interrupted", now);
+        is_reconfirmation_ = keeps_primary;
+    }
+}
+
 void planner::advance_steady(const decision_record& record, clock::time_point now)
 {
     if (record.number > 0 && record.primary.empty()) {
-        // An earlier leader left a decision unfinished, and its promotion may still take effect.
-        // Confirming the current primary with a higher number invalidates that request.
-        check_for_primary(now);
-        const bool has_primary = !primary_.empty() && primary_confirmed_at_ >= phase_started_at_;
-        if (has_primary || now - phase_started_at_ >= settings_.primary_timeout) {
-            start_decision(record, "an earlier decision was interrupted", now);
-            is_reconfirmation_ = has_primary;
-        }
+        continue_decision(record, now);
         return;
     }
     if (primary_.empty()) {
@@ -355,245 +407,18 @@
     resume_paused_replicas(record, now);
 }
 
-// Chooses the most advanced replica that answers, preferring replicas that are not leaving, then
-// those inside the allowed regions.
-void planner::choose_candidate(clock::time_point now)
-{
-    const auto rank = [&](const member& each) {
-        return std::tuple(!each.is_leaving, !each.is_outside_regions,
-                          state_of(each.server).status->received);
-    };
-    const member* best = nullptr;
-    bool all_answered = true;
-    for (const member& each : members_) {
-        if (each.server == old_primary_) {
-            continue;
-        }
-        const server_state& state = state_of(each.server);
-        if (!state.status || state.failing_since) {
-            all_answered = false;
-            continue;
-        }
-        if (best == nullptr || rank(each) > rank(*best)) {
-            best = &each;
-        }
-    }
-    if (best != nullptr && (all_answered || now - phase_started_at_ >= settings_.status_timeout)) {
-        candidate_ = best->server;
-    }
-}
-
-void planner::pause_other_replicas(clock::time_point now)
-{
-    for (const member& each : members_) {
-        server_state& state = state_of(each.server);
-        const bool is_exempt =
-            each.server == old_primary_ || (each.server == candidate_ && !is_candidate_paused_);
-        if (is_exempt || state.paused_position ||
-            now - state.ordered_at < settings_.order_retry_interval) {
-            continue;
-        }
-        state.ordered_at = now;
-        actions_.emplace_back(
-            pause_replica{each.server, each.address, latest_term_ + 1, decision_number_});
-    }
-}
-
-bool planner::are_others_paused() const
-{
-    return std::all_of(members_.begin(), members_.end(), [&](const member& each) {
-        if (each.server == old_primary_ || each.server == candidate_) {
-            return true;
-        }
-        const auto found = servers_.find(each.server);
-        return found != servers_.end() && found->second.paused_position.has_value();
-    });
-}
-
-bool planner::has_all_commits(std::string_view server) const
-{
-    const auto own = servers_.find(server);
-    if (own == servers_.end() || !own->second.status ||
-        own->second.status->received < required_position_) {
-        return false;
-    }
-    return std::all_of(servers_.begin(), servers_.end(), [&](const auto& item) {
-        const std::optional<log_position>& paused_position = item.second.paused_position;
-        return !paused_position || own->second.status->received >= *paused_position;
-    });
-}
-
-// Used if a replica can't be paused: a demoted primary acknowledges no further commits, and its log
-// has all that it acknowledged.
-void planner::demote_old_primary(clock::time_point now)
-{
-    const member* const old_primary = find_member(old_primary_);
-    if (old_primary == nullptr) {
-        return;
-    }
-    server_state& state = state_of(old_primary_);
-    if (!state.demoted_position && now - state.ordered_at >= settings_.order_retry_interval) {
-        state.ordered_at = now;
-        actions_.emplace_back(
-            demote_primary{old_primary_, old_primary->address, latest_term_ + 1, decision_number_});
-    }
-}
-
-bool planner::may_promote(clock::time_point now)
-{
-    const server_state& old_primary = state_of(old_primary_);
-    if (old_primary.demoted_position) {
-        if (state_of(candidate_).status->received >= *old_primary.demoted_position) {
-            return true;
-        }
-        if (now - phase_started_at_ >= settings_.confirmation_timeout &&
-            find_member(old_primary_) != nullptr) {
-            candidate_ = old_primary_; // no other server has all its commits
-            return true;
-        }
-    }
-    if (!are_others_paused()) {
-        return false;
-    }
-    if (!others_paused_since_) {
-        others_paused_since_ = now;
-    }
-    if (has_all_commits(candidate_)) {
-        return true;
-    }
-    if (now - *others_paused_since_ >= settings_.catch_up_timeout) {
-        is_candidate_paused_ = true; // with all paused, the most advanced one is chosen
-    }
-    return false;
-}
-
-// A primary that crashed may be back under another name and lead the same term: confirming it loses
-// nothing. It can't be paused, so that no other member could be promoted beside it.
-void planner::look_for_returned_primary(clock::time_point now)
-{
-    for (const member& each : members_) {
-        const server_state& state = state_of(each.server);
-        const bool says_primary =
-            each.claims_primary || (state.status.has_value() && state.status->is_primary);
-        if (each.server != old_primary_ && says_primary) {
-            check_role(each, settings_.check_interval, now);
-        }
-    }
-    const bool has_returned = primary_ != old_primary_ && find_member(primary_) != nullptr &&
-                              primary_confirmed_at_ >= phase_started_at_;
-    if (has_returned) {
-        old_primary_ = primary_;
-        is_reconfirmation_ = true;
-    }
-}
-
-void planner::advance_fencing(clock::time_point now)
-{
-    look_for_returned_primary(now);
-    if (is_reconfirmation_) {
-        candidate_ = old_primary_;
-        send_promotion_request(now);
-        return;
-    }
-    for (const member& each : members_) {
-        if (each.server != old_primary_) {
-            request_status(each, settings_.order_retry_interval / 2, now);
-        }
-    }
-    if (candidate_.empty() || find_member(candidate_) == nullptr) {
-        candidate_.clear();
-        choose_candidate(now);
-        if (candidate_.empty()) {
-            return;
-        }
-    }
-    if (is_candidate_paused_ && state_of(candidate_).paused_position && are_others_paused()) {
-        choose_candidate(now);
-    }
-    pause_other_replicas(now);
-    if (!are_others_paused() && now - phase_started_at_ >= settings_.pause_timeout) {
-        demote_old_primary(now);
-    }
-    if (may_promote(now)) {
-        send_promotion_request(now);
-    }
-}
-
-void planner::send_promotion_request(clock::time_point now)
-{
-    if (phase_ != phase_kind::calling) {
-        phase_ = phase_kind::calling;
-        phase_started_at_ = now;
-    }
-    requested_at_ = now;
-    actions_.emplace_back(request_promotion{candidate_, decision_number_, evidence()});
-}
-
-promotion_evidence planner::evidence() const
-{
-    promotion_evidence basis;
-    basis.primary = old_primary_;
-    for (const auto& [server, state] : servers_) {
-        if (server == candidate_ && state.status) {
-            basis.received = state.status->received;
-        }
-        if (server != candidate_ && state.paused_position) {
-            basis.paused.emplace(server, *state.paused_position);
-        }
-        if (server == old_primary_) {
-            basis.demoted = state.demoted_position;
-        }
-    }
-    return basis;
-}
-
-void planner::advance_calling(const decision_record& record, clock::time_point now)
-{
-    const member* const candidate = find_member(candidate_);
-    if (request_refused_ || candidate == nullptr) {
-        start_decision(record, "the platform refused the promotion", now);
-        return;
-    }
-    check_role(*candidate, settings_.order_retry_interval / 2, now);
-    if (primary_ == candidate_ && primary_confirmed_at_ >= phase_started_at_) {
-        actions_.emplace_back(
-            finish_decision{candidate_, candidate->address, decision_number_, primary_position_});
-        phase_ = phase_kind::confirming;
-        phase_started_at_ = now;
-        return;
-    }
-    const bool is_confirmation_overdue =
-        request_accepted_ && now - phase_started_at_ >= settings_.confirmation_timeout;
-    if (is_confirmation_overdue && state_of(candidate_).failing_since) {
-        start_decision(record, "the promoted server does not answer", now);
-        return;
-    }
-    const clock::duration retry_interval =
-        request_accepted_ ? settings_.confirmation_timeout : settings_.request_retry_interval;
-    if (now - requested_at_ >= retry_interval) {
-        send_promotion_request(now);
-    }
-}
-
 std::vector<action> planner::advance(const std::vector<member>& members,
                                      const decision_record& record, clock::time_point now)
 {
     actions_.clear();
+    requested_ = record.requested;
     update_members(members);
     switch (phase_) {
     case phase_kind::steady:
         advance_steady(record, now);
         break;
     case phase_kind::committing:
-        if (record.number >= decision_number_ && record.primary.empty()) {
-            decision_number_ = record.number;
-            phase_ = phase_kind::fencing;
-            phase_started_at_ = now;
-            advance_fencing(now);
-        }
-        else if (now - phase_started_at_ >= settings_.request_retry_interval) {
-            start_decision(record, "the decision was not committed in time", now);
-        }
+        advance_committing(record, now);
         break;
     case phase_kind::fencing:
         advance_fencing(now);
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -4,8 +4,12 @@
 // A commit is acknowledged once one replica has received it, so a server can be promoted without
 // loss if it has every acknowledged commit and no further commit can be acknowledged without it.
 // The planner pauses every other replica, waits until the candidate has received what they have,
-// and requests the promotion with a number committed for this decision alone: the platform refuses
-// requests with a lower number, including delayed ones.
+// and requests the promotion with a number committed for this decision alone.
+//
+// The platform may carry out a request seconds later, and refuses it only once it has accepted one
+// with a higher number. So a request is recorded before it is sent, the other replicas are kept
+// paused until it has taken effect, a decision ends only when the platform has accepted its number,
+// and a leader that finds a decision unfinished requests the promotion of the same server again.
 #pragma once
 
 #include "line_answer.h"
@@ -39,6 +43,8 @@
 struct decision_record {
     std::uint64_t number = 0; // 0 if there is none yet
     std::string primary;      // empty while the decision is in progress
+    // Servers whose promotion was requested since the last finished decision, the latest one last.
+    std::vector<std::string> requested;
 };
 
 // Records the members and the primary of the group in the replicated state, for later leaders.
@@ -78,6 +84,11 @@
     std::uint64_t number = 0;
     std::string reason;
 };
+// Commits that the promotion of the server is about to be requested.
+struct record_request {
+    std::string server;
+    std::uint64_t number = 0;
+};
 // What a request for a promotion is based on, for the log.
 struct promotion_evidence {
     std::string primary; // the server to be replaced, or the candidate if it is confirmed
@@ -107,7 +118,7 @@
 
 using action = std::variant<check_primary, check_status, pause_replica, demote_primary,
                             resume_replica, begin_decision, request_promotion, finish_decision,
-                            record_members, report_primary>;
+                            record_members, record_request, report_primary>;
 
 enum class promotion_outcome { accepted, refused, unknown };
 
@@ -139,6 +150,7 @@
     clock::duration catch_up_timeout{400}; // how long the candidate may lag the paused replicas
     clock::duration pause_timeout{800};
     clock::duration request_retry_interval{700};
+    clock::duration effect_timeout{1'500}; // from an accepted request to its effect
     clock::duration confirmation_timeout{2'500};
     clock::duration cooldown{1'500}; // after a change, unless the primary is down
 };
@@ -157,8 +169,11 @@
     void on_unreachable(std::string_view server, bool refused, clock::time_point now);
     void on_status(std::string_view server, const server_status& status, clock::time_point sent_at,
                    clock::time_point now);
-    void on_paused(std::string_view server, const server_status& status, clock::time_point now);
-    void on_demoted(std::string_view server, const server_status& status, clock::time_point now);
+    // `number`: of the decision that the order belongs to.
+    void on_paused(std::string_view server, std::uint64_t number, const server_status& status,
+                   clock::time_point now);
+    void on_demoted(std::string_view server, std::uint64_t number, const server_status& status,
+                    clock::time_point now);
 
     void on_promotion_answer(std::string_view server, std::uint64_t number,
                              promotion_outcome outcome, clock::time_point now);
@@ -194,7 +209,8 @@
         clock::time_point status_sent_at{};
         std::optional<log_position> paused_position;  // in this decision
         std::optional<log_position> demoted_position; // in this decision
-        std::uint64_t born_ms = 0;
+        bool is_pause_verified = false;               // the server has not failed to answer since
+        clock::time_point obeyed_at{};                // when one of the two was set
     };
     struct instance_state {
         primary_report report;
@@ -206,7 +222,7 @@
     void update_members(const std::vector<member>& members);
     void advance_steady(const decision_record& record, clock::time_point now);
     void check_for_primary(clock::time_point now);
-    void look_for_returned_primary(clock::time_point now);
+    void look_for_other_primary(clock::time_point now);
     void resume_paused_replicas(const decision_record& record, clock::time_point now);
     [[nodiscard]] std::string change_reason(clock::time_point now) const;
     [[nodiscard]] bool is_primary_down(clock::time_point now) const;
@@ -214,13 +230,32 @@
     // `must_be_inside`: only a server inside the allowed regions counts.
     [[nodiscard]] bool has_successor(bool must_be_inside) const;
     void start_decision(const decision_record& record, std::string reason, clock::time_point now);
+    [[nodiscard]] bool is_fencing() const noexcept
+    {
+        return phase_ == phase_kind::fencing || phase_ == phase_kind::calling;
+    }
+    [[nodiscard]] bool may_keep_primary() const;
+    void continue_decision(const decision_record& record, clock::time_point now);
+    void advance_committing(const decision_record& record, clock::time_point now);
     void advance_fencing(clock::time_point now);
+    [[nodiscard]] bool may_confirm_primary(clock::time_point now);
+    [[nodiscard]] bool answers(std::string_view server) const;
+    [[nodiscard]] const member* find_requested() const;
+    [[nodiscard]] bool was_requested(std::string_view server) const;
+    [[nodiscard]] bool is_recently_confirmed(clock::time_point now) const;
+    [[nodiscard]] bool is_failing(std::string_view server) const;
     void choose_candidate(clock::time_point now);
     void pause_other_replicas(clock::time_point now);
+    void maintain_fence(clock::time_point now);
     [[nodiscard]] bool may_promote(clock::time_point now);
+    [[nodiscard]] bool is_fenced() const;
+    [[nodiscard]] bool has_log_of_demoted(std::string_view server) const;
+    [[nodiscard]] bool is_paused(std::string_view server) const;
     [[nodiscard]] bool are_others_paused() const;
     [[nodiscard]] bool has_all_commits(std::string_view server) const;
     void demote_old_primary(clock::time_point now);
+    void request_candidate(clock::time_point now);
+    [[nodiscard]] std::string restart_reason(clock::time_point now) const;
     void send_promotion_request(clock::time_point now);
     [[nodiscard]] promotion_evidence evidence() const;
     void advance_calling(const decision_record& record, clock::time_point now);
@@ -238,6 +273,7 @@
 
     std::string primary_;
     std::string reported_primary_;
+    // At first the time of the start: before `phase_started_at_`, so that it counts as unconfirmed.
     clock::time_point primary_confirmed_at_{};
     log_position primary_position_;
     std::uint64_t latest_term_ = 0;
@@ -248,15 +284,20 @@
     std::optional<clock::time_point> member_left_at_;
     log_position required_position_;
 
-    std::uint64_t decision_number_ = 0; // of the decision in progress
+    std::uint64_t decision_number_ = 0;  // of the decision in progress
+    std::vector<std::string> requested_; // as in the decision record
     std::string old_primary_;
     std::string candidate_;
     bool is_candidate_paused_ = false;
     bool is_reconfirmation_ = false; // the decision confirms the current primary
     clock::time_point phase_started_at_;
     std::optional<clock::time_point> others_paused_since_;
+    std::optional<clock::time_point> not_paused_since_; // not all others are paused
+    std::optional<clock::time_point> not_fenced_since_; // while the request is under way
+    std::uint64_t fenced_term_ = 0; // latest term when the promotion was first requested
+    clock::time_point recorded_at_{};
     clock::time_point requested_at_{};
-    bool request_accepted_ = false;
+    std::optional<clock::time_point> request_accepted_at_;
     bool request_refused_ = false;
 };
 
--- a/src/state_commands.cpp
+++ b/src/state_commands.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -277,6 +278,26 @@
     return accepted_reply(records.version());
 }
 
+// Keeps the servers of earlier requests: the platform may carry these out until it has accepted one
+// with a higher term.
+pb::operator_reply apply_body(state_records& records, const pb::request_promotion& request)
+{
+    const std::string key = record_key(group_prefix, request.database());
+    const pb::state_record* const existing = records.find(key);
+    const std::uint64_t open_term = existing == nullptr ? 0 : existing->group().term();
+    if (existing == nullptr || request.term() != open_term || request.server().empty() ||
+        !existing->group().primary().empty()) {
+        return wrong_term_reply(open_term, request.term());
+    }
+    pb::state_record record = *existing;
+    auto& requested = *record.mutable_group()->mutable_requested();
+    requested.erase(std::remove(requested.begin(), requested.end(), request.server()),
+                    requested.end());
+    requested.Add(std::string(request.server()));
+    records.update(std::move(record));
+    return accepted_reply(records.version());
+}
+
 pb::operator_reply apply_body(state_records& records, const pb::finish_promotion& request,
                               const state_switches& switches)
 {
@@ -300,6 +321,7 @@
     pb::group_record& group = *record.mutable_group();
     group.set_primary(request.primary());
     group.set_primary_url(request.primary_url());
+    group.clear_requested();
     pb::term_start& start = *group.add_starts();
     start.set_term(request.term());
     start.set_index(request.start_index());
@@ -329,6 +351,8 @@
         return apply_body(records, command.begin(), switches);
     case pb::command::kFinish:
         return apply_body(records, command.finish(), switches);
+    case pb::command::kRequest:
+        return apply_body(records, command.request());
     case pb::command::kNote:
         return apply_body(records, command.note());
     case pb::command::kPublish:
--- a/tests/promotion_model.cpp
+++ b/tests/promotion_model.cpp
@@ -145,7 +145,8 @@
         primary.log_term = term_;
         bool is_received = false;
         for (model_server& each : servers_) {
-            const bool receives = &each != &primary && is_up(each) && !each.is_paused &&
+            const bool receives = &each != &primary && is_up(each) &&
+                                  (!each.is_paused || settings_.ignores_pauses) &&
                                   now_ >= each.replica_partitioned_until &&
                                   now_ >= primary.replica_partitioned_until && chance(0.8);
             if (receives) {
@@ -241,13 +242,12 @@
         send_order(
             order.server,
             [this, term = order.term](model_server& server) {
-                if (&server != &current_primary() && term > term_ && !settings_.ignores_pauses) {
+                if (&server != &current_primary() && term > term_) {
                     server.is_paused = true;
                 }
             },
-            [this, name = order.server](planner& target, server_status status) {
-                status.term_held = settings_.ignores_pauses ? 2 : status.term_held;
-                target.on_paused(name, status, now_);
+            [this, order](planner& target, const server_status& status) {
+                target.on_paused(order.server, order.number, status, now_);
             });
     }
 
@@ -319,7 +319,16 @@
         else if (const auto* const begin = std::get_if<begin_decision>(&due)) {
             schedule(clock::duration(10), [this, number = begin->number] {
                 if (number > record_.number) {
-                    record_ = {number, {}};
+                    record_.number = number;
+                    record_.primary.clear();
+                }
+            });
+        }
+        else if (const auto* const request = std::get_if<record_request>(&due)) {
+            schedule(clock::duration(10), [this, recorded = *request] {
+                if (record_.number == recorded.number && record_.primary.empty()) {
+                    std::erase(record_.requested, recorded.server);
+                    record_.requested.push_back(recorded.server);
                 }
             });
         }
@@ -330,6 +339,7 @@
             schedule(clock::duration(10), [this, finished = *finish] {
                 if (record_.number == finished.number) {
                     record_.primary = finished.server;
+                    record_.requested.clear();
                     seen_primary_ = finished.server;
                 }
             });
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -40,6 +40,20 @@
     return status;
 }
 
+// Advances the planner, and once more after a request that it recorded.
+std::vector<action> advance_recorded(planner& group_planner, const std::vector<member>& members,
+                                     decision_record& record, clock::time_point now)
+{
+    std::vector<action> actions = group_planner.advance(members, record, now);
+    if (const auto* const request = find_action<record_request>(actions)) {
+        record.requested.push_back(request->server);
+        for (action& each : group_planner.advance(members, record, now)) {
+            actions.push_back(std::move(each));
+        }
+    }
+    return actions;
+}
+
 // Returns a planner whose primary answers until 1000 ms.
 planner steady_plan()
 {
@@ -130,21 +144,22 @@
 {
     planner group_planner = steady_plan();
     REQUIRE(silence_until_decision(group_planner, 1'020, 2'500) > 0);
-    const decision_record open{1, {}};
-    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    decision_record open{1, {}};
+    static_cast<void>(advance_recorded(group_planner, group, open, at(2'100)));
     group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
     group_planner.on_status("r2", replica_at(9), at(2'100), at(2'110));
-    const auto actions = group_planner.advance(group, open, at(2'120));
+    const auto actions = advance_recorded(group_planner, group, open, at(2'120));
     const auto* const pause = find_action<pause_replica>(actions);
     REQUIRE(pause != nullptr);
     CHECK(pause->server == "r2");
     CHECK(pause->term == 2);
     CHECK(find_action<request_promotion>(actions) == nullptr);
     // It received one more entry than the candidate before it was paused.
-    group_planner.on_paused("r2", replica_at(11, 2), at(2'130));
-    CHECK(find_action<request_promotion>(group_planner.advance(group, open, at(2'140))) == nullptr);
+    group_planner.on_paused("r2", 1, replica_at(11, 2), at(2'130));
+    CHECK(find_action<request_promotion>(advance_recorded(group_planner, group, open, at(2'140))) ==
+          nullptr);
     group_planner.on_status("r1", replica_at(11), at(2'150), at(2'160));
-    const auto called = group_planner.advance(group, open, at(2'170));
+    const auto called = advance_recorded(group_planner, group, open, at(2'170));
     const auto* const call = find_action<request_promotion>(called);
     REQUIRE(call != nullptr);
     CHECK(call->server == "r1");
@@ -155,17 +170,18 @@
 {
     planner group_planner = steady_plan();
     REQUIRE(silence_until_decision(group_planner, 1'020, 2'500) > 0);
-    const decision_record open{1, {}};
+    decision_record open{1, {}};
     for (std::int64_t now = 2'100; now <= 8'000; now += 20) {
         group_planner.on_status("r1", replica_at(10), at(now), at(now));
         group_planner.on_unreachable("r2", false, at(now));
         group_planner.on_unreachable("p", false, at(now));
-        CHECK(find_action<request_promotion>(group_planner.advance(group, open, at(now))) ==
-              nullptr);
+        CHECK(find_action<request_promotion>(
+                  advance_recorded(group_planner, group, open, at(now))) == nullptr);
     }
     // A demoted primary acknowledges no further commits, and its log has all that it acknowledged.
-    group_planner.on_demoted("p", replica_at(10), at(8'010));
-    CHECK(find_action<request_promotion>(group_planner.advance(group, open, at(8'020))) != nullptr);
+    group_planner.on_demoted("p", 1, replica_at(10), at(8'010));
+    CHECK(find_action<request_promotion>(advance_recorded(group_planner, group, open, at(8'020))) !=
+          nullptr);
 }
 
 // A crashed primary came back under another name and at its old address, still leading; the group
@@ -174,7 +190,7 @@
 {
     planner group_planner = steady_plan();
     REQUIRE(silence_until_decision(group_planner, 1'020, 2'500) > 0);
-    const decision_record open{1, {}};
+    decision_record open{1, {}};
     const std::vector<member> renamed{
         {"q", "p", false, true, 2}, {"r1", "r1", false, false, 1}, {"r2", "r2", false, false, 1}};
     server_status leading = replica_at(10);
@@ -183,9 +199,9 @@
     std::string called;
     for (std::int64_t now = 2'100; now <= 4'000 && called.empty(); now += 20) {
         group_planner.on_status("r1", replica_at(10), at(now), at(now));
-        group_planner.on_paused("q", leading, at(now));
+        group_planner.on_paused("q", 1, leading, at(now));
         group_planner.on_unreachable("r2", false, at(now));
-        const auto actions = group_planner.advance(renamed, open, at(now));
+        const auto actions = advance_recorded(group_planner, renamed, open, at(now));
         const auto* const check = find_action<check_primary>(actions);
         if (check != nullptr && check->server == "q") {
             is_checked = true;
@@ -203,15 +219,15 @@
 {
     planner group_planner = steady_plan();
     REQUIRE(silence_until_decision(group_planner, 1'020, 2'500) > 0);
-    const decision_record open{1, {}};
-    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    decision_record open{1, {}};
+    static_cast<void>(advance_recorded(group_planner, group, open, at(2'100)));
     std::vector<request_promotion> calls;
     for (std::int64_t now = 2'110; now <= 6'000; now += 20) {
         group_planner.on_status("r1", replica_at(10), at(now), at(now));
         group_planner.on_status("r2", replica_at(10), at(now), at(now));
-        group_planner.on_paused("r1", replica_at(10, 2), at(now));
-        group_planner.on_paused("r2", replica_at(10, 2), at(now));
-        for (const action& each : group_planner.advance(group, open, at(now))) {
+        group_planner.on_paused("r1", 1, replica_at(10, 2), at(now));
+        group_planner.on_paused("r2", 1, replica_at(10, 2), at(now));
+        for (const action& each : advance_recorded(group_planner, group, open, at(now))) {
             if (const auto* const call = std::get_if<request_promotion>(&each)) {
                 calls.push_back(*call);
             }
@@ -228,18 +244,18 @@
 {
     planner group_planner = steady_plan();
     REQUIRE(silence_until_decision(group_planner, 1'020, 2'500) > 0);
-    const decision_record open{1, {}};
-    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    decision_record open{1, {}};
+    static_cast<void>(advance_recorded(group_planner, group, open, at(2'100)));
     group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
     group_planner.on_status("r2", replica_at(10), at(2'100), at(2'110));
-    static_cast<void>(group_planner.advance(group, open, at(2'120)));
-    group_planner.on_paused("r1", replica_at(10, 2), at(2'130));
-    group_planner.on_paused("r2", replica_at(10, 2), at(2'130));
-    const auto called = group_planner.advance(group, open, at(2'140));
+    static_cast<void>(advance_recorded(group_planner, group, open, at(2'120)));
+    group_planner.on_paused("r1", 1, replica_at(10, 2), at(2'130));
+    group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
+    const auto called = advance_recorded(group_planner, group, open, at(2'140));
     const auto* const call = find_action<request_promotion>(called);
     REQUIRE(call != nullptr);
     group_planner.on_promotion_answer(call->server, 1, promotion_outcome::refused, at(2'150));
-    const auto next = group_planner.advance(group, open, at(2'160));
+    const auto next = advance_recorded(group_planner, group, open, at(2'160));
     REQUIRE(find_action<begin_decision>(next) != nullptr);
     CHECK(find_action<begin_decision>(next)->number == 2);
 }
@@ -260,38 +276,59 @@
 
 TEST_CASE("promotion planner: an interrupted decision is finished by the next leader")
 {
-    const decision_record open{4, {}};
+    decision_record open{4, {}};
     planner group_planner("kura", "p", {}, at(0));
     std::optional<std::uint64_t> number;
     for (std::int64_t now = 0; now <= 3'000 && !number; now += 20) {
         group_planner.on_primary("p", {1, 10}, at(now), at(now));
-        const auto actions = group_planner.advance(group, open, at(now));
+        const auto actions = advance_recorded(group_planner, group, open, at(now));
         if (const auto* const begin = find_action<begin_decision>(actions)) {
             number = begin->number;
         }
     }
     REQUIRE(number == 5);
     // Confirming the current primary invalidates the earlier request.
-    const auto actions = group_planner.advance(group, {5, {}}, at(3'020));
+    open.number = 5;
+    group_planner.on_primary("p", {1, 10}, at(3'010), at(3'020));
+    const auto actions = advance_recorded(group_planner, group, open, at(3'020));
     const auto* const call = find_action<request_promotion>(actions);
     REQUIRE(call != nullptr);
     CHECK(call->server == "p");
     CHECK(call->number == 5);
 }
 
+std::uint64_t seed_count()
+{
+    const char* const seeds_variable = std::getenv("PRIMROSEHEAD_SEEDS");
+    return seeds_variable == nullptr ? 150 : std::strtoull(seeds_variable, nullptr, 10);
+}
+
+testing::promotion_model_result run_with_leader_changes(std::uint64_t seed, double crash_chance)
+{
+    testing::promotion_model_settings settings;
+    settings.seed = seed;
+    settings.run_time = clock::duration(60'000);
+    settings.promotion_delay = clock::duration(seed % 2 == 0 ? 300 : 1'000);
+    settings.crash_chance = crash_chance;
+    settings.partition_chance = 0.002;
+    settings.delay_chance = 0.4;
+    settings.leader_change_chance = 0.003;
+    return testing::run_promotion_model(settings);
+}
+
 // Returns a planner that has requested the promotion of r1, with r2 paused at the same position.
 planner requested_plan()
 {
     planner group_planner = steady_plan();
     REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
-    const decision_record open{1, {}};
-    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    decision_record open{1, {}};
+    static_cast<void>(advance_recorded(group_planner, group, open, at(2'100)));
     group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
     group_planner.on_status("r2", replica_at(9), at(2'100), at(2'110));
-    static_cast<void>(group_planner.advance(group, open, at(2'120)));
-    group_planner.on_paused("r2", replica_at(10, 2), at(2'130));
-    REQUIRE(find_action<request_promotion>(group_planner.advance(group, open, at(2'140))) !=
-            nullptr);
+    static_cast<void>(advance_recorded(group_planner, group, open, at(2'120)));
+    group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
+    REQUIRE(find_action<request_promotion>(
+                advance_recorded(group_planner, group, open, at(2'140))) != nullptr);
     return group_planner;
 }
 
@@ -303,7 +340,7 @@
     const auto play = [&](std::int64_t from, std::int64_t until) {
         for (std::int64_t now = from; now < until; now += 20) {
             group_planner.on_primary("p", {1, 10}, at(now), at(now));
-            for (const action& each : group_planner.advance(group, open, at(now))) {
+            for (const action& each : advance_recorded(group_planner, group, open, at(now))) {
                 if (const auto* const begin = std::get_if<begin_decision>(&each)) {
                     open = {begin->number, {}};
                 }
@@ -325,15 +362,15 @@
 {
     planner group_planner = steady_plan();
     REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
-    const decision_record open{1, {}};
-    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    decision_record open{1, {}};
+    static_cast<void>(advance_recorded(group_planner, group, open, at(2'100)));
     group_planner.on_status("r1", replica_at(9), at(2'100), at(2'110));
     group_planner.on_status("r2", replica_at(8), at(2'100), at(2'110));
-    static_cast<void>(group_planner.advance(group, open, at(2'120)));
-    group_planner.on_paused("r2", replica_at(10, 2), at(2'130));
+    static_cast<void>(advance_recorded(group_planner, group, open, at(2'120)));
+    group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
     group_planner.on_status("r2", replica_at(10), at(2'200), at(2'210)); // it restarted
     group_planner.on_status("r1", replica_at(10), at(2'200), at(2'210));
-    const auto actions = group_planner.advance(group, open, at(2'400));
+    const auto actions = advance_recorded(group_planner, group, open, at(2'400));
     CHECK(find_action<request_promotion>(actions) == nullptr);
     const auto* const pause = find_action<pause_replica>(actions);
     REQUIRE(pause != nullptr);
@@ -343,11 +380,11 @@
 TEST_CASE("promotion planner: a replica that receives again during a promotion is paused again")
 {
     planner group_planner = requested_plan();
-    const decision_record open{1, {}};
+    decision_record open{1, {}};
     bool is_checked = false;
     std::string paused;
     for (std::int64_t now = 2'160; now <= 3'000 && paused.empty(); now += 20) {
-        const auto actions = group_planner.advance(group, open, at(now));
+        const auto actions = advance_recorded(group_planner, group, open, at(now));
         for (const action& each : actions) {
             if (const auto* const status = std::get_if<check_status>(&each)) {
                 is_checked = is_checked || status->server == "r2";
@@ -365,12 +402,12 @@
 TEST_CASE("promotion planner: a server that joins during a promotion is paused")
 {
     planner group_planner = requested_plan();
-    const decision_record open{1, {}};
+    decision_record open{1, {}};
     std::vector<member> grown = group;
     grown.push_back({"r3", "r3", false, false, 5});
     std::string paused;
     for (std::int64_t now = 2'160; now <= 3'000 && paused.empty(); now += 20) {
-        const auto actions = group_planner.advance(grown, open, at(now));
+        const auto actions = advance_recorded(group_planner, grown, open, at(now));
         if (const auto* const pause = find_action<pause_replica>(actions)) {
             paused = pause->server;
         }
@@ -394,11 +431,160 @@
     CHECK(has_begun);
 }
 
+// Plays a new leader that finds decision 4 unfinished after the promotion of r1 was requested. The
+// old primary and r2 answer. Returns the actions, and whether the request was recorded first.
+struct interrupted_run {
+    std::vector<action> actions;
+    decision_record record{4, {}, {"r1"}};
+};
+interrupted_run continue_interrupted(bool does_candidate_answer)
+{
+    interrupted_run run;
+    planner group_planner("kura", "p", {}, at(0));
+    const auto answer = [&](const action& each, std::int64_t now) {
+        if (const auto* const begin = std::get_if<begin_decision>(&each)) {
+            run.record.number = begin->number;
+        }
+        else if (const auto* const request = std::get_if<record_request>(&each)) {
+            run.record.requested.push_back(request->server);
+        }
+        else if (const auto* const status = std::get_if<check_status>(&each)) {
+            if (status->server != "r1" || does_candidate_answer) {
+                group_planner.on_status(status->server, replica_at(10), at(now), at(now));
+            }
+        }
+        else if (const auto* const pause = std::get_if<pause_replica>(&each)) {
+            group_planner.on_paused(pause->server, pause->number, replica_at(10, 2), at(now));
+        }
+    };
+    for (std::int64_t now = 0; now <= 2'500; now += 20) {
+        group_planner.on_primary("p", {1, 10}, at(now), at(now));
+        if (!does_candidate_answer) {
+            group_planner.on_unreachable("r1", false, at(now));
+        }
+        for (action& each : group_planner.advance(group, run.record, at(now))) {
+            answer(each, now);
+            run.actions.push_back(std::move(each));
+        }
+    }
+    return run;
+}
+
+// Confirming the old primary would take the lead back from a server that the request promoted.
+TEST_CASE("promotion planner: an interrupted promotion is requested again for the same server")
+{
+    const interrupted_run run = continue_interrupted(true);
+    const auto* const request = find_action<request_promotion>(run.actions);
+    REQUIRE(request != nullptr);
+    CHECK(request->server == "r1");
+    CHECK(request->number == 5);
+    const auto* const pause = find_action<pause_replica>(run.actions);
+    REQUIRE(pause != nullptr);
+    CHECK(pause->server == "r2");
+}
+
+TEST_CASE("promotion planner: the primary is confirmed if the requested server does not answer")
+{
+    const interrupted_run run = continue_interrupted(false);
+    const auto* const request = find_action<request_promotion>(run.actions);
+    REQUIRE(request != nullptr);
+    CHECK(request->server == "p");
+    CHECK(run.record.requested == std::vector<std::string>{"r1", "p"});
+}
+
+TEST_CASE("promotion planner: a request is recorded before it is sent")
+{
+    planner group_planner = steady_plan();
+    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    decision_record open{1, {}};
+    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
+    group_planner.on_status("r2", replica_at(9), at(2'100), at(2'110));
+    static_cast<void>(group_planner.advance(group, open, at(2'120)));
+    group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
+    const auto actions = group_planner.advance(group, open, at(2'140));
+    const auto* const recorded = find_action<record_request>(actions);
+    REQUIRE(recorded != nullptr);
+    CHECK(recorded->server == "r1");
+    CHECK(find_action<request_promotion>(actions) == nullptr);
+    CHECK(find_action<request_promotion>(group_planner.advance(group, open, at(2'160))) == nullptr);
+    open.requested.emplace_back("r1");
+    CHECK(find_action<request_promotion>(group_planner.advance(group, open, at(2'180))) != nullptr);
+}
+
+TEST_CASE("promotion planner: a paused replica that stops answering delays the request")
+{
+    planner group_planner = steady_plan();
+    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    decision_record open{1, {}};
+    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    group_planner.on_status("r1", replica_at(9), at(2'100), at(2'110));
+    group_planner.on_status("r2", replica_at(8), at(2'100), at(2'110));
+    static_cast<void>(group_planner.advance(group, open, at(2'120)));
+    group_planner.on_paused("r2", 1, replica_at(9, 2), at(2'130));
+    group_planner.on_unreachable("r2", true, at(2'135));
+    for (std::int64_t now = 2'140; now <= 4'000; now += 20) {
+        CHECK(find_action<request_promotion>(
+                  advance_recorded(group_planner, group, open, at(now))) == nullptr);
+    }
+}
+
+TEST_CASE("promotion planner: a confirmation is not repeated for a server that stopped leading")
+{
+    planner group_planner("kura", "p", {}, at(0));
+    decision_record open{4, {}};
+    std::vector<request_promotion> requests;
+    for (std::int64_t now = 0; now <= 6'000; now += 20) {
+        if (requests.empty()) {
+            group_planner.on_primary("p", {1, 10}, at(now), at(now));
+        }
+        else {
+            group_planner.on_not_primary("p", at(now));
+            group_planner.on_status("r1", replica_at(10), at(now), at(now));
+            group_planner.on_status("r2", replica_at(10), at(now), at(now));
+        }
+        for (const action& each : advance_recorded(group_planner, group, open, at(now))) {
+            if (const auto* const begin = std::get_if<begin_decision>(&each)) {
+                open.number = begin->number;
+            }
+            if (const auto* const request = std::get_if<request_promotion>(&each)) {
+                requests.push_back(*request);
+            }
+        }
+    }
+    REQUIRE(!requests.empty());
+    CHECK(std::count_if(requests.begin(), requests.end(), [](const request_promotion& each) {
+              return each.server == "p" && each.number == 5;
+          }) == 1);
+}
+
+// A pause that a server carries out after its decision has ended would last until the next
+// promotion.
+TEST_CASE("promotion planner: a replica that is paused late is resumed")
+{
+    planner group_planner = steady_plan();
+    decision_record finished{1, "p", {}};
+    bool is_resumed = false;
+    for (std::int64_t now = 1'020; now <= 12'000; now += 20) {
+        group_planner.on_primary("p", {1, 10}, at(now), at(now));
+        for (const action& each : advance_recorded(group_planner, group, finished, at(now))) {
+            if (const auto* const status = std::get_if<check_status>(&each)) {
+                const bool is_held = status->server == "r2" && now >= 8'000 && !is_resumed;
+                group_planner.on_status(status->server, replica_at(10, is_held ? 2 : 0), at(now),
+                                        at(now));
+            }
+            if (const auto* const resume = std::get_if<resume_replica>(&each)) {
+                CHECK(resume->server == "r2");
+                is_resumed = true;
+            }
+        }
+    }
+    CHECK(is_resumed);
+}
+
 TEST_CASE("promotion planner: no acknowledged commit is lost under random faults")
 {
-    const char* const seeds_variable = std::getenv("PRIMROSEHEAD_SEEDS");
-    const std::uint64_t seeds =
-        seeds_variable == nullptr ? 150 : std::strtoull(seeds_variable, nullptr, 10);
+    const std::uint64_t seeds = seed_count();
     std::uint64_t promotions = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         testing::promotion_model_settings settings;
@@ -420,25 +606,24 @@
 // The next leader finds a decision whose request may be carried out at any time.
 TEST_CASE("promotion planner: no acknowledged commit is lost when leaders change in a promotion")
 {
-    const char* const seeds_variable = std::getenv("PRIMROSEHEAD_SEEDS");
-    const std::uint64_t seeds =
-        seeds_variable == nullptr ? 150 : std::strtoull(seeds_variable, nullptr, 10);
     std::uint64_t promotions = 0;
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        testing::promotion_model_settings settings;
-        settings.seed = seed;
-        settings.run_time = clock::duration(60'000);
-        settings.promotion_delay = clock::duration(seed % 2 == 0 ? 300 : 1'000);
-        settings.crash_chance = 0.0002;
-        settings.partition_chance = 0.002;
-        settings.delay_chance = 0.4;
-        settings.leader_change_chance = 0.003;
-        const auto result = testing::run_promotion_model(settings);
+    for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
+        const auto result = run_with_leader_changes(seed, 0);
         CAPTURE(seed);
         CHECK(result.lossy_promotions == 0);
         promotions += result.promotions;
     }
-    CHECK(promotions > seeds);
+    CHECK(promotions > seed_count());
+}
+
+// A restart ends the pause of a replica; with the primary out of reach nothing else holds commits
+// back.
+TEST_CASE("promotion planner: no acknowledged commit is lost when servers restart in a promotion")
+{
+    for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
+        CAPTURE(seed);
+        CHECK(run_with_leader_changes(seed, 0.0002).lossy_promotions == 0);
+    }
 }
 
 TEST_CASE("promotion planner: the model detects replicas that ignore pauses")
--- a/tests/state_commands_maker.cpp
+++ b/tests/state_commands_maker.cpp
@@ -71,6 +71,15 @@
     return command;
 }
 
+pb::command make_request(std::string_view database, std::uint64_t term, std::string_view server)
+{
+    pb::command command;
+    command.mutable_request()->set_database(std::string(database));
+    command.mutable_request()->set_term(term);
+    command.mutable_request()->set_server(std::string(server));
+    return command;
+}
+
 pb::command make_finish(std::string_view database, std::uint64_t term, std::string_view primary,
                         std::uint64_t start_index)
 {
--- a/tests/state_commands_maker.h
+++ b/tests/state_commands_maker.h
@@ -21,6 +21,8 @@
 [[nodiscard]] pb::command make_register(std::string_view instance, std::string_view domain);
 [[nodiscard]] pb::command make_remove(std::string_view instance);
 [[nodiscard]] pb::command make_begin(std::string_view database, std::uint64_t new_term);
+[[nodiscard]] pb::command make_request(std::string_view database, std::uint64_t term,
+                                       std::string_view server);
 [[nodiscard]] pb::command make_finish(std::string_view database, std::uint64_t term,
                                       std::string_view primary, std::uint64_t start_index);
 
--- a/tests/state_machine_test.cpp
+++ b/tests/state_machine_test.cpp
@@ -256,6 +256,27 @@
     CHECK(second.snapshot() == machine.snapshot());
 }
 
+TEST_CASE("state: a promotion requested in an earlier term is kept until one is finished")
+{
+    state_machine machine = new_machine();
+    const auto requested = [&] {
+        const auto& servers = machine.group("ledger")->requested();
+        return std::vector<std::string>(servers.begin(), servers.end());
+    };
+    CHECK_FALSE(machine.apply(make_request("ledger", 1, "s1")).ok());
+    CHECK(machine.apply(make_begin("ledger", 1)).ok());
+    CHECK(machine.apply(make_request("ledger", 1, "s1")).ok());
+    CHECK_FALSE(machine.apply(make_request("ledger", 2, "s2")).ok());
+    CHECK(machine.apply(make_begin("ledger", 2)).ok());
+    CHECK_FALSE(machine.apply(make_request("ledger", 1, "s3")).ok());
+    CHECK(machine.apply(make_request("ledger", 2, "s2")).ok());
+    CHECK(machine.apply(make_request("ledger", 2, "s1")).ok());
+    CHECK(requested() == std::vector<std::string>{"s2", "s1"});
+    CHECK(machine.apply(make_finish("ledger", 2, "s1", 5)).ok());
+    CHECK(requested().empty());
+    CHECK_FALSE(machine.apply(make_request("ledger", 2, "s2")).ok());
+}
+
 TEST_CASE("state: a damaged snapshot is rejected")
 {
     state_machine machine = new_machine();
