A pause that a late order to resume may end is not relied on

Callers would see: an acknowledged commit lost when a replica carries out an order to resume seconds late, after a later decision has paused it again.

Cause: the order names no decision, so nothing outdates it.

Two tests of the planner.

--- a/src/cell_action_executor.cpp
+++ b/src/cell_action_executor.cpp
@@ -189,10 +189,16 @@
 net::awaitable<void> action_executor::resume(std::string group, promotion::resume_replica action)
 {
     const auto probe = probe_for(group, action.server, action.address);
+    const std::uint64_t generation = generation_;
     const std::string statement(dialect_.resume);
     const order_context order{group, action.server, action.number, clock::now()};
     const promotion::status_answer answer = co_await probe->execute(statement);
     log_order("resume", order, answer);
+    if (answer.result == promotion::probe_result::answered && generation == generation_) {
+        collect(group, [action, answer](promotion::planner& planner, clock::time_point now) {
+            planner.on_resumed(action.server, answer.status, now);
+        });
+    }
 }
 
 // Together with the answer this tells which requests may be carried out late, and what their server
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -403,6 +403,13 @@
         command.mutable_request()->set_term(request->number);
         command.mutable_request()->set_server(request->server);
     }
+    else if (const auto* const resuming =
+                 std::get_if<promotion::record_resuming>(&requested.action)) {
+        command.mutable_resuming()->set_database(requested.group);
+        for (const std::string& server : resuming->servers) {
+            command.mutable_resuming()->add_servers(server);
+        }
+    }
     else if (const auto* const seen = std::get_if<promotion::report_primary>(&requested.action)) {
         events.decision("promotion", "primary")
             .field("group", requested.group)
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -51,7 +51,8 @@
     }
     return {stored->term(),
             stored->primary(),
-            {stored->requested().begin(), stored->requested().end()}};
+            {stored->requested().begin(), stored->requested().end()},
+            {stored->resuming().begin(), stored->resuming().end()}};
 }
 
 } // namespace
--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -139,6 +139,13 @@
     }
 }
 
+void planner::on_resumed(std::string_view server, const server_status& status,
+                         clock::time_point now)
+{
+    state_of(server).resume_sent_at.reset();
+    on_status(server, status, now, now);
+}
+
 void planner::on_demoted(std::string_view server, std::uint64_t number, const server_status& status,
                          clock::time_point now)
 {
@@ -316,6 +323,7 @@
     request_accepted_at_.reset();
     request_refused_ = false;
     for (auto& [server, state] : servers_) {
+        state.wants_resume = false;
         state.paused_position.reset();
         state.demoted_position.reset();
         state.status.reset();
@@ -343,8 +351,20 @@
         if (!state.status || (is_outdated && may_be_paused_late)) {
             request_status(each, resume_check_interval, now);
         }
-        else if (state.status->term_held != 0 && now - state.ordered_at >= resume_check_interval) {
+        else if (state.status->term_held == 0) {
+            state.wants_resume = false;
+        }
+        else if (std::find(record.resuming.begin(), record.resuming.end(), each.server) ==
+                 record.resuming.end()) {
+            state.wants_resume = true;
+        }
+        else if (now - state.ordered_at >= resume_check_interval) {
+            state.wants_resume = false;
             state.ordered_at = now;
+            if (state.resume_sent_at) {
+                state.late_resume_until = *state.resume_sent_at + late_order_period;
+            }
+            state.resume_sent_at = now;
             state.status.reset();
             actions_.emplace_back(resume_replica{each.server, each.address, record.number});
         }
@@ -407,12 +427,46 @@
     resume_paused_replicas(record, now);
 }
 
+// An earlier leader may have sent these orders until it was replaced.
+void planner::adopt_resuming(const decision_record& record, clock::time_point now)
+{
+    if (!has_adopted_resuming_) {
+        for (const std::string& server : record.resuming) {
+            state_of(server).late_resume_until = now + late_order_period;
+        }
+    }
+    has_adopted_resuming_ = true;
+}
+
+// Keeps the record of servers that may resume late, which has to be complete before an order is
+// sent.
+void planner::update_resuming(const decision_record& record, clock::time_point now)
+{
+    std::vector<std::string> wanted;
+    for (auto& [server, state] : servers_) {
+        state.may_resume_late =
+            now < state.late_resume_until ||
+            (state.resume_sent_at && now < *state.resume_sent_at + late_order_period);
+        if (state.may_resume_late || state.wants_resume) {
+            wanted.push_back(server);
+        }
+    }
+    std::vector<std::string> recorded = record.resuming;
+    std::sort(recorded.begin(), recorded.end());
+    if (wanted != recorded && now - resuming_recorded_at_ >= settings_.order_retry_interval) {
+        resuming_recorded_at_ = now;
+        actions_.emplace_back(record_resuming{std::move(wanted)});
+    }
+}
+
 std::vector<action> planner::advance(const std::vector<member>& members,
                                      const decision_record& record, clock::time_point now)
 {
     actions_.clear();
     requested_ = record.requested;
     update_members(members);
+    adopt_resuming(record, now);
+    update_resuming(record, now);
     switch (phase_) {
     case phase_kind::steady:
         advance_steady(record, now);
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -45,6 +45,7 @@
     std::string primary;      // empty while the decision is in progress
     // Servers whose promotion was requested since the last finished decision, the latest one last.
     std::vector<std::string> requested;
+    std::vector<std::string> resuming; // servers that may carry out an order to resume late
 };
 
 // Records the members and the primary of the group in the replicated state, for later leaders.
@@ -89,6 +90,10 @@
     std::string server;
     std::uint64_t number = 0;
 };
+// Commits which servers may carry out an order to resume late, before one is sent.
+struct record_resuming {
+    std::vector<std::string> servers;
+};
 // What a request for a promotion is based on, for the log.
 struct promotion_evidence {
     std::string primary; // the server to be replaced, or the candidate if it is confirmed
@@ -118,7 +123,7 @@
 
 using action = std::variant<check_primary, check_status, pause_replica, demote_primary,
                             resume_replica, begin_decision, request_promotion, finish_decision,
-                            record_members, record_request, report_primary>;
+                            record_members, record_request, record_resuming, report_primary>;
 
 enum class promotion_outcome { accepted, refused, unknown };
 
@@ -175,6 +180,7 @@
     void on_demoted(std::string_view server, std::uint64_t number, const server_status& status,
                     clock::time_point now);
 
+    void on_resumed(std::string_view server, const server_status& status, clock::time_point now);
     void on_promotion_answer(std::string_view server, std::uint64_t number,
                              promotion_outcome outcome, clock::time_point now);
     // Sets the number of instances that use the group, whether or not they report about it.
@@ -211,6 +217,10 @@
         std::optional<log_position> demoted_position; // in this decision
         bool is_pause_verified = false;               // the server has not failed to answer since
         clock::time_point obeyed_at{};                // when one of the two was set
+        std::optional<clock::time_point> resume_sent_at; // the latest one, until it is answered
+        clock::time_point late_resume_until{};           // earlier ones without an answer
+        bool wants_resume = false;                       // once that is recorded
+        bool may_resume_late = false;
     };
     struct instance_state {
         primary_report report;
@@ -223,6 +233,8 @@
     void advance_steady(const decision_record& record, clock::time_point now);
     void check_for_primary(clock::time_point now);
     void look_for_other_primary(clock::time_point now);
+    void adopt_resuming(const decision_record& record, clock::time_point now);
+    void update_resuming(const decision_record& record, clock::time_point now);
     void resume_paused_replicas(const decision_record& record, clock::time_point now);
     [[nodiscard]] std::string change_reason(clock::time_point now) const;
     [[nodiscard]] bool is_primary_down(clock::time_point now) const;
@@ -296,6 +308,8 @@
     std::optional<clock::time_point> not_fenced_since_; // while the request is under way
     std::uint64_t fenced_term_ = 0; // latest term when the promotion was first requested
     clock::time_point recorded_at_{};
+    bool has_adopted_resuming_ = false;
+    clock::time_point resuming_recorded_at_{};
     clock::time_point requested_at_{};
     std::optional<clock::time_point> request_accepted_at_;
     bool request_refused_ = false;
--- a/src/promotion_planner_decision.cpp
+++ b/src/promotion_planner_decision.cpp
@@ -58,12 +58,14 @@
 }
 
 // Chooses a replica that answers. One whose promotion was requested before comes first, as that
-// request may still take effect: pausing it would let commits be acknowledged without it.
+// request may still take effect: pausing it would let commits be acknowledged without it. One that
+// may carry out a late order to resume can't be paused reliably, so it comes next.
 void planner::choose_candidate(clock::time_point now)
 {
     const member* const requested = find_requested();
     const auto rank = [&](const member& each) {
-        return std::tuple(&each == requested, !each.is_leaving, !each.is_outside_regions,
+        return std::tuple(&each == requested, state_of(each.server).may_resume_late,
+                          !each.is_leaving, !each.is_outside_regions,
                           state_of(each.server).status->received);
     };
     const member* best = nullptr;
@@ -103,12 +105,12 @@
     }
 }
 
-// A server that stopped answering may have restarted.
+// A server that stopped answering may have restarted, and may answer a late order to resume.
 bool planner::is_paused(std::string_view server) const
 {
     const auto found = servers_.find(server);
     return found != servers_.end() && found->second.paused_position &&
-           found->second.is_pause_verified;
+           found->second.is_pause_verified && !found->second.may_resume_late;
 }
 
 bool planner::are_others_paused() const
--- a/src/state_commands.cpp
+++ b/src/state_commands.cpp
@@ -200,6 +200,19 @@
     return accepted_reply(records.version());
 }
 
+pb::operator_reply apply_body(state_records& records, const pb::note_resuming& request)
+{
+    const std::string key = record_key(group_prefix, request.database());
+    const pb::state_record* const existing = records.find(key);
+    if (existing == nullptr) {
+        return invalid_name_reply("database");
+    }
+    pb::state_record record = *existing;
+    *record.mutable_group()->mutable_resuming() = request.servers();
+    records.update(std::move(record));
+    return accepted_reply(records.version());
+}
+
 // A repeated order changes nothing, and its reply names the version of the first one.
 pb::operator_reply apply_body(state_records& records, const pb::set_evacuation& request)
 {
@@ -353,6 +366,8 @@
         return apply_body(records, command.finish(), switches);
     case pb::command::kRequest:
         return apply_body(records, command.request());
+    case pb::command::kResuming:
+        return apply_body(records, command.resuming());
     case pb::command::kNote:
         return apply_body(records, command.note());
     case pb::command::kPublish:
--- a/tests/promotion_model.cpp
+++ b/tests/promotion_model.cpp
@@ -314,7 +314,9 @@
         else if (const auto* const resumed = std::get_if<resume_replica>(&due)) {
             send_order(
                 resumed->server, [](model_server& server) { server.is_paused = false; },
-                [](planner&, const server_status&) {});
+                [this, name = resumed->server](planner& target, const server_status& answer) {
+                    target.on_resumed(name, answer, now_);
+                });
         }
         else if (const auto* const begin = std::get_if<begin_decision>(&due)) {
             schedule(clock::duration(10), [this, number = begin->number] {
@@ -332,6 +334,10 @@
                 }
             });
         }
+        else if (const auto* const resuming = std::get_if<record_resuming>(&due)) {
+            schedule(clock::duration(10),
+                     [this, servers = resuming->servers] { record_.resuming = servers; });
+        }
         else if (const auto* const promotion = std::get_if<request_promotion>(&due)) {
             promote_later(*promotion);
         }
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -45,6 +45,9 @@
                                      decision_record& record, clock::time_point now)
 {
     std::vector<action> actions = group_planner.advance(members, record, now);
+    if (const auto* const resuming = find_action<record_resuming>(actions)) {
+        record.resuming = resuming->servers;
+    }
     if (const auto* const request = find_action<record_request>(actions)) {
         record.requested.push_back(request->server);
         for (action& each : group_planner.advance(members, record, now)) {
@@ -529,6 +532,69 @@
     }
 }
 
+// An order to resume names no decision, and a server may carry it out seconds later.
+TEST_CASE("promotion planner: a replica that may still resume is not relied on as paused")
+{
+    planner group_planner = steady_plan();
+    decision_record finished{1, "p", {}, {}};
+    bool is_resumed = false;
+    std::int64_t now = 1'020;
+    for (; now <= 4'000; now += 20) {
+        group_planner.on_primary("p", {1, 10}, at(now), at(now));
+        group_planner.on_status("r2", replica_at(9, 2), at(now), at(now));
+        const auto actions = advance_recorded(group_planner, group, finished, at(now));
+        is_resumed = is_resumed || find_action<resume_replica>(actions) != nullptr;
+    }
+    REQUIRE(is_resumed);
+    decision_record open{2, {}, {}, finished.resuming};
+    std::string requested;
+    std::uint64_t r1_held = 0;
+    for (; now <= 8'000 && requested.empty(); now += 20) {
+        group_planner.on_unreachable("p", false, at(now));
+        group_planner.on_status("r1", replica_at(10, r1_held), at(now), at(now));
+        group_planner.on_status("r2", replica_at(10), at(now), at(now));
+        const auto actions = group_planner.phase() == "steady"
+                                 ? advance_recorded(group_planner, group, finished, at(now))
+                                 : advance_recorded(group_planner, group, open, at(now));
+        if (const auto* const pause = find_action<pause_replica>(actions)) {
+            CHECK(pause->server == "r1");
+            r1_held = pause->term;
+            group_planner.on_paused("r1", pause->number, replica_at(10, r1_held), at(now));
+        }
+        if (const auto* const request = find_action<request_promotion>(actions)) {
+            requested = request->server;
+        }
+    }
+    CHECK(requested == "r2");
+}
+
+TEST_CASE("promotion planner: the next leader does not rely on a pause that a late order may end")
+{
+    planner group_planner("kura", "p", {}, at(0));
+    decision_record open{2, {}, {}, {"r2"}};
+    std::string requested;
+    std::uint64_t r1_held = 0;
+    for (std::int64_t now = 0; now <= 8'000 && requested.empty(); now += 20) {
+        group_planner.on_unreachable("p", false, at(now));
+        group_planner.on_status("r1", replica_at(11, r1_held), at(now), at(now));
+        group_planner.on_status("r2", replica_at(11), at(now), at(now));
+        for (const action& each : advance_recorded(group_planner, group, open, at(now))) {
+            if (const auto* const begin = std::get_if<begin_decision>(&each)) {
+                open.number = begin->number;
+            }
+            if (const auto* const pause = std::get_if<pause_replica>(&each)) {
+                CHECK(pause->server == "r1");
+                r1_held = pause->term;
+                group_planner.on_paused("r1", pause->number, replica_at(11, r1_held), at(now));
+            }
+            if (const auto* const request = std::get_if<request_promotion>(&each)) {
+                requested = request->server;
+            }
+        }
+    }
+    CHECK(requested == "r2");
+}
+
 TEST_CASE("promotion planner: a confirmation is not repeated for a server that stopped leading")
 {
     planner group_planner("kura", "p", {}, at(0));
@@ -563,7 +629,7 @@
 TEST_CASE("promotion planner: a replica that is paused late is resumed")
 {
     planner group_planner = steady_plan();
-    decision_record finished{1, "p", {}};
+    decision_record finished{1, "p", {}, {}};
     bool is_resumed = false;
     for (std::int64_t now = 1'020; now <= 12'000; now += 20) {
         group_planner.on_primary("p", {1, 10}, at(now), at(now));
