Commits that only a leaving replica has are not given up

Cause: with all replicas paused, servers that stay were preferred to those with all commits, so nothing was promoted until the leaving one was gone. The next leader did not know what it had had, and promoted one with less: the position required after a departure was only raised by a primary that answered.

Change: with all replicas paused, a server with all commits comes first. After a departure of a server whose log is not known, a promotion waits until the primary has answered, for 15 s at most, as for a server that is silent; recorded members that are gone at the start of a leader count as departed.

Evidence: the two tests fail on the code of before.

--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -517,11 +517,19 @@
         }
         auto found = planners_.find(group.name);
         if (found == planners_.end()) {
-            const std::string seen_primary =
-                stored == nullptr ? std::string() : stored->seen_primary();
+            std::string seen_primary;
+            std::vector<promotion::member> recorded;
+            if (stored != nullptr) {
+                seen_primary = stored->seen_primary();
+                for (const pb::group_member& each : stored->members()) {
+                    recorded.push_back(
+                        {each.server(), each.address(), false, false, each.born_ms()});
+                }
+            }
             found = planners_
-                        .emplace(group.name, promotion::planner(group.name, seen_primary,
-                                                                promotion::planner_settings{}, now))
+                        .emplace(group.name, promotion::planner(group.name, std::move(seen_primary),
+                                                                promotion::planner_settings{}, now,
+                                                                std::move(recorded)))
                         .first;
         }
         found->second.set_fleet_size(instances);
--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -12,16 +12,19 @@
 // After a decision; a request that the platform accepted before takes up to a second to take
 // effect.
 constexpr clock::duration resume_delay{2'000};
+// For how long a promotion waits for a primary that was silent when a replica left, and for commits
+// that only these two had.
+constexpr clock::duration departure_period{15'000};
 // For how long servers may still carry out orders of earlier decisions.
 constexpr clock::duration late_order_period{15'000};
 
 } // namespace
 
 planner::planner(std::string group, std::string seen_primary, planner_settings settings,
-                 clock::time_point now)
-    : group_(std::move(group)), settings_(settings), primary_(std::move(seen_primary)),
-      reported_primary_(primary_), primary_confirmed_at_(now), steady_since_(now),
-      phase_started_at_(now + clock::duration(1))
+                 clock::time_point now, std::vector<member> recorded_members)
+    : group_(std::move(group)), settings_(settings), members_(std::move(recorded_members)),
+      primary_(std::move(seen_primary)), reported_primary_(primary_), primary_confirmed_at_(now),
+      steady_since_(now), phase_started_at_(now + clock::duration(1))
 {
 }
 
@@ -179,17 +182,29 @@
 }
 
 // A member that left or restarted without its log may have been the only replica with some commits.
-void planner::update_members(const std::vector<member>& members)
+void planner::update_members(const std::vector<member>& members, clock::time_point now)
 {
-    const auto has_left = [&](const member& previous) {
-        return std::none_of(members.begin(), members.end(), [&](const member& each) {
+    for (const member& previous : members_) {
+        const bool stays = std::any_of(members.begin(), members.end(), [&](const member& each) {
             return each.server == previous.server && each.born_ms == previous.born_ms;
         });
-    };
-    if (std::any_of(members_.begin(), members_.end(), has_left)) {
-        member_left_at_ = std::max(primary_confirmed_at_ + clock::duration(1),
-                                   member_left_at_.value_or(clock::time_point{}));
-        required_position_ = std::max(required_position_, primary_position_);
+        if (stays) {
+            continue;
+        }
+        const clock::time_point silent_since =
+            state_of(previous.server).failing_since.value_or(now);
+        departure_settled_at_ = std::max(departure_settled_at_, silent_since + departure_period);
+        required_position_ =
+            std::max({required_position_, primary_position_, paused_position_of(previous.server)});
+        // What a paused replica had is known.
+        if (!is_paused(previous.server)) {
+            member_left_at_ = std::max(primary_confirmed_at_ + clock::duration(1),
+                                       member_left_at_.value_or(clock::time_point{}));
+        }
+    }
+    if (now >= departure_settled_at_) {
+        member_left_at_.reset();
+        required_position_ = {};
     }
     for (const member& each : members) {
         const member* const previous = find_member(each.server);
@@ -200,6 +215,13 @@
     members_ = members;
 }
 
+log_position planner::paused_position_of(std::string_view server) const
+{
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? log_position{}
+                                   : found->second.paused_position.value_or(log_position{});
+}
+
 void planner::check_role(const member& target, clock::duration interval, clock::time_point now)
 {
     server_state& state = state_of(target.server);
@@ -464,7 +486,7 @@
 {
     actions_.clear();
     requested_ = record.requested;
-    update_members(members);
+    update_members(members, now);
     adopt_resuming(record, now);
     update_resuming(record, now);
     switch (phase_) {
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -163,9 +163,9 @@
 class planner {
   public:
     // `seen_primary`: the primary when the members were last recorded; assumed to be the primary
-    // until a check contradicts it.
+    // until a check contradicts it. `recorded_members`: those recorded then.
     planner(std::string group, std::string seen_primary, planner_settings settings,
-            clock::time_point now);
+            clock::time_point now, std::vector<member> recorded_members = {});
 
     // Answers of servers. `sent_at` is the time at which the request was sent.
     void on_primary(std::string_view server, log_position position, clock::time_point sent_at,
@@ -229,7 +229,8 @@
 
     server_state& state_of(std::string_view server);
     [[nodiscard]] const member* find_member(std::string_view server) const;
-    void update_members(const std::vector<member>& members);
+    void update_members(const std::vector<member>& members, clock::time_point now);
+    [[nodiscard]] log_position paused_position_of(std::string_view server) const;
     void advance_steady(const decision_record& record, clock::time_point now);
     void check_for_primary(clock::time_point now);
     void look_for_other_primary(clock::time_point now);
@@ -295,6 +296,7 @@
     // only once it has received what the primary had after the departure.
     std::optional<clock::time_point> member_left_at_;
     log_position required_position_;
+    clock::time_point departure_settled_at_{};
 
     std::uint64_t decision_number_ = 0;  // of the decision in progress
     std::vector<std::string> requested_; // as in the decision record
--- a/src/promotion_planner_decision.cpp
+++ b/src/promotion_planner_decision.cpp
@@ -59,14 +59,17 @@
 
 // Chooses a replica that answers. One whose promotion was requested before comes first, as that
 // request may still take effect: pausing it would let commits be acknowledged without it. One that
-// may carry out a late order to resume can't be paused reliably, so it comes next.
+// may carry out a late order to resume can't be paused reliably, so it comes next. With all
+// replicas paused, it has to be one with all commits.
 void planner::choose_candidate(clock::time_point now)
 {
     const member* const requested = find_requested();
+    const bool are_all_paused = candidate_ != old_primary_ && are_others_paused() &&
+                                !candidate_.empty() && is_paused(candidate_);
     const auto rank = [&](const member& each) {
-        return std::tuple(&each == requested, state_of(each.server).may_resume_late,
-                          !each.is_leaving, !each.is_outside_regions,
-                          state_of(each.server).status->received);
+        return std::tuple(!are_all_paused || has_all_commits(each.server), &each == requested,
+                          state_of(each.server).may_resume_late, !each.is_leaving,
+                          !each.is_outside_regions, state_of(each.server).status->received);
     };
     const member* best = nullptr;
     bool all_answered = true;
@@ -126,7 +129,7 @@
 bool planner::has_all_commits(std::string_view server) const
 {
     const auto own = servers_.find(server);
-    if (own == servers_.end() || !own->second.status ||
+    if (member_left_at_ || own == servers_.end() || !own->second.status ||
         own->second.status->received < required_position_) {
         return false;
     }
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -495,6 +495,53 @@
     CHECK(run.record.requested == std::vector<std::string>{"r1", "p"});
 }
 
+TEST_CASE("promotion planner: a leaving replica that alone has a commit is promoted")
+{
+    planner group_planner = steady_plan();
+    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    decision_record open{1, {}};
+    std::vector<member> leaving = group;
+    leaving[2].is_leaving = true;
+    std::string requested;
+    for (std::int64_t now = 2'100; now <= 4'000 && requested.empty(); now += 20) {
+        group_planner.on_unreachable("p", false, at(now));
+        group_planner.on_status("r1", replica_at(10, 2), at(now), at(now));
+        group_planner.on_status("r2", replica_at(11, 2), at(now), at(now));
+        for (const action& each : advance_recorded(group_planner, leaving, open, at(now))) {
+            if (const auto* const pause = std::get_if<pause_replica>(&each)) {
+                const std::uint64_t index = pause->server == "r2" ? 11 : 10;
+                group_planner.on_paused(pause->server, 1, replica_at(index, 2), at(now));
+            }
+            if (const auto* const request = std::get_if<request_promotion>(&each)) {
+                requested = request->server;
+            }
+        }
+    }
+    CHECK(requested == "r2");
+}
+
+// The next leader does not know what the replica had received.
+TEST_CASE("promotion planner: a replica that left while the primary is silent delays the promotion")
+{
+    planner group_planner("kura", "p", {}, at(0), group);
+    const std::vector<member> rest{group[0], group[1]};
+    decision_record open{1, {}};
+    std::int64_t requested_at = 0;
+    for (std::int64_t now = 0; now <= 20'000 && requested_at == 0; now += 20) {
+        group_planner.on_unreachable("p", false, at(now));
+        group_planner.on_status("r1", replica_at(10), at(now), at(now));
+        for (const action& each : advance_recorded(group_planner, rest, open, at(now))) {
+            if (const auto* const begin = std::get_if<begin_decision>(&each)) {
+                open.number = begin->number;
+            }
+            if (std::holds_alternative<request_promotion>(each)) {
+                requested_at = now;
+            }
+        }
+    }
+    CHECK(requested_at >= 15'000);
+}
+
 TEST_CASE("promotion planner: a request is recorded before it is sent")
 {
     planner group_planner = steady_plan();
