A group without a primary gets one

Callers would see: all writes of a group refused until the next change of the control leader, when its primary carried out an order to step down late, after its decision had ended.

Cause: a decision began only for a known primary; and only servers that claimed to lead were asked.

--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -68,6 +68,7 @@
     if (position.term < primary_position_.term) {
         return;
     }
+    primary_lost_at_.reset();
     if (primary_ != server) {
         primary_ = server;
         steady_since_ = now;
@@ -80,11 +81,12 @@
     }
 }
 
-void planner::on_not_primary(std::string_view server, clock::time_point /*now*/)
+void planner::on_not_primary(std::string_view server, clock::time_point now)
 {
     state_of(server).failing_since.reset();
     if (primary_ == server) {
         primary_.clear();
+        primary_lost_at_ = now;
     }
 }
 
@@ -425,6 +427,9 @@
     }
     if (primary_.empty()) {
         check_for_primary(now);
+        if (primary_lost_at_ && now - *primary_lost_at_ >= settings_.primary_timeout) {
+            start_decision(record, "no server is the primary", now);
+        }
         return;
     }
     const std::string reason = change_reason(now);
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -291,6 +291,7 @@
     log_position primary_position_;
     std::uint64_t latest_term_ = 0;
     clock::time_point steady_since_;
+    std::optional<clock::time_point> primary_lost_at_; // no server is the primary since then
 
     // A replica that left may have been the only one with some commits, so a server is promoted
     // only once it has received what the primary had after the departure.
