Commits that only the primary still has are required by the next leader too

Cause: (1) the primary and a leaving replica were cut off from the others; the replica left, and its commits were at the primary only. The leader required them of a candidate, but the next one did not know of the departure, as the members had been recorded without it. (2) The replicas that this decision had paused were resumed two seconds after the primary was confirmed, although no other request was open; until then nothing could be committed, so that the primary was taken for unusable and replaced. (3) While a decision waited for the primary to answer after a departure, nobody asked it.

Change: the required position is recorded with the members, and both only once the primary has answered after a departure. It is given up after the primary has been silent for 15 s. Replicas are resumed at once if no other server was requested. The primary is asked during a decision, and goes on if no replica has all commits after 2.5 s.

--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -421,11 +421,14 @@
     else if (const auto* const record = std::get_if<promotion::record_members>(&requested.action)) {
         events.decision("promotion", "members")
             .field("group", requested.group)
-            .field("primary", record->primary)
-            .field("members", static_cast<std::int64_t>(record->members.size()));
+            .field("primary", record->group.primary)
+            .field("members", static_cast<std::int64_t>(record->group.members.size()))
+            .field("required", format_position(record->group.required));
         command.mutable_note()->set_database(requested.group);
-        command.mutable_note()->set_seen_primary(record->primary);
-        for (const promotion::member& each : record->members) {
+        command.mutable_note()->set_seen_primary(record->group.primary);
+        command.mutable_note()->set_required_term(record->group.required.term);
+        command.mutable_note()->set_required_index(record->group.required.index);
+        for (const promotion::member& each : record->group.members) {
             pb::group_member& member = *command.mutable_note()->add_members();
             member.set_server(each.server);
             member.set_address(each.address);
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -43,6 +43,25 @@
     });
 }
 
+log_position required_position_of(const pb::group_record& stored)
+{
+    return {stored.required_term(), stored.required_index()};
+}
+
+promotion::recorded_group recorded_group_of(const pb::group_record* stored)
+{
+    promotion::recorded_group recorded;
+    if (stored == nullptr) {
+        return recorded;
+    }
+    recorded.primary = stored->seen_primary();
+    recorded.required = required_position_of(*stored);
+    for (const pb::group_member& each : stored->members()) {
+        recorded.members.push_back({each.server(), each.address(), false, false, each.born_ms()});
+    }
+    return recorded;
+}
+
 promotion::decision_record decision_record_of(const state_machine& state, std::string_view group)
 {
     const pb::group_record* const stored = state.group(group);
@@ -114,17 +133,20 @@
                                 std::vector<group_action>& actions)
 {
     const promotion::planner& planner = planners_.at(group);
-    if (planner.phase() != "steady" || planner.primary().empty()) {
+    if (planner.phase() != "steady" || planner.primary().empty() || planner.is_departure_open()) {
         return;
     }
+    const log_position required = planner.required_position();
     const bool is_same = stored != nullptr && stored->seen_primary() == planner.primary() &&
+                         required_position_of(*stored) == required &&
                          static_cast<std::size_t>(stored->members_size()) == members.size() &&
                          std::all_of(members.begin(), members.end(),
                                      [&](const auto& each) { return is_recorded(*stored, each); });
     clock::time_point& recorded_at = membership_recorded_at_[group];
     if (!is_same && now - recorded_at >= membership_record_interval) {
         recorded_at = now;
-        actions.push_back({group, promotion::record_members{members, planner.primary()}});
+        actions.push_back(
+            {group, promotion::record_members{{planner.primary(), members, required}}});
     }
 }
 
@@ -517,20 +539,11 @@
         }
         auto found = planners_.find(group.name);
         if (found == planners_.end()) {
-            std::string seen_primary;
-            std::vector<promotion::member> recorded;
-            if (stored != nullptr) {
-                seen_primary = stored->seen_primary();
-                for (const pb::group_member& each : stored->members()) {
-                    recorded.push_back(
-                        {each.server(), each.address(), false, false, each.born_ms()});
-                }
-            }
-            found = planners_
-                        .emplace(group.name, promotion::planner(group.name, std::move(seen_primary),
-                                                                promotion::planner_settings{}, now,
-                                                                std::move(recorded)))
-                        .first;
+            found =
+                planners_
+                    .emplace(group.name, promotion::planner(group.name, recorded_group_of(stored),
+                                                            promotion::planner_settings{}, now))
+                    .first;
         }
         found->second.set_fleet_size(instances);
         for (promotion::action& action :
--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -9,22 +9,20 @@
 namespace {
 
 constexpr clock::duration resume_check_interval{1'000};
-// After a decision; a request that the platform accepted before takes up to a second to take
-// effect.
-constexpr clock::duration resume_delay{2'000};
-// For how long a promotion waits for a primary that was silent when a replica left, and for commits
-// that only these two had.
+// For how long a promotion waits for a silent primary that may be the only server with commits of a
+// replica that left.
 constexpr clock::duration departure_period{15'000};
 // For how long servers may still carry out orders of earlier decisions.
 constexpr clock::duration late_order_period{15'000};
 
 } // namespace
 
-planner::planner(std::string group, std::string seen_primary, planner_settings settings,
-                 clock::time_point now, std::vector<member> recorded_members)
-    : group_(std::move(group)), settings_(settings), members_(std::move(recorded_members)),
-      primary_(std::move(seen_primary)), reported_primary_(primary_), primary_confirmed_at_(now),
-      steady_since_(now), phase_started_at_(now + clock::duration(1))
+planner::planner(std::string group, recorded_group recorded, planner_settings settings,
+                 clock::time_point now)
+    : group_(std::move(group)), settings_(settings), members_(std::move(recorded.members)),
+      primary_(std::move(recorded.primary)), reported_primary_(primary_),
+      primary_confirmed_at_(now), steady_since_(now), resume_from_(now + settings_.resume_delay),
+      required_position_(recorded.required), phase_started_at_(now + clock::duration(1))
 {
 }
 
@@ -193,9 +191,6 @@
         if (stays) {
             continue;
         }
-        const clock::time_point silent_since =
-            state_of(previous.server).failing_since.value_or(now);
-        departure_settled_at_ = std::max(departure_settled_at_, silent_since + departure_period);
         required_position_ =
             std::max({required_position_, primary_position_, paused_position_of(previous.server)});
         // What a paused replica had is known.
@@ -204,7 +199,7 @@
                                        member_left_at_.value_or(clock::time_point{}));
         }
     }
-    if (now >= departure_settled_at_) {
+    if (now - primary_confirmed_at_ >= departure_period) {
         member_left_at_.reset();
         required_position_ = {};
     }
@@ -358,11 +353,10 @@
 }
 
 // Resumes replicas that are paused though no decision is in progress, as a paused replica can keep
-// commits from being acknowledged. The latest decision was accepted by the platform, so no earlier
-// request can take effect after the delay.
+// commits from being acknowledged.
 void planner::resume_paused_replicas(const decision_record& record, clock::time_point now)
 {
-    if (now - steady_since_ < resume_delay || primary_.empty()) {
+    if (now < resume_from_ || primary_.empty()) {
         return;
     }
     const bool may_be_paused_late = now - steady_since_ < late_order_period;
@@ -371,7 +365,8 @@
             continue;
         }
         server_state& state = state_of(each.server);
-        const bool is_outdated = state.status && now - state.status_sent_at >= resume_delay;
+        const bool is_outdated =
+            state.status && now - state.status_sent_at >= settings_.resume_delay;
         if (!state.status || (is_outdated && may_be_paused_late)) {
             request_status(each, resume_check_interval, now);
         }
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -48,10 +48,14 @@
     std::vector<std::string> resuming; // servers that may carry out an order to resume late
 };
 
-// Records the members and the primary of the group in the replicated state, for later leaders.
-struct record_members {
-    std::vector<member> members;
+// What is recorded of the group in the replicated state, for later leaders.
+struct recorded_group {
     std::string primary;
+    std::vector<member> members;
+    log_position required; // a server is promoted only if it has received this position
+};
+struct record_members {
+    recorded_group group;
 };
 
 // Checks whether the server is the primary, by beginning a transaction that only a primary accepts.
@@ -157,15 +161,16 @@
     clock::duration request_retry_interval{700};
     clock::duration effect_timeout{1'500}; // from an accepted request to its effect
     clock::duration confirmation_timeout{2'500};
+    // After a decision, if an earlier request that the platform accepted may still take effect.
+    clock::duration resume_delay{2'000};
     clock::duration cooldown{1'500}; // after a change, unless the primary is down
 };
 
 class planner {
   public:
-    // `seen_primary`: the primary when the members were last recorded; assumed to be the primary
-    // until a check contradicts it. `recorded_members`: those recorded then.
-    planner(std::string group, std::string seen_primary, planner_settings settings,
-            clock::time_point now, std::vector<member> recorded_members = {});
+    // The recorded primary is assumed to be the primary until a check contradicts it.
+    planner(std::string group, recorded_group recorded, planner_settings settings,
+            clock::time_point now);
 
     // Answers of servers. `sent_at` is the time at which the request was sent.
     void on_primary(std::string_view server, log_position position, clock::time_point sent_at,
@@ -192,6 +197,10 @@
     [[nodiscard]] std::vector<action> advance(const std::vector<member>& members,
                                               const decision_record& record, clock::time_point now);
 
+    // Returns whether the primary has not answered yet since a member left.
+    [[nodiscard]] bool is_departure_open() const noexcept { return member_left_at_.has_value(); }
+    [[nodiscard]] log_position required_position() const noexcept { return required_position_; }
+
     // Returns the last known primary; empty if there is none.
     [[nodiscard]] const std::string& primary() const noexcept { return primary_; }
     [[nodiscard]] log_position primary_position() const noexcept { return primary_position_; }
@@ -251,7 +260,7 @@
     void continue_decision(const decision_record& record, clock::time_point now);
     void advance_committing(const decision_record& record, clock::time_point now);
     void advance_fencing(clock::time_point now);
-    [[nodiscard]] bool may_confirm_primary(clock::time_point now);
+    [[nodiscard]] bool may_confirm_primary(clock::time_point now) const;
     [[nodiscard]] bool answers(std::string_view server) const;
     [[nodiscard]] const member* find_requested() const;
     [[nodiscard]] bool was_requested(std::string_view server) const;
@@ -267,7 +276,9 @@
     [[nodiscard]] bool are_others_paused() const;
     [[nodiscard]] bool has_all_commits(std::string_view server) const;
     void demote_old_primary(clock::time_point now);
+    [[nodiscard]] bool may_give_up(clock::time_point now) const;
     void request_candidate(clock::time_point now);
+    void finish(clock::time_point now);
     [[nodiscard]] std::string restart_reason(clock::time_point now) const;
     void send_promotion_request(clock::time_point now);
     [[nodiscard]] promotion_evidence evidence() const;
@@ -291,13 +302,13 @@
     log_position primary_position_;
     std::uint64_t latest_term_ = 0;
     clock::time_point steady_since_;
+    clock::time_point resume_from_;
     std::optional<clock::time_point> primary_lost_at_; // no server is the primary since then
 
     // A replica that left may have been the only one with some commits, so a server is promoted
     // only once it has received what the primary had after the departure.
     std::optional<clock::time_point> member_left_at_;
     log_position required_position_;
-    clock::time_point departure_settled_at_{};
 
     std::uint64_t decision_number_ = 0;  // of the decision in progress
     std::vector<std::string> requested_; // as in the decision record
--- a/src/promotion_planner_decision.cpp
+++ b/src/promotion_planner_decision.cpp
@@ -240,27 +240,36 @@
 
 // A decision that was interrupted is ended by confirming the primary if its promotion was requested
 // last, or if no server whose promotion was requested answers.
-bool planner::may_confirm_primary(clock::time_point now)
+bool planner::may_confirm_primary(clock::time_point now) const
 {
-    const member* const old_primary = find_member(old_primary_);
-    if (requested_.empty() || old_primary == nullptr) {
+    if (requested_.empty()) {
         return false;
     }
-    check_role(*old_primary, settings_.check_interval, now);
     const bool is_awaited =
         requested_.back() != old_primary_ &&
         (find_requested() != nullptr || now - phase_started_at_ < settings_.status_timeout);
     return !is_awaited && primary_ == old_primary_ && may_keep_primary();
 }
 
+// Without a replica that has all commits, a primary that answers goes on, so that the replicas can
+// be resumed and catch up.
+bool planner::may_give_up(clock::time_point now) const
+{
+    return now - phase_started_at_ >= settings_.confirmation_timeout &&
+           find_member(old_primary_) != nullptr && is_recently_confirmed(now) &&
+           !has_log_of_demoted(old_primary_);
+}
+
 void planner::advance_fencing(clock::time_point now)
 {
     look_for_other_primary(now);
-    is_reconfirmation_ =
-        (is_reconfirmation_ || may_confirm_primary(now)) && primary_ == old_primary_;
+    if (const member* const old_primary = find_member(old_primary_)) {
+        check_role(*old_primary, settings_.check_interval, now);
+    }
+    is_reconfirmation_ = primary_ == old_primary_ &&
+                         (is_reconfirmation_ || may_confirm_primary(now) || may_give_up(now));
     if (is_reconfirmation_) {
         candidate_ = old_primary_;
-        check_role(*find_member(old_primary_), settings_.check_interval, now);
         if (is_recently_confirmed(now)) {
             request_candidate(now);
         }
@@ -365,6 +374,21 @@
     return {};
 }
 
+// The replicas may be resumed at once unless a server whose promotion was requested before, and
+// accepted, may still become the primary.
+void planner::finish(clock::time_point now)
+{
+    const bool was_other_requested =
+        std::any_of(requested_.begin(), requested_.end(), [&](const std::string& each) {
+            return each != candidate_ && find_member(each) != nullptr;
+        });
+    resume_from_ = was_other_requested ? now + settings_.resume_delay : now;
+    actions_.emplace_back(finish_decision{candidate_, find_member(candidate_)->address,
+                                          decision_number_, primary_position_});
+    phase_ = phase_kind::confirming;
+    phase_started_at_ = now;
+}
+
 void planner::advance_calling(const decision_record& record, clock::time_point now)
 {
     for (const member& each : members_) {
@@ -390,10 +414,7 @@
         return;
     }
     if (request_accepted_at_ && leads && primary_confirmed_at_ >= *request_accepted_at_) {
-        actions_.emplace_back(finish_decision{candidate_, find_member(candidate_)->address,
-                                              decision_number_, primary_position_});
-        phase_ = phase_kind::confirming;
-        phase_started_at_ = now;
+        finish(now);
         return;
     }
     const clock::duration retry_interval =
--- a/src/state_commands.cpp
+++ b/src/state_commands.cpp
@@ -196,6 +196,8 @@
     group.set_database(request.database());
     *group.mutable_members() = request.members();
     group.set_seen_primary(request.seen_primary());
+    group.set_required_term(request.required_term());
+    group.set_required_index(request.required_index());
     records.update(std::move(record));
     return accepted_reply(records.version());
 }
--- a/tests/promotion_model.cpp
+++ b/tests/promotion_model.cpp
@@ -108,8 +108,9 @@
     void start_leader()
     {
         ++generation_;
-        planner_.emplace("kura", record_.number == 0 ? std::string() : seen_primary_,
-                         planner_settings{}, now_);
+        recorded_group recorded;
+        recorded.primary = record_.number == 0 ? std::string() : seen_primary_;
+        planner_.emplace("kura", std::move(recorded), planner_settings{}, now_);
     }
 
     void inject_faults()
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -280,7 +280,7 @@
 TEST_CASE("promotion planner: an interrupted decision is finished by the next leader")
 {
     decision_record open{4, {}};
-    planner group_planner("kura", "p", {}, at(0));
+    planner group_planner("kura", {"p", {}, {}}, {}, at(0));
     std::optional<std::uint64_t> number;
     for (std::int64_t now = 0; now <= 3'000 && !number; now += 20) {
         group_planner.on_primary("p", {1, 10}, at(now), at(now));
@@ -337,7 +337,7 @@
 
 TEST_CASE("promotion planner: a decision does not end before the platform has accepted its number")
 {
-    planner group_planner("kura", "p", {}, at(0));
+    planner group_planner("kura", {"p", {}, {}}, {}, at(0));
     decision_record open{4, {}};
     bool is_requested = false;
     const auto play = [&](std::int64_t from, std::int64_t until) {
@@ -443,7 +443,7 @@
 interrupted_run continue_interrupted(bool does_candidate_answer)
 {
     interrupted_run run;
-    planner group_planner("kura", "p", {}, at(0));
+    planner group_planner("kura", {"p", {}, {}}, {}, at(0));
     const auto answer = [&](const action& each, std::int64_t now) {
         if (const auto* const begin = std::get_if<begin_decision>(&each)) {
             run.record.number = begin->number;
@@ -523,7 +523,7 @@
 // The next leader does not know what the replica had received.
 TEST_CASE("promotion planner: a replica that left while the primary is silent delays the promotion")
 {
-    planner group_planner("kura", "p", {}, at(0), group);
+    planner group_planner("kura", {"p", group, {}}, {}, at(0));
     const std::vector<member> rest{group[0], group[1]};
     decision_record open{1, {}};
     std::int64_t requested_at = 0;
@@ -542,6 +542,81 @@
     CHECK(requested_at >= 15'000);
 }
 
+// After a replica that alone had some commits left, the others were promoted under the next leader.
+TEST_CASE("promotion planner: the position required by an earlier leader is kept")
+{
+    planner group_planner("kura", {"p", group, {1, 20}}, {}, at(0));
+    decision_record record{3, "p"};
+    std::vector<std::string> requested;
+    for (std::int64_t now = 0; now <= 9'000; now += 20) {
+        const bool is_caught_up = now >= 8'000;
+        group_planner.on_primary("p", {1, 25}, at(now), at(now));
+        group_planner.on_primary_report("e1", {"p", std::nullopt, clock::duration(2'000)}, at(now));
+        for (const char* server : {"r1", "r2"}) {
+            group_planner.on_status(server, replica_at(is_caught_up ? 25 : 10, 2), at(now),
+                                    at(now));
+        }
+        for (const action& each : advance_recorded(group_planner, group, record, at(now))) {
+            if (const auto* const begin = std::get_if<begin_decision>(&each)) {
+                record = {begin->number, {}, {}, record.resuming};
+            }
+            if (const auto* const pause = std::get_if<pause_replica>(&each)) {
+                group_planner.on_paused(pause->server, pause->number,
+                                        replica_at(is_caught_up ? 25 : 10, 2), at(now));
+            }
+            if (const auto* const request = std::get_if<request_promotion>(&each)) {
+                requested.push_back(request->server);
+                group_planner.on_promotion_answer(request->server, request->number,
+                                                  promotion_outcome::accepted, at(now));
+            }
+            if (const auto* const finish = std::get_if<finish_decision>(&each)) {
+                record.primary = finish->server;
+                record.requested.clear();
+            }
+        }
+    }
+    // The primary is confirmed instead, so that the replicas can be resumed.
+    REQUIRE(!requested.empty());
+    CHECK(requested.front() == "p");
+    CHECK(std::count(requested.begin(), requested.end(), "p") ==
+          static_cast<std::ptrdiff_t>(requested.size()));
+}
+
+// Both replicas stayed paused for two seconds, and the primary was replaced for being unusable.
+TEST_CASE("promotion planner: replicas are resumed at once after their primary was confirmed")
+{
+    planner group_planner("kura", {"p", {}, {}}, {}, at(0));
+    decision_record record{4, {}};
+    std::int64_t finished_at = 0;
+    std::int64_t resumed_at = 0;
+    for (std::int64_t now = 0; now <= 6'000 && resumed_at == 0; now += 20) {
+        group_planner.on_primary("p", {1, 10}, at(now), at(now));
+        for (const action& each : advance_recorded(group_planner, group, record, at(now))) {
+            if (const auto* const begin = std::get_if<begin_decision>(&each)) {
+                record.number = begin->number;
+            }
+            if (const auto* const request = std::get_if<request_promotion>(&each)) {
+                group_planner.on_promotion_answer(request->server, request->number,
+                                                  promotion_outcome::accepted, at(now));
+            }
+            if (const auto* const status = std::get_if<check_status>(&each)) {
+                group_planner.on_status(status->server, replica_at(10, 2), at(now), at(now));
+            }
+            if (const auto* const finish = std::get_if<finish_decision>(&each)) {
+                record.primary = finish->server;
+                record.requested.clear();
+                finished_at = now;
+            }
+            if (std::holds_alternative<resume_replica>(each)) {
+                resumed_at = now;
+            }
+        }
+    }
+    CHECK(finished_at > 0);
+    CHECK(resumed_at > finished_at);
+    CHECK(resumed_at <= finished_at + 300);
+}
+
 TEST_CASE("promotion planner: a request is recorded before it is sent")
 {
     planner group_planner = steady_plan();
@@ -617,7 +692,7 @@
 
 TEST_CASE("promotion planner: the next leader does not rely on a pause that a late order may end")
 {
-    planner group_planner("kura", "p", {}, at(0));
+    planner group_planner("kura", {"p", {}, {}}, {}, at(0));
     decision_record open{2, {}, {}, {"r2"}};
     std::string requested;
     std::uint64_t r1_held = 0;
@@ -644,7 +719,7 @@
 
 TEST_CASE("promotion planner: a confirmation is not repeated for a server that stopped leading")
 {
-    planner group_planner("kura", "p", {}, at(0));
+    planner group_planner("kura", {"p", {}, {}}, {}, at(0));
     decision_record open{4, {}};
     std::vector<request_promotion> requests;
     for (std::int64_t now = 0; now <= 6'000; now += 20) {
