Orders of a control leader that stood still are not sent any more

Callers would see: writes refused, or a commit lost, when a leader that was frozen wakes up and sends orders to pause, resume or step down that it had prepared, after another leader was elected.

Cause: an order waits for the probe's connection, and the timeout began only when it had it.

Change: the timeout begins with the order, and an order is not sent after it; answers are discarded when the leader stops leading, not only when it leads again. A server that answers BUSY to a status request counts neither as failing nor as paused. Orders log the term in the answer.

--- a/src/cell_action_executor.cpp
+++ b/src/cell_action_executor.cpp
@@ -28,6 +28,8 @@
         return "refused";
     case promotion::probe_result::silent:
         return "silent";
+    case promotion::probe_result::not_sent:
+        return "not sent";
     }
     return "unknown";
 }
@@ -104,6 +106,7 @@
         .field("result", name_of(answer.result))
         .field("code", answer.code)
         .field("received", format_position(answer.status.received))
+        .field("term", static_cast<std::int64_t>(answer.status.term))
         .field("term_held", static_cast<std::int64_t>(answer.status.term_held));
 }
 
@@ -126,6 +129,8 @@
         case promotion::probe_result::not_primary:
             planner.on_not_primary(server, now);
             break;
+        case promotion::probe_result::not_sent:
+            break;
         case promotion::probe_result::refused:
         case promotion::probe_result::silent:
             planner.on_unreachable(server, answer.result == promotion::probe_result::refused, now);
@@ -142,7 +147,10 @@
     const clock::time_point sent_at = clock::now();
     const std::string statement(dialect_.status);
     const promotion::status_answer answer = co_await probe->execute(statement);
-    if (generation != generation_) {
+    // A busy server is neither down nor known to be in any state.
+    const bool is_informative =
+        answer.result != promotion::probe_result::not_sent && answer.code != dialect_.busy;
+    if (generation != generation_ || !is_informative) {
         co_return;
     }
     collect(group, [server = action.server, answer, sent_at](promotion::planner& planner,
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -332,6 +332,7 @@
             .field("loop_delay_ms", latest_delay.count())
             .field("loop_delay_age_ms", (now - delayed_at).count());
         active_service.reset();
+        executor->discard_answers();
     }
     if (active_service || !consensus_replica->is_current(now)) {
         return;
--- a/src/promotion_probe.cpp
+++ b/src/promotion_probe.cpp
@@ -98,10 +98,13 @@
 
 net::awaitable<status_answer> probe::execute(const std::string& statement)
 {
+    const clock::time_point deadline = clock::now() + probe_timeout;
     co_await acquire();
-    const clock::time_point deadline = last_used_at_ + probe_timeout;
     status_answer answer;
-    answer.result = co_await connect(deadline);
+    answer.result = clock::now() < deadline ? co_await connect(deadline) : probe_result::not_sent;
+    if (answer.result == probe_result::answered && clock::now() >= deadline) {
+        answer.result = probe_result::not_sent;
+    }
     if (answer.result != probe_result::answered) {
         answer.code = connect_error_code_;
     }
--- a/src/promotion_probe.h
+++ b/src/promotion_probe.h
@@ -13,7 +13,13 @@
 
 namespace primrosehead::promotion {
 
-enum class probe_result { answered, not_primary, refused, silent };
+enum class probe_result {
+    answered,
+    not_primary,
+    refused,
+    silent,
+    not_sent, // the order was outdated before the server could be asked
+};
 
 struct primary_answer {
     probe_result result = probe_result::silent;
@@ -34,7 +40,9 @@
     // server. Requests run one at a time; further ones wait.
     [[nodiscard]] boost::asio::awaitable<primary_answer> check_primary();
 
-    // Executes a status, pause, resume or step-down statement, all of which return the status.
+    // Executes a status, pause, resume or step-down statement, all of which return the status. It
+    // is not sent any more once its timeout has passed: the caller may have stopped leading
+    // meanwhile.
     [[nodiscard]] boost::asio::awaitable<status_answer> execute(const std::string& statement);
 
     [[nodiscard]] bool is_busy() const noexcept { return is_busy_; }
