Findings of the review: what a decision relies on has to be current

The review of the fix, by somebody who had not seen it, found further cases of the same class, each with a test that fails on the code of before: - A server that had been replaced by one out of control's reach answered an order to step down as the replica it was, and counted as demoted: the group was taken for fenced. An order to step down is sent only to a server that says it leads, and counts only in the term in which it led.

One test gave the planner the answer to an order to step down without ever telling it that the server led; it now does, and still asserts both halves.

--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr clock::duration resume_check_interval{1'000};
+// A replica may carry out a late order to pause at any time.
+constexpr clock::duration replica_status_interval{5'000};
 // For how long a promotion waits for a silent primary that may be the only server with commits of a
 // replica that left.
 constexpr clock::duration departure_period{15'000};
@@ -63,7 +65,9 @@
 {
     state_of(server).failing_since.reset();
     latest_term_ = std::max(latest_term_, position.term);
-    if (position.term < primary_position_.term) {
+    const bool is_late = server != primary_ && position.term == primary_position_.term &&
+                         !primary_.empty() && sent_at <= primary_confirmed_at_;
+    if (position.term < primary_position_.term || is_late) {
         return;
     }
     primary_lost_at_.reset();
@@ -145,8 +149,12 @@
 void planner::on_resumed(std::string_view server, const server_status& status,
                          clock::time_point now)
 {
-    state_of(server).resume_sent_at.reset();
+    server_state& state = state_of(server);
+    state.resume_sent_at.reset();
     on_status(server, status, now, now);
+    if (status.term_held == 0) {
+        state.paused_position.reset(); // also of a later decision
+    }
 }
 
 void planner::on_demoted(std::string_view server, std::uint64_t number, const server_status& status,
@@ -155,10 +163,14 @@
     if (!is_fencing() || number != decision_number_) {
         return;
     }
-    on_status(server, status, now, now);
     server_state& state = state_of(server);
-    if (!status.is_primary) {
+    const bool has_led = state.status && state.status->is_primary;
+    const std::uint64_t led_term = has_led ? state.status->term : 0;
+    on_status(server, status, now, now);
+    // A replica of another primary, which acknowledges commits, answers in a later term.
+    if (!status.is_primary && has_led && status.term == led_term) {
         state.demoted_position = status.received;
+        state.demoted_term = status.term;
         state.obeyed_at = now;
     }
 }
@@ -359,15 +371,14 @@
     if (now < resume_from_ || primary_.empty()) {
         return;
     }
-    const bool may_be_paused_late = now - steady_since_ < late_order_period;
+    const clock::duration interval =
+        now - steady_since_ < late_order_period ? settings_.resume_delay : replica_status_interval;
     for (const member& each : members_) {
         if (each.server == primary_) {
             continue;
         }
         server_state& state = state_of(each.server);
-        const bool is_outdated =
-            state.status && now - state.status_sent_at >= settings_.resume_delay;
-        if (!state.status || (is_outdated && may_be_paused_late)) {
+        if (!state.status || now - state.status_sent_at >= interval) {
             request_status(each, resume_check_interval, now);
         }
         else if (state.status->term_held == 0) {
@@ -487,6 +498,11 @@
     actions_.clear();
     requested_ = record.requested;
     update_members(members, now);
+    for (auto& [server, state] : servers_) {
+        const clock::time_point verified_at = std::max(state.status_sent_at, state.obeyed_at);
+        state.is_pause_verified =
+            state.is_pause_verified && now - verified_at < settings_.pause_timeout;
+    }
     adopt_resuming(record, now);
     update_resuming(record, now);
     switch (phase_) {
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -224,8 +224,9 @@
         clock::time_point status_sent_at{};
         std::optional<log_position> paused_position;  // in this decision
         std::optional<log_position> demoted_position; // in this decision
-        bool is_pause_verified = false;               // the server has not failed to answer since
-        clock::time_point obeyed_at{};                // when one of the two was set
+        std::uint64_t demoted_term = 0;
+        bool is_pause_verified = false; // recently, and the server has answered since
+        clock::time_point obeyed_at{};  // when one of the two was set
         std::optional<clock::time_point> resume_sent_at; // the latest one, until it is answered
         clock::time_point late_resume_until{};           // earlier ones without an answer
         bool wants_resume = false;                       // once that is recorded
@@ -265,6 +266,7 @@
     [[nodiscard]] const member* find_requested() const;
     [[nodiscard]] bool was_requested(std::string_view server) const;
     [[nodiscard]] bool is_recently_confirmed(clock::time_point now) const;
+    [[nodiscard]] bool is_replica(std::string_view server) const;
     [[nodiscard]] bool is_failing(std::string_view server) const;
     void choose_candidate(clock::time_point now);
     void pause_other_replicas(clock::time_point now);
--- a/src/promotion_planner_decision.cpp
+++ b/src/promotion_planner_decision.cpp
@@ -27,6 +27,15 @@
     return now - primary_confirmed_at_ <= settings_.check_interval + settings_.check_interval / 2;
 }
 
+// Returns whether the server denies being the primary without having been demoted by this decision:
+// it has to be paused as the others, and may be promoted.
+bool planner::is_replica(std::string_view server) const
+{
+    const auto found = servers_.find(server);
+    return found != servers_.end() && found->second.status && !found->second.status->is_primary &&
+           !found->second.demoted_position && !found->second.failing_since;
+}
+
 bool planner::is_failing(std::string_view server) const
 {
     const auto found = servers_.find(server);
@@ -133,9 +142,8 @@
         own->second.status->received < required_position_) {
         return false;
     }
-    return std::all_of(servers_.begin(), servers_.end(), [&](const auto& item) {
-        const std::optional<log_position>& paused_position = item.second.paused_position;
-        return !paused_position || own->second.status->received >= *paused_position;
+    return std::all_of(members_.begin(), members_.end(), [&](const member& each) {
+        return own->second.status->received >= paused_position_of(each.server);
     });
 }
 
@@ -143,8 +151,9 @@
 bool planner::has_log_of_demoted(std::string_view server) const
 {
     const auto old_primary = servers_.find(old_primary_);
-    if (old_primary == servers_.end() || !old_primary->second.demoted_position) {
-        return false;
+    if (old_primary == servers_.end() || !old_primary->second.demoted_position ||
+        old_primary->second.demoted_term != latest_term_) {
+        return false; // not demoted, or another server was promoted since
     }
     const auto own = servers_.find(server);
     return server == old_primary_ ||
@@ -167,7 +176,9 @@
         return;
     }
     server_state& state = state_of(old_primary_);
-    if (!state.demoted_position && now - state.ordered_at >= settings_.order_retry_interval) {
+    const bool leads = state.status && state.status->is_primary;
+    if (leads && !state.demoted_position &&
+        now - state.ordered_at >= settings_.order_retry_interval) {
         state.ordered_at = now;
         actions_.emplace_back(
             demote_primary{old_primary_, old_primary->address, latest_term_ + 1, decision_number_});
@@ -178,9 +189,7 @@
 void planner::maintain_fence(clock::time_point now)
 {
     for (const member& each : members_) {
-        if (each.server != old_primary_ || state_of(old_primary_).demoted_position) {
-            request_status(each, settings_.order_retry_interval / 2, now);
-        }
+        request_status(each, settings_.order_retry_interval / 2, now);
     }
     pause_other_replicas(now);
     if (are_others_paused()) {
@@ -245,9 +254,10 @@
     if (requested_.empty()) {
         return false;
     }
+    // A request that the platform has accepted must have taken effect by then.
     const bool is_awaited =
         requested_.back() != old_primary_ &&
-        (find_requested() != nullptr || now - phase_started_at_ < settings_.status_timeout);
+        (find_requested() != nullptr || now - phase_started_at_ < settings_.effect_timeout);
     return !is_awaited && primary_ == old_primary_ && may_keep_primary();
 }
 
@@ -263,6 +273,9 @@
 void planner::advance_fencing(clock::time_point now)
 {
     look_for_other_primary(now);
+    if (primary_ != old_primary_ && is_replica(old_primary_)) {
+        old_primary_.clear();
+    }
     if (const member* const old_primary = find_member(old_primary_)) {
         check_role(*old_primary, settings_.check_interval, now);
     }
@@ -276,9 +289,7 @@
         return;
     }
     for (const member& each : members_) {
-        if (each.server != old_primary_) {
-            request_status(each, settings_.order_retry_interval / 2, now);
-        }
+        request_status(each, settings_.order_retry_interval / 2, now);
     }
     const member* const requested = find_requested();
     const bool is_requested_back =
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -182,6 +182,9 @@
                   advance_recorded(group_planner, group, open, at(now))) == nullptr);
     }
     // A demoted primary acknowledges no further commits, and its log has all that it acknowledged.
+    server_status leading = replica_at(10);
+    leading.is_primary = true;
+    group_planner.on_status("p", leading, at(8'005), at(8'005));
     group_planner.on_demoted("p", 1, replica_at(10), at(8'010));
     CHECK(find_action<request_promotion>(advance_recorded(group_planner, group, open, at(8'020))) !=
           nullptr);
@@ -617,6 +620,103 @@
     CHECK(resumed_at <= finished_at + 300);
 }
 
+// The server had been replaced by another one that control could not reach.
+TEST_CASE(
+    "promotion planner: a replica that answers an order to step down is not taken for demoted")
+{
+    planner group_planner("kura", {"p", group, {}}, {}, at(0));
+    decision_record open{4, {}, {"r1"}, {}};
+    for (std::int64_t now = 0; now <= 6'000; now += 20) {
+        if (now >= 100) { // after the decision was begun for the recorded primary
+            group_planner.on_not_primary("p", at(now));
+        }
+        group_planner.on_status("p", replica_at(10), at(now), at(now));
+        group_planner.on_status("r2", replica_at(10), at(now), at(now));
+        group_planner.on_unreachable("r1", false, at(now)); // leads
+        for (const action& each : advance_recorded(group_planner, group, open, at(now))) {
+            if (const auto* const begin = std::get_if<begin_decision>(&each)) {
+                open.number = begin->number;
+            }
+            if (const auto* const pause = std::get_if<pause_replica>(&each)) {
+                group_planner.on_paused(pause->server, pause->number, replica_at(10, 2), at(now));
+            }
+            if (const auto* const demote = std::get_if<demote_primary>(&each)) {
+                group_planner.on_demoted(demote->server, demote->number, replica_at(10), at(now));
+            }
+            CHECK(!std::holds_alternative<request_promotion>(each));
+        }
+    }
+}
+
+TEST_CASE("promotion planner: a paused replica that leaves does not block the decision for ever")
+{
+    planner group_planner = steady_plan();
+    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    decision_record open{1, {}};
+    std::vector<member> members = group;
+    std::string requested;
+    for (std::int64_t now = 2'100; now <= 25'000 && requested.empty(); now += 20) {
+        group_planner.on_unreachable("p", false, at(now));
+        if (now == 3'000) {
+            members.pop_back(); // r2, the only replica with 11
+        }
+        group_planner.on_status("r1", replica_at(10, 2), at(now), at(now));
+        if (members.size() == 3) {
+            group_planner.on_status("r2", replica_at(now < 2'500 ? 9 : 11, 2), at(now), at(now));
+        }
+        const auto actions = advance_recorded(group_planner, members, open, at(now));
+        if (const auto* const request = find_action<request_promotion>(actions)) {
+            requested = request->server;
+            CHECK(now >= 15'000); // after the primary has been silent for long
+        }
+        if (const auto* const pause = find_action<pause_replica>(actions);
+            pause != nullptr && now >= 2'600) {
+            group_planner.on_paused(pause->server, 1,
+                                    replica_at(pause->server == "r2" ? 11 : 10, 2), at(now));
+        }
+        open.number = std::max(open.number, group_planner.phase() == "committing" ? 2UL : 0UL);
+    }
+    CHECK(requested == "r1");
+}
+
+TEST_CASE("promotion planner: a replica that resumes late in a decision delays the request")
+{
+    planner group_planner = steady_plan();
+    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    decision_record open{1, {}};
+    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
+    group_planner.on_status("r2", replica_at(9), at(2'100), at(2'110));
+    static_cast<void>(group_planner.advance(group, open, at(2'120)));
+    group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
+    group_planner.on_resumed("r2", replica_at(10), at(2'130));
+    CHECK(find_action<request_promotion>(advance_recorded(group_planner, group, open, at(2'140))) ==
+          nullptr);
+}
+
+TEST_CASE("promotion planner: a pause that was not verified lately delays the request")
+{
+    planner group_planner = steady_plan();
+    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    decision_record open{1, {}};
+    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
+    group_planner.on_status("r2", replica_at(9), at(2'100), at(2'110));
+    static_cast<void>(group_planner.advance(group, open, at(2'120)));
+    group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
+    // The leader could not commit for ten seconds.
+    CHECK(find_action<request_promotion>(
+              advance_recorded(group_planner, group, open, at(12'140))) == nullptr);
+}
+
+TEST_CASE("promotion planner: a late answer of the old primary does not make it the primary again")
+{
+    planner group_planner = steady_plan();
+    group_planner.on_primary("r1", {1, 10}, at(1'100), at(1'110));
+    group_planner.on_primary("p", {1, 10}, at(1'050), at(1'120));
+    CHECK(group_planner.primary() == "r1");
+}
+
 TEST_CASE("promotion planner: a request is recorded before it is sent")
 {
     planner group_planner = steady_plan();
