A demoted primary that stops answering does not block its group

Cause: only the known primary was exempt from being paused; with none known, all members had to be.

Change: a single member that does not answer is exempt, as every acknowledged commit is on two members. The test fails on the code of before.

--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -266,6 +266,7 @@
     [[nodiscard]] const member* find_requested() const;
     [[nodiscard]] bool was_requested(std::string_view server) const;
     [[nodiscard]] bool is_recently_confirmed(clock::time_point now) const;
+    [[nodiscard]] std::string only_silent_member() const;
     [[nodiscard]] bool is_replica(std::string_view server) const;
     [[nodiscard]] bool is_failing(std::string_view server) const;
     void choose_candidate(clock::time_point now);
--- a/src/promotion_planner_decision.cpp
+++ b/src/promotion_planner_decision.cpp
@@ -27,6 +27,23 @@
     return now - primary_confirmed_at_ <= settings_.check_interval + settings_.check_interval / 2;
 }
 
+// Returns the member that does not answer, if there is just one. Every acknowledged commit is on
+// two members, so that this one need not be paused, as the primary.
+std::string planner::only_silent_member() const
+{
+    std::string silent;
+    for (const member& each : members_) {
+        if (!is_failing(each.server)) {
+            continue;
+        }
+        if (!silent.empty()) {
+            return {};
+        }
+        silent = each.server;
+    }
+    return silent;
+}
+
 // Returns whether the server denies being the primary without having been demoted by this decision:
 // it has to be paused as the others, and may be promoted.
 bool planner::is_replica(std::string_view server) const
@@ -276,6 +293,9 @@
     if (primary_ != old_primary_ && is_replica(old_primary_)) {
         old_primary_.clear();
     }
+    if (old_primary_.empty()) {
+        old_primary_ = only_silent_member();
+    }
     if (const member* const old_primary = find_member(old_primary_)) {
         check_role(*old_primary, settings_.check_interval, now);
     }
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -717,6 +717,39 @@
     CHECK(group_planner.primary() == "r1");
 }
 
+TEST_CASE("promotion planner: a demoted primary that stops answering does not block its group")
+{
+    planner group_planner = steady_plan();
+    decision_record record{3, "p", {}, {}};
+    std::vector<member> members = group;
+    members[0].claims_primary = false;
+    std::string requested;
+    for (std::int64_t now = 1'020; now <= 8'000 && requested.empty(); now += 20) {
+        if (now < 1'100) {
+            group_planner.on_not_primary("p", at(now)); // demoted by a late order
+        }
+        else {
+            group_planner.on_unreachable("p", false, at(now));
+        }
+        for (const char* server : {"r1", "r2"}) {
+            group_planner.on_not_primary(server, at(now));
+            group_planner.on_status(server, replica_at(10, 2), at(now), at(now));
+        }
+        for (const action& each : advance_recorded(group_planner, members, record, at(now))) {
+            if (const auto* const begin = std::get_if<begin_decision>(&each)) {
+                record = {begin->number, {}, {}, record.resuming};
+            }
+            if (const auto* const pause = std::get_if<pause_replica>(&each)) {
+                group_planner.on_paused(pause->server, pause->number, replica_at(10, 2), at(now));
+            }
+            if (const auto* const request = std::get_if<request_promotion>(&each)) {
+                requested = request->server;
+            }
+        }
+    }
+    CHECK(!requested.empty());
+}
+
 TEST_CASE("promotion planner: a request is recorded before it is sent")
 {
     planner group_planner = steady_plan();
