--- a/include/primrosehead/journal.h
+++ b/include/primrosehead/journal.h
@@ -4,7 +4,8 @@
 // before it is reported as `error_kind::corrupt_storage`. Writes are durable only once `sync`
 // returns.
 //
-// The journal must not be used after a failed call; the process exits.
+// A call that failed with `error_kind::storage_failed` must be repeated before any other write; it
+// then succeeds once the disk accepts writes. Until then nothing that it writes counts as durable.
 #pragma once
 
 #include "primrosehead.pb.h"
@@ -38,6 +39,8 @@
     // it.
     [[nodiscard]] virtual status replace(std::string_view file, std::string_view bytes) = 0;
     [[nodiscard]] virtual status remove(std::string_view file) = 0;
+    // After a failure the bytes since the last successful sync are lost: they must be truncated and
+    // written again.
     [[nodiscard]] virtual status sync(std::string_view file) = 0;
 };
 
@@ -79,7 +82,7 @@
     // not contain the snapshot's last entry.
     [[nodiscard]] status write_snapshot(const pb::snapshot_record& snapshot);
 
-    // Writes the buffered changes as one record and syncs it.
+    // Writes the buffered changes as one record and syncs it. They stay buffered if this fails.
     [[nodiscard]] status sync();
 
     ~journal();
--- a/src/journal.cpp
+++ b/src/journal.cpp
@@ -30,10 +30,14 @@
     std::vector<pb::log_entry> pending;              // appended since the last sync
     std::optional<std::uint64_t> pending_truncation; // first index truncated since the last sync
     std::uint64_t next_segment_number = 1;
+    // The bytes of the last segment after its synced prefix are unknown: a write or sync failed.
+    bool is_tail_uncertain = false;
 
     status replace_message(std::string_view file, const google::protobuf::MessageLite& message);
     status write_pending();
     status append_frame(frame_kind kind, std::uint64_t first_index, std::string_view payload);
+    status truncate_uncertain_tail();
+    status sync_last_segment();
     status remove_segments_through(std::uint64_t index);
     status remove_all_segments();
     status sync_file(std::string_view file);
@@ -61,6 +65,35 @@
                           encode_frame(frame_kind::message, 0, message.SerializeAsString(), 0));
 }
 
+// Removes what a failed write or sync may have left. A later sync that succeeds does not prove that
+// these bytes are durable: the system may have discarded them when the earlier one failed.
+status journal::implementation::truncate_uncertain_tail()
+{
+    if (!is_tail_uncertain) {
+        return std::monostate{};
+    }
+    segment& current = segments.back();
+    status truncated = files->truncate(segment_file_name(current.number), current.synced_size);
+    if (ok(truncated)) {
+        current.size = current.synced_size;
+        is_tail_uncertain = false;
+    }
+    return truncated;
+}
+
+status journal::implementation::sync_last_segment()
+{
+    segment& current = segments.back();
+    status synced = sync_file(segment_file_name(current.number));
+    if (ok(synced)) {
+        current.synced_size = current.size;
+    }
+    else {
+        is_tail_uncertain = true;
+    }
+    return synced;
+}
+
 // Syncs the full segment before starting a new one: only the last segment may end in a torn record.
 status journal::implementation::rotate_segment_if_full()
 {
@@ -68,12 +101,12 @@
         if (segments.back().size < config::journal_segment_bytes) {
             return std::monostate{};
         }
-        status synced = sync_file(segment_file_name(segments.back().number));
+        status synced = sync_last_segment();
         if (!ok(synced)) {
             return synced;
         }
     }
-    segments.push_back(segment{next_segment_number, 0, 0});
+    segments.push_back(segment{.number = next_segment_number});
     ++next_segment_number;
     return std::monostate{};
 }
@@ -83,16 +116,26 @@
 {
     segment& current = segments.back();
     const std::string bytes = encode_frame(kind, first_index, payload, current.size);
-    current.size += bytes.size();
-    return files->append(segment_file_name(current.number), bytes);
+    status appended = files->append(segment_file_name(current.number), bytes);
+    if (ok(appended)) {
+        current.size += bytes.size();
+    }
+    else {
+        is_tail_uncertain = true;
+    }
+    return appended;
 }
 
-// Writes all changes since the last sync as one record, the only one that a crash can tear.
+// Writes all changes since the last sync as one record, the only one that a crash can tear. They
+// stay pending until the sync succeeds.
 status journal::implementation::write_pending()
 {
-    status rotated = rotate_segment_if_full();
-    if (!ok(rotated)) {
-        return rotated;
+    status prepared = truncate_uncertain_tail();
+    if (ok(prepared)) {
+        prepared = rotate_segment_if_full();
+    }
+    if (!ok(prepared)) {
+        return prepared;
     }
     const frame_kind kind = pending_truncation ? frame_kind::overwrite : frame_kind::append;
     const std::uint64_t first =
@@ -105,14 +148,16 @@
         segment& current = segments.back();
         current.highest_index = std::max(current.highest_index, pending.back().index());
     }
-    pending.clear();
-    pending_truncation.reset();
-    status synced = sync_file(segment_file_name(segments.back().number));
+    status synced = sync_last_segment();
     if (!ok(synced)) {
         return synced;
     }
-    // Lets recovery distinguish corruption of the synced record before it from a torn write.
-    return append_frame(frame_kind::sync_marker, 0, {});
+    pending.clear();
+    pending_truncation.reset();
+    // Lets recovery distinguish corruption of the synced record before it from a torn write. The
+    // record is durable without it.
+    static_cast<void>(append_frame(frame_kind::sync_marker, 0, {}));
+    return std::monostate{};
 }
 
 // Removes the oldest segments first, so that a crash always leaves a suffix of the log.
@@ -138,6 +183,7 @@
             return removed;
         }
         segments.pop_back();
+        is_tail_uncertain = false;
     }
     return std::monostate{};
 }
--- a/src/journal_recovery.cpp
+++ b/src/journal_recovery.cpp
@@ -78,7 +78,7 @@
         if (!ok(bytes)) {
             return failure(bytes);
         }
-        segment current{number, 0, 0};
+        segment current{.number = number};
         while (current.size < value(bytes).size()) {
             const std::optional<frame> record = decode_frame(value(bytes), current.size);
             if (!record) {
@@ -94,6 +94,7 @@
             }
             current.size += record->size;
         }
+        current.synced_size = current.size;
         segments.push_back(current);
         return std::monostate{};
     }
--- a/src/journal_recovery.h
+++ b/src/journal_recovery.h
@@ -19,6 +19,7 @@
     std::uint64_t number = 0;
     std::uint64_t size = 0;          // in bytes
     std::uint64_t highest_index = 0; // of all entries written to it, including overwritten ones
+    std::uint64_t synced_size = 0;   // in bytes, of the prefix that is durable
 };
 
 [[nodiscard]] std::string segment_file_name(std::uint64_t number);
--- a/tests/fake_disk.cpp
+++ b/tests/fake_disk.cpp
@@ -1,5 +1,6 @@
 #include "fake_disk.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace primrosehead::testing {
@@ -43,46 +44,58 @@
         if (!folder_.consume_write()) {
             return write_failure();
         }
-        folder_.files_[std::string(name)].current += bytes;
+        fake_folder::file& appended = folder_.files_[std::string(name)];
+        if (folder_.state_ == disk_state::full) {
+            appended.current += bytes.substr(0, folder_.random_() % bytes.size());
+            return write_failure();
+        }
+        appended.current += bytes;
         return std::monostate{};
     }
 
     status truncate(std::string_view name, std::uint64_t size) override
     {
-        const auto found = folder_.files_.find(name);
-        if (found == folder_.files_.end()) {
-            return missing_file(name);
-        }
-        found->second.current.resize(size);
+        fake_folder::file& truncated = folder_.files_[std::string(name)];
+        truncated.current.resize(size);
+        truncated.dropped_before = std::min(truncated.dropped_before, size);
         return std::monostate{};
     }
 
     status replace(std::string_view name, std::string_view bytes) override
     {
-        if (!folder_.consume_write()) {
+        const bool is_renamed =
+            folder_.state_ == disk_state::writable ||
+            (folder_.state_ == disk_state::sync_fails && folder_.random_() % 2 == 0);
+        if (!folder_.consume_write() || !is_renamed) {
             return write_failure();
         }
         fake_folder::file& replaced = folder_.files_[std::string(name)];
         replaced.current = bytes;
+        replaced.is_replaced = true;
+        if (folder_.state_ == disk_state::sync_fails) {
+            return write_failure();
+        }
         ++folder_.syncs_;
         if (!folder_.faults_.ignore_sync) {
             replaced.synced = bytes;
             replaced.is_name_synced = true;
+            replaced.is_replaced = false;
         }
         return std::monostate{};
     }
 
+    // A removal whose sync fails may have taken effect.
     status remove(std::string_view name) override
     {
         const auto found = folder_.files_.find(name);
         if (found == folder_.files_.end()) {
-            return missing_file(name);
+            return std::monostate{};
         }
-        if (!folder_.consume_write()) {
-            return write_failure();
+        const bool is_synced = folder_.consume_write() && folder_.state_ != disk_state::sync_fails;
+        if (is_synced || folder_.random_() % 2 == 0) {
+            folder_.files_.erase(found);
         }
-        folder_.files_.erase(found);
-        return std::monostate{};
+        return is_synced ? status(std::monostate{}) : status(write_failure());
     }
 
     status sync(std::string_view name) override
@@ -94,10 +107,13 @@
         if (!folder_.consume_write()) {
             return write_failure();
         }
+        if (folder_.state_ == disk_state::sync_fails) {
+            found->second.dropped_before = found->second.current.size();
+            return write_failure();
+        }
         ++folder_.syncs_;
         if (!folder_.faults_.ignore_sync) {
-            found->second.synced = found->second.current;
-            found->second.is_name_synced = true;
+            found->second.store();
         }
         return std::monostate{};
     }
@@ -113,6 +129,19 @@
     return std::make_unique<fake_disk>(*this);
 }
 
+// Stores the bytes, except those that an earlier failed sync discarded.
+void fake_folder::file::store()
+{
+    const std::uint64_t stored = std::min<std::uint64_t>(synced.size(), current.size());
+    std::string bytes = current;
+    if (dropped_before > stored) {
+        bytes.replace(stored, dropped_before - stored, dropped_before - stored, '\0');
+    }
+    synced = std::move(bytes);
+    dropped_before = 0;
+    is_name_synced = true;
+}
+
 bool fake_folder::consume_write()
 {
     if (faults_.fail_writes_after == 0) {
@@ -127,7 +156,7 @@
     std::erase_if(files_, [](const auto& entry) { return !entry.second.is_name_synced; });
     for (auto& [name, contents] : files_) {
         std::string remaining = contents.synced;
-        const bool appended = contents.current.size() > remaining.size();
+        const bool appended = !contents.is_replaced && contents.current.size() > remaining.size();
         if (appended && faults_.torn_writes) {
             const std::uint64_t unsynced = contents.current.size() - remaining.size();
             const std::uint64_t prefix = random_() % (unsynced + 1);
@@ -135,6 +164,8 @@
         }
         contents.current = remaining;
         contents.synced = remaining;
+        contents.is_replaced = false;
+        contents.dropped_before = 0;
     }
 }
 
--- a/tests/fake_disk.h
+++ b/tests/fake_disk.h
@@ -20,6 +20,13 @@
     std::uint64_t fail_writes_after = UINT64_MAX; // writes, syncs and removals that succeed
 };
 
+// What the disk does with the writes of a running process.
+enum class disk_state {
+    writable,
+    full,       // appends leave a random prefix and fail, files are not replaced
+    sync_fails, // syncs fail, and later ones succeed without storing the bytes written before
+};
+
 // The files of one folder; outlives the simulated processes that open it.
 class fake_folder {
   public:
@@ -35,6 +42,7 @@
     void flip_bit(std::string_view name, std::uint64_t bit);
     void truncate(std::string_view name, std::uint64_t size);
     void fail_writes_after(std::uint64_t count) { faults_.fail_writes_after = count; }
+    void set_state(disk_state state) { state_ = state; }
 
     [[nodiscard]] std::vector<std::string> names() const;
     [[nodiscard]] const std::string& bytes(std::string_view name) const;
@@ -44,9 +52,13 @@
     friend class fake_disk;
 
     struct file {
+        void store();
+
         std::string synced;
         std::string current;
         bool is_name_synced = false;
+        bool is_replaced = false;         // by a rename that was not synced
+        std::uint64_t dropped_before = 0; // end of the bytes that a failed sync discarded
     };
 
     // Counts one write; returns false if it must fail.
@@ -54,6 +66,7 @@
 
     std::mt19937_64 random_;
     disk_faults faults_;
+    disk_state state_ = disk_state::writable;
     std::map<std::string, file, std::less<>> files_;
     std::uint64_t syncs_ = 0;
 };
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -5,8 +5,10 @@
 #include <primrosehead/journal.h>
 
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdint>
 #include <filesystem>
 #include <optional>
@@ -23,6 +25,7 @@
 using primrosehead::ok;
 using primrosehead::result;
 using primrosehead::value;
+using primrosehead::testing::disk_state;
 using primrosehead::testing::fake_folder;
 namespace pb = primrosehead::pb;
 
@@ -286,6 +289,63 @@
     CHECK(failure(synced).kind == error_kind::storage_failed);
 }
 
+TEST_CASE("journal: entries written after failed and short writes are readable")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        fake_folder folder(seed);
+        journal log = open_journal(folder);
+        REQUIRE(ok(log.write_hard_state(make_hard_state(1))));
+        std::uint64_t last = 0;
+        while (last < 90) {
+            // Entries of this size start a new file after a few writes.
+            const std::size_t bytes = random() % 2 == 0 ? 20 : 100'000;
+            REQUIRE(ok(log.append(std::vector{entry(last + 1, 1, bytes), entry(last + 2, 1)})));
+            last += 2;
+            if (random() % 3 == 0) {
+                folder.set_state(random() % 2 == 0 ? disk_state::full : disk_state::sync_fails);
+                for (std::uint64_t attempts = 1 + random() % 3; attempts > 0; --attempts) {
+                    CHECK_FALSE(ok(log.sync()));
+                }
+                folder.set_state(disk_state::writable);
+            }
+            REQUIRE(ok(log.sync()));
+            fake_folder copy = folder;
+            copy.crash();
+            const result<journal> opened = journal::open(copy.open(), identity());
+            REQUIRE(ok(opened));
+            REQUIRE(summarize(open_journal(copy).take_contents().entries) ==
+                    summarize(entries(1, last, 1)));
+        }
+    }
+}
+
+TEST_CASE("journal: a crash after failed writes loses no entry that was synced before")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        CAPTURE(seed);
+        fake_folder folder(seed);
+        {
+            journal log = open_journal(folder);
+            REQUIRE(ok(log.write_hard_state(make_hard_state(1))));
+            write(log, entries(1, 5, 1));
+            folder.set_state(seed % 2 == 0 ? disk_state::full : disk_state::sync_fails);
+            REQUIRE(ok(log.truncate_from(5)));
+            REQUIRE(ok(log.append(entries(5, 6, 2))));
+            CHECK_FALSE(ok(log.sync()));
+            CHECK_FALSE(ok(log.write_hard_state(make_hard_state(2))));
+        }
+        folder.crash();
+        folder.set_state(disk_state::writable);
+        const journal::contents recovered = open_journal(folder).take_contents();
+        CHECK(recovered.hard_state.term() == 1);
+        const std::string summary = summarize(recovered.entries);
+        CHECK((summary == summarize(entries(1, 5, 1)) ||
+               summary == summarize(entries(1, 4, 1)) + "5/2 6/2 "));
+    }
+}
+
 TEST_CASE("journal: unsafe_skip_sync loses entries that were reported as durable")
 {
     fake_folder folder(1);
@@ -442,6 +502,61 @@
     CHECK(summarize(recovered.entries) == summarize(entries(11, 14, 1)) + "15/4 16/4 ");
 }
 
+namespace {
+
+// Limits the size of the files that this process writes; the limit ends with its lifetime.
+class file_size_limit {
+  public:
+    explicit file_size_limit(rlim_t bytes) : handler_(std::signal(SIGXFSZ, SIG_IGN))
+    {
+        REQUIRE(::getrlimit(RLIMIT_FSIZE, &previous_) == 0);
+        const rlimit limited{bytes, previous_.rlim_max};
+        REQUIRE(::setrlimit(RLIMIT_FSIZE, &limited) == 0);
+    }
+    ~file_size_limit()
+    {
+        ::setrlimit(RLIMIT_FSIZE, &previous_);
+        std::signal(SIGXFSZ, handler_);
+    }
+    file_size_limit(const file_size_limit&) = delete;
+    file_size_limit& operator=(const file_size_limit&) = delete;
+
+  private:
+    rlimit previous_{};
+    void (*handler_)(int);
+};
+
+} // namespace
+
+TEST_CASE("journal: entries written after a short write of the operating system are readable")
+{
+    const scratch_folder scratch;
+    {
+        auto disk = primrosehead::open_posix_disk(scratch.path());
+        REQUIRE(ok(disk));
+        result<journal> opened = journal::open(value(std::move(disk)), identity());
+        REQUIRE(ok(opened));
+        journal& log = value(opened);
+        REQUIRE(ok(log.write_hard_state(make_hard_state(1))));
+        write(log, entries(1, 5, 1));
+        REQUIRE(ok(log.append(std::vector{entry(6, 1, 5'000)})));
+        {
+            const file_size_limit limit(2'000);
+            const auto failed = log.sync();
+            REQUIRE(!ok(failed));
+            CHECK(failure(failed).kind == error_kind::storage_failed);
+            CHECK_FALSE(ok(log.sync()));
+        }
+        REQUIRE(ok(log.sync()));
+        write(log, entries(7, 8, 1));
+    }
+    auto disk = primrosehead::open_posix_disk(scratch.path());
+    REQUIRE(ok(disk));
+    result<journal> opened = journal::open(value(std::move(disk)), identity());
+    REQUIRE(ok(opened));
+    CHECK(summarize(value(opened).take_contents().entries) == summarize(entries(1, 8, 1)));
+}
+
 TEST_CASE("journal: a folder that cannot be created is reported")
 {
     const auto disk = primrosehead::open_posix_disk("/proc/primrosehead");
