--- a/include/primrosehead/journal.h
+++ b/include/primrosehead/journal.h
@@ -38,6 +38,7 @@
     // Atomically replaces the contents of `file`: writes and syncs a temporary file, then renames
     // it.
     [[nodiscard]] virtual status replace(std::string_view file, std::string_view bytes) = 0;
+    // Succeeds if the file does not exist.
     [[nodiscard]] virtual status remove(std::string_view file) = 0;
     // After a failure the bytes since the last successful sync are lost: they must be truncated and
     // written again.
--- a/src/journal_posix_disk.cpp
+++ b/src/journal_posix_disk.cpp
@@ -168,7 +168,7 @@
     {
         const std::string path = path_of(file);
         append_descriptors_.erase(std::string(file));
-        if (::unlink(path.c_str()) != 0) {
+        if (::unlink(path.c_str()) != 0 && errno != ENOENT) {
             return io_error("remove", path);
         }
         return sync_folder();
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -346,6 +346,38 @@
     }
 }
 
+TEST_CASE("journal: a snapshot whose writes failed at any point can be written again")
+{
+    for (const std::uint64_t snapshot_term : {1, 2}) { // the log contains entry 60 of term 1
+        for (std::uint64_t writes = 0; writes < 12; ++writes) {
+            for (const std::uint64_t snapshot_index : {40, 60}) {
+                CAPTURE(snapshot_term);
+                CAPTURE(writes);
+                CAPTURE(snapshot_index);
+                fake_folder folder(writes + 1);
+                journal log = open_journal(folder);
+                REQUIRE(ok(log.write_hard_state(make_hard_state(2))));
+                for (std::uint64_t index = 1; index <= 60; ++index) {
+                    write(log, {entry(index, 1, 60'000)});
+                }
+                folder.fail_writes_after(writes);
+                static_cast<void>(log.write_snapshot(snapshot(snapshot_index, snapshot_term)));
+                folder.fail_writes_after(UINT64_MAX);
+                REQUIRE(ok(log.write_snapshot(snapshot(snapshot_index, snapshot_term))));
+                const std::uint64_t next = snapshot_term == 1 ? 61 : snapshot_index + 1;
+                write(log, {entry(next, 2)});
+                folder.crash();
+                const journal::contents recovered = open_journal(folder).take_contents();
+                REQUIRE(recovered.snapshot);
+                CHECK(recovered.snapshot->last_index() == snapshot_index);
+                CHECK(summarize(recovered.entries) ==
+                      summarize(entries(snapshot_index + 1, next - 1, 1)) + std::to_string(next) +
+                          "/2 ");
+            }
+        }
+    }
+}
+
 TEST_CASE("journal: unsafe_skip_sync loses entries that were reported as durable")
 {
     fake_folder folder(1);
