--- a/src/journal_posix_disk.cpp
+++ b/src/journal_posix_disk.cpp
@@ -183,8 +183,12 @@
         if (::fsync(value(fd)) != 0) {
             return io_error("sync", path_of(file));
         }
-        return std::exchange(folder_sync_pending_, false) ? sync_folder()
-                                                          : status(std::monostate{});
+        if (!folder_sync_pending_) {
+            return std::monostate{};
+        }
+        status synced = sync_folder();
+        folder_sync_pending_ = !ok(synced);
+        return synced;
     }
 
   private:
