Replica: an instance whose disk rejects writes waits for it, not its process

What callers saw: a control instance whose disk was full for some seconds ended its process at the first write that failed. By reading: the rest of the consensus messages of that turn was still handled, by a core that took the failed writes for done.

While the disk rejects writes the replica is suspended, as a frozen process would be: what the core wants written stays, nothing is sent, received or proposed, it is not current, a leader names no leader any more, and pending proposals end with an unknown outcome. `tick` repeats the writes every 100 ms; once they succeed the held messages go out and the instance takes part again. So another instance leads when the disk of the leader is full, a follower with a full disk acknowledges and votes nothing, and nothing is special for the core: to the protocol it is a delay.

"replica: a failing disk stops the instance and the others continue" required the end of the process, which is now the fault. Its replacement "... suspends the instance ..." requires that the proposal ends as unknown, that the next one is refused, that another instance leads and commits, that the suspended one has neither, and that it has the same state afterwards.

--- a/include/primrosehead/consensus.h
+++ b/include/primrosehead/consensus.h
@@ -65,7 +65,8 @@
 // Durability: after writing and syncing `hard_state`, `snapshot`, `truncate_from` and `entries` the
 // owner calls `core::on_synced`; a leader counts its own entries only then. A follower's
 // acknowledgement is one of `messages` and is therefore sent after the sync as well. If a write or
-// sync fails, the owner must stop: it may neither send messages nor call the core again.
+// sync fails, the owner may neither send messages nor call the core again until it has repeated the
+// write with success.
 struct output {
     std::optional<pb::hard_state> hard_state;
     std::optional<pb::snapshot_record> snapshot; // replaces the log and the snapshot
--- a/include/primrosehead/replica.h
+++ b/include/primrosehead/replica.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,8 +39,9 @@
     replica(const replica&) = delete;
     replica& operator=(const replica&) = delete;
 
-    // Return an error only if the data folder failed. The process must then exit, because an
-    // instance that cannot write must not vote.
+    // While the disk rejects writes the replica is suspended: it neither sends nor receives, is not
+    // current, and refuses proposals. `tick` repeats the failed writes and resumes once they
+    // succeed. Return an error only if the replica can't continue; the process must then exit.
     [[nodiscard]] status receive(const pb::consensus_message& message, clock::time_point now);
     [[nodiscard]] status tick(clock::time_point now);
 
@@ -50,6 +52,12 @@
     [[nodiscard]] status remove_member(const instance_name& instance, clock::time_point now,
                                        completion done);
 
+    struct disk_outage {
+        error cause;
+        clock::time_point since;
+    };
+    [[nodiscard]] const std::optional<disk_outage>& outage() const noexcept;
+
     [[nodiscard]] const state_machine& state() const noexcept;
     [[nodiscard]] const pb::membership& members() const noexcept;
 
@@ -64,6 +72,7 @@
     [[nodiscard]] std::uint64_t term() const noexcept;
     // The time at which this instance last became leader.
     [[nodiscard]] clock::time_point elected_at() const noexcept;
+    // The last known leader during an outage, unless it is this instance.
     [[nodiscard]] std::string leader_endpoint() const; // empty if unknown
     [[nodiscard]] std::string_view role_name() const noexcept;
 
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -45,6 +45,17 @@
     return state_machine::restore(contents.snapshot->state());
 }
 
+constexpr clock::duration disk_retry_interval{100};
+
+// Output of the consensus core whose writes are not durable yet. The flags tell which writes a
+// repetition leaves out.
+struct unwritten_output {
+    consensus::output content;
+    bool is_hard_state_written = false;
+    bool is_snapshot_written = false;
+    bool is_log_buffered = false; // in the journal
+};
+
 std::string_view role_text(consensus::role role) noexcept
 {
     switch (role) {
@@ -75,14 +86,18 @@
     }
 
     status process_output(consensus::output output, clock::time_point now);
-    status persist(const consensus::output& output);
+    status complete_writes(clock::time_point now);
+    status persist(unwritten_output& writes);
+    status suspend(const error& cause, clock::time_point now);
+    status resume_if_due(clock::time_point now);
     status install_snapshot(const consensus::output& output);
     void apply(const pb::log_entry& entry);
-    status compact_if_due();
+    void compact_if_due();
     void update_leadership(clock::time_point now);
     void log_role_change();
     void run_completions();
-    status propose_entry(result<consensus::core::proposal> proposed, const std::string& request_id,
+    template <class Proposer>
+    status propose_entry(const Proposer& propose, const std::string& request_id,
                          clock::time_point now, completion done);
     [[nodiscard]] std::string endpoint_of(std::string_view instance) const;
 
@@ -98,39 +113,57 @@
     std::uint64_t applied_index = 0;
     std::uint64_t snapshot_index = 0;
 
+    std::optional<unwritten_output> unwritten;
+    std::optional<pb::snapshot_record> unwritten_snapshot; // of a compaction
+    std::optional<disk_outage> outage;
+    clock::time_point retry_at; // during an outage
+
     std::optional<std::uint64_t> leader_term; // set while this instance is leader
     clock::time_point elected_at;
     consensus::role reported_role;
 };
 
-status replica::implementation::persist(const consensus::output& output)
+// Continues after the writes that succeeded if an earlier attempt failed.
+status replica::implementation::persist(unwritten_output& writes)
 {
+    const consensus::output& output = writes.content;
     status outcome = std::monostate{};
-    if (output.hard_state) {
+    if (output.hard_state && !writes.is_hard_state_written) {
         outcome = storage.write_hard_state(*output.hard_state);
+        writes.is_hard_state_written = ok(outcome);
     }
-    if (ok(outcome) && output.snapshot) {
+    if (ok(outcome) && output.snapshot && !writes.is_snapshot_written) {
         outcome = storage.write_snapshot(*output.snapshot);
+        writes.is_snapshot_written = ok(outcome);
     }
-    if (ok(outcome) && output.truncate_from) {
-        outcome = storage.truncate_from(*output.truncate_from);
-    }
-    if (ok(outcome)) {
-        outcome = storage.append(output.entries);
+    if (ok(outcome) && !writes.is_log_buffered) {
+        if (output.truncate_from) {
+            outcome = storage.truncate_from(*output.truncate_from);
+        }
+        if (ok(outcome)) {
+            outcome = storage.append(output.entries);
+        }
+        writes.is_log_buffered = ok(outcome);
     }
     return ok(outcome) ? storage.sync() : outcome;
 }
 
+status replica::implementation::process_output(consensus::output output, clock::time_point now)
+{
+    unwritten.emplace(unwritten_output{.content = std::move(output)});
+    return complete_writes(now);
+}
+
 // Persists and syncs, then sends, then applies, in the order that `consensus::output` requires.
 // Repeats while there were writes, because completing the sync may produce more output.
-status replica::implementation::process_output(consensus::output output, clock::time_point now)
+status replica::implementation::complete_writes(clock::time_point now)
 {
-    bool has_writes = true;
-    while (has_writes) {
-        status outcome = persist(output);
+    while (unwritten) {
+        status outcome = persist(*unwritten);
         if (!ok(outcome)) {
-            return outcome;
+            return suspend(failure(outcome), now);
         }
+        const consensus::output output = std::move(std::exchange(unwritten, std::nullopt)->content);
         for (const pb::consensus_message& message : output.messages) {
             send(message);
         }
@@ -141,18 +174,44 @@
         for (const pb::log_entry& entry : output.committed) {
             apply(entry);
         }
-        has_writes = !output.entries.empty() || output.snapshot || output.truncate_from;
-        if (has_writes) {
-            output = core.on_synced(now);
+        if (!output.entries.empty() || output.snapshot || output.truncate_from) {
+            unwritten.emplace(unwritten_output{.content = core.on_synced(now)});
         }
     }
     update_leadership(now);
     log_role_change();
-    status compacted = compact_if_due();
-    if (ok(compacted)) {
-        run_completions();
+    compact_if_due();
+    if (unwritten_snapshot) {
+        status compacted = storage.write_snapshot(*unwritten_snapshot);
+        if (!ok(compacted)) {
+            return suspend(failure(compacted), now);
+        }
+        unwritten_snapshot.reset();
     }
-    return compacted;
+    outage.reset();
+    run_completions();
+    return std::monostate{};
+}
+
+// Suspends consensus until the disk accepts the writes: to the other instances this one is silent
+// meanwhile, and to this one's core no time passes.
+status replica::implementation::suspend(const error& cause, clock::time_point now)
+{
+    if (cause.kind != error_kind::storage_failed) {
+        return cause;
+    }
+    if (!outage) {
+        outage = disk_outage{cause, now};
+    }
+    retry_at = now + disk_retry_interval;
+    pending.fail_all(settings.election_min);
+    run_completions();
+    return std::monostate{};
+}
+
+status replica::implementation::resume_if_due(clock::time_point now)
+{
+    return outage && now >= retry_at ? complete_writes(now) : status(std::monostate{});
 }
 
 status replica::implementation::install_snapshot(const consensus::output& output)
@@ -189,16 +248,15 @@
     pending.complete(entry.index(), entry.term(), std::move(reply));
 }
 
-status replica::implementation::compact_if_due()
+void replica::implementation::compact_if_due()
 {
     if (applied_index - snapshot_index < settings.snapshot_after) {
-        return std::monostate{};
+        return;
     }
-    const pb::snapshot_record record = core.compact(applied_index, state.snapshot());
+    unwritten_snapshot = core.compact(applied_index, state.snapshot());
     snapshot_index = applied_index;
     spdlog::info("replica: writing a snapshot through entry {}, {} bytes", snapshot_index,
-                 record.state().size());
-    return storage.write_snapshot(record);
+                 unwritten_snapshot->state().size());
 }
 
 // Fails the pending proposals when this instance no longer leads the term in which they were made.
@@ -232,10 +290,19 @@
     }
 }
 
-status replica::implementation::propose_entry(result<consensus::core::proposal> proposed,
+template <class Proposer>
+status replica::implementation::propose_entry(const Proposer& propose,
                                               const std::string& request_id, clock::time_point now,
                                               completion done)
 {
+    if (outage) {
+        done(error_reply(request_id, error{error_kind::not_leader,
+                                           "The disk of this control instance rejects writes.",
+                                           "Retry at another control instance.", ran::no,
+                                           settings.election_min}));
+        return std::monostate{};
+    }
+    result<consensus::core::proposal> proposed = propose(core);
     if (!ok(proposed)) {
         pb::operator_reply reply = error_reply(request_id, failure(proposed));
         reply.set_leader_hint(endpoint_of(core.leader()));
@@ -304,28 +371,39 @@
 
 status replica::receive(const pb::consensus_message& message, clock::time_point now)
 {
+    if (impl_->outage) {
+        return std::monostate{};
+    }
     return impl_->process_output(impl_->core.receive(message, now), now);
 }
 
 status replica::tick(clock::time_point now)
 {
+    status resumed = impl_->resume_if_due(now);
+    if (!ok(resumed) || impl_->outage) {
+        return resumed;
+    }
     return impl_->process_output(impl_->core.tick(now), now);
 }
 
 status replica::propose(const pb::command& command, clock::time_point now, completion done)
 {
-    return impl_->propose_entry(impl_->core.propose(command.SerializeAsString(), now),
-                                command.request_id(), now, std::move(done));
+    return impl_->propose_entry(
+        [&](consensus::core& core) { return core.propose(command.SerializeAsString(), now); },
+        command.request_id(), now, std::move(done));
 }
 
 status replica::add_member(const pb::member& member, clock::time_point now, completion done)
 {
-    return impl_->propose_entry(impl_->core.add_member(member, now), {}, now, std::move(done));
+    return impl_->propose_entry([&](consensus::core& core) { return core.add_member(member, now); },
+                                {}, now, std::move(done));
 }
 
 status replica::remove_member(const instance_name& instance, clock::time_point now, completion done)
 {
-    return impl_->propose_entry(impl_->core.remove_member(instance, now), {}, now, std::move(done));
+    return impl_->propose_entry(
+        [&](consensus::core& core) { return core.remove_member(instance, now); }, {}, now,
+        std::move(done));
 }
 
 const state_machine& replica::state() const noexcept
@@ -358,9 +436,14 @@
     return impl_->is_tail_truncated;
 }
 
+const std::optional<replica::disk_outage>& replica::outage() const noexcept
+{
+    return impl_->outage;
+}
+
 bool replica::is_current(clock::time_point now) const noexcept
 {
-    return impl_->core.is_current(now);
+    return !impl_->outage && impl_->core.is_current(now);
 }
 
 std::uint64_t replica::term() const noexcept
@@ -375,7 +458,8 @@
 
 std::string replica::leader_endpoint() const
 {
-    return impl_->endpoint_of(impl_->core.leader());
+    const bool is_suspended_leader = impl_->outage && impl_->core.role() == consensus::role::leader;
+    return is_suspended_leader ? std::string() : impl_->endpoint_of(impl_->core.leader());
 }
 
 std::string_view replica::role_name() const noexcept
--- a/src/replica_pending.cpp
+++ b/src/replica_pending.cpp
@@ -39,7 +39,7 @@
 {
     const error outcome_unknown{
         error_kind::no_quorum,
-        "This control instance lost leadership before the change was known to be "
+        "This control instance lost leadership or its disk before the change was known to be "
         "committed: its outcome is unknown.",
         "Retry with the same request id: the change takes effect at most once.", ran::unknown,
         retry_after};
--- a/src/replica_pending.h
+++ b/src/replica_pending.h
@@ -27,7 +27,7 @@
     // entry of another term replaced the proposal, the proposal stays pending until `fail_all`.
     void complete(std::uint64_t index, std::uint64_t term, pb::operator_reply reply);
 
-    // Completes all pending proposals with an unknown outcome after leadership is lost.
+    // Completes all pending proposals with an unknown outcome after leadership or the disk is lost.
     void fail_all(clock::duration retry_after);
 
     // Returns the completed proposals. Their completions may propose again, so the caller runs them
--- a/tests/replica_cell.cpp
+++ b/tests/replica_cell.cpp
@@ -14,7 +14,8 @@
 
 } // namespace
 
-replica_cell::replica_cell(int members, std::uint32_t snapshot_after)
+replica_cell::replica_cell(int members, std::uint32_t snapshot_after, std::uint64_t seed)
+    : starts_(seed * 1'000)
 {
     control_settings common;
     common.cell = cell_name("cell");
@@ -27,7 +28,7 @@
         instance& node = instances_[name_of(number)];
         node.settings = common;
         node.settings.instance = instance_name(name_of(number));
-        node.folder = std::make_unique<fake_folder>(number);
+        node.folder = std::make_unique<fake_folder>(seed * 1'000 + number);
         node.disk_id = "disk-" + name_of(number);
         start(name_of(number));
     }
--- a/tests/replica_cell.h
+++ b/tests/replica_cell.h
@@ -20,7 +20,7 @@
 
 class replica_cell {
   public:
-    explicit replica_cell(int members, std::uint32_t snapshot_after = 50);
+    explicit replica_cell(int members, std::uint32_t snapshot_after = 50, std::uint64_t seed = 0);
 
     void run(clock::duration time);
     std::string run_until_leader(); // returns its name, or an empty string on timeout
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -3,9 +3,14 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <random>
 #include <string>
+#include <vector>
 
 using primrosehead::clock;
+using primrosehead::error_kind;
+using primrosehead::testing::disk_state;
 using primrosehead::testing::replica_cell;
 namespace pb = primrosehead::pb;
 
@@ -176,19 +181,227 @@
     CHECK(cell.at(leader).members().members_size() == 4);
 }
 
-TEST_CASE("replica: a failing disk stops the instance and the others continue")
+TEST_CASE("replica: a failing disk suspends the instance and the others continue")
 {
     replica_cell cell(3);
     const std::string leader = cell.run_until_leader();
     cell.run(clock::duration(200));
     cell.folder(leader).fail_writes_after(0);
-    cell.issue_key(leader, "key1", "request 1");
-    CHECK_FALSE(cell.is_running(leader));
-    CHECK(cell.failure_log().find("storage_failed") != std::string::npos);
+    const auto failed = cell.issue_key(leader, "key1", "request 1");
+    REQUIRE(failed->has_value());
+    CHECK((*failed)->error().kind() == "no_quorum");
+    CHECK((*failed)->error().ran() == "unknown");
+    REQUIRE(cell.at(leader).outage());
+    CHECK(cell.at(leader).outage()->cause.kind == error_kind::storage_failed);
+    CHECK_FALSE(cell.at(leader).is_current(cell.now()));
+    CHECK(cell.at(leader).leader_endpoint().empty());
+    const auto refused = cell.issue_key(leader, "key3", "request 3");
+    REQUIRE(refused->has_value());
+    CHECK((*refused)->not_leader());
+    CHECK((*refused)->error().ran() == "no");
     cell.run(clock::duration(1'000));
     const std::string next = cell.run_until_leader();
     REQUIRE(!next.empty());
+    CHECK(next != leader);
     const auto reply = cell.issue_key(next, "key2", "request 2");
     cell.run(clock::duration(100));
     CHECK((reply->has_value() && (*reply)->ok()));
+    CHECK(cell.at(leader).state().key("key2") == nullptr);
+    cell.folder(leader).fail_writes_after(UINT64_MAX);
+    cell.run(clock::duration(1'000));
+    CHECK_FALSE(cell.at(leader).outage());
+    CHECK(cell.at(leader).state().digest() == cell.at(next).state().digest());
+    CHECK(cell.failure_log().empty());
+}
+
+namespace {
+
+const std::vector<std::string> three_instances{"c1", "c2", "c3"};
+
+// Proposes a key at every instance that leads, each under an id of its own, and keeps the replies.
+class key_proposer {
+  public:
+    explicit key_proposer(replica_cell& cell) : cell_(cell) {}
+
+    void propose()
+    {
+        for (const std::string& name : three_instances) {
+            if (cell_.is_running(name) && cell_.at(name).is_current(cell_.now())) {
+                const std::string id = std::to_string(replies_.size());
+                replies_.push_back(cell_.issue_key(name, "key" + id, "request " + id));
+            }
+        }
+    }
+
+    void propose_for(clock::duration time)
+    {
+        constexpr clock::duration interval{40};
+        for (const clock::time_point end = cell_.now() + time; cell_.now() < end;) {
+            propose();
+            cell_.run(interval);
+        }
+    }
+
+    [[nodiscard]] int unanswered() const
+    {
+        return static_cast<int>(std::count_if(replies_.begin(), replies_.end(),
+                                              [](const auto& reply) { return !*reply; }));
+    }
+
+    [[nodiscard]] int acknowledged() const
+    {
+        return static_cast<int>(std::count_if(replies_.begin(), replies_.end(),
+                                              [](const auto& reply) { return is_ok(reply); }));
+    }
+
+    // Acknowledged keys that the state of `name` does not contain.
+    [[nodiscard]] int missing_at(const std::string& name) const
+    {
+        int missing = 0;
+        for (std::size_t number = 0; number < replies_.size(); ++number) {
+            const std::string id = "key" + std::to_string(number);
+            missing += is_ok(replies_[number]) && cell_.at(name).state().key(id) == nullptr ? 1 : 0;
+        }
+        return missing;
+    }
+
+  private:
+    static bool is_ok(const replica_cell::reply_slot& reply) { return *reply && (*reply)->ok(); }
+
+    replica_cell& cell_;
+    std::vector<replica_cell::reply_slot> replies_;
+};
+
+disk_state random_failure(std::mt19937_64& random)
+{
+    return random() % 2 == 0 ? disk_state::full : disk_state::sync_fails;
+}
+
+} // namespace
+
+TEST_CASE("replica: disks that are full one after another leave a cell that accepts changes")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        replica_cell cell(3, 20 + random() % 40, seed);
+        key_proposer proposer(cell);
+        REQUIRE(!cell.run_until_leader().empty());
+        for (std::size_t round = 0; round < 9; ++round) {
+            const bool is_leaders_disk = round % 2 == 0;
+            const std::string name =
+                is_leaders_disk ? cell.run_until_leader() : three_instances[round / 2 % 3];
+            REQUIRE(!name.empty());
+            cell.folder(name).set_state(random_failure(random));
+            proposer.propose(); // before another instance leads
+            proposer.propose_for(clock::duration(200 + random() % 4'000));
+            CHECK_FALSE((cell.is_running(name) && cell.at(name).is_current(cell.now())));
+            cell.folder(name).set_state(disk_state::writable);
+            proposer.propose_for(clock::duration(1'000 + random() % 1'000));
+        }
+        const std::string leader = cell.run_until_leader();
+        REQUIRE(!leader.empty());
+        const int acknowledged = proposer.acknowledged();
+        proposer.propose();
+        cell.run(clock::duration(500));
+        CHECK(proposer.acknowledged() == acknowledged + 1);
+        CHECK(proposer.unanswered() == 0);
+        for (const std::string& name : three_instances) {
+            REQUIRE(cell.is_running(name));
+            CHECK(proposer.missing_at(name) == 0);
+            CHECK(cell.at(name).state().digest() == cell.at(leader).state().digest());
+        }
+        for (const std::string& name : three_instances) {
+            cell.stop(name);
+        }
+        for (const std::string& name : three_instances) {
+            cell.start(name);
+        }
+        REQUIRE(!cell.run_until_leader().empty());
+        cell.run(clock::duration(500));
+        for (const std::string& name : three_instances) {
+            REQUIRE(cell.is_running(name));
+            CHECK(proposer.missing_at(name) == 0);
+        }
+        CHECK(cell.failure_log().empty());
+    }
+}
+
+TEST_CASE("replica: a power loss while a disk is full loses no acknowledged change")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        replica_cell cell(3, 20 + random() % 40, seed);
+        key_proposer proposer(cell);
+        for (int round = 0; round < 6; ++round) {
+            const std::string name =
+                round % 2 == 0 ? cell.run_until_leader() : three_instances[random() % 3];
+            REQUIRE(!name.empty());
+            cell.folder(name).set_state(random_failure(random));
+            proposer.propose_for(clock::duration(random() % 1'500));
+            cell.stop(name);
+            cell.folder(name).set_state(disk_state::writable);
+            cell.start(name);
+            proposer.propose_for(clock::duration(2'000));
+        }
+        REQUIRE(!cell.run_until_leader().empty());
+        cell.run(clock::duration(500));
+        CHECK(proposer.acknowledged() > 0);
+        CHECK(proposer.unanswered() == 0);
+        for (const std::string& name : three_instances) {
+            REQUIRE(cell.is_running(name));
+            CHECK(proposer.missing_at(name) == 0);
+        }
+        CHECK(cell.failure_log().empty());
+    }
+}
+
+TEST_CASE("replica: a follower whose disk is full acknowledges nothing until it has room")
+{
+    for (const disk_state failing : {disk_state::full, disk_state::sync_fails}) {
+        replica_cell cell(3);
+        const std::string leader = cell.run_until_leader();
+        cell.run(clock::duration(200));
+        const std::string follower = any_follower(leader);
+        for (const std::string& name : three_instances) {
+            if (name != leader && name != follower) {
+                cell.isolate(name);
+            }
+        }
+        cell.folder(follower).set_state(failing);
+        const auto reply = cell.issue_key(leader, "key1", "request 1");
+        cell.run(clock::duration(2'000));
+        CHECK_FALSE((reply->has_value() && (*reply)->ok()));
+        CHECK(cell.at(leader).state().key("key1") == nullptr);
+        CHECK(cell.at(follower).outage());
+        CHECK(!cell.at(follower).leader_endpoint().empty());
+        cell.folder(follower).set_state(disk_state::writable);
+        cell.run(clock::duration(2'000));
+        const std::string next = cell.run_until_leader();
+        REQUIRE(!next.empty());
+        const auto repeated = cell.issue_key(next, "key1", "request 1");
+        cell.run(clock::duration(200));
+        CHECK((repeated->has_value() && (*repeated)->ok()));
+        CHECK(cell.failure_log().empty());
+    }
+}
+
+TEST_CASE("replica: an instance whose disk is full gives no vote until it has room")
+{
+    for (const disk_state failing : {disk_state::full, disk_state::sync_fails}) {
+        replica_cell cell(3);
+        const std::string leader = cell.run_until_leader();
+        cell.run(clock::duration(200));
+        cell.stop(leader);
+        cell.folder(any_follower(leader)).set_state(failing);
+        CHECK(cell.run_until_leader().empty());
+        cell.folder(any_follower(leader)).set_state(disk_state::writable);
+        const std::string next = cell.run_until_leader();
+        REQUIRE(!next.empty());
+        const auto reply = cell.issue_key(next, "key1", "request 1");
+        cell.run(clock::duration(200));
+        CHECK((reply->has_value() && (*reply)->ok()));
+        CHECK(cell.failure_log().empty());
+    }
 }
