Control instances: log the lost and the regained disk

A suspended replica was to be seen only from what it did not do. Cell instances log `disk lost` (file and cause, role, term) and `disk regained` (how long); control instances log the same in their text log and show `disk_writable` in `primrosectl status`.

--- a/include/primrosehead/control.h
+++ b/include/primrosehead/control.h
@@ -18,7 +18,7 @@
     control_instance(const control_instance&) = delete;
     control_instance& operator=(const control_instance&) = delete;
 
-    // Runs until SIGTERM or SIGINT. Returns an error if the data folder fails.
+    // Runs until SIGTERM or SIGINT, also while the disk of the data folder rejects writes.
     [[nodiscard]] status run();
 
   private:
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -133,6 +133,7 @@
     net::awaitable<void> tick_loop();
     void stop(status outcome);
     void record_delay(clock::time_point now);
+    void record_disk_outage(clock::time_point now);
     [[nodiscard]] bool may_be_outdated(clock::time_point now) const;
     status advance(clock::time_point now);
     void update_leadership(clock::time_point now);
@@ -195,6 +196,7 @@
     std::uint64_t recorded_deferred_replies = 0;
     clock::duration latest_delay{0}; // of the event loop, when it last was long
     clock::time_point delayed_at{};
+    std::optional<clock::time_point> disk_lost_at; // as logged, until the disk is regained
     std::optional<status> exit_status;
 };
 
@@ -541,13 +543,38 @@
     events.decision("cell", "loop_delayed").field("delay_ms", delay.count()).field("role", role);
 }
 
+// Logs the loss of the disk and its recovery.
+void instance::implementation::record_disk_outage(clock::time_point now)
+{
+    const std::optional<replica::disk_outage>& outage = consensus_replica->outage();
+    if (outage.has_value() == disk_lost_at.has_value()) {
+        return;
+    }
+    const auto term = static_cast<std::int64_t>(consensus_replica->term());
+    if (outage) {
+        disk_lost_at = outage->since;
+        events.decision("disk", "lost")
+            .field("error", outage->cause.message)
+            .field("role", consensus_replica->role_name())
+            .field("term", term);
+        return;
+    }
+    events.decision("disk", "regained")
+        .field("lost_ms", (now - *disk_lost_at).count())
+        .field("role", consensus_replica->role_name())
+        .field("term", term);
+    disk_lost_at.reset();
+}
+
 status instance::implementation::advance(clock::time_point now)
 {
     record_delay(now);
+    record_disk_outage(now);
     status ticked = consensus_replica->tick(now);
     if (!ok(ticked)) {
         return ticked;
     }
+    record_disk_outage(now);
     update_leadership(now);
     load_document();
     request_membership(now);
--- a/src/cell_instance.h
+++ b/src/cell_instance.h
@@ -70,7 +70,7 @@
     instance(const instance&) = delete;
     instance& operator=(const instance&) = delete;
 
-    // Runs until SIGTERM or SIGINT. Returns an error if the data folder failed.
+    // Runs until SIGTERM or SIGINT, also while the disk of the data folder rejects writes.
     [[nodiscard]] status run();
 
   private:
--- a/src/control_instance.cpp
+++ b/src/control_instance.cpp
@@ -58,6 +58,7 @@
     status open();
     status run();
     status advance(clock::time_point now);
+    void record_disk_outage(clock::time_point now);
     void update_leadership(clock::time_point now);
     [[nodiscard]] bool is_leader(clock::time_point now) const;
     void process_order_answers();
@@ -80,6 +81,7 @@
     control_orders orders;
     std::optional<fleet::service> active_service;
     std::uint64_t active_service_term = 0;
+    std::optional<clock::time_point> disk_lost_at;          // as logged, until the disk is regained
     std::map<std::string, bus_origin, std::less<>> origins; // by entry instance name
 };
 
@@ -228,12 +230,31 @@
     return std::monostate{};
 }
 
+// Logs the loss of the disk and its recovery.
+void control_instance::implementation::record_disk_outage(clock::time_point now)
+{
+    const std::optional<replica::disk_outage>& outage = consensus_replica->outage();
+    if (outage.has_value() == disk_lost_at.has_value()) {
+        return;
+    }
+    if (outage) {
+        disk_lost_at = outage->since;
+        spdlog::error("control: Lost the disk as {} of term {}: {}", consensus_replica->role_name(),
+                      consensus_replica->term(), outage->cause.message);
+        return;
+    }
+    spdlog::info("control: Regained the disk after {} ms.", (now - *disk_lost_at).count());
+    disk_lost_at.reset();
+}
+
 status control_instance::implementation::advance(clock::time_point now)
 {
+    record_disk_outage(now);
     status ticked = consensus_replica->tick(now);
     if (!ok(ticked)) {
         return ticked;
     }
+    record_disk_outage(now);
     update_leadership(now);
     process_order_answers();
     if (!is_leader(now)) {
@@ -289,7 +310,8 @@
                              {"current", consensus_replica->is_current(now)},
                              {"leader", consensus_replica->leader_endpoint()},
                              {"version", consensus_replica->state().version()},
-                             {"commit_index", consensus_replica->commit_index()}};
+                             {"commit_index", consensus_replica->commit_index()},
+                             {"disk_writable", !consensus_replica->outage()}};
     json::array members;
     for (const pb::member& member : consensus_replica->members().members()) {
         members.push_back(json::object{{"instance", member.instance()},
