--- a/src/journal.cpp
+++ b/src/journal.cpp
@@ -30,12 +30,16 @@
     std::vector<pb::log_entry> pending;              // appended since the last sync
     std::optional<std::uint64_t> pending_truncation; // first index truncated since the last sync
     std::uint64_t next_segment_number = 1;
+    // As read at startup, until written again: the rename of the file may not be durable.
+    std::optional<pb::hard_state> unconfirmed_hard_state;
     // The bytes of the last segment after its synced prefix are unknown: a write or sync failed.
     bool is_tail_uncertain = false;
 
     status replace_message(std::string_view file, const google::protobuf::MessageLite& message);
     status write_pending();
+    status write_hard_state(const pb::hard_state& hard);
     status append_frame(frame_kind kind, std::uint64_t first_index, std::string_view payload);
+    void discard_tail();
     status truncate_uncertain_tail();
     status sync_last_segment();
     status remove_segments_through(std::uint64_t index);
@@ -89,11 +93,19 @@
         current.synced_size = current.size;
     }
     else {
-        is_tail_uncertain = true;
+        discard_tail();
     }
     return synced;
 }
 
+// Truncates at once, so that a process that ends before the next write leaves no records whose sync
+// failed.
+void journal::implementation::discard_tail()
+{
+    is_tail_uncertain = true;
+    static_cast<void>(truncate_uncertain_tail());
+}
+
 // Syncs the full segment before starting a new one: only the last segment may end in a torn record.
 status journal::implementation::rotate_segment_if_full()
 {
@@ -121,11 +133,20 @@
         current.size += bytes.size();
     }
     else {
-        is_tail_uncertain = true;
+        discard_tail();
     }
     return appended;
 }
 
+status journal::implementation::write_hard_state(const pb::hard_state& hard)
+{
+    status replaced = replace_message(hard_state_file, hard);
+    if (ok(replaced)) {
+        unconfirmed_hard_state.reset();
+    }
+    return replaced;
+}
+
 // Writes all changes since the last sync as one record, the only one that a crash can tear. They
 // stay pending until the sync succeeds.
 status journal::implementation::write_pending()
@@ -206,6 +227,9 @@
     body->switches = switches;
     body->recovered_contents = std::move(value(folder).contents);
     body->segments = std::move(value(folder).segments);
+    if (body->recovered_contents.hard_state.term() > 0) {
+        body->unconfirmed_hard_state = body->recovered_contents.hard_state;
+    }
     if (!body->segments.empty()) {
         body->next_segment_number = body->segments.back().number + 1;
     }
@@ -227,7 +251,7 @@
 
 status journal::write_hard_state(const pb::hard_state& hard)
 {
-    return body_->replace_message(hard_state_file, hard);
+    return body_->write_hard_state(hard);
 }
 
 status journal::append(std::span<const pb::log_entry> entries)
@@ -287,6 +311,12 @@
 
 status journal::sync()
 {
+    if (body_->unconfirmed_hard_state) {
+        status confirmed = body_->write_hard_state(pb::hard_state(*body_->unconfirmed_hard_state));
+        if (!ok(confirmed)) {
+            return confirmed;
+        }
+    }
     if (body_->pending.empty() && !body_->pending_truncation) {
         return std::monostate{};
     }
--- a/tests/fake_disk.cpp
+++ b/tests/fake_disk.cpp
@@ -55,6 +55,9 @@
 
     status truncate(std::string_view name, std::uint64_t size) override
     {
+        if (!folder_.consume_write()) {
+            return write_failure();
+        }
         fake_folder::file& truncated = folder_.files_[std::string(name)];
         truncated.current.resize(size);
         truncated.dropped_before = std::min(truncated.dropped_before, size);
--- a/tests/fake_disk.h
+++ b/tests/fake_disk.h
@@ -17,7 +17,7 @@
 struct disk_faults {
     bool torn_writes = true;  // a crash may leave a prefix of the unsynced bytes
     bool ignore_sync = false; // report success without syncing
-    std::uint64_t fail_writes_after = UINT64_MAX; // writes, syncs and removals that succeed
+    std::uint64_t fail_writes_after = UINT64_MAX; // changes and syncs that succeed
 };
 
 // What the disk does with the writes of a running process.
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -346,6 +346,36 @@
     }
 }
 
+TEST_CASE("journal: a process restarted after failed syncs takes nothing of them for durable")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        fake_folder folder(seed);
+        {
+            journal log = open_journal(folder);
+            REQUIRE(ok(log.write_hard_state(make_hard_state(1))));
+            write(log, entries(1, 5, 1));
+            folder.set_state(disk_state::sync_fails);
+            REQUIRE(ok(log.append(entries(6, 7, 1))));
+            CHECK_FALSE(ok(log.sync()));
+            CHECK_FALSE(ok(log.write_hard_state(make_hard_state(2))));
+        }
+        folder.set_state(disk_state::writable);
+        std::uint64_t term = 0;
+        {
+            journal log = open_journal(folder);
+            const journal::contents contents = log.take_contents();
+            CHECK(summarize(contents.entries) == summarize(entries(1, 5, 1)));
+            term = contents.hard_state.term();
+            write(log, entries(6, 6, 1));
+        }
+        folder.crash();
+        const journal::contents recovered = open_journal(folder).take_contents();
+        CHECK(recovered.hard_state.term() == term);
+        CHECK(summarize(recovered.entries) == summarize(entries(1, 6, 1)));
+    }
+}
+
 TEST_CASE("journal: a snapshot whose writes failed at any point can be written again")
 {
     for (const std::uint64_t snapshot_term : {1, 2}) { // the log contains entry 60 of term 1
