--- a/src/journal.cpp
+++ b/src/journal.cpp
@@ -30,10 +30,18 @@
     std::vector<pb::log_entry> pending;              // appended since the last sync
     std::optional<std::uint64_t> pending_truncation; // first index truncated since the last sync
     std::uint64_t next_segment_number = 1;
+    // As read at startup, until written again: the rename of the file may not be durable.
+    std::optional<pb::hard_state> unconfirmed_hard_state;
+    // The bytes of the last segment after its synced prefix are unknown: a write or sync failed.
+    bool is_tail_uncertain = false;
 
     status replace_message(std::string_view file, const google::protobuf::MessageLite& message);
     status write_pending();
+    status write_hard_state(const pb::hard_state& hard);
     status append_frame(frame_kind kind, std::uint64_t first_index, std::string_view payload);
+    void discard_tail();
+    status truncate_uncertain_tail();
+    status sync_last_segment();
     status remove_segments_through(std::uint64_t index);
     status remove_all_segments();
     status sync_file(std::string_view file);
@@ -61,6 +69,43 @@
                           encode_frame(frame_kind::message, 0, message.SerializeAsString(), 0));
 }
 
+// Removes what a failed write or sync may have left. A later sync that succeeds does not prove that
+// these bytes are durable: the system may have discarded them when the earlier one failed.
+status journal::implementation::truncate_uncertain_tail()
+{
+    if (!is_tail_uncertain) {
+        return std::monostate{};
+    }
+    segment& current = segments.back();
+    status truncated = files->truncate(segment_file_name(current.number), current.synced_size);
+    if (ok(truncated)) {
+        current.size = current.synced_size;
+        is_tail_uncertain = false;
+    }
+    return truncated;
+}
+
+status journal::implementation::sync_last_segment()
+{
+    segment& current = segments.back();
+    status synced = sync_file(segment_file_name(current.number));
+    if (ok(synced)) {
+        current.synced_size = current.size;
+    }
+    else {
+        discard_tail();
+    }
+    return synced;
+}
+
+// Truncates at once, so that a process that ends before the next write leaves no records whose sync
+// failed.
+void journal::implementation::discard_tail()
+{
+    is_tail_uncertain = true;
+    static_cast<void>(truncate_uncertain_tail());
+}
+
 // Syncs the full segment before starting a new one: only the last segment may end in a torn record.
 status journal::implementation::rotate_segment_if_full()
 {
@@ -68,12 +113,12 @@
         if (segments.back().size < config::journal_segment_bytes) {
             return std::monostate{};
         }
-        status synced = sync_file(segment_file_name(segments.back().number));
+        status synced = sync_last_segment();
         if (!ok(synced)) {
             return synced;
         }
     }
-    segments.push_back(segment{next_segment_number, 0, 0});
+    segments.push_back(segment{.number = next_segment_number});
     ++next_segment_number;
     return std::monostate{};
 }
@@ -83,16 +128,35 @@
 {
     segment& current = segments.back();
     const std::string bytes = encode_frame(kind, first_index, payload, current.size);
-    current.size += bytes.size();
-    return files->append(segment_file_name(current.number), bytes);
+    status appended = files->append(segment_file_name(current.number), bytes);
+    if (ok(appended)) {
+        current.size += bytes.size();
+    }
+    else {
+        discard_tail();
+    }
+    return appended;
+}
+
+status journal::implementation::write_hard_state(const pb::hard_state& hard)
+{
+    status replaced = replace_message(hard_state_file, hard);
+    if (ok(replaced)) {
+        unconfirmed_hard_state.reset();
+    }
+    return replaced;
 }
 
-// Writes all changes since the last sync as one record, the only one that a crash can tear.
+// Writes all changes since the last sync as one record, the only one that a crash can tear. They
+// stay pending until the sync succeeds.
 status journal::implementation::write_pending()
 {
-    status rotated = rotate_segment_if_full();
-    if (!ok(rotated)) {
-        return rotated;
+    status prepared = truncate_uncertain_tail();
+    if (ok(prepared)) {
+        prepared = rotate_segment_if_full();
+    }
+    if (!ok(prepared)) {
+        return prepared;
     }
     const frame_kind kind = pending_truncation ? frame_kind::overwrite : frame_kind::append;
     const std::uint64_t first =
@@ -105,14 +169,16 @@
         segment& current = segments.back();
         current.highest_index = std::max(current.highest_index, pending.back().index());
     }
-    pending.clear();
-    pending_truncation.reset();
-    status synced = sync_file(segment_file_name(segments.back().number));
+    status synced = sync_last_segment();
     if (!ok(synced)) {
         return synced;
     }
-    // Lets recovery distinguish corruption of the synced record before it from a torn write.
-    return append_frame(frame_kind::sync_marker, 0, {});
+    pending.clear();
+    pending_truncation.reset();
+    // Lets recovery distinguish corruption of the synced record before it from a torn write. The
+    // record is durable without it.
+    static_cast<void>(append_frame(frame_kind::sync_marker, 0, {}));
+    return std::monostate{};
 }
 
 // Removes the oldest segments first, so that a crash always leaves a suffix of the log.
@@ -138,6 +204,7 @@
             return removed;
         }
         segments.pop_back();
+        is_tail_uncertain = false;
     }
     return std::monostate{};
 }
@@ -160,6 +227,9 @@
     body->switches = switches;
     body->recovered_contents = std::move(value(folder).contents);
     body->segments = std::move(value(folder).segments);
+    if (body->recovered_contents.hard_state.term() > 0) {
+        body->unconfirmed_hard_state = body->recovered_contents.hard_state;
+    }
     if (!body->segments.empty()) {
         body->next_segment_number = body->segments.back().number + 1;
     }
@@ -181,7 +251,7 @@
 
 status journal::write_hard_state(const pb::hard_state& hard)
 {
-    return body_->replace_message(hard_state_file, hard);
+    return body_->write_hard_state(hard);
 }
 
 status journal::append(std::span<const pb::log_entry> entries)
@@ -241,6 +311,12 @@
 
 status journal::sync()
 {
+    if (body_->unconfirmed_hard_state) {
+        status confirmed = body_->write_hard_state(pb::hard_state(*body_->unconfirmed_hard_state));
+        if (!ok(confirmed)) {
+            return confirmed;
+        }
+    }
     if (body_->pending.empty() && !body_->pending_truncation) {
         return std::monostate{};
     }
