Replica: a change that can't be read back is rejected instead of committed

Cause: protobuf serialises a string field that is not UTF-8 with a warning only, but refuses to parse it. The names of the servers of a group are recorded in the replicated state (note_group) as they were announced, and the path of an announcement may have any byte above 0x7f.

The proposer now parses what it is about to replicate and answers bad_request, not run, if that fails. A committed command that can't be parsed, of an earlier version, is rejected by every instance alike instead of applied in part.

--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -183,7 +183,9 @@
     }
     if (entry.has_command()) {
         pb::command command;
-        command.ParseFromString(entry.command());
+        if (!command.ParseFromString(entry.command())) {
+            command.Clear(); // is rejected, on every instance alike
+        }
         reply = state.apply(command);
     }
     pending.complete(entry.index(), entry.term(), std::move(reply));
@@ -314,8 +316,16 @@
 
 status replica::propose(const pb::command& command, clock::time_point now, completion done)
 {
-    return impl_->propose_entry(impl_->core.propose(command.SerializeAsString(), now),
-                                command.request_id(), now, std::move(done));
+    std::string bytes = command.SerializeAsString();
+    if (pb::command read_back; !read_back.ParseFromString(bytes)) {
+        // Once committed, it would make the snapshots unreadable.
+        done(error_reply(command.request_id(),
+                         error{error_kind::bad_request, "The change has a text that is not UTF-8.",
+                               "Correct the text."}));
+        return std::monostate{};
+    }
+    return impl_->propose_entry(impl_->core.propose(std::move(bytes), now), command.request_id(),
+                                now, std::move(done));
 }
 
 status replica::add_member(const pb::member& member, clock::time_point now, completion done)
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
 #include <string>
 
 using primrosehead::clock;
@@ -192,3 +193,32 @@
     cell.run(clock::duration(100));
     CHECK((reply->has_value() && (*reply)->ok()));
 }
+
+TEST_CASE("replica: a change that can't be read back is rejected, and the instances restart")
+{
+    replica_cell cell(3, 5);
+    const std::string leader = cell.run_until_leader();
+    REQUIRE(!leader.empty());
+    pb::command odd;
+    odd.mutable_note()->set_database("kura");
+    odd.mutable_note()->add_members()->set_server("odd-\xff");
+    std::optional<pb::operator_reply> reply;
+    REQUIRE(primrosehead::ok(cell.at(leader).propose(
+        odd, cell.now(), [&](const pb::operator_reply& told) { reply = told; })));
+    cell.run(clock::duration(200));
+    REQUIRE(reply.has_value());
+    CHECK(!reply->ok());
+    CHECK(reply->error().kind() == "bad_request");
+    CHECK(reply->error().ran() == "no");
+    issue_keys(cell, leader, 20); // writes a snapshot
+    cell.run(clock::duration(200));
+    for (const std::string name : {"c1", "c2", "c3"}) {
+        cell.stop(name);
+        cell.start(name);
+        CHECK(cell.is_running(name));
+    }
+    CHECK(cell.failure_log().empty());
+    REQUIRE(!cell.run_until_leader().empty());
+    cell.run(clock::duration(200));
+    CHECK(cell.at("c1").state().key("key19") != nullptr);
+}
