Control: announcements that name no server to use are rejected

What callers saw: pooler instances stopped following (every reply of the leader was dropped, "not a valid envelope"), were sent an address of several megabytes, or refused writes because the entry claimed to be the primary at an address where nothing can listen.

Cause: the handler checked the types of the required fields only. A name that is not UTF-8, which the path may hold, makes the whole reply unreadable for protobuf. A sequence of 2^64 - 1 under the name of a good server hid it until the entry expired.

check_announcement states what names a server; the handler answers 400 with the cause, and the directory of every control instance ignores what another one passes on, so that nothing newer replaces the entry of a good server. It also covers an address with a NUL, which parse_address cut there. A null in an optional field still counts as missing. Deep nesting was refused already.

--- a/src/cell_directory.cpp
+++ b/src/cell_directory.cpp
@@ -1,9 +1,48 @@
 #include "cell_directory.h"
 
+#include "http_address.h"
+
+#include <algorithm>
+#include <limits>
+
 namespace primrosehead::cell {
 
 namespace {
 
+constexpr std::size_t max_announced_name_bytes = 128;
+constexpr std::size_t max_address_bytes = 64; // an IPv6 address with a scope and a port
+constexpr std::uint32_t max_slots = 100'000;
+constexpr std::uint32_t max_warm_up_ms = 86'400'000;
+constexpr std::uint64_t max_born_ms = 253'402'300'799'999; // the end of the year 9999
+constexpr std::uint64_t max_sequence = std::numeric_limits<std::int64_t>::max();
+
+error invalid_announcement(std::string_view expected)
+{
+    return error{error_kind::bad_request,
+                 "The announcement names no server to use: expected " + std::string(expected) + ".",
+                 "Correct the announcement and send it again."};
+}
+
+// Names are parts of the startup line that instances send to a server.
+bool is_word(std::string_view text)
+{
+    return text.size() <= max_announced_name_bytes &&
+           std::all_of(text.begin(), text.end(), [](char each) {
+               const auto byte = static_cast<unsigned char>(each);
+               return byte > ' ' && byte != 0x7f;
+           });
+}
+
+bool is_server_address(std::string_view text)
+{
+    if (text.size() > max_address_bytes) {
+        return false;
+    }
+    const auto parsed = http::parse_address(text);
+    return ok(parsed) && value(parsed).port() != 0 && !value(parsed).address().is_unspecified() &&
+           !value(parsed).address().is_multicast();
+}
+
 // Retention of a deregistered server's entry, so that a delayed announcement does not register the
 // server again.
 constexpr clock::duration deregistered_retention{60'000};
@@ -50,8 +89,41 @@
 
 } // namespace
 
+status check_announcement(const pb::server_announcement& announcement)
+{
+    const std::string& server = announcement.server();
+    // The name comes from an HTTP path, so unlike the other texts it may not be UTF-8.
+    const bool is_ascii = std::all_of(server.begin(), server.end(), [](char each) {
+        return static_cast<unsigned char>(each) < 0x80;
+    });
+    if (server.empty() || !is_ascii || !is_word(server)) {
+        return invalid_announcement("a server name of 1 to 128 ASCII characters without spaces");
+    }
+    if (announcement.gone()) {
+        return std::monostate{};
+    }
+    if (announcement.group().empty() || !is_word(announcement.group())) {
+        return invalid_announcement("a group name of 1 to 128 bytes without spaces");
+    }
+    if (!is_word(announcement.failure_domain())) {
+        return invalid_announcement("a failure domain of at most 128 bytes without spaces");
+    }
+    if (!is_server_address(announcement.address())) {
+        return invalid_announcement("an address IP:PORT with a port from 1 to 65535");
+    }
+    if (announcement.slots() > max_slots || announcement.warm_up_left_ms() > max_warm_up_ms ||
+        announcement.sequence() > max_sequence || announcement.born_ms() > max_born_ms) {
+        return invalid_announcement("numbers within their ranges");
+    }
+    return std::monostate{};
+}
+
 bool directory::apply(const pb::server_announcement& announcement, clock::time_point now)
 {
+    if (!ok(check_announcement(announcement))) {
+        ++rejected_;
+        return false;
+    }
     const clock::time_point announced_at = now - clock::duration(announcement.age_ms());
     const auto found = entries_.find(announcement.server());
     if (found == entries_.end()) {
--- a/src/cell_directory.h
+++ b/src/cell_directory.h
@@ -5,6 +5,7 @@
 #include "primrosehead.pb.h"
 
 #include <primrosehead/clock.h>
+#include <primrosehead/error.h>
 
 #include <cstdint>
 #include <functional>
@@ -15,6 +16,10 @@
 
 namespace primrosehead::cell {
 
+// Fails with `error_kind::bad_request` if an announcement names no server that instances can use
+// and pass on. A deregistration needs a valid name only.
+[[nodiscard]] status check_announcement(const pb::server_announcement& announcement);
+
 struct directory_entry {
     pb::server_announcement announcement;
     clock::time_point announced_at;
@@ -22,13 +27,16 @@
 
 class directory {
   public:
-    // Applies an announcement unless a newer one of the same server is known. Returns true if this
-    // changed anything that instances route by.
+    // Applies an announcement unless it is invalid or a newer one of the same server is known.
+    // Returns true if this changed anything that instances route by.
     bool apply(const pb::server_announcement& announcement, clock::time_point now);
 
     // Increases with every change that instances route by.
     [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
 
+    // Number of invalid announcements so far.
+    [[nodiscard]] std::uint64_t rejected() const noexcept { return rejected_; }
+
     // All servers' latest announcements, with `age_ms` as of `now`.
     [[nodiscard]] std::vector<pb::server_announcement> servers(clock::time_point now) const;
 
@@ -49,6 +57,7 @@
     std::map<std::string, directory_entry, std::less<>> entries_;
     directory_changes changes_;
     std::uint64_t revision_ = 0;
+    std::uint64_t rejected_ = 0;
 };
 
 } // namespace primrosehead::cell
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -60,6 +60,7 @@
 constexpr clock::duration join_after_silence{1'500};
 constexpr clock::duration membership_check_interval{1'000};
 constexpr clock::duration housekeeping_interval{1'000};
+constexpr clock::duration rejected_log_interval{60'000};
 
 // An order that waited for longer while this process was stopped may be outdated: the operator has
 // repeated it at another instance and may have withdrawn the evacuation since.
@@ -143,6 +144,7 @@
     void request_membership(clock::time_point now);
     void forward_announcements();
     void record_deferred_replies();
+    void record_rejected_announcements(clock::time_point now);
     void reload_settings();
     [[nodiscard]] std::string leader_endpoint() const;
     [[nodiscard]] std::set<std::string> control_endpoints() const;
@@ -193,6 +195,8 @@
     clock::time_point last_housekeeping_at{};
     clock::time_point last_tick_at{};
     std::uint64_t recorded_deferred_replies = 0;
+    std::uint64_t recorded_rejections = 0;
+    clock::time_point rejections_recorded_at{};
     clock::duration latest_delay{0}; // of the event loop, when it last was long
     clock::time_point delayed_at{};
     std::optional<status> exit_status;
@@ -527,6 +531,20 @@
     }
 }
 
+// Logs the invalid announcements that other control instances passed on.
+void instance::implementation::record_rejected_announcements(clock::time_point now)
+{
+    const bool is_due = rejections_recorded_at == clock::time_point{} ||
+                        now - rejections_recorded_at >= rejected_log_interval;
+    if (servers.rejected() == recorded_rejections || !is_due) {
+        return;
+    }
+    recorded_rejections = servers.rejected();
+    rejections_recorded_at = now;
+    events.decision("directory", "rejected")
+        .field("total", static_cast<std::int64_t>(recorded_rejections));
+}
+
 // Logs a long delay of the event loop: heartbeats and votes were delayed as well.
 void instance::implementation::record_delay(clock::time_point now)
 {
@@ -561,6 +579,7 @@
                                  active_service ? active_service->live_instances(now) : 0,
                                  role == "leader", events);
         record_deferred_replies();
+        record_rejected_announcements(now);
     }
     if (!is_leader(now)) {
         return std::monostate{};
--- a/src/http_address.cpp
+++ b/src/http_address.cpp
@@ -35,6 +35,9 @@
     }
     boost::system::error_code ec;
     const std::string host(without_brackets(text.substr(0, colon)));
+    if (host.find('\0') != std::string::npos) {
+        return invalid_address(text); // make_address would ignore the rest
+    }
     const net::ip::address address = net::ip::make_address(host, ec);
     if (ec) {
         return invalid_address(text);
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -45,6 +45,56 @@
 
 } // namespace
 
+TEST_CASE("cell directory: an entry of another writer does not make the reply unreadable")
+{
+    cell::directory servers;
+    CHECK(servers.apply(announcement("good", 1), at(0)));
+    std::vector<pb::server_announcement> odd;
+    odd.reserve(9);
+    for (int number = 0; number < 9; ++number) {
+        odd.push_back(announcement("odd-" + std::to_string(number), 1));
+    }
+    odd[0].set_server("odd-\xff");
+    odd[1].set_server("");
+    odd[2].set_group("kura\r\nx");
+    odd[3].set_group("");
+    odd[4].set_address("127.0.0.1:99999");
+    odd[5].set_address(std::string(8'000'000, '1') + ":80");
+    odd[6].set_slots(4'294'967'295);
+    odd[7].set_warm_up_left_ms(4'294'967'295);
+    odd[8].set_born_ms(18'446'744'073'709'551'615U);
+    for (const pb::server_announcement& each : odd) {
+        CHECK(!servers.apply(each, at(10)));
+    }
+    CHECK(servers.rejected() == odd.size());
+
+    pb::follow_reply reply;
+    for (const pb::server_announcement& each : servers.servers(at(20))) {
+        *reply.add_servers() = each;
+    }
+    pb::follow_reply received;
+    REQUIRE(received.ParseFromString(reply.SerializeAsString()));
+    REQUIRE(received.servers_size() == 1);
+    CHECK(received.servers(0).server() == "good");
+}
+
+TEST_CASE("cell directory: an entry of another writer does not replace the server of its name")
+{
+    cell::directory servers;
+    CHECK(servers.apply(announcement("s1", 1), at(0)));
+    const std::uint64_t revision = servers.revision();
+    pb::server_announcement odd = announcement("s1", 18'446'744'073'709'551'615U);
+    CHECK(!servers.apply(odd, at(10)));
+    odd = announcement("s1", 2);
+    odd.set_address("127.0.0.1:0");
+    CHECK(!servers.apply(odd, at(10)));
+    CHECK(servers.revision() == revision);
+    servers.apply(announcement("s1", 2), at(14'000));
+    servers.evict_stale(at(16'000));
+    REQUIRE(servers.find("s1") != nullptr);
+    CHECK(servers.find("s1")->announcement.address() == announcement("s1", 1).address());
+}
+
 TEST_CASE("cell directory: late announcements are ignored")
 {
     cell::directory servers;
--- a/tests/platform_control_test.cpp
+++ b/tests/platform_control_test.cpp
@@ -4,10 +4,15 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <array>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace primrosehead;
@@ -73,6 +78,63 @@
     R"({"service":"huvo","address":"10.128.0.9:8080","zone":"fukuoka","version":"v1","capacity":3,)"
     R"("state":"draining","warmup_left_ms":20,"db_role":"primary","sequence":4,"born":1700000000000})";
 
+// Returns the good announcement with the value of one field replaced by a JSON text.
+std::string announcement_with(std::string_view field, std::string_view value)
+{
+    std::string body = good_announcement;
+    const std::size_t name = body.find('"' + std::string(field) + "\":");
+    REQUIRE(name != std::string::npos);
+    const std::size_t begin = name + field.size() + 3;
+    body.replace(begin, body.find_first_of(",}", begin) - begin, value);
+    return body;
+}
+
+std::string quoted(std::string_view text)
+{
+    return '"' + std::string(text) + '"';
+}
+
+std::string nested(std::size_t levels, std::string_view open, std::string_view close)
+{
+    std::string text;
+    for (std::size_t level = 0; level < levels; ++level) {
+        text += open;
+    }
+    text += "1";
+    for (std::size_t level = 0; level < levels; ++level) {
+        text += close;
+    }
+    return text;
+}
+
+// Sends raw bytes to a listener with the handler and returns the beginning of the response.
+std::string send_raw(recording_instance& instance, const std::string& bytes)
+{
+    net::io_context context;
+    http::listener_settings settings;
+    settings.address = "127.0.0.1:0";
+    const auto opened = http::listener::open(context.get_executor(), settings,
+                                             platform::make_control_handler(instance));
+    REQUIRE(ok(opened));
+    std::string received;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            net::ip::tcp::socket socket(context);
+            co_await socket.async_connect({net::ip::address_v4::loopback(), value(opened)->port()},
+                                          net::use_awaitable);
+            co_await net::async_write(socket, net::buffer(bytes), net::use_awaitable);
+            std::array<char, 512> buffer{};
+            const std::size_t size =
+                co_await socket.async_read_some(net::buffer(buffer), net::use_awaitable);
+            received.assign(buffer.data(), size);
+            context.stop();
+        },
+        net::detached);
+    context.run_for(std::chrono::seconds(10));
+    return received;
+}
+
 } // namespace
 
 TEST_CASE("platform control: an announcement is decoded")
@@ -116,6 +178,123 @@
     CHECK(instance.announced.empty());
 }
 
+TEST_CASE("platform control: an announcement with a value out of range names no server")
+{
+    struct odd_value {
+        std::string field;
+        std::string value;
+    };
+    const std::vector<odd_value> odd_values{
+        {"service", quoted("")},
+        {"service", quoted("a b")},
+        {"service", quoted("a\\r\\nQ x")},
+        {"service", quoted(std::string(129, 's'))},
+        {"zone", quoted("a\\u0000b")},
+        {"zone", quoted(std::string(129, 'z'))},
+        {"address", quoted("")},
+        {"address", quoted("10.128.0.9")},
+        {"address", quoted("10.128.0.9:")},
+        {"address", quoted("10.128.0.9:0")},
+        {"address", quoted("10.128.0.9:-1")},
+        {"address", quoted("10.128.0.9:65536")},
+        {"address", quoted("10.128.0.9:99999")},
+        {"address", quoted("10.128.0.9:18446744073709551617")},
+        {"address", quoted("10.128.0.9:80 ")},
+        {"address", quoted("10.128.0.9\\u0000x:80")},
+        {"address", quoted("10.128.0.9\\r\\n:80")},
+        {"address", quoted("server.example:80")},
+        {"address", quoted("0.0.0.0:80")},
+        {"address", quoted("224.0.0.1:80")},
+        {"address", quoted("[::]:80")},
+        {"address", quoted(std::string(3'000'000, '1') + ":80")},
+        {"capacity", "-1"},
+        {"capacity", "3.5"},
+        {"capacity", "1e400"},
+        {"capacity", "4294967296"},
+        {"capacity", "4294967299"},
+        {"capacity", "4294967295"},
+        {"capacity", "18446744073709551616"},
+        {"sequence", "-1"},
+        {"sequence", "18446744073709551615"},
+        {"sequence", "18446744073709551616"},
+        {"born", "-1"},
+        {"born", "1e400"},
+        {"born", "\"1700000000000\""},
+        {"born", "9223372036854775807"},
+        {"born", "18446744073709551615"},
+        {"warmup_left_ms", "-1"},
+        {"warmup_left_ms", "0.5"},
+        {"warmup_left_ms", "4294967296"},
+        {"warmup_left_ms", "4294967295"},
+        {"warmup_left_ms", "{}"},
+        {"db_role", "1"},
+    };
+    for (const odd_value& each : odd_values) {
+        recording_instance instance;
+        CAPTURE(each.field);
+        CAPTURE(each.value.substr(0, 60));
+        CHECK(call(instance, "PUT", "/instances/i-7f", announcement_with(each.field, each.value))
+                  .status == 400);
+        CHECK(instance.announced.empty());
+    }
+}
+
+TEST_CASE("platform control: the good announcements beside odd ones are accepted")
+{
+    struct good_value {
+        std::string field;
+        std::string value;
+    };
+    for (const good_value& each :
+         {good_value{"capacity", "0"}, good_value{"address", "\"[fd00::1]:80\""},
+          good_value{"address", "\"10.128.0.9:65535\""}, good_value{"born", "0"},
+          good_value{"born", "null"}, good_value{"warmup_left_ms", "null"},
+          good_value{"db_role", "null"}, good_value{"sequence", "0"},
+          good_value{"sequence", "9223372036854775807"}}) {
+        recording_instance instance;
+        CAPTURE(each.field);
+        CAPTURE(each.value);
+        CHECK(call(instance, "PUT", "/instances/i-7f", announcement_with(each.field, each.value))
+                  .status == 200);
+    }
+}
+
+TEST_CASE("platform control: a server name that instances can't pass on is rejected")
+{
+    for (const std::string& name :
+         {std::string("i-\xff"), std::string("i-\xc3\x28"), std::string("i 7"),
+          std::string("i\r\n7"), std::string("i\0007", 3), std::string(129, 'i')}) {
+        CAPTURE(name);
+        recording_instance instance;
+        CHECK(call(instance, "PUT", "/instances/" + name, good_announcement).status == 400);
+        CHECK(call(instance, "DELETE", "/instances/" + name, "").status == 400);
+        CHECK(instance.announced.empty());
+    }
+    recording_instance instance;
+    const std::string length = std::to_string(good_announcement.size());
+    const std::string answer = send_raw(instance, "PUT /instances/i-\xff HTTP/1.1\r\nHost: a\r\n"
+                                                  "Content-Length: " +
+                                                      length + "\r\n\r\n" + good_announcement);
+    CAPTURE(answer);
+    CHECK(answer.find(" 400 ") != std::string::npos);
+    CHECK(instance.announced.empty());
+}
+
+TEST_CASE("platform control: very deep nesting and duplicate fields end no handler")
+{
+    recording_instance instance;
+    for (const std::size_t levels : {33U, 5'000U, 500'000U}) {
+        CHECK(call(instance, "PUT", "/instances/i-7f", nested(levels, "[", "]")).status == 400);
+        CHECK(call(instance, "PUT", "/instances/i-7f",
+                   announcement_with("service", nested(levels, "{\"a\":", "}")))
+                  .status == 400);
+    }
+    CHECK(instance.announced.empty());
+    const std::string duplicate = announcement_with("capacity", "3,\"capacity\":1e400");
+    CHECK(call(instance, "PUT", "/instances/i-7f", duplicate).status == 400);
+    CHECK(instance.announced.empty());
+}
+
 TEST_CASE("platform control: an evacuation is decoded")
 {
     recording_instance instance;
