Control: rejected announcements of another writer do not fill the log

What operators saw: a writer that repeats a rejected announcement got a line for each, as long as its path, once an interval and server.

Cause: every rejection was logged with the whole name.

--- a/tests/platform_control_test.cpp
+++ b/tests/platform_control_test.cpp
@@ -1,4 +1,5 @@
 #include "control_http.h"
+#include "event_log.h"
 #include "primrosehead.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -8,8 +9,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <spdlog/spdlog.h>
 
 #include <array>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -280,6 +283,34 @@
     CHECK(instance.announced.empty());
 }
 
+TEST_CASE("platform control: the announcements of another writer do not fill the log")
+{
+    recording_instance instance;
+    event_log log(-1, "cell-1");
+    const std::shared_ptr<spdlog::logger> previous = spdlog::default_logger();
+    redirect_spdlog(log, "info");
+    const http::listener::handler handler = platform::make_control_handler(instance);
+    http::request sent;
+    sent.method = "PUT";
+    sent.target = "/instances/" + std::string(5'000, 'i');
+    sent.body = announcement_with("address", quoted(std::string(100'000, '1')));
+    net::io_context context;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            for (int number = 0; number < 200; ++number) {
+                const http::response answer = co_await handler(sent);
+                CHECK(answer.status == 400);
+            }
+        },
+        net::detached);
+    context.run();
+    spdlog::set_default_logger(previous);
+    CHECK(log.lines() == 1);
+    CHECK(log.buffered().size() < 1'000);
+    CHECK(instance.announced.empty());
+}
+
 TEST_CASE("platform control: very deep nesting and duplicate fields end no handler")
 {
     recording_instance instance;
