Pooler: a server that is announced for another group leaves the first one

What callers saw: operations of one database group were sent to a server of another one.

Cause: set_servers kept every server whose name was listed, whatever its group, so that one odd entry under a server's name, or a server that was moved, left it in both groups for as long as it announced itself.

A server that is listed for another group is removed and its idle connections are closed, as for one that is gone.

--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -119,14 +119,14 @@
 void pool::set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
                        clock::time_point now)
 {
-    std::set<std::string_view> listed;
+    std::map<std::string_view, std::string_view> listed; // group by server
     std::set<std::string_view> gone;
     for (const pb::server_announcement& announcement : servers) {
         if (announcement.gone()) {
             gone.insert(announcement.server());
             continue;
         }
-        listed.insert(announcement.server());
+        listed.insert_or_assign(announcement.server(), announcement.group());
         std::shared_ptr<pooled_server>& server =
             state_of(announcement.group()).servers[announcement.server()];
         const bool is_restarted = server && server->born_ms != announcement.born_ms();
@@ -165,9 +165,12 @@
         }
     }
     for (auto& [name, state] : groups_) {
-        std::erase_if(state.servers, [&](auto& item) {
-            const bool was_listed = listed.contains(item.first);
-            const bool is_removed = !was_listed && (is_complete || gone.contains(item.first));
+        std::erase_if(state.servers, [&, &group = name](auto& item) {
+            const auto found = listed.find(item.first);
+            const bool was_listed = found != listed.end() && found->second == group;
+            const bool is_elsewhere = found != listed.end() && !was_listed;
+            const bool is_removed =
+                !was_listed && (is_complete || is_elsewhere || gone.contains(item.first));
             if (is_removed) {
                 item.second->is_removed = true;
                 close_idle(*item.second);
