Pooler: groups that only entries of another writer named are not kept

What operators saw: the memory of an instance grew with every new service name in the directory, and every follow request looked at all of them.

Cause: set_servers makes a group's state for each announcement and never removed it.

A group without servers, queue and limits of the document is removed, unless an operation has asked for it, which may hold a reference to it.

--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -180,6 +180,7 @@
         update_primary_candidates(state);
         dispatch(state);
     }
+    std::erase_if(groups_, [](const auto& item) { return item.second.is_unused(); });
 }
 
 void pool::set_evacuations(std::span<const std::string> domains, std::uint64_t version,
@@ -431,6 +432,7 @@
                                                    clock::time_point now, acquire_error& error)
 {
     group_state& state = state_of(request.group);
+    state.is_requested = true;
     // The home limits requests to a cold server.
     const std::vector<std::shared_ptr<pooled_server>> servers =
         candidates(state, request, warm_up_share::home, now, error);
@@ -588,6 +590,7 @@
 net::awaitable<acquire_result> pool::acquire(connection_request& request)
 {
     group_state& state = state_of(request.group);
+    state.is_requested = true;
     acquire_result outcome;
     if (!request.pinned_server.empty()) {
         const auto pinned = state.servers.find(request.pinned_server);
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -209,6 +209,13 @@
         double warm_up_per_s = 0;
         clock::duration warm_up_time{0};
         std::list<queued_request*> queue;
+        bool is_requested = false; // operations may hold references
+
+        // True if only announcements of servers that are gone named the group.
+        [[nodiscard]] bool is_unused() const
+        {
+            return !is_requested && servers.empty() && queue.empty() && connection_limit == 0;
+        }
     };
     struct choice {
         std::shared_ptr<pooled_server> server;
--- a/tests/pooler_directory_test.cpp
+++ b/tests/pooler_directory_test.cpp
@@ -43,3 +43,20 @@
     CHECK(instance.connections.find_server("g", "s") != nullptr);
     CHECK(instance.connections.find_server("h", "s") == nullptr);
 }
+
+TEST_CASE("pooler directory: groups of entries that are gone are not kept")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    const std::size_t groups = instance.connections.groups().size();
+    std::vector<pb::server_announcement> listed{announcement("server-1", "g", 2)};
+    listed.front().set_address(instance.server.address());
+    for (int number = 0; number < 200; ++number) {
+        std::vector<pb::server_announcement> with_odd = listed;
+        with_odd.push_back(announcement("odd", "odd-" + std::to_string(number)));
+        instance.connections.set_servers(with_odd, true, clock::now());
+    }
+    instance.connections.set_servers(listed, true, clock::now());
+    CHECK(instance.connections.groups().size() == groups);
+    CHECK(instance.connections.find_server("g", "server-1") != nullptr);
+}
