Pooler: an entry of another writer in the directory is skipped, the others hold

What callers saw: writes were refused as "not run" while the primary was well, since an entry that can't be a server claimed to be the primary.

Cause: every entry of a follow reply became a server of the pool; an address that can't be parsed was found only when a connection was opened, each time.

Evidence: the new tests failed before: the odd entries were servers of the pool, and of two writes none reached the good one.

--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -1,5 +1,6 @@
 #include "pooler_pool.h"
 
+#include "cell_directory.h"
 #include "clock_timer.h"
 #include "event_log.h"
 #include "pooler_home_limits.h"
@@ -37,6 +38,9 @@
 constexpr std::uint32_t reserved_control_connections = 2;
 // Interval at which a statement of a transaction asks for a start at a cold server.
 constexpr clock::duration cold_retry_interval{25};
+// Bounds of what is logged about ignored announcements.
+constexpr std::size_t max_logged_ignored = 16;
+constexpr std::size_t max_logged_name_bytes = 128;
 
 } // namespace
 
@@ -116,54 +120,81 @@
     state.primary.set_servers(std::move(known));
 }
 
+void pool::update_server(const pb::server_announcement& announcement, clock::time_point now)
+{
+    std::shared_ptr<pooled_server>& server =
+        state_of(announcement.group()).servers[announcement.server()];
+    const bool is_restarted = server && server->born_ms != announcement.born_ms();
+    if (!server || server->address != announcement.address() || is_restarted) {
+        if (server) {
+            server->is_removed = true;
+            close_idle(*server);
+        }
+        server = std::make_shared<pooled_server>();
+        server->id = announcement.server();
+        server->group = announcement.group();
+        server->address = announcement.address();
+        server->born_ms = announcement.born_ms();
+    }
+    server->slots = std::max(1U, announcement.slots());
+    server->failure_domain = announcement.failure_domain();
+    if (learns_concurrency_ && !server->pace) {
+        server->pace.emplace(server->slots);
+    }
+    if (server->pace) {
+        server->pace->set_announced_slots(server->slots, now);
+    }
+    server->is_local = announcement.failure_domain() == failure_domain_;
+    if (server->announced_at == clock::time_point{} ||
+        server->sequence != announcement.sequence()) {
+        // A repeated announcement may understate its age.
+        server->sequence = announcement.sequence();
+        server->announced_at = now - clock::duration(announcement.age_ms());
+        server->cold_until = server->announced_at + clock::duration(announcement.warm_up_left_ms());
+    }
+    server->is_leaving = announcement.leaving();
+    server->claims_primary = announcement.is_primary();
+    if (is_evacuated(*server)) {
+        close_idle(*server); // its failure domain has changed
+    }
+}
+
+// Logs the announcements that were not ignored before.
+void pool::log_ignored(std::map<std::string, std::string, std::less<>> ignored)
+{
+    for (const auto& [server, cause] : ignored) {
+        const auto known = ignored_.find(server);
+        if (known == ignored_.end() || known->second != cause) {
+            events_.decision("pool", "server_ignored")
+                .field("server", server)
+                .field("error", cause);
+        }
+    }
+    ignored_ = std::move(ignored);
+}
+
 void pool::set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
                        clock::time_point now)
 {
     std::map<std::string_view, std::string_view> listed; // group by server
     std::set<std::string_view> gone;
+    std::map<std::string, std::string, std::less<>> ignored;
     for (const pb::server_announcement& announcement : servers) {
         if (announcement.gone()) {
             gone.insert(announcement.server());
             continue;
         }
-        listed.insert_or_assign(announcement.server(), announcement.group());
-        std::shared_ptr<pooled_server>& server =
-            state_of(announcement.group()).servers[announcement.server()];
-        const bool is_restarted = server && server->born_ms != announcement.born_ms();
-        if (!server || server->address != announcement.address() || is_restarted) {
-            if (server) {
-                server->is_removed = true;
-                close_idle(*server);
+        if (const status checked = cell::check_announcement(announcement); !ok(checked)) {
+            if (ignored.size() < max_logged_ignored) {
+                ignored.emplace(announcement.server().substr(0, max_logged_name_bytes),
+                                failure(checked).message);
             }
-            server = std::make_shared<pooled_server>();
-            server->id = announcement.server();
-            server->group = announcement.group();
-            server->address = announcement.address();
-            server->born_ms = announcement.born_ms();
-        }
-        server->slots = std::max(1U, announcement.slots());
-        server->failure_domain = announcement.failure_domain();
-        if (learns_concurrency_ && !server->pace) {
-            server->pace.emplace(server->slots);
-        }
-        if (server->pace) {
-            server->pace->set_announced_slots(server->slots, now);
-        }
-        server->is_local = announcement.failure_domain() == failure_domain_;
-        if (server->announced_at == clock::time_point{} ||
-            server->sequence != announcement.sequence()) {
-            // A repeated announcement may understate its age.
-            server->sequence = announcement.sequence();
-            server->announced_at = now - clock::duration(announcement.age_ms());
-            server->cold_until =
-                server->announced_at + clock::duration(announcement.warm_up_left_ms());
-        }
-        server->is_leaving = announcement.leaving();
-        server->claims_primary = announcement.is_primary();
-        if (is_evacuated(*server)) {
-            close_idle(*server); // its failure domain has changed
+            continue;
         }
+        listed.insert_or_assign(announcement.server(), announcement.group());
+        update_server(announcement, now);
     }
+    log_ignored(std::move(ignored));
     for (auto& [name, state] : groups_) {
         std::erase_if(state.servers, [&, &group = name](auto& item) {
             const auto found = listed.find(item.first);
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -104,7 +104,7 @@
     pool& operator=(const pool&) = delete;
 
     // Applies server announcements of the control leader. If `is_complete`, servers that are not
-    // listed are removed.
+    // listed are removed. Invalid announcements are ignored.
     void set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
                      clock::time_point now);
 
@@ -258,6 +258,8 @@
     void dispatch(group_state& state);
     void close_idle(pooled_server& server);
     void update_primary_candidates(group_state& state);
+    void update_server(const pb::server_announcement& announcement, clock::time_point now);
+    void log_ignored(std::map<std::string, std::string, std::less<>> ignored);
     static void admit_queued_statements(pooled_server& server, clock::time_point now);
 
     boost::asio::any_io_executor executor_;
@@ -267,6 +269,7 @@
     std::map<std::string, std::string, std::less<>> regions_; // by failure domain
     warm_up warm_up_;
     std::map<std::string, group_state, std::less<>> groups_;
+    std::map<std::string, std::string, std::less<>> ignored_; // errors of ignored announcements
     evacuations evacuations_;
     pool_stats stats_;
     bool learns_concurrency_ = false;
--- a/tests/pooler_directory_test.cpp
+++ b/tests/pooler_directory_test.cpp
@@ -27,8 +27,67 @@
     return message;
 }
 
+std::size_t count_lines(const event_log& events, std::string_view text)
+{
+    const std::string lines = events.buffered();
+    std::size_t count = 0;
+    for (std::size_t found = lines.find(text); found != std::string::npos;
+         found = lines.find(text, found + 1)) {
+        ++count;
+    }
+    return count;
+}
+
 } // namespace
 
+TEST_CASE("pooler directory: an entry of another writer is skipped, the others hold")
+{
+    pooler_fixture instance;
+    std::vector<pb::server_announcement> servers{announcement("a", "g"), announcement("z", "g")};
+    std::vector<pb::server_announcement> odd;
+    odd.reserve(7);
+    for (int number = 0; number < 7; ++number) {
+        odd.push_back(announcement("odd-" + std::to_string(number), "g"));
+    }
+    odd[0].set_server("o d");
+    odd[1].set_server(std::string(3'000'000, 'o'));
+    odd[2].set_group("");
+    odd[3].set_address("127.0.0.1:65536");
+    odd[4].set_address("somewhere:80");
+    odd[5].set_slots(4'294'967'295);
+    odd[6].set_warm_up_left_ms(4'294'967'295);
+    for (const pb::server_announcement& each : odd) {
+        std::vector<pb::server_announcement> listed = servers;
+        listed.insert(listed.begin() + 1, each);
+        for (int repeats = 0; repeats < 100; ++repeats) {
+            instance.connections.set_servers(listed, true, clock::now());
+        }
+        CHECK(instance.connections.find_server("g", "a") != nullptr);
+        CHECK(instance.connections.find_server("g", "z") != nullptr);
+        CHECK(instance.connections.find_server(each.group(), each.server()) == nullptr);
+    }
+    CHECK(instance.events.buffered().size() < 10'000);
+    CHECK(count_lines(instance.events, "server_ignored") == odd.size());
+}
+
+TEST_CASE("pooler directory: a reply with an entry of another writer is followed")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    pb::follow_reply reply = make_follow_reply(100);
+    reply.set_directory_revision(2);
+    reply.set_directory_complete(true);
+    add_server(reply, "server-1", instance.server.address()).set_is_primary(true);
+    add_server(reply, "odd", "127.0.0.1:99999").set_is_primary(true);
+    add_server(reply, "odd 2", "127.0.0.1:9000").set_slots(4'294'967'295);
+    instance.control.receive(reply, clock::now());
+    const std::string answers = instance.exchange(
+        "OPEN db secret\r\nRUN w1 PUT a 1\r\nRUN w2 PUT b 1\r\n", clock::duration(200));
+    CHECK(answers.find("not run") == std::string::npos);
+    CHECK(instance.server.received().size() == 2);
+    CHECK(instance.connections.find_server("g", "odd") == nullptr);
+}
+
 TEST_CASE("pooler directory: a server that is announced for another group leaves the first one")
 {
     pooler_fixture instance;
