Platform document: numbers out of range are rejected

What callers saw: with a timeout of 2^63 - 1 ms every statement would have been past its deadline, with a priority of 2^32 a route would have had the highest one, and with a rate of 1e400 or -1 the limits would not have been numbers that add up; a version of 2^64 - 1 could never be replaced.

Cause: numbers were truncated to 32 bits or converted to a signed duration without a look at their size, and a rate could be negative or infinite.

Other documents are refused with 400, and the one in force holds. Very deep nesting was refused already, which a second test shows. A stored document with such a number is not readable after an upgrade; a control instance and its followers then need a corrected one.

--- a/tests/document_test.cpp
+++ b/tests/document_test.cpp
@@ -114,3 +114,48 @@
         CHECK((ok(parsed) || failure(parsed).kind == error_kind::bad_request));
     }
 }
+
+TEST_CASE("platform document: very deep nesting is rejected")
+{
+    for (const std::size_t levels : {33U, 5'000U, 1'000'000U}) {
+        const std::string open(levels, '[');
+        CHECK(failure(platform::parse_document(open)).kind == error_kind::bad_request);
+        std::string text = valid_text;
+        text.replace(text.find("[1]"), 3, open + std::string(levels, ']'));
+        CHECK(failure(platform::parse_document(text)).kind == error_kind::bad_request);
+    }
+}
+
+TEST_CASE("platform document: numbers out of range are rejected")
+{
+    struct odd_number {
+        std::string good;
+        std::string odd;
+    };
+    for (const odd_number& each : {
+             odd_number{"\"version\":7", "\"version\":-7"},
+             odd_number{"\"version\":7", "\"version\":1e400"},
+             odd_number{"\"version\":7", "\"version\":18446744073709551615"},
+             odd_number{"\"version\":7", "\"version\":18446744073709551616"},
+             odd_number{"\"timeout_ms\":2000", "\"timeout_ms\":9223372036854775807"},
+             odd_number{"\"timeout_ms\":2000", "\"timeout_ms\":18446744073709551615"},
+             odd_number{"\"target_latency_ms\":600", "\"target_latency_ms\":18446744073709551615"},
+             odd_number{"\"max_staleness_ms\":1500", "\"max_staleness_ms\":9223372036854775808"},
+             odd_number{"\"priority\":2", "\"priority\":4294967296"},
+             odd_number{"\"max_connections\":21", "\"max_connections\":4294967296"},
+             odd_number{"\"tx_idle_ms\":2500", "\"tx_idle_ms\":18446744073709551615"},
+             odd_number{"\"rate_per_s\":125", "\"rate_per_s\":1e400"},
+             odd_number{"\"rate_per_s\":125", "\"rate_per_s\":-1"},
+             odd_number{"\"burst\":100", "\"burst\":1e300"},
+             odd_number{"\"burst\":100", "\"burst\":-1e400"},
+         }) {
+        CAPTURE(each.odd);
+        std::string text = valid_text;
+        text.replace(text.find(each.good), each.good.size(), each.odd);
+        const auto parsed = platform::parse_document(text);
+        CHECK(!ok(parsed));
+        if (!ok(parsed)) {
+            CHECK(failure(parsed).kind == error_kind::bad_request);
+        }
+    }
+}
