--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -1,5 +1,6 @@
 #include "pooler_pool.h"
 
+#include "cell_directory.h"
 #include "clock_timer.h"
 #include "event_log.h"
 #include "pooler_home_limits.h"
@@ -37,6 +38,9 @@
 constexpr std::uint32_t reserved_control_connections = 2;
 // Interval at which a statement of a transaction asks for a start at a cold server.
 constexpr clock::duration cold_retry_interval{25};
+// Bounds of what is logged about ignored announcements.
+constexpr std::size_t max_logged_ignored = 16;
+constexpr std::size_t max_logged_name_bytes = 128;
 
 } // namespace
 
@@ -116,58 +120,88 @@
     state.primary.set_servers(std::move(known));
 }
 
+void pool::update_server(const pb::server_announcement& announcement, clock::time_point now)
+{
+    std::shared_ptr<pooled_server>& server =
+        state_of(announcement.group()).servers[announcement.server()];
+    const bool is_restarted = server && server->born_ms != announcement.born_ms();
+    if (!server || server->address != announcement.address() || is_restarted) {
+        if (server) {
+            server->is_removed = true;
+            close_idle(*server);
+        }
+        server = std::make_shared<pooled_server>();
+        server->id = announcement.server();
+        server->group = announcement.group();
+        server->address = announcement.address();
+        server->born_ms = announcement.born_ms();
+    }
+    server->slots = std::max(1U, announcement.slots());
+    server->failure_domain = announcement.failure_domain();
+    if (learns_concurrency_ && !server->pace) {
+        server->pace.emplace(server->slots);
+    }
+    if (server->pace) {
+        server->pace->set_announced_slots(server->slots, now);
+    }
+    server->is_local = announcement.failure_domain() == failure_domain_;
+    if (server->announced_at == clock::time_point{} ||
+        server->sequence != announcement.sequence()) {
+        // A repeated announcement may understate its age.
+        server->sequence = announcement.sequence();
+        server->announced_at = now - clock::duration(announcement.age_ms());
+        server->cold_until = server->announced_at + clock::duration(announcement.warm_up_left_ms());
+    }
+    server->is_leaving = announcement.leaving();
+    server->claims_primary = announcement.is_primary();
+    if (is_evacuated(*server)) {
+        close_idle(*server); // its failure domain has changed
+    }
+}
+
+// Logs the announcements that were not ignored before.
+void pool::log_ignored(std::map<std::string, std::string, std::less<>> ignored)
+{
+    for (const auto& [server, cause] : ignored) {
+        const auto known = ignored_.find(server);
+        if (known == ignored_.end() || known->second != cause) {
+            events_.decision("pool", "server_ignored")
+                .field("server", server)
+                .field("error", cause);
+        }
+    }
+    ignored_ = std::move(ignored);
+}
+
 void pool::set_servers(std::span<const pb::server_announcement> servers, bool is_complete,
                        clock::time_point now)
 {
-    std::set<std::string_view> listed;
+    std::map<std::string_view, std::string_view> listed; // group by server
     std::set<std::string_view> gone;
+    std::map<std::string, std::string, std::less<>> ignored;
     for (const pb::server_announcement& announcement : servers) {
         if (announcement.gone()) {
             gone.insert(announcement.server());
             continue;
         }
-        listed.insert(announcement.server());
-        std::shared_ptr<pooled_server>& server =
-            state_of(announcement.group()).servers[announcement.server()];
-        const bool is_restarted = server && server->born_ms != announcement.born_ms();
-        if (!server || server->address != announcement.address() || is_restarted) {
-            if (server) {
-                server->is_removed = true;
-                close_idle(*server);
+        if (const status checked = cell::check_announcement(announcement); !ok(checked)) {
+            if (ignored.size() < max_logged_ignored) {
+                ignored.emplace(announcement.server().substr(0, max_logged_name_bytes),
+                                failure(checked).message);
             }
-            server = std::make_shared<pooled_server>();
-            server->id = announcement.server();
-            server->group = announcement.group();
-            server->address = announcement.address();
-            server->born_ms = announcement.born_ms();
-        }
-        server->slots = std::max(1U, announcement.slots());
-        server->failure_domain = announcement.failure_domain();
-        if (learns_concurrency_ && !server->pace) {
-            server->pace.emplace(server->slots);
-        }
-        if (server->pace) {
-            server->pace->set_announced_slots(server->slots, now);
-        }
-        server->is_local = announcement.failure_domain() == failure_domain_;
-        if (server->announced_at == clock::time_point{} ||
-            server->sequence != announcement.sequence()) {
-            // A repeated announcement may understate its age.
-            server->sequence = announcement.sequence();
-            server->announced_at = now - clock::duration(announcement.age_ms());
-            server->cold_until =
-                server->announced_at + clock::duration(announcement.warm_up_left_ms());
-        }
-        server->is_leaving = announcement.leaving();
-        server->claims_primary = announcement.is_primary();
-        if (is_evacuated(*server)) {
-            close_idle(*server); // its failure domain has changed
+            continue;
         }
+        listed.insert_or_assign(announcement.server(), announcement.group());
+        update_server(announcement, now);
     }
+    log_ignored(std::move(ignored));
     for (auto& [name, state] : groups_) {
-        std::erase_if(state.servers, [&](auto& item) {
-            const bool was_listed = listed.contains(item.first);
-            const bool is_removed = !was_listed && (is_complete || gone.contains(item.first));
+        std::erase_if(state.servers, [&, &group = name](auto& item) {
+            const auto found = listed.find(item.first);
+            const bool was_listed = found != listed.end() && found->second == group;
+            const bool is_elsewhere = found != listed.end() && !was_listed;
+            const bool is_removed =
+                !was_listed && (is_complete || is_elsewhere || gone.contains(item.first));
             if (is_removed) {
                 item.second->is_removed = true;
                 close_idle(*item.second);
@@ -177,6 +211,7 @@
         update_primary_candidates(state);
         dispatch(state);
     }
+    std::erase_if(groups_, [](const auto& item) { return item.second.is_unused(); });
 }
 
 void pool::set_evacuations(std::span<const std::string> domains, std::uint64_t version,
@@ -428,6 +463,7 @@
                                                    clock::time_point now, acquire_error& error)
 {
     group_state& state = state_of(request.group);
+    state.is_requested = true;
     // The home limits requests to a cold server.
     const std::vector<std::shared_ptr<pooled_server>> servers =
         candidates(state, request, warm_up_share::home, now, error);
@@ -585,6 +621,7 @@
 net::awaitable<acquire_result> pool::acquire(connection_request& request)
 {
     group_state& state = state_of(request.group);
+    state.is_requested = true;
     acquire_result outcome;
     if (!request.pinned_server.empty()) {
         const auto pinned = state.servers.find(request.pinned_server);
