--- a/tests/promotion_model_test.cpp
+++ b/tests/promotion_model_test.cpp
@@ -147,21 +147,21 @@
     const promotion_model_settings demotions = testing::promotion_model_mixes()[0].settings;
     const promotion_model_settings departures = testing::promotion_model_mixes()[1].settings;
     const promotion_model_settings leaders = frequent_leader_changes();
-    promotion_model_settings slower_leaders = leaders;
-    slower_leaders.leader_change_chance = 0.005;
+    promotion_model_settings fast_promotions = leaders;
+    fast_promotions.promotion_delay_max = fast_promotions.promotion_delay;
     const std::vector<planted> all{
         {"pauses ignored", &promotion_model_defects::ignores_pauses, demotions, 5},
-        {"demotions ignored", &promotion_model_defects::ignores_demotions, demotions, 20},
+        {"demotions ignored", &promotion_model_defects::ignores_demotions, demotions, 80},
         {"outdated requests accepted", &promotion_model_defects::accepts_outdated, demotions, 10},
         {"a demoted server claims the lead", &promotion_model_defects::demoted_claims_lead,
          demotions, 10},
         {"accepted before its number is known", &promotion_model_defects::answers_early, leaders,
-         20},
-        {"record without `requested`", &promotion_model_defects::forgets_requested, leaders, 15},
-        {"record without `resuming`", &promotion_model_defects::forgets_resuming, slower_leaders,
+         40},
+        {"record without `requested`", &promotion_model_defects::forgets_requested, leaders, 240},
+        {"record without `resuming`", &promotion_model_defects::forgets_resuming, fast_promotions,
          40},
         {"leader without the recorded members", &promotion_model_defects::forgets_members,
-         departures, 7},
+         departures, 140},
     };
     for (const planted& each : all) {
         INFO(each.name);
