A replica that lost its log is not taken for complete

Cause: what a server reported before the restart was forgotten, and its empty log counted as paused and complete.

Change: a position below the one reported before in the same term counts as a departure, and the earlier position is required of a candidate. The test fails on the code of before.

--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -111,6 +111,11 @@
     if (state.status && sent_at < state.status_sent_at) {
         return;
     }
+    if (status.term == state.reported_term && status.received < state.reported) {
+        note_departure(state.reported); // it restarted without its log
+    }
+    state.reported = status.received;
+    state.reported_term = status.term;
     state.status = status;
     state.status_sent_at = sent_at;
     if (sent_at <= state.obeyed_at) {
@@ -193,6 +198,14 @@
     instances_.insert_or_assign(std::string(instance), instance_state{report, now});
 }
 
+// `had`: the position that the member is known to have received.
+void planner::note_departure(log_position had)
+{
+    required_position_ = std::max({required_position_, primary_position_, had});
+    member_left_at_ = std::max(primary_confirmed_at_ + clock::duration(1),
+                               member_left_at_.value_or(clock::time_point{}));
+}
+
 // A member that left or restarted without its log may have been the only replica with some commits.
 void planner::update_members(const std::vector<member>& members, clock::time_point now)
 {
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -222,6 +222,8 @@
         bool refused = false;
         std::optional<server_status> status;
         clock::time_point status_sent_at{};
+        log_position reported; // in the latest status, also of an earlier decision
+        std::uint64_t reported_term = 0;
         std::optional<log_position> paused_position;  // in this decision
         std::optional<log_position> demoted_position; // in this decision
         std::uint64_t demoted_term = 0;
@@ -240,6 +242,7 @@
     server_state& state_of(std::string_view server);
     [[nodiscard]] const member* find_member(std::string_view server) const;
     void update_members(const std::vector<member>& members, clock::time_point now);
+    void note_departure(log_position had);
     [[nodiscard]] log_position paused_position_of(std::string_view server) const;
     void advance_steady(const decision_record& record, clock::time_point now);
     void check_for_primary(clock::time_point now);
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -750,6 +750,27 @@
     CHECK(!requested.empty());
 }
 
+TEST_CASE("promotion planner: a replica that lost its log is not taken for complete")
+{
+    planner group_planner = steady_plan();
+    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    decision_record open{1, {}};
+    static_cast<void>(group_planner.advance(group, open, at(2'100)));
+    group_planner.on_status("r1", replica_at(11), at(2'100), at(2'110));
+    group_planner.on_status("r2", replica_at(12), at(2'100), at(2'110));
+    static_cast<void>(group_planner.advance(group, open, at(2'120)));
+    server_status empty = replica_at(0, 2);
+    for (std::int64_t now = 2'140; now <= 6'000; now += 20) { // r2 restarted, r1 has 11
+        group_planner.on_unreachable("p", false, at(now));
+        group_planner.on_status("r1", replica_at(11, 2), at(now), at(now));
+        group_planner.on_status("r2", empty, at(now), at(now));
+        group_planner.on_paused("r1", 1, replica_at(11, 2), at(now));
+        group_planner.on_paused("r2", 1, empty, at(now));
+        CHECK(find_action<request_promotion>(
+                  advance_recorded(group_planner, group, open, at(now))) == nullptr);
+    }
+}
+
 TEST_CASE("promotion planner: a request is recorded before it is sent")
 {
     planner group_planner = steady_plan();
