--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -7,6 +7,8 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <memory>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -43,6 +45,32 @@
     return request;
 }
 
+// Records p, r1 and r2 as the members of the group "kura", with p as the primary.
+void record_kura(state_machine& state)
+{
+    pb::command command;
+    command.mutable_note()->set_database("kura");
+    command.mutable_note()->set_seen_primary("p");
+    for (const char* name : {"p", "r1", "r2"}) {
+        pb::group_member& member = *command.mutable_note()->add_members();
+        member.set_server(name);
+        member.set_address(std::string("127.0.0.1:") + (name[0] == 'p' ? "1" : name + 1));
+    }
+    REQUIRE(state.apply(command).ok());
+}
+
+std::shared_ptr<const document> document_with_kura()
+{
+    document_content content;
+    content.version = 1;
+    document_group group;
+    group.name = "kura";
+    content.groups.push_back(group);
+    const auto made = document::make(content);
+    REQUIRE(ok(made));
+    return value(made);
+}
+
 } // namespace
 
 TEST_CASE("cell directory: an entry of another writer does not make the reply unreadable")
@@ -349,22 +377,8 @@
 TEST_CASE("cell service: a new leader starts from the recorded members")
 {
     state_machine state(cell_name("main"));
-    pb::command command;
-    command.mutable_note()->set_database("kura");
-    command.mutable_note()->set_seen_primary("p");
-    for (const char* name : {"p", "r1", "r2"}) {
-        pb::group_member& member = *command.mutable_note()->add_members();
-        member.set_server(name);
-        member.set_address(std::string("127.0.0.1:") + (name[0] == 'p' ? "1" : name + 1));
-    }
-    REQUIRE(state.apply(command).ok());
-    document_content content;
-    content.version = 1;
-    document_group group;
-    group.name = "kura";
-    content.groups.push_back(group);
-    const auto current = document::make(content);
-    REQUIRE(ok(current));
+    record_kura(state);
+    const std::shared_ptr<const document> current = document_with_kura();
     cell::directory servers; // no server has announced itself to this leader yet
     cell::service leader({}, 4, at(0));
     bool begins = false;
@@ -373,14 +387,54 @@
             planner != nullptr && now % 300 == 0) {
             planner->on_unreachable("p", false, at(now));
         }
-        for (const auto& requested :
-             leader.advance(value(current).get(), state, servers, at(now))) {
+        for (const auto& requested : leader.advance(current.get(), state, servers, at(now))) {
             begins = begins || std::holds_alternative<promotion::begin_decision>(requested.action);
         }
     }
     CHECK(begins);
 }
 
+// The next leader promoted a server without the commits that the departed one had had alone.
+TEST_CASE("cell service: members are recorded once the primary has answered after a departure")
+{
+    state_machine state(cell_name("main"));
+    record_kura(state);
+    const std::shared_ptr<const document> current = document_with_kura();
+    cell::directory servers;
+    for (const char* name : {"p", "r1", "r2"}) {
+        pb::server_announcement announcement;
+        announcement.set_server(name);
+        announcement.set_group("kura");
+        announcement.set_address(std::string("127.0.0.1:") + (name[0] == 'p' ? "1" : name + 1));
+        announcement.set_sequence(1);
+        announcement.set_is_primary(name[0] == 'p');
+        REQUIRE(servers.apply(announcement, at(0)));
+    }
+    pb::server_announcement gone;
+    gone.set_server("r2");
+    gone.set_gone(true);
+    REQUIRE(servers.apply(gone, at(0)));
+    cell::service leader({}, 4, at(0));
+    const auto recorded_until = [&](std::int64_t from, std::int64_t until) {
+        std::optional<promotion::recorded_group> recorded;
+        for (std::int64_t now = from; now <= until; now += 20) {
+            for (const auto& requested : leader.advance(current.get(), state, servers, at(now))) {
+                if (const auto* const record =
+                        std::get_if<promotion::record_members>(&requested.action)) {
+                    recorded = record->group;
+                }
+            }
+        }
+        return recorded;
+    };
+    CHECK(!recorded_until(0, 800).has_value());
+    leader.find_planner("kura")->on_primary("p", {1, 20}, at(810), at(820));
+    const std::optional<promotion::recorded_group> recorded = recorded_until(820, 1'500);
+    REQUIRE(recorded.has_value());
+    CHECK(recorded->members.size() == 2);
+    CHECK(recorded->required == log_position{1, 20});
+}
+
 // Guards against regions of the document that do not reach the planner, and against a change of a
 // primary that has only not announced itself to a new leader yet.
 TEST_CASE("cell service: a primary outside the regions of all routes is replaced")
