Tests: two seeds in which a restart during a promotion loses a commit, known red

A paused replica restarts between a request and its effect and receives again, while the primary can't be reached and so can't be demoted; the candidate does not receive. The platform can't withdraw a request.

--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -968,6 +968,15 @@
     }
 }
 
+// Of 2,000 seeds of the test above. The platform can't withdraw the request.
+TEST_CASE("promotion planner: seeds in which a restart during a promotion loses a commit")
+{
+    for (const std::uint64_t seed : {439U, 1'245U}) {
+        CAPTURE(seed);
+        CHECK(run_with_leader_changes(seed, 0.0002).lossy_promotions == 0);
+    }
+}
+
 TEST_CASE("promotion planner: the model detects replicas that ignore pauses")
 {
     std::uint64_t lost = 0;
