--- a/tests/promotion_model_test.cpp
+++ b/tests/promotion_model_test.cpp
@@ -207,3 +207,26 @@
         CHECK(result.longest_quiet_gap <= recovery_bound);
     }
 }
+
+// Of 1,000 seeds of each mix.
+TEST_CASE("promotion model: seeds in which a decision still loses acknowledged commits")
+{
+    const auto mixes = testing::promotion_model_mixes();
+    const std::vector<mix_seed> lossy{{0, 699}, {1, 166}, {2, 36}, {3, 133},
+                                      {5, 119}, {6, 20},  {7, 30}};
+    for (const mix_seed& each : lossy) {
+        INFO(std::string(mixes[each.mix].name), ", seed ", each.seed);
+        const auto result = testing::run_promotion_model(settings_of(mixes[each.mix], each.seed));
+        CHECK(result.avoidable_losses == 0);
+    }
+}
+
+TEST_CASE("promotion model: seeds in which a group still stays stopped for more than 20 s")
+{
+    const auto mixes = testing::promotion_model_mixes();
+    for (const mix_seed& each : std::vector<mix_seed>{{1, 11}, {7, 613}}) {
+        INFO(std::string(mixes[each.mix].name), ", seed ", each.seed);
+        const auto result = testing::run_promotion_model(settings_of(mixes[each.mix], each.seed));
+        CHECK(result.longest_quiet_gap <= recovery_bound);
+    }
+}
