--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -322,17 +322,25 @@
     return testing::run_promotion_model(settings);
 }
 
-// Returns a planner that has requested the promotion of r1, with r2 paused at the same position.
-planner requested_plan()
+// Returns a planner in decision 1, of which the candidate r1 has all that the paused r2 has.
+planner fenced_plan()
 {
     planner group_planner = steady_plan();
     REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
-    decision_record open{1, {}};
-    static_cast<void>(advance_recorded(group_planner, group, open, at(2'100)));
+    const decision_record open{1, {}};
+    static_cast<void>(group_planner.advance(group, open, at(2'100)));
     group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
     group_planner.on_status("r2", replica_at(9), at(2'100), at(2'110));
-    static_cast<void>(advance_recorded(group_planner, group, open, at(2'120)));
+    static_cast<void>(group_planner.advance(group, open, at(2'120)));
     group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
+    return group_planner;
+}
+
+// Returns a planner that has requested the promotion of r1, with r2 paused at the same position.
+planner requested_plan()
+{
+    planner group_planner = fenced_plan();
+    decision_record open{1, {}};
     REQUIRE(find_action<request_promotion>(
                 advance_recorded(group_planner, group, open, at(2'140))) != nullptr);
     return group_planner;
@@ -366,14 +374,8 @@
 
 TEST_CASE("promotion planner: a paused replica that receives again delays the request")
 {
-    planner group_planner = steady_plan();
-    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    planner group_planner = fenced_plan();
     decision_record open{1, {}};
-    static_cast<void>(advance_recorded(group_planner, group, open, at(2'100)));
-    group_planner.on_status("r1", replica_at(9), at(2'100), at(2'110));
-    group_planner.on_status("r2", replica_at(8), at(2'100), at(2'110));
-    static_cast<void>(advance_recorded(group_planner, group, open, at(2'120)));
-    group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
     group_planner.on_status("r2", replica_at(10), at(2'200), at(2'210)); // it restarted
     group_planner.on_status("r1", replica_at(10), at(2'200), at(2'210));
     const auto actions = advance_recorded(group_planner, group, open, at(2'400));
@@ -681,14 +683,8 @@
 
 TEST_CASE("promotion planner: a replica that resumes late in a decision delays the request")
 {
-    planner group_planner = steady_plan();
-    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    planner group_planner = fenced_plan();
     decision_record open{1, {}};
-    static_cast<void>(group_planner.advance(group, open, at(2'100)));
-    group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
-    group_planner.on_status("r2", replica_at(9), at(2'100), at(2'110));
-    static_cast<void>(group_planner.advance(group, open, at(2'120)));
-    group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
     group_planner.on_resumed("r2", replica_at(10), at(2'130));
     CHECK(find_action<request_promotion>(advance_recorded(group_planner, group, open, at(2'140))) ==
           nullptr);
@@ -696,14 +692,8 @@
 
 TEST_CASE("promotion planner: a pause that was not verified lately delays the request")
 {
-    planner group_planner = steady_plan();
-    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    planner group_planner = fenced_plan();
     decision_record open{1, {}};
-    static_cast<void>(group_planner.advance(group, open, at(2'100)));
-    group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
-    group_planner.on_status("r2", replica_at(9), at(2'100), at(2'110));
-    static_cast<void>(group_planner.advance(group, open, at(2'120)));
-    group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
     // The leader could not commit for ten seconds.
     CHECK(find_action<request_promotion>(
               advance_recorded(group_planner, group, open, at(12'140))) == nullptr);
@@ -773,14 +763,8 @@
 
 TEST_CASE("promotion planner: a request is recorded before it is sent")
 {
-    planner group_planner = steady_plan();
-    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    planner group_planner = fenced_plan();
     decision_record open{1, {}};
-    static_cast<void>(group_planner.advance(group, open, at(2'100)));
-    group_planner.on_status("r1", replica_at(10), at(2'100), at(2'110));
-    group_planner.on_status("r2", replica_at(9), at(2'100), at(2'110));
-    static_cast<void>(group_planner.advance(group, open, at(2'120)));
-    group_planner.on_paused("r2", 1, replica_at(10, 2), at(2'130));
     const auto actions = group_planner.advance(group, open, at(2'140));
     const auto* const recorded = find_action<record_request>(actions);
     REQUIRE(recorded != nullptr);
@@ -793,14 +777,8 @@
 
 TEST_CASE("promotion planner: a paused replica that stops answering delays the request")
 {
-    planner group_planner = steady_plan();
-    REQUIRE(silence_until_decision(group_planner, 1'020, 2'000) > 0);
+    planner group_planner = fenced_plan();
     decision_record open{1, {}};
-    static_cast<void>(group_planner.advance(group, open, at(2'100)));
-    group_planner.on_status("r1", replica_at(9), at(2'100), at(2'110));
-    group_planner.on_status("r2", replica_at(8), at(2'100), at(2'110));
-    static_cast<void>(group_planner.advance(group, open, at(2'120)));
-    group_planner.on_paused("r2", 1, replica_at(9, 2), at(2'130));
     group_planner.on_unreachable("r2", true, at(2'135));
     for (std::int64_t now = 2'140; now <= 4'000; now += 20) {
         CHECK(find_action<request_promotion>(
