--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -7,7 +7,7 @@
 import time
 
 SLOTS = 3
-WORK_S = 0.004
+WORK_S = 0.004  # a case may set another one
 PROMOTION_S = 0.3
 HEARTBEAT_S = 0.4
 CONTROL = "primrosehead"  # under this name control connects to servers, in place of a tenant
