--- a/review/common/cluster.py
+++ b/review/common/cluster.py
@@ -8,10 +8,13 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
 
+from standins import Service, http_call
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BOUNDS = {"seed_propagation_s": 3, "address_reuse_s": 2, "contact_window_ms": 4000, "ack_timeout_ms": 5000,
           "catch_up_s": 4, "drain_period_ms": 7000, "grace_period_s": 6, "loss_slack_ms": 200,
@@ -65,7 +68,7 @@
         self.name = f"{role}-{host}"
         self.folder = cluster.folder / self.name
         (self.folder / "data").mkdir(parents=True)
-        self.starts, self.process = 0, None
+        self.starts, self.process, self.is_stopped = 0, None, False
 
     def start(self):
         cluster, port = self.cluster, self.cluster.port
@@ -89,19 +92,21 @@
         self.starts += 1
 
     def send_signal(self, number):
+        self.is_stopped = self.is_stopped or number in (signal.SIGTERM, signal.SIGKILL)
         if self.process and self.process.poll() is None:
             self.process.send_signal(number)
 
 
 class Cluster:
-    """`control` and `entries`: (host, zone). `regions`: region by zone."""
+    """`control` and `entries`: (host, zone). `places`: (server name, host, zone). `regions`: region by zone."""
 
-    def __init__(self, control, entries, regions, other_hosts):
+    def __init__(self, control, entries, regions, places):
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="primrose-review-"))
         self.control_hosts, self.regions = [host for host, _ in control], regions
+        self.places = places
         self.platform_host = "127.0.74.1"
-        hosts = [host for host, _ in control + entries] + other_hosts + [self.platform_host]
+        hosts = [host for host, _ in control + entries] + [host for _, host, _ in places] + [self.platform_host]
         self.port = free_port(hosts)
         self.control = [Program(self, "control", host, zone) for host, zone in control]
         self.entries = [Program(self, "entry", host, zone) for host, zone in entries]
@@ -122,7 +127,9 @@
             shutil.rmtree(self.folder)
 
     def ended(self):
-        return [each.name for each in self.control + self.entries if each.process.poll() is not None]
+        """Programs that ended by themselves."""
+        return [each.name for each in self.control + self.entries
+                if each.process.poll() is not None and not each.is_stopped]
 
 
 class Record:
@@ -201,7 +208,6 @@
 
 
 async def publish(cluster, body, timeout=15.0):
-    from standins import http_call
     deadline, turn = time.monotonic() + timeout, 0
     while time.monotonic() < deadline:
         host = cluster.control_hosts[turn % len(cluster.control_hosts)]
@@ -229,3 +235,49 @@
             client.close()
         await asyncio.sleep(0.2)
     return False
+
+
+# The deployment of most cases: three zones with a control node and a server each.
+ZONES = ("a", "b", "c")
+CONTROL = [(f"127.0.71.{i + 1}", zone) for i, zone in enumerate(ZONES)]
+PLACES = [(f"s-{zone}", f"127.0.73.{i + 1}", zone) for i, zone in enumerate(ZONES)]
+
+
+async def start_all(cluster, body, key, database):
+    """Starts the servers, the platform and the programs. Returns the service and the background tasks, or
+    None if an entry does not serve in time."""
+    service = Service(body["services"][0]["name"], cluster.port, cluster.places,
+                      {program.zone for program in cluster.control})
+    tasks = [asyncio.create_task(service.keep_replicating())]
+    for server in service.servers:
+        await server.start()
+        tasks.append(asyncio.create_task(
+            service.announce(server, cluster.control_hosts, cluster.port + 1)))
+    await service.serve_platform(cluster.platform_host, cluster.port + 1)
+    cluster.start()
+    if not await publish(cluster, body):
+        return None
+    for entry in cluster.entries:
+        if not await wait_until_served(cluster, entry, database, key):
+            return None
+    return service, tasks
+
+
+def run_case(folder, run, control=CONTROL, entries=(("127.0.72.1", "a"),), places=PLACES, regions=None):
+    """Runs `run(cluster, record)` and returns its exit code, or 2 if it fails or a program ended by itself."""
+    regions = regions or {zone: "r" for zone in ZONES}
+    cluster = Cluster(list(control), list(entries), regions, list(places))
+    record = Record(folder / "record.txt")
+    try:
+        code = asyncio.run(run(cluster, record))
+        if code == 0 and cluster.ended():
+            record.note(f"ended by themselves: {cluster.ended()}")
+            code = 2
+        return code
+    except Exception as failure:  # noqa: BLE001 - the case couldn't run
+        record.note(f"failed: {failure!r}")
+        print(repr(failure), file=sys.stderr)
+        return 2
+    finally:
+        cluster.stop()
+        record.close()
