--- a/review/common/cluster.py
+++ b/review/common/cluster.py
@@ -193,9 +193,9 @@
             self.writer.close()
 
 
-def document(version, service, databases, keys, rate=1000):
+def document(version, service, databases, keys, timeout_ms=1000, rate=1000):
     """`databases`: type by name. `keys`: list of keys by tenant."""
-    routes = [{"name": f"r-{name}", "host": name, "path_prefix": "/", "type": kind, "timeout_ms": 1000,
+    routes = [{"name": f"r-{name}", "host": name, "path_prefix": "/", "type": kind, "timeout_ms": timeout_ms,
                "target_latency_ms": 200, "priority": 1, "service": service, "max_attempts": 2,
                "max_staleness_ms": 1500, "public": False} for name, kind in databases.items()]
     return {"version": version, "routes": routes,
