--- a/review/common/cluster.py
+++ b/review/common/cluster.py
@@ -265,6 +265,7 @@
 
 def run_case(folder, run, control=CONTROL, entries=(("127.0.72.1", "a"),), places=PLACES, regions=None):
     """Runs `run(cluster, record)` and returns its exit code, or 2 if it fails or a program ended by itself."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the programs first
     regions = regions or {zone: "r" for zone in ZONES}
     cluster = Cluster(list(control), list(entries), regions, list(places))
     record = Record(folder / "record.txt")
