A transaction ends when its caller's key is given to another organisation

Cause: for each statement of a transaction, session::check_access asked whether any organisation holds the key. The organisation itself was looked up once, when the operation began; what goes out names that one. The same holds for a single statement that waits for a token, a connection or a slot, and for a transaction's statement that waits for a slot: the right was checked before the wait.

Fix: an operation carries its caller, and execution checks the right where a statement goes out, after every wait: the confirmation of the document, the route, the key, and that the organisation of the operation still holds it. A transaction is rolled back and answered ABORTED, a single statement ABORTED before it is sent, so that the caller may begin again at once as the new holder. At a home the origin checks before it passes the statement on.

Related paths read: the HTTP product compares the organisation of a transaction's ticket with the caller's at each statement. Homes (off in the deploy file) may hold a statement in their queue after the origin's check; not changed.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -2,6 +2,7 @@
 
 #include "clock_timer.h"
 #include "event_log.h"
+#include "pooler_access.h"
 #include "pooler_cause.h"
 #include "pooler_metrics.h"
 
@@ -471,6 +472,10 @@
         const std::optional<log_position> minimum =
             statement.is_write ? std::nullopt : minimum_position(op, clock::now());
         if (may_use_home(op)) {
+            std::optional<line_answer> refusal = check_right(context_, op);
+            if (refusal) {
+                co_return std::move(*refusal);
+            }
             std::optional<attempt_result> at_home =
                 co_await run_at_home(op, statement, minimum, deadline);
             if (at_home) {
@@ -498,6 +503,11 @@
             co_return make_refusal(acquired.error, op);
         }
         last_server_ = acquired.connection->server->id;
+        std::optional<line_answer> refusal = check_right(context_, op); // it may have waited
+        if (refusal) {
+            context_.connections.release(std::move(acquired.connection), true);
+            co_return std::move(*refusal);
+        }
         if (statement.is_write) {
             last = co_await write_at_primary(std::move(acquired.connection), statement, deadline);
         }
@@ -695,6 +705,16 @@
                                    "rolled back: the server is overloaded; retry the transaction");
 }
 
+// Rolls the transaction back if its caller may not go on with it.
+std::optional<line_answer> execution::check_transaction_right()
+{
+    std::optional<line_answer> refusal = check_right(context_, transaction_);
+    if (refusal) {
+        roll_back();
+    }
+    return refusal;
+}
+
 bool execution::must_end(clock::time_point now) const
 {
     return connection_ && context_.connections.must_end_transactions(*connection_->server, now);
@@ -735,6 +755,13 @@
 execution::prepare_step(const server_statement& statement, bool is_commit)
 {
     connection_wait_ = clock::duration(0);
+    std::optional<line_answer> right_refusal = check_transaction_right();
+    if (right_refusal) {
+        if (is_commit) {
+            right_refusal->code = context_.dialect.aborted;
+        }
+        co_return right_refusal;
+    }
     if (home_transaction_) {
         co_return co_await continue_at_home(statement, is_commit);
     }
@@ -783,6 +810,11 @@
         if (!may_run) {
             co_return abort_unsent(*server);
         }
+        std::optional<line_answer> refusal = check_transaction_right();
+        if (refusal) {
+            context_.connections.cancel_start(*server);
+            co_return std::move(*refusal);
+        }
         const clock::time_point sent_at = clock::now();
         result = co_await exchange(*connection_, queries, setup.count + 1, deadline);
         const clock::time_point now = clock::now();
@@ -835,6 +867,12 @@
         if (!may_run) {
             co_return abort_unsent(*server);
         }
+        std::optional<line_answer> refusal = check_transaction_right();
+        if (refusal) {
+            context_.connections.cancel_start(*server);
+            refusal->code = dialect.aborted;
+            co_return std::move(*refusal);
+        }
         sent_at = clock::now();
         result = co_await exchange(*connection_, queries, 1, deadline);
         const clock::time_point now = clock::now();
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -31,12 +31,19 @@
 
 namespace primrosehead::pooler {
 
+// Who runs an operation. The right to do so is checked again whenever a statement goes out.
+struct caller {
+    std::string database;
+    std::string key;
+};
+
 // Parameters of an operation, fixed when it begins.
 struct operation {
     std::shared_ptr<const document> snapshot; // keeps `route` alive
     const document_route* route = nullptr;
     std::string organisation;
     clock::time_point began_at; // when it was received
+    std::optional<caller> from; // none at a home: the origin checks the right
 };
 
 // A statement to send to a server. `text` uses the pool's names of prepared statements.
@@ -208,6 +215,7 @@
     [[nodiscard]] connection_request make_request(const operation& op, required_role role,
                                                   clock::time_point deadline) const;
     [[nodiscard]] line_answer abort_unsent(const pooled_server& server);
+    [[nodiscard]] std::optional<line_answer> check_transaction_right();
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
     [[nodiscard]] attempt_result classify_read(pooled_server& server, line_answer answer);
     [[nodiscard]] attempt_result classify_write(pooled_server& server, line_answer answer,
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -778,6 +778,13 @@
     dispatch(state_of(server.group));
 }
 
+void pool::cancel_start(pooled_server& server)
+{
+    --server.running;
+    admit_queued_statements(server, clock::now());
+    dispatch(state_of(server.group));
+}
+
 void pool::mark_unreachable(pooled_server& server, bool was_refused, clock::time_point now)
 {
     server.record_failure(now, was_refused);
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -177,6 +177,9 @@
     wait_if_cold(pooled_connection& connection, clock::time_point deadline, bool is_commit);
     void record_finish(pooled_server& server, double latency_ms, clock::time_point now);
 
+    // A statement that was counted as running is not sent.
+    void cancel_start(pooled_server& server);
+
     // Records a server as unreachable and closes its idle connections.
     void mark_unreachable(pooled_server& server, bool was_refused, clock::time_point now);
 
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -2,6 +2,7 @@
 
 #include "clock_timer.h"
 #include "event_log.h"
+#include "pooler_access.h"
 #include "pooler_cause.h"
 #include "pooler_commits.h"
 #include "pooler_follower.h"
@@ -119,25 +120,6 @@
     co_return !ec;
 }
 
-std::optional<line_answer> session::check_access() const
-{
-    const std::shared_ptr<const document>& snapshot = context_.control.current_document();
-    if (!context_.control.is_confirmed(clock::now())) {
-        return make_error_answer(
-            answer_cause::unconfirmed, context_.dialect.busy,
-            "not run: this instance is cut off from control; use another instance");
-    }
-    const document_route* const route = snapshot->route(database_);
-    if (route == nullptr) {
-        return make_error_answer(answer_cause::database, context_.dialect.unknown_database,
-                                 fmt::format("database {} does not exist", database_));
-    }
-    if (!route->is_public && snapshot->organisation_for_key(key_) == nullptr) {
-        return make_error_answer(answer_cause::key, context_.dialect.denied, "invalid key");
-    }
-    return std::nullopt;
-}
-
 net::awaitable<bool> session::start()
 {
     idle_timer_.expires_after(startup_timeout);
@@ -166,14 +148,13 @@
     }
     else {
         const split_text database = split_first_word(message.remainder);
-        database_ = database.first;
-        key_ = database.remainder;
-        refusal = check_access();
+        from_ = {std::string(database.first), std::string(database.remainder)};
+        refusal = check_access(context_, from_);
     }
     if (refusal) {
         context_.events.decision("session", "refused")
             .field("session", static_cast<std::int64_t>(number_))
-            .field("database", database_)
+            .field("database", from_.database)
             .field("code", refusal->code)
             .field("reason", refusal->text);
         output_ =
@@ -189,15 +170,16 @@
 // answer if it may not begin.
 net::awaitable<std::optional<line_answer>> session::admit(operation& op)
 {
-    std::optional<line_answer> refusal = check_access();
+    std::optional<line_answer> refusal = check_access(context_, from_);
     if (refusal) {
         co_return refusal;
     }
     const clock::time_point now = clock::now();
+    op.from = from_;
     op.snapshot = context_.control.current_document();
-    op.route = op.snapshot->route(database_);
+    op.route = op.snapshot->route(from_.database);
     op.began_at = now;
-    const document_organisation* const organisation = op.snapshot->organisation_for_key(key_);
+    const document_organisation* const organisation = op.snapshot->organisation_for_key(from_.key);
     if (organisation == nullptr) {
         co_return std::nullopt;
     }
@@ -315,7 +297,7 @@
         execution_.roll_back();
         co_return success();
     }
-    std::optional<line_answer> refusal = check_access();
+    std::optional<line_answer> refusal = check_right(context_, execution_.transaction());
     if (refusal) {
         execution_.roll_back();
         refusal->code = context_.dialect.aborted;
@@ -394,11 +376,6 @@
     // `translated` refers to the session's prepared statement. The session reads no DEALLOCATE
     // before the operation is complete.
     if (execution_.is_open()) {
-        refusal = check_access();
-        if (refusal) {
-            execution_.roll_back();
-            co_return std::move(*refusal);
-        }
         line_answer result = co_await execution_.run(translated);
         refund_unused_token(execution_.transaction());
         co_return result;
@@ -480,7 +457,7 @@
     const statement_outcome outcome = outcome_of(answer, context_.dialect);
     const std::shared_ptr<const document>& snapshot = context_.control.current_document();
     context_.metrics.record_statement(outcome, answer.cause,
-                                      snapshot ? snapshot->route(database_) : nullptr,
+                                      snapshot ? snapshot->route(from_.database) : nullptr,
                                       static_cast<double>((now - began_at).count()));
     static std::uint64_t served = 0;
     if (outcome == statement_outcome::done && ++served % log_sample_interval != 0) {
@@ -491,7 +468,7 @@
     event_line line(context_.events, weight, "statement", to_string(outcome));
     line.field("id", id)
         .field("session", static_cast<std::int64_t>(number_))
-        .field("database", database_)
+        .field("database", from_.database)
         .field("verb", split_first_word(text).first)
         .field("server", execution_.last_server())
         .field("home", execution_.last_home())
@@ -514,9 +491,9 @@
 {
     const clock::time_point now = clock::now();
     const std::shared_ptr<const document>& snapshot = context_.control.current_document();
-    const document_route* const route = snapshot ? snapshot->route(database_) : nullptr;
+    const document_route* const route = snapshot ? snapshot->route(from_.database) : nullptr;
     const document_organisation* const organisation =
-        snapshot ? snapshot->organisation_for_key(key_) : nullptr;
+        snapshot ? snapshot->organisation_for_key(from_.key) : nullptr;
     limiter* const limits =
         organisation ? context_.control.limiter_for(organisation->name) : nullptr;
     if (cause == answer_cause::rate && limits != nullptr) {
@@ -575,7 +552,7 @@
     failure_reason_ = reason;
     context_.events.decision("session", "transaction_ended")
         .field("session", static_cast<std::int64_t>(number_))
-        .field("database", database_)
+        .field("database", from_.database)
         .field("reason", reason);
 }
 
--- a/src/pooler_session.h
+++ b/src/pooler_session.h
@@ -70,7 +70,6 @@
     [[nodiscard]] line_answer update_state(const line_statement& statement);
     [[nodiscard]] boost::asio::awaitable<std::optional<line_answer>> admit(operation& op);
     void refund_unused_token(const operation& op);
-    [[nodiscard]] std::optional<line_answer> check_access() const;
     [[nodiscard]] std::optional<line_answer> translate(const line_statement& statement,
                                                        std::string_view text,
                                                        server_statement& translated) const;
@@ -94,8 +93,7 @@
     bool is_busy_ = true; // the startup counts as an operation
     bool is_closed_ = false;
 
-    std::string database_;
-    std::string key_;
+    caller from_;
     session_context state_;
     execution execution_;
     bool has_failed_transaction_ = false; // until the client ends the transaction
--- a/tests/pooler_fixture.cpp
+++ b/tests/pooler_fixture.cpp
@@ -1,5 +1,6 @@
 #include "pooler_fixture.h"
 
+#include "document_codec.h"
 #include "follow_replies.h"
 #include "pooler_session.h"
 #include "primrosehead.pb.h"
@@ -35,7 +36,7 @@
     return result;
 }
 
-std::shared_ptr<const document> one_database(double rate)
+document_content one_database(double rate)
 {
     document_content content;
     content.version = 1;
@@ -54,7 +55,7 @@
     organisation.rate = rate;
     organisation.burst = rate;
     content.organisations.push_back(organisation);
-    return value(document::make(content));
+    return content;
 }
 
 } // namespace
@@ -77,13 +78,35 @@
 
 void pooler_fixture::confirm_without_share(double rate)
 {
-    document_ = one_database(rate);
+    document_ = value(document::make(one_database(rate)));
     pb::follow_reply reply = make_follow_reply(++sequence_);
     add_first_state(reply);
     add_server(reply, "server-1", server.address()).set_is_primary(true);
     control.receive(reply, clock::now());
 }
 
+void pooler_fixture::move_key(std::string_view organisation)
+{
+    document_content content = one_database(100);
+    content.version = 2;
+    content.organisations.front().keys = {"other"};
+    if (organisation == content.organisations.front().name) {
+        content.organisations.front().keys.emplace_back("secret");
+    }
+    else if (!organisation.empty()) {
+        document_organisation holder = content.organisations.front();
+        holder.name = organisation;
+        holder.keys = {"secret"};
+        content.organisations.push_back(holder);
+    }
+    document_ = value(document::make(content));
+    pb::follow_reply reply = make_follow_reply(++sequence_);
+    reply.set_document_version(2);
+    reply.set_directory_revision(1);
+    *reply.mutable_document() = compress_document("document", 2, "{}");
+    control.receive(reply, clock::now());
+}
+
 void pooler_fixture::grant_share(std::uint32_t millionths)
 {
     pb::follow_reply shares = make_follow_reply(++sequence_);
--- a/tests/pooler_fixture.h
+++ b/tests/pooler_fixture.h
@@ -39,6 +39,10 @@
     void confirm_without_share(double rate);
     void grant_share(std::uint32_t millionths);
 
+    // Puts document 2 in force, in which the key "secret" belongs to the organisation; empty: to
+    // none. "org" has another key.
+    void move_key(std::string_view organisation);
+
     // Runs the event loop for `time`.
     void run(clock::duration time);
 
