A commit that may be on an unknown replica only is proved by an established one

Cause: until its lease ends, an instance that is cut off together with the primary confirms commits, and the server that received them announces itself only to a control instance that is cut off too, so that nobody can ask it for its position.

Fix: an instance is in doubt while it has not heard from control, or its relay from the leader, for 0.3 s, and from a commit that waited for 0.1 s or more at the server on. In doubt, a commit is confirmed once a server has it that control has known for 1.5 s, which every later leader knows of too; else the answer is UNKNOWN.

Tests: "commit gate: commits that waited at the server need an established replica", "... what a relay knows is as doubtful as its age".

Remains: a server that begins to receive within 0.1 s of the moment at which the primary lost the others, while the instance's knowledge is fresh.

--- a/src/commit_gate.cpp
+++ b/src/commit_gate.cpp
@@ -7,14 +7,16 @@
 
 namespace {
 
-// Above the age of what an instance knows through a relay. Beyond it, a partition may hide from
+// Above the interval of requests to control or a relay. Beyond it, a partition may hide from
 // control a replica that has just started.
-constexpr clock::duration doubtful_age{500};
+constexpr clock::duration doubtful_age{300};
+// A replica answers within milliseconds.
+constexpr clock::duration stall_time{100};
 
 } // namespace
 
 void commit_gate::record(const fence_map& fences, primaries known, clock::time_point as_of,
-                         clock::time_point now)
+                         clock::time_point asked_at, clock::time_point now)
 {
     if (as_of < as_of_) {
         return;
@@ -24,6 +26,7 @@
         observed_.clear();
     }
     as_of_ = as_of;
+    asked_at_ = asked_at;
     primaries_ = std::move(known);
     for (auto each = fences_.begin(); each != fences_.end();) {
         const bool is_lifted = !fences.contains(each->first) && as_of >= applied_at_[each->first];
@@ -93,7 +96,8 @@
 }
 
 commit_decision commit_gate::decide(const acknowledged_commit& commit,
-                                    std::span<const std::string> known, clock::time_point now) const
+                                    std::span<const std::string> established,
+                                    clock::time_point now) const
 {
     if (!has_lease(now)) {
         return {commit_verdict::undecided, {}};
@@ -111,7 +115,9 @@
         }
         required.insert(primary->second);
     }
-    const bool is_doubtful = fence == fences_.end() && now - as_of_ >= doubtful_age;
+    const bool is_outdated = now - asked_at_ >= doubtful_age || asked_at_ - as_of_ >= doubtful_age;
+    const bool is_doubtful =
+        fence == fences_.end() && (is_outdated || doubtful_from_.contains(commit.group));
     if (!commit.position && (is_doubtful || !required.empty())) {
         return {commit_verdict::unknown, {}};
     }
@@ -121,7 +127,7 @@
             return {verdict, {server}};
         }
     }
-    return is_doubtful ? require_any(commit, known)
+    return is_doubtful ? require_any(commit, established)
                        : commit_decision{commit_verdict::confirmed, {}};
 }
 
@@ -132,11 +138,24 @@
                                                    observation{position, leads});
 }
 
+void commit_gate::record_acknowledged(const acknowledged_commit& commit)
+{
+    if (commit.position && commit.acknowledged_at - commit.sent_at >= stall_time) {
+        log_position& from = doubtful_from_[commit.group];
+        from = std::max(from, *commit.position);
+    }
+}
+
 void commit_gate::record_confirmed(const acknowledged_commit& commit)
 {
-    if (commit.position) {
-        log_position& newest = confirmed_[commit.group];
-        newest = std::max(newest, *commit.position);
+    if (!commit.position) {
+        return;
+    }
+    log_position& newest = confirmed_[commit.group];
+    newest = std::max(newest, *commit.position);
+    const auto doubtful = doubtful_from_.find(commit.group);
+    if (doubtful != doubtful_from_.end() && *commit.position >= doubtful->second) {
+        doubtful_from_.erase(doubtful);
     }
 }
 
--- a/src/pooler_commits.cpp
+++ b/src/pooler_commits.cpp
@@ -48,9 +48,9 @@
 }
 
 void commits::record(const fence_map& fences, commit_gate::primaries known, clock::time_point as_of,
-                     clock::time_point now)
+                     clock::time_point asked_at, clock::time_point now)
 {
-    gate_.record(fences, std::move(known), as_of, now);
+    gate_.record(fences, std::move(known), as_of, asked_at, now);
     std::erase_if(observed_at_,
                   [now](const auto& item) { return now - item.second > commit_lease; });
     changes_.wake_all();
@@ -130,12 +130,13 @@
 net::awaitable<bool> commits::confirm(const acknowledged_commit& commit,
                                       const std::string& organisation, clock::time_point deadline)
 {
-    const clock::time_point since = clock::now();
+    const clock::time_point since = commit.acknowledged_at;
     commit_decision first;
+    gate_.record_acknowledged(commit);
     while (true) {
         const clock::time_point now = clock::now();
-        const commit_decision decision =
-            gate_.decide(commit, connections_.servers_of(commit.group), now);
+        const commit_decision decision = gate_.decide(
+            commit, connections_.servers_known_since(commit.group, now - establishing_time), now);
         if (decision.verdict == commit_verdict::confirmed) {
             gate_.record_confirmed(commit);
             if (first.verdict == commit_verdict::unproved) {
--- a/src/pooler_commits.h
+++ b/src/pooler_commits.h
@@ -37,7 +37,7 @@
 
     // Records what control tells (see commit_gate).
     void record(const fence_map& fences, commit_gate::primaries known, clock::time_point as_of,
-                clock::time_point now);
+                clock::time_point asked_at, clock::time_point now);
     void add(const fence_map& fences, clock::time_point now);
 
     // Waits until this instance may confirm commits. False: the deadline has passed.
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -355,7 +355,7 @@
     if (document_ && document_->version() >= reply.document_version()) {
         confirmed_at_ = std::max(confirmed_at_, confirmed_at);
     }
-    apply_fences(reply, confirmed_at, now);
+    apply_fences(reply, confirmed_at, asked_at, now);
     apply_relays(reply, now);
     close_unneeded_connections();
 }
@@ -458,14 +458,14 @@
 }
 
 void follower::apply_fences(const pb::follow_reply& reply, clock::time_point as_of,
-                            clock::time_point now)
+                            clock::time_point asked_at, clock::time_point now)
 {
     commit_gate::primaries known;
     for (const pb::group_lead& lead : reply.leads()) {
         known[lead.group()] = lead.server();
     }
     const fence_reports before = confirmations_.gate().reports();
-    confirmations_.record(fences_of(reply), std::move(known), as_of, now);
+    confirmations_.record(fences_of(reply), std::move(known), as_of, asked_at, now);
     for (const auto& [group, report] : confirmations_.gate().reports()) {
         const auto found = before.find(group);
         if (found == before.end() || found->second.id != report.id) {
--- a/src/pooler_follower.h
+++ b/src/pooler_follower.h
@@ -134,7 +134,7 @@
     void apply_limits(clock::time_point now);
     void apply_directory(const pb::follow_reply& reply, clock::time_point now);
     void apply_fences(const pb::follow_reply& reply, clock::time_point as_of,
-                      clock::time_point now);
+                      clock::time_point asked_at, clock::time_point now);
     void apply_fleet(const pb::follow_reply& reply, clock::time_point now);
     void apply_peers(const pb::follow_reply& reply, clock::time_point now);
 
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -135,6 +135,7 @@
         server->group = announcement.group();
         server->address = announcement.address();
         server->born_ms = announcement.born_ms();
+        server->known_since = now;
     }
     server->slots = std::max(1U, announcement.slots());
     server->failure_domain = announcement.failure_domain();
@@ -798,12 +799,15 @@
         .field("for_ms", (server.avoided_until - now).count());
 }
 
-std::vector<std::string> pool::servers_of(std::string_view group) const
+std::vector<std::string> pool::servers_known_since(std::string_view group,
+                                                   clock::time_point since) const
 {
     std::vector<std::string> names;
     if (const auto found = groups_.find(group); found != groups_.end()) {
         for (const auto& [id, server] : found->second.servers) {
-            names.push_back(id);
+            if (server->known_since <= since) {
+                names.push_back(id);
+            }
         }
     }
     return names;
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -190,7 +190,9 @@
     [[nodiscard]] freshness_tracker& freshness_of(std::string_view group);
     [[nodiscard]] std::vector<std::string> groups() const;
 
-    [[nodiscard]] std::vector<std::string> servers_of(std::string_view group) const;
+    // Returns the servers of the group that were announced at `since` or before.
+    [[nodiscard]] std::vector<std::string> servers_known_since(std::string_view group,
+                                                               clock::time_point since) const;
 
     // Takes an idle connection to the server; null if there is none.
     [[nodiscard]] std::unique_ptr<pooled_connection> take_idle_at(std::string_view group,
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -32,6 +32,7 @@
     std::uint64_t born_ms = 0;
     bool is_removed = false;
     std::uint64_t sequence = 0; // of the announcement
+    clock::time_point known_since{};
     clock::time_point announced_at{};
     clock::time_point cold_until{}; // as announced
     bool is_cold = false;           // when it was last considered
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -324,9 +324,10 @@
             "rolled back: this instance is cut off from control; use another instance");
     }
     const commit_mark mark = context_.confirmations.gate().mark(op.route->group);
+    const clock::time_point sent_at = clock::now();
     line_answer result = co_await execution_.commit(id);
-    co_return co_await confirm_commit(std::move(result), op, mark,
-                                      clock::now() + op.route->statement_timeout);
+    co_return co_await confirm_commit(std::move(result), op, mark, sent_at,
+                                      sent_at + op.route->statement_timeout);
 }
 
 net::awaitable<line_answer> session::run_write(const operation& op,
@@ -341,19 +342,22 @@
     }
     const commit_mark mark = context_.confirmations.gate().mark(op.route->group);
     line_answer result = co_await execution_.run_single(op, statement);
-    co_return co_await confirm_commit(std::move(result), op, mark,
+    // The time that it waited for a connection does not count.
+    const clock::time_point sent_at = op.began_at + execution_.connection_wait();
+    co_return co_await confirm_commit(std::move(result), op, mark, sent_at,
                                       op.began_at + op.route->statement_timeout);
 }
 
 // Returns the answer of a commit that the server acknowledged once it can't be lost any more.
 net::awaitable<line_answer> session::confirm_commit(line_answer answer, const operation& op,
-                                                    commit_mark mark, clock::time_point deadline)
+                                                    commit_mark mark, clock::time_point sent_at,
+                                                    clock::time_point deadline)
 {
     if (answer.is_error) {
         co_return answer;
     }
-    const acknowledged_commit commit{op.route->group, execution_.last_server(), answer.position,
-                                     mark};
+    const acknowledged_commit commit{
+        op.route->group, execution_.last_server(), answer.position, mark, sent_at, clock::now()};
     const bool is_confirmed =
         co_await context_.confirmations.confirm(commit, op.organisation, deadline);
     if (is_confirmed) {
--- a/src/pooler_session.h
+++ b/src/pooler_session.h
@@ -63,10 +63,10 @@
     [[nodiscard]] boost::asio::awaitable<line_answer> run_write(const operation& op,
                                                                 const server_statement& statement);
     [[nodiscard]] boost::asio::awaitable<line_answer> commit_transaction(const std::string& id);
-    [[nodiscard]] boost::asio::awaitable<line_answer> confirm_commit(line_answer answer,
-                                                                     const operation& op,
-                                                                     commit_mark mark,
-                                                                     clock::time_point deadline);
+    // `sent_at`: when the commit was passed on.
+    [[nodiscard]] boost::asio::awaitable<line_answer>
+    confirm_commit(line_answer answer, const operation& op, commit_mark mark,
+                   clock::time_point sent_at, clock::time_point deadline);
     [[nodiscard]] line_answer update_state(const line_statement& statement);
     [[nodiscard]] boost::asio::awaitable<std::optional<line_answer>> admit(operation& op);
     void refund_unused_token(const operation& op);
--- a/tests/commit_fence_test.cpp
+++ b/tests/commit_fence_test.cpp
@@ -26,7 +26,7 @@
 
 acknowledged_commit commit_at(std::uint64_t index, const commit_gate& gate)
 {
-    return {"g", "p", log_position{1, index}, gate.mark("g")};
+    return {"g", "p", log_position{1, index}, gate.mark("g"), at(0), at(5)};
 }
 
 commit_verdict decide(const commit_gate& gate, const acknowledged_commit& commit,
@@ -39,7 +39,7 @@
 commit_gate open_gate()
 {
     commit_gate gate;
-    gate.record({}, {{"g", "p"}}, at(0), at(0));
+    gate.record({}, {{"g", "p"}}, at(0), at(0), at(0));
     return gate;
 }
 
@@ -87,7 +87,7 @@
 {
     commit_gate gate = open_gate();
     gate.add(fence_for("c"), at(100));
-    const acknowledged_commit commit{"g", "c", log_position{2, 6}, gate.mark("g")};
+    const acknowledged_commit commit{"g", "c", log_position{2, 6}, gate.mark("g"), at(0), at(5)};
     CHECK(decide(gate, commit, at(110)) == commit_verdict::confirmed);
 }
 
@@ -97,7 +97,7 @@
     commit_gate gate = open_gate();
     gate.add(fence_for("c"), at(100));
     const acknowledged_commit commit = commit_at(5, gate);
-    gate.record({}, {{"g", "c"}}, at(600), at(610));
+    gate.record({}, {{"g", "c"}}, at(600), at(600), at(610));
     CHECK(gate.decide(commit, known, at(620)).servers == std::vector<std::string>{"c"});
     gate.record_position("g", "c", {1, 4}, true);
     CHECK(decide(gate, commit, at(620)) == commit_verdict::unknown);
@@ -110,10 +110,10 @@
 {
     commit_gate gate = open_gate();
     gate.add(fence_for("c"), at(100));
-    gate.record({}, {{"g", "p"}}, at(90), at(120));
+    gate.record({}, {{"g", "p"}}, at(90), at(90), at(120));
     CHECK(gate.is_fenced("g"));
     CHECK(gate.reports().at("g").id == fence_id{1, 1});
-    gate.record({}, {{"g", "p"}}, at(130), at(140));
+    gate.record({}, {{"g", "p"}}, at(130), at(130), at(140));
     CHECK(!gate.is_fenced("g"));
 }
 
@@ -123,9 +123,9 @@
     commit_gate gate = open_gate();
     const acknowledged_commit commit = commit_at(5, gate);
     CHECK(decide(gate, commit, at(commit_lease.count())) == commit_verdict::undecided);
-    gate.record({}, {{"g", "c"}}, at(3'000), at(3'000));
+    gate.record({}, {{"g", "c"}}, at(3'000), at(3'000), at(3'000));
     CHECK(gate.decide(commit, known, at(3'010)).servers == std::vector<std::string>{"c"});
-    const acknowledged_commit later{"g", "c", log_position{2, 6}, gate.mark("g")};
+    const acknowledged_commit later{"g", "c", log_position{2, 6}, gate.mark("g"), at(0), at(5)};
     CHECK(decide(gate, later, at(3'010)) == commit_verdict::confirmed);
 }
 
@@ -143,6 +143,35 @@
     CHECK(decide(gate, commit, at(800)) == commit_verdict::confirmed);
 }
 
+TEST_CASE("commit gate: what a relay knows is as doubtful as its age")
+{
+    commit_gate gate = open_gate();
+    gate.record({}, {{"g", "p"}}, at(750), at(1'000), at(1'010));
+    CHECK(decide(gate, commit_at(5, gate), at(1'250)) == commit_verdict::confirmed);
+    gate.record({}, {{"g", "p"}}, at(760), at(1'100), at(1'110));
+    CHECK(decide(gate, commit_at(5, gate), at(1'120)) == commit_verdict::unproved);
+}
+
+// Guards against a replica that starts beside a primary which is cut off from the others: it
+// receives the commits that waited, and control does not know it.
+TEST_CASE("commit gate: commits that waited at the server need an established replica")
+{
+    commit_gate gate = open_gate();
+    acknowledged_commit stalled = commit_at(5, gate);
+    stalled.acknowledged_at = at(400);
+    gate.record_acknowledged(stalled);
+    const acknowledged_commit later = commit_at(6, gate);
+    for (const acknowledged_commit& each : {stalled, later}) {
+        CHECK(gate.decide(each, known, at(410)).servers == std::vector<std::string>{"c", "d"});
+        CHECK(decide(gate, each, at(410)) == commit_verdict::unproved);
+    }
+    gate.record_position("g", "c", {1, 6}, false);
+    CHECK(decide(gate, later, at(420)) == commit_verdict::confirmed);
+    gate.record_confirmed(later);
+    gate.record({}, {{"g", "p"}}, at(400), at(400), at(410));
+    CHECK(decide(gate, commit_at(7, gate), at(420)) == commit_verdict::confirmed);
+}
+
 TEST_CASE("commit gate: the newest position that was confirmed is reported with the fence")
 {
     commit_gate gate = open_gate();
--- a/tests/promotion_model_instance.cpp
+++ b/tests/promotion_model_instance.cpp
@@ -19,8 +19,9 @@
         group_.confirm(std::move(made));
         return;
     }
-    acknowledged_commit commit{std::string(group_name), made.primary,
-                               log_position{made.term, made.index}, gate_.mark(group_name)};
+    acknowledged_commit commit{
+        std::string(group_name), made.primary, log_position{made.term, made.index},
+        gate_.mark(group_name),  group_.now(), group_.now()};
     held_.push_back({std::move(made), std::move(commit)});
 }
 
@@ -39,7 +40,7 @@
     bool has_confirmed = group_.settings().defects.ignores_fences;
     std::vector<std::string> known;
     for (const model_server& each : group_.servers()) {
-        if (group_.is_announced(each)) {
+        if (group_.is_announced(each) && group_.now() - each.announced_from >= establishing_time) {
             known.push_back(each.name);
         }
     }
@@ -69,7 +70,7 @@
 void promotion_model_instance::record(const fence_map& fences, commit_gate::primaries known,
                                       clock::time_point as_of)
 {
-    gate_.record(fences, std::move(known), as_of, group_.now());
+    gate_.record(fences, std::move(known), as_of, as_of, group_.now());
 }
 
 void promotion_model_instance::add(const fence_map& fences)
