Only CR LF ends a line of a session

Cause: session::read_line and line_connection::consume_lines ended a line at '\n' and stripped a '\r' before it, on the side of callers and on that of servers. The protocol ends lines with CR LF; a lone one belongs to the last field.

Fix: both look for the one constant `line_end`, and strip nothing. Texts and rows are passed on as they came.

--- a/src/line_connection.cpp
+++ b/src/line_connection.cpp
@@ -87,9 +87,6 @@
 
 bool line_connection::feed_line(std::string_view line, line_exchange& outcome)
 {
-    if (!line.empty() && line.back() == '\r') {
-        line.remove_suffix(1);
-    }
     switch (reader_.feed(line)) {
     case line_answer_reader::progress::malformed:
         outcome.is_broken = true;
@@ -110,7 +107,7 @@
 bool line_connection::consume_lines(std::size_t count, line_exchange& outcome)
 {
     while (outcome.answers.size() < count) {
-        const std::size_t end = buffer_.find('\n', consumed_);
+        const std::size_t end = buffer_.find(line_end, consumed_);
         if (end == std::string::npos) {
             buffer_.erase(0, consumed_);
             consumed_ = 0;
@@ -118,7 +115,7 @@
             return !outcome.is_broken;
         }
         const std::string_view line(buffer_.data() + consumed_, end - consumed_);
-        consumed_ = end + 1;
+        consumed_ = end + line_end.size();
         if (!feed_line(line, outcome)) {
             return false;
         }
--- a/src/line_dialect.h
+++ b/src/line_dialect.h
@@ -6,6 +6,9 @@
 
 namespace primrosehead {
 
+// Ends a line. A lone carriage return or line feed belongs to the text.
+inline constexpr std::string_view line_end = "\r\n";
+
 struct line_dialect {
     // Messages.
     std::string_view startup = "OPEN";
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -64,17 +64,14 @@
 net::awaitable<session::read_result> session::read_line(std::string& line)
 {
     while (true) {
-        const std::size_t end = input_.find('\n', consumed_);
+        const std::size_t end = input_.find(line_end, consumed_);
         if (end != std::string::npos) {
             line.assign(input_, consumed_, end - consumed_);
-            consumed_ = end + 1;
+            consumed_ = end + line_end.size();
             if (consumed_ == input_.size()) {
                 input_.clear();
                 consumed_ = 0;
             }
-            if (!line.empty() && line.back() == '\r') {
-                line.pop_back();
-            }
             co_return read_result::line;
         }
         if (input_.size() - consumed_ > config::max_line_bytes) {
--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -40,6 +40,7 @@
     std::size_t open_limit = std::numeric_limits<std::size_t>::max();
     std::uint64_t log_index = 1;
     bool is_replica = false;
+    std::string row; // empty: reads return none
 };
 
 line_server::line_server(const net::any_io_executor& executor)
@@ -90,6 +91,11 @@
     state_->is_replica = true;
 }
 
+void line_server::set_row(std::string row)
+{
+    state_->row = std::move(row);
+}
+
 void line_server::delay_answers(clock::duration time)
 {
     state_->answer_delay = time;
@@ -147,9 +153,11 @@
             const bool is_refused = self->is_replica && text == dialect.begin;
             in_transaction = (text == dialect.begin && !is_refused) ||
                              (in_transaction && text != dialect.commit && text != dialect.rollback);
-            answer = is_refused
-                         ? fmt::format("{} {} replica\r\n", dialect.failed, dialect.read_only)
-                         : fmt::format("{} s{}\r\n", dialect.complete, self->received.size());
+            const bool is_read = text.starts_with(dialect.read) && !self->row.empty();
+            answer = is_read ? fmt::format("{} {}\r\n", dialect.row, self->row) : "";
+            answer += is_refused
+                          ? fmt::format("{} {} replica\r\n", dialect.failed, dialect.read_only)
+                          : fmt::format("{} s{}\r\n", dialect.complete, self->received.size());
         }
         answer += fmt::format("{} {} 1.{}\r\n", dialect.ready, in_transaction ? "T" : "I",
                               self->log_index);
--- a/tests/line_server.h
+++ b/tests/line_server.h
@@ -45,6 +45,9 @@
     // From now on a replica, which begins no transaction, with this index in term 1.
     void follow(std::uint64_t log_index);
 
+    // From now on, answers each read with this row.
+    void set_row(std::string row);
+
     // Delays the answers to queries.
     void delay_answers(clock::duration time);
 
