--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -29,8 +29,11 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -666,6 +669,13 @@
     if (!notice) {
         return;
     }
+    for (const pb::commit_fence& fence : notice->reply.fences()) {
+        events.decision("promotion", "fence")
+            .field("group", fence.group())
+            .field("candidates", fmt::format("{}", fmt::join(fence.candidates(), " ")))
+            .field("serial", static_cast<std::int64_t>(fence.id().serial()))
+            .field("followers", static_cast<std::int64_t>(notice->instances.size()));
+    }
     pb::envelope message = make_envelope();
     *message.mutable_follow_answer() = notice->reply;
     for (const std::string& instance : notice->instances) {
