Log since when a server is leaving, and which statements go to it

The hypotheses of the incident could not be told apart: no instance knew since when a server was leaving, so no log line could say how long it had been leaving when a statement went to it or when its promotion was requested.

Announcements carry the time for which the server has been leaving as a duration. The directory keeps the earliest time known for a start of the server (directory_departures, also after the entry was removed), copies of the directory add the time that they have held it, and pooler instances keep the earliest time that they were told. Log lines: pool server_leaving, pool leaving_server_used (once a second for each server), leaving_ms of promotion requested. No decision uses it yet.

Tests: cell directory: the time since a server is leaving does not begin anew; a server that is first heard of while it is leaving; a copy passes on for how long.

--- a/src/cell_action_executor.cpp
+++ b/src/cell_action_executor.cpp
@@ -226,7 +226,9 @@
         .field("primary", action.evidence.primary)
         .field("received", format_position(action.evidence.received))
         .field("paused", paused)
-        .field("demoted", format_position(action.evidence.demoted));
+        .field("demoted", format_position(action.evidence.demoted))
+        .field("leaving_ms",
+               action.evidence.leaving_for.value_or(clock::duration(-1)).count());
 }
 
 net::awaitable<void> action_executor::request_promotion(std::string group,
--- a/src/cell_directory.cpp
+++ b/src/cell_directory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace primrosehead::cell {
 
@@ -49,6 +50,10 @@
 // Retention of a silent server's entry: it may have crashed, or it may be partitioned from this
 // instance and still serve others.
 constexpr clock::duration silent_retention{15'000};
+// For how long a server has been leaving that is heard of for the first time.
+constexpr clock::duration assumed_leaving_time{5'000};
+// Instances are told since when a server is leaving with this precision.
+constexpr clock::duration leaving_precision{50};
 
 bool is_newer(const pb::server_announcement& incoming, const pb::server_announcement& known)
 {
@@ -73,13 +78,6 @@
            left.is_primary() == right.is_primary() && left.born_ms() == right.born_ms();
 }
 
-pb::server_announcement with_age(const directory_entry& entry, clock::time_point now)
-{
-    pb::server_announcement aged = entry.announcement;
-    aged.set_age_ms(static_cast<std::uint32_t>((now - entry.announced_at).count()));
-    return aged;
-}
-
 // True if the server began to warm up anew or became warm.
 bool has_new_warm_up(const pb::server_announcement& next, const pb::server_announcement& known)
 {
@@ -118,6 +116,33 @@
     return std::monostate{};
 }
 
+pb::server_announcement directory::with_ages(const directory_entry& entry,
+                                             clock::time_point now) const
+{
+    pb::server_announcement aged = entry.announcement;
+    aged.set_age_ms(static_cast<std::uint32_t>((now - entry.announced_at).count()));
+    aged.clear_leaving_ms();
+    if (aged.leaving()) {
+        departures_.write_age(aged, now);
+    }
+    return aged;
+}
+
+// `is_known`: this start of the server was heard of before. Returns whether instances have to be
+// told.
+bool directory::record_leaving(const pb::server_announcement& announcement, bool is_known,
+                               clock::time_point now)
+{
+    clock::duration leaving_time = is_known ? clock::duration(0) : assumed_leaving_time;
+    if (announcement.has_leaving_ms()) {
+        leaving_time = clock::duration(announcement.leaving_ms());
+    }
+    const std::optional<clock::time_point> known = departures_.leaving_since(announcement);
+    const clock::time_point since = now - leaving_time;
+    departures_.record_leaving(announcement, since, now);
+    return !known || *known - since > leaving_precision;
+}
+
 bool directory::apply(const pb::server_announcement& announcement, clock::time_point now)
 {
     if (!ok(check_announcement(announcement))) {
@@ -130,12 +155,22 @@
         if (announcement.gone()) {
             return false;
         }
+        if (announcement.leaving()) {
+            record_leaving(announcement, false, now);
+        }
         entries_.emplace(announcement.server(), directory_entry{announcement, announced_at});
         changes_.record_change(announcement.server(), ++revision_);
         return true;
     }
     directory_entry& entry = found->second;
+    const bool is_same_start = announcement.born_ms() == entry.announcement.born_ms();
     if (!is_newer(announcement, entry.announcement)) {
+        const bool is_older_notice = is_same_start && announcement.leaving() &&
+                                     announcement.has_leaving_ms() && entry.announcement.leaving();
+        if (is_older_notice && record_leaving(announcement, true, now)) {
+            changes_.record_change(announcement.server(), ++revision_);
+            return true;
+        }
         return false;
     }
     pb::server_announcement next = announcement;
@@ -145,8 +180,15 @@
         next.set_gone(true);
         next.set_leaving(true);
     }
+    bool has_other_notice = false;
+    if (announcement.leaving()) {
+        has_other_notice = record_leaving(announcement, is_same_start, now);
+    }
+    else if (!next.gone()) {
+        departures_.forget(announcement.server());
+    }
     const bool changed =
-        !has_same_routing(next, entry.announcement) || has_new_warm_up(next, entry.announcement);
+        has_other_notice || !has_same_routing(next, entry.announcement) || has_new_warm_up(next, entry.announcement);
     entry = directory_entry{std::move(next), announced_at};
     if (changed) {
         changes_.record_change(announcement.server(), ++revision_);
@@ -159,7 +201,7 @@
     std::vector<pb::server_announcement> all;
     all.reserve(entries_.size());
     for (const auto& [name, entry] : entries_) {
-        all.push_back(with_age(entry, now));
+        all.push_back(with_ages(entry, now));
     }
     return all;
 }
@@ -176,7 +218,7 @@
     std::vector<pb::server_announcement> changed;
     for (const auto& [name, entry] : entries_) {
         if (changes_.has_changed(name, revision)) {
-            changed.push_back(with_age(entry, now));
+            changed.push_back(with_ages(entry, now));
         }
     }
     changes_.append_removed(revision, changed);
@@ -202,6 +244,7 @@
 
 void directory::evict_stale(clock::time_point now)
 {
+    departures_.expire(now);
     const std::uint64_t next_revision = revision_ + 1;
     const std::size_t evicted_count = std::erase_if(entries_, [&](const auto& item) {
         const directory_entry& entry = item.second;
--- a/src/cell_directory.h
+++ b/src/cell_directory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cell_directory_changes.h"
+#include "cell_directory_departures.h"
 #include "primrosehead.pb.h"
 
 #include <primrosehead/clock.h>
@@ -28,7 +29,8 @@
 class directory {
   public:
     // Applies an announcement unless it is invalid or a newer one of the same server is known.
-    // Returns true if this changed anything that instances route by.
+    // Returns true if this changed anything that instances route by. One that is not newer may still
+    // tell that the server has been leaving for longer.
     bool apply(const pb::server_announcement& announcement, clock::time_point now);
 
     // Increases with every change that instances route by.
@@ -37,7 +39,7 @@
     // Number of invalid announcements so far.
     [[nodiscard]] std::uint64_t rejected() const noexcept { return rejected_; }
 
-    // All servers' latest announcements, with `age_ms` as of `now`.
+    // All servers' latest announcements, with `age_ms` and `leaving_ms` as of `now`.
     [[nodiscard]] std::vector<pb::server_announcement> servers(clock::time_point now) const;
 
     // Returns the servers that changed since `revision`, removed ones as `gone`, and sets
@@ -50,12 +52,21 @@
     [[nodiscard]] std::vector<const directory_entry*> group(std::string_view name) const;
     [[nodiscard]] const directory_entry* find(std::string_view server) const;
 
+    // Since when a server is leaving.
+    [[nodiscard]] const directory_departures& departures() const noexcept { return departures_; }
+
     // Removes servers whose deregistration or last announcement is older than its retention time.
     void evict_stale(clock::time_point now);
 
   private:
+    [[nodiscard]] pb::server_announcement with_ages(const directory_entry& entry,
+                                                    clock::time_point now) const;
+    bool record_leaving(const pb::server_announcement& announcement, bool is_known,
+                        clock::time_point now);
+
     std::map<std::string, directory_entry, std::less<>> entries_;
     directory_changes changes_;
+    directory_departures departures_;
     std::uint64_t revision_ = 0;
     std::uint64_t rejected_ = 0;
 };
--- a/src/cell_directory_copy.cpp
+++ b/src/cell_directory_copy.cpp
@@ -1,11 +1,22 @@
 #include "cell_directory_copy.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace primrosehead::cell {
 
+pb::server_announcement directory_copy::with_age(const copied_server& server, clock::time_point now)
+{
+    pb::server_announcement aged = server.announcement;
+    if (aged.has_leaving_ms()) {
+        const clock::duration held = std::max(clock::duration(0), now - server.as_of);
+        aged.set_leaving_ms(aged.leaving_ms() + static_cast<std::uint32_t>(held.count()));
+    }
+    return aged;
+}
+
 // Replaces all servers. Those that were in the copy and are not listed count as removed.
-void directory_copy::assign(const pb::follow_reply& reply)
+void directory_copy::assign(const pb::follow_reply& reply, clock::time_point asked_at)
 {
     const std::uint64_t revision = reply.directory_revision();
     if (reply.control_term() != term_) {
@@ -14,7 +25,7 @@
     auto previous = std::exchange(servers_, {});
     for (const pb::server_announcement& server : reply.servers()) {
         changes_.record_change(server.server(), revision);
-        servers_.insert_or_assign(server.server(), server);
+        servers_.insert_or_assign(server.server(), copied_server{server, asked_at});
         previous.erase(server.server());
     }
     for (const auto& [name, server] : previous) {
@@ -26,7 +37,7 @@
     revision_ = revision;
 }
 
-bool directory_copy::apply(const pb::follow_reply& reply)
+bool directory_copy::apply(const pb::follow_reply& reply, clock::time_point asked_at)
 {
     const std::uint64_t revision = reply.directory_revision();
     const bool is_same_term = reply.control_term() == term_;
@@ -36,7 +47,7 @@
         return false;
     }
     if (reply.servers_size() > 0 && reply.directory_base_revision() == 0) {
-        assign(reply);
+        assign(reply, asked_at);
         has_changed = true;
     }
     else if (reply.servers_size() > 0 && is_same_term && revision > revision_ &&
@@ -48,7 +59,7 @@
                 continue;
             }
             changes_.record_change(server.server(), revision);
-            servers_.insert_or_assign(server.server(), server);
+            servers_.insert_or_assign(server.server(), copied_server{server, asked_at});
         }
         revision_ = revision;
         has_changed = true;
@@ -66,6 +77,7 @@
 }
 
 std::vector<pb::server_announcement> directory_copy::changes_for(const pb::follow_request& request,
+                                                                 clock::time_point now,
                                                                  std::uint64_t& base_revision) const
 {
     const std::uint64_t held = request.directory_revision();
@@ -75,7 +87,7 @@
     std::vector<pb::server_announcement> changes;
     for (const auto& [name, server] : servers_) {
         if (!has_delta || changes_.has_changed(name, held)) {
-            changes.push_back(server);
+            changes.push_back(with_age(server, now));
         }
     }
     if (has_delta) {
@@ -84,12 +96,12 @@
     return changes;
 }
 
-std::vector<pb::server_announcement> directory_copy::servers() const
+std::vector<pb::server_announcement> directory_copy::servers(clock::time_point now) const
 {
     std::vector<pb::server_announcement> all;
     all.reserve(servers_.size());
     for (const auto& [name, server] : servers_) {
-        all.push_back(server);
+        all.push_back(with_age(server, now));
     }
     return all;
 }
@@ -97,7 +109,7 @@
 const pb::server_announcement* directory_copy::find(std::string_view server) const
 {
     const auto found = servers_.find(server);
-    return found == servers_.end() ? nullptr : &found->second;
+    return found == servers_.end() ? nullptr : &found->second.announcement;
 }
 
 } // namespace primrosehead::cell
--- a/src/cell_relay.cpp
+++ b/src/cell_relay.cpp
@@ -91,7 +91,7 @@
         return;
     }
     std::uint64_t base_revision = 0;
-    std::vector<pb::server_announcement> changes = directory_.changes_for(request, base_revision);
+    std::vector<pb::server_announcement> changes = directory_.changes_for(request, now, base_revision);
     offer_directory(reply_pacer_, request, std::move(changes), base_revision, now, reply);
 }
 
@@ -454,7 +454,7 @@
     if (reply.has_document()) {
         document_ = reply.document();
     }
-    directory_.apply(reply);
+    directory_.apply(reply, asked_at);
     static_cast<void>(peers_.apply(reply));
     request_pacer_.record_answer(reply.sequence(), clock::duration(reply.retry_after_ms()), now);
     latest_ = reply;
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -313,6 +313,7 @@
         fmt::format("{0} {1} {2}\r\n{0} - {3}\r\n", context_.dialect.query, statement.id,
                     statement.text, context_.dialect.rollback);
     const clock::time_point sent_at = clock::now();
+    context_.connections.log_use(*server, sent_at);
     context_.connections.record_start(*server);
     line_exchange result = co_await exchange(*connection, queries, 2, deadline);
     const clock::time_point now = clock::now();
@@ -406,6 +407,7 @@
     const std::string queries =
         fmt::format("{}{} {} {}\r\n", setup.queries, dialect.query, statement.id, statement.text);
     const clock::time_point sent_at = clock::now();
+    context_.connections.log_use(*server, sent_at);
     context_.connections.record_start(*server);
     line_exchange result = co_await exchange(*connection, queries, setup.count + 1, deadline);
     const clock::time_point now = clock::now();
@@ -816,6 +818,7 @@
             co_return std::move(*refusal);
         }
         const clock::time_point sent_at = clock::now();
+        context_.connections.log_use(*server, sent_at);
         result = co_await exchange(*connection_, queries, setup.count + 1, deadline);
         const clock::time_point now = clock::now();
         context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -449,11 +449,11 @@
 
 void follower::apply_directory(const pb::follow_reply& reply, clock::time_point now)
 {
-    if (directory_.apply(reply)) {
+    if (directory_.apply(reply, from_ms(reply.asked_at_ms()))) {
         if (reply.servers_size() > 0 && reply.directory_base_revision() == 0) {
             plan_.hasten(); // tells the sender that the large part has arrived
         }
-        connections_.set_servers(directory_.servers(), directory_.is_complete(), now);
+        connections_.set_servers(directory_.servers(now), directory_.is_complete(), now);
     }
 }
 
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -41,6 +41,7 @@
 // Bounds of what is logged about ignored announcements.
 constexpr std::size_t max_logged_ignored = 16;
 constexpr std::size_t max_logged_name_bytes = 128;
+constexpr clock::duration leaving_use_log_interval{1'000};
 
 } // namespace
 
@@ -153,13 +154,50 @@
         server->announced_at = now - clock::duration(announcement.age_ms());
         server->cold_until = server->announced_at + clock::duration(announcement.warm_up_left_ms());
     }
-    server->is_leaving = announcement.leaving();
     server->claims_primary = announcement.is_primary();
+    update_departure(*server, announcement, now);
     if (is_evacuated(*server)) {
         close_idle(*server); // its failure domain has changed
     }
 }
 
+void pool::update_departure(pooled_server& server, const pb::server_announcement& announcement,
+                            clock::time_point now)
+{
+    server.is_leaving = announcement.leaving();
+    if (!announcement.leaving()) {
+        departures_.forget(server.id);
+        server.leaving_since.reset();
+        return;
+    }
+    const bool is_known = server.leaving_since.has_value();
+    departures_.record_leaving(announcement, now - clock::duration(announcement.leaving_ms()), now);
+    server.leaving_since = departures_.leaving_since(announcement);
+    if (!is_known) {
+        events_.decision("pool", "server_leaving")
+            .field("server", server.id)
+            .field("group", server.group)
+            .field("leaving_ms", (now - *server.leaving_since).count())
+            .field("sequence", static_cast<std::int64_t>(server.sequence))
+            .field("primary", announcement.is_primary());
+    }
+}
+
+void pool::log_use(pooled_server& server, clock::time_point now)
+{
+    const bool is_due = server.leaving_use_logged_at == clock::time_point{} ||
+                        now - server.leaving_use_logged_at >= leaving_use_log_interval;
+    if (!server.leaving_since || !is_due) {
+        return;
+    }
+    server.leaving_use_logged_at = now;
+    events_.decision("pool", "leaving_server_used")
+        .field("server", server.id)
+        .field("group", server.group)
+        .field("leaving_ms", (now - *server.leaving_since).count())
+        .field("primary", state_of(server.group).primary.likely_primary(now));
+}
+
 // Logs the announcements that were not ignored before.
 void pool::log_ignored(std::map<std::string, std::string, std::less<>> ignored)
 {
@@ -838,6 +876,7 @@
 
 void pool::evict_idle(clock::time_point now)
 {
+    departures_.expire(now);
     for (auto& [name, state] : groups_) {
         const std::uint32_t share =
             divide_connections(state.connection_limit, state.instances).kept;
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -2,6 +2,7 @@
 // for a connection. Single-threaded.
 #pragma once
 
+#include "cell_directory_departures.h"
 #include "document_regions.h"
 #include "line_dialect.h"
 #include "pooler_connection.h"
@@ -160,6 +161,9 @@
     // Returns a connection to the pool. Closes it if its state is unknown (`is_clean` is false).
     void release(std::unique_ptr<pooled_connection> connection, bool is_clean);
 
+    // Logs that a statement goes to the server if it is leaving, at most once a second.
+    void log_use(pooled_server& server, clock::time_point now);
+
     // Counts a statement as running at the server, for placement.
     void record_start(pooled_server& server) { ++server.running; }
 
@@ -270,6 +274,8 @@
     void close_idle(pooled_server& server);
     void update_primary_candidates(group_state& state);
     void update_server(const pb::server_announcement& announcement, clock::time_point now);
+    void update_departure(pooled_server& server, const pb::server_announcement& announcement,
+                          clock::time_point now);
     void log_ignored(std::map<std::string, std::string, std::less<>> ignored);
     static void admit_queued_statements(pooled_server& server, clock::time_point now);
 
@@ -282,6 +288,7 @@
     std::map<std::string, group_state, std::less<>> groups_;
     std::map<std::string, std::string, std::less<>> ignored_; // errors of ignored announcements
     evacuations evacuations_;
+    cell::directory_departures departures_;
     pool_stats stats_;
     bool learns_concurrency_ = false;
 };
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -28,6 +28,8 @@
     std::uint32_t slots = 1;
     bool is_local = false;
     bool is_leaving = false;
+    std::optional<clock::time_point> leaving_since; // the earliest known
+    clock::time_point leaving_use_logged_at{};
     bool claims_primary = false;
     std::uint64_t born_ms = 0;
     bool is_removed = false;
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -42,6 +42,7 @@
     bool claims_primary = false;
     std::uint64_t born_ms = 0;
     bool is_outside_regions = false; // of those that all routes of the group allow
+    std::optional<clock::duration> leaving_for; // none: not leaving, or unknown
 };
 
 // The group's latest decision in the replicated state.
@@ -109,6 +110,7 @@
     log_position received;
     std::map<std::string, log_position> paused; // the other replicas
     std::optional<log_position> demoted;        // log of the old primary
+    std::optional<clock::duration> leaving_for; // of the candidate
 };
 // Requests a promotion from the platform.
 struct request_promotion {
--- a/src/promotion_planner_decision.cpp
+++ b/src/promotion_planner_decision.cpp
@@ -376,6 +376,9 @@
 {
     promotion_evidence basis;
     basis.primary = old_primary_;
+    if (const member* const candidate = find_member(candidate_)) {
+        basis.leaving_for = candidate->leaving_for;
+    }
     for (const auto& [server, state] : servers_) {
         if (server == candidate_ && state.status) {
             basis.received = state.status->received;
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -1,4 +1,5 @@
 #include "cell_directory.h"
+#include "cell_directory_copy.h"
 #include "cell_members.h"
 #include "cell_service.h"
 #include "cell_share_allocator.h"
@@ -176,6 +177,82 @@
     CHECK(servers.group("kura").size() == 1);
 }
 
+TEST_CASE("cell directory: the time since a server is leaving does not begin anew")
+{
+    cell::directory servers;
+    pb::server_announcement leaving = announcement("s1", 5);
+    leaving.set_leaving(true);
+    const auto leaving_ms = [](const cell::directory& known, std::int64_t now) {
+        return known.servers(at(now)).front().leaving_ms();
+    };
+    CHECK(servers.apply(announcement("s1", 4), at(0)));
+    CHECK(servers.apply(leaving, at(1'000)));
+    SUBCASE("with further announcements")
+    {
+        leaving.set_sequence(6);
+        CHECK(!servers.apply(leaving, at(2'200)));
+        CHECK(leaving_ms(servers, 3'000) == 2'000);
+    }
+    SUBCASE("at another control instance, which may have heard of it later")
+    {
+        cell::directory other;
+        other.apply(announcement("s1", 4), at(0));
+        leaving.set_sequence(6);
+        other.apply(leaving, at(2'200));
+        const std::uint64_t revision = other.revision();
+        CHECK(other.apply(servers.servers(at(3'000)).front(), at(3'010)));
+        CHECK(other.revision() > revision);
+        CHECK(leaving_ms(other, 3'010) == 2'000);
+        CHECK(!servers.apply(other.servers(at(4'000)).front(), at(4'000)));
+        CHECK(leaving_ms(servers, 4'000) == 3'000);
+    }
+    SUBCASE("after its entry was removed, as it was silent")
+    {
+        servers.evict_stale(at(17'000));
+        REQUIRE(servers.find("s1") == nullptr);
+        leaving.set_sequence(7);
+        servers.apply(leaving, at(18'000));
+        CHECK(leaving_ms(servers, 18'000) == 17'000);
+    }
+    SUBCASE("but with a restart of the server")
+    {
+        pb::server_announcement restarted = announcement("s1", 1);
+        restarted.set_born_ms(200);
+        CHECK(servers.apply(restarted, at(2'000)));
+        CHECK(!servers.servers(at(2'000)).front().has_leaving_ms());
+        restarted.set_sequence(2);
+        restarted.set_leaving(true);
+        servers.apply(restarted, at(4'000));
+        CHECK(leaving_ms(servers, 4'500) == 500);
+    }
+}
+
+TEST_CASE("cell directory: a server that is first heard of while it is leaving has no whole period")
+{
+    cell::directory servers;
+    pb::server_announcement leaving = announcement("s1", 5);
+    leaving.set_leaving(true);
+    CHECK(servers.apply(leaving, at(0)));
+    CHECK(servers.servers(at(0)).front().leaving_ms() == 5'000);
+}
+
+TEST_CASE("cell directory: a copy passes on for how long a server has been leaving by now")
+{
+    pb::follow_reply reply;
+    reply.set_control_term(1);
+    reply.set_directory_revision(1);
+    pb::server_announcement& leaving = *reply.add_servers();
+    leaving = announcement("s1", 5);
+    leaving.set_leaving(true);
+    leaving.set_leaving_ms(2'000);
+    cell::directory_copy copy;
+    CHECK(copy.apply(reply, at(100)));
+    std::uint64_t base = 0;
+    pb::follow_request request;
+    CHECK(copy.changes_for(request, at(4'100), base).front().leaving_ms() == 6'000);
+    CHECK(copy.servers(at(4'100)).front().leaving_ms() == 6'000);
+}
+
 TEST_CASE("cell shares: shares in use never exceed 100 % when replies are lost")
 {
     constexpr std::size_t instances = 5;
--- a/tests/fleet_start_test.cpp
+++ b/tests/fleet_start_test.cpp
@@ -317,7 +317,7 @@
             receiver.plan.hasten();
         }
         const bool is_full = reply.servers_size() > 0 && reply.directory_base_revision() == 0;
-        if (receiver.directory.apply(reply) && is_full) {
+        if (receiver.directory.apply(reply, from_ms(reply.asked_at_ms())) && is_full) {
             receiver.plan.hasten();
         }
         if (use == pooler::reply_use::all) {
@@ -506,8 +506,8 @@
     cell::directory_copy copy;
     pb::follow_reply stray = reply_since(2, 1);
     CHECK(stray.servers_size() == 2);
-    CHECK(!copy.apply(stray)); // a delta without the revision that it applies to
-    CHECK(copy.apply(reply_since(0, 1)));
+    CHECK(!copy.apply(stray, at(5))); // a delta without the revision that it applies to
+    CHECK(copy.apply(reply_since(0, 1), at(5)));
     const pb::follow_reply full = reply_since(0, 1);
     pb::server_announcement gone;
     gone.set_server(announcement(1).server());
@@ -515,22 +515,22 @@
     servers.apply(gone, at(10));
     const pb::follow_reply delta = reply_since(4, 1);
     CHECK(delta.servers_size() == 1);
-    CHECK(!copy.apply(reply_since(4, 2))); // another term
-    CHECK(copy.apply(delta));
-    CHECK(!copy.apply(full)); // late
+    CHECK(!copy.apply(reply_since(4, 2), at(10))); // another term
+    CHECK(copy.apply(delta, at(10)));
+    CHECK(!copy.apply(full, at(10))); // late
     CHECK(copy.find(gone.server())->gone());
     servers.evict_stale(at(20'000)); // silent servers; the deregistered one is kept
     const pb::follow_reply evicted = reply_since(copy.revision(), 1);
     CHECK(evicted.directory_base_revision() != 0);
-    CHECK(copy.apply(evicted));
-    CHECK(copy.servers().size() == 1);
-    CHECK(copy.apply(reply_since(0, 2))); // all servers of a new leader
+    CHECK(copy.apply(evicted, at(20'000)));
+    CHECK(copy.servers(at(10)).size() == 1);
+    CHECK(copy.apply(reply_since(0, 2), at(10))); // all servers of a new leader
     CHECK(copy.term() == 2);
     pb::follow_request request;
     request.set_control_term(1);
     request.set_directory_revision(copy.revision());
     std::uint64_t base = 1;
-    CHECK(copy.changes_for(request, base).size() == 1);
+    CHECK(copy.changes_for(request, at(10), base).size() == 1);
     CHECK(base == 0); // held by a follower of the previous leader
     CHECK(reply_since(servers.revision() + 5, 1).directory_base_revision() == 0); // unknown
 }
--- a/tests/pooler_fixture.cpp
+++ b/tests/pooler_fixture.cpp
@@ -126,11 +126,24 @@
     control.receive(reply, clock::now());
 }
 
+void pooler_fixture::announce_leaving(clock::duration time)
+{
+    pb::follow_reply reply = make_follow_reply(++sequence_);
+    reply.set_directory_base_revision(directory_revision_);
+    reply.set_directory_revision(++directory_revision_);
+    pb::server_announcement& leaving = add_server(reply, "server-1", this->server.address());
+    leaving.set_is_primary(true);
+    leaving.set_leaving(true);
+    leaving.set_sequence(2);
+    leaving.set_leaving_ms(static_cast<std::uint32_t>(time.count()));
+    control.receive(reply, clock::now());
+}
+
 void pooler_fixture::add_primary(std::string_view name, std::string_view failure_domain,
                                  std::string_view address)
 {
     pb::follow_reply reply = make_follow_reply(++sequence_);
-    reply.set_directory_revision(2);
+    reply.set_directory_revision(++directory_revision_);
     add_server(reply, name, address, failure_domain);
     pb::group_lead& lead = *reply.add_leads();
     lead.set_group("g");
--- a/tests/pooler_fixture.h
+++ b/tests/pooler_fixture.h
@@ -53,6 +53,9 @@
     // Receives the evacuated failure domains as of a version of the replicated state.
     void evacuate(const std::vector<std::string>& domains, std::uint64_t version);
 
+    // Announces that "server-1", the primary, has been leaving for `time`.
+    void announce_leaving(clock::duration time);
+
     // Announces a further server of the group, which control reports as the primary.
     void add_primary(std::string_view name, std::string_view failure_domain,
                      std::string_view address);
@@ -76,6 +79,7 @@
   private:
     std::shared_ptr<const document> document_;
     std::uint64_t sequence_ = 0;
+    std::uint64_t directory_revision_ = 1;
 };
 
 } // namespace primrosehead::testing
