--- a/tests/pooler_directory_test.cpp
+++ b/tests/pooler_directory_test.cpp
@@ -103,6 +103,50 @@
     CHECK(instance.connections.find_server("h", "s") == nullptr);
 }
 
+TEST_CASE("pooler directory: an outdated announcement does not make a leaving server ready")
+{
+    pooler_fixture instance;
+    pb::server_announcement leaving = announcement("s", "g", 5);
+    leaving.set_leaving(true);
+    leaving.set_leaving_ms(2'000);
+    leaving.set_born_ms(100);
+    pb::server_announcement outdated = announcement("s", "g", 4);
+    outdated.set_born_ms(100);
+    SUBCASE("of the same start") {}
+    SUBCASE("of an earlier start")
+    {
+        outdated.set_born_ms(50);
+        outdated.set_sequence(9);
+    }
+    instance.connections.set_servers({&leaving, 1}, true, clock::now());
+    instance.connections.set_servers({&outdated, 1}, true, clock::now());
+    const auto known = instance.connections.find_server("g", "s");
+    REQUIRE(known);
+    CHECK(known->is_leaving);
+    CHECK(known->born_ms == 100);
+
+    pb::server_announcement restarted = announcement("s", "g", 1);
+    restarted.set_born_ms(200);
+    instance.connections.set_servers({&restarted, 1}, true, clock::now());
+    CHECK(!instance.connections.find_server("g", "s")->is_leaving);
+}
+
+TEST_CASE("pooler directory: an outdated announcement does not bring back a deregistered server")
+{
+    pooler_fixture instance;
+    pb::server_announcement known = announcement("s", "g", 5);
+    known.set_born_ms(100);
+    pb::server_announcement gone = known;
+    gone.set_gone(true);
+    instance.connections.set_servers({&known, 1}, true, clock::now());
+    instance.connections.set_servers({&gone, 1}, true, clock::now());
+    instance.connections.set_servers({&known, 1}, true, clock::now());
+    CHECK(instance.connections.find_server("g", "s") == nullptr);
+    known.set_born_ms(200);
+    instance.connections.set_servers({&known, 1}, true, clock::now());
+    CHECK(instance.connections.find_server("g", "s") != nullptr);
+}
+
 TEST_CASE("pooler directory: groups of entries that are gone are not kept")
 {
     pooler_fixture instance;
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -353,6 +353,40 @@
     CHECK(has_begun);
 }
 
+TEST_CASE("promotion planner: a leaving server that was promoted hands over to a complete replica")
+{
+    planner group_planner = steady_plan();
+    std::vector<member> leaving = group;
+    leaving[2].is_leaving = true;
+    std::int64_t began_at = 0;
+    std::uint64_t r1_index = 0;
+    SUBCASE("it has caught up")
+    {
+        r1_index = 20;
+    }
+    SUBCASE("it has not")
+    {
+        r1_index = 10;
+    }
+    for (std::int64_t now = 1'020; now <= 4'000 && began_at == 0; now += 20) {
+        group_planner.on_not_primary("p", at(now));
+        group_planner.on_primary("r2", {2, 20}, at(now), at(now));
+        server_status r1 = replica_at(r1_index);
+        r1.received.term = r1_index == 20 ? 2 : 1;
+        group_planner.on_status("r1", r1, at(now), at(now));
+        if (find_action<begin_decision>(advance_fenced(group_planner, leaving, {}, at(now))) !=
+            nullptr) {
+            began_at = now;
+        }
+    }
+    if (r1_index == 20) {
+        CHECK(began_at < 1'200);
+    }
+    else {
+        CHECK(began_at >= 2'500); // after the cooldown
+    }
+}
+
 TEST_CASE("promotion planner: an interrupted decision is finished by the next leader")
 {
     decision_record open{4, {}};
