No operation begins at a primary that has been leaving for its period

Callers saw: nothing; requests were served by a server that had announced its exit more than 7 s before and could end at any moment.

Cause: pool::candidates left out leaving servers for reads that any server may run only. For what a primary runs, and for a server that a home was given, nobody asked, for as long as it led: while the platform refuses or delays promotions, or if the leaving server was itself promoted at the end of its time.

Fix: pool::may_begin_at compares the time for which the server has been leaving with the period (setting leaving_ms), less 300 ms. It is asked when a server is chosen, when its connection is handed over, and again for what is queued. What only that server could run is refused at once, as without a primary. Open transactions go on.

--- a/src/deployment_settings.cpp
+++ b/src/deployment_settings.cpp
@@ -36,6 +36,7 @@
   "listen": {"type": "string", "minLength": 1, "description": "IP:PORT for callers"},
   "readiness_listen": {"type": "string", "minLength": 1, "description": "IP:PORT for the load balancer's probe"},
   "max_connections": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"},
+  "leaving_ms": {"type": "integer", "minimum": 500, "description": "milliseconds, 500 or more"},
   "evacuation_ms": {"type": "integer", "minimum": 500, "description": "milliseconds, 500 or more"},
   "homes_per_server": {"type": "integer", "minimum": 1, "description": "a count of 1 or more"},
   "learned_concurrency": {"type": "boolean", "description": "true or false"}
@@ -108,6 +109,7 @@
     read_field(object, "listen", settings.listen);
     read_field(object, "readiness_listen", settings.readiness_listen);
     read_field(object, "max_connections", settings.max_connections);
+    read_field(object, "leaving_ms", settings.leaving);
     read_field(object, "evacuation_ms", settings.evacuation);
     read_field(object, "homes_per_server", settings.homes_per_server);
     read_field(object, "learned_concurrency", settings.learns_concurrency);
--- a/src/deployment_settings.h
+++ b/src/deployment_settings.h
@@ -38,6 +38,7 @@
     std::string listen;           // IP:PORT for callers
     std::string readiness_listen; // IP:PORT for the load balancer's readiness probe
     std::uint32_t max_connections = 4'000;
+    clock::duration leaving{7'000};    // nothing new reaches a server that is leaving after this
     clock::duration evacuation{5'000}; // nothing reaches an evacuated domain after this
     std::uint32_t homes_per_server = 1;
     // Limits the statements at a server by the learned concurrency, without a home too.
--- a/src/pooler_follower.cpp
+++ b/src/pooler_follower.cpp
@@ -51,6 +51,7 @@
       homes_(settings.instance, settings.regions, settings.homes_per_server)
 {
     set_seeds(settings.control);
+    connections_.set_leaving_period(settings.leaving);
     connections_.set_evacuation_bound(settings.evacuation);
     connections_.set_regions(settings.regions);
 }
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -42,6 +42,8 @@
 constexpr std::size_t max_logged_ignored = 16;
 constexpr std::size_t max_logged_name_bytes = 128;
 constexpr clock::duration leaving_use_log_interval{1'000};
+// Time for a statement's way to its server, and for the age of what is known of the server.
+constexpr clock::duration leaving_margin{300};
 
 } // namespace
 
@@ -339,11 +341,18 @@
     state.instances = std::max(1U, instances);
 }
 
+bool pool::may_begin_at(const pooled_server& server, clock::time_point now) const
+{
+    const bool has_left = server.leaving_since &&
+                          now - *server.leaving_since >= leaving_period_ - leaving_margin;
+    return !has_left && !is_evacuated(server);
+}
+
 bool pool::can_reach_primary(const group_state& state, clock::time_point now) const
 {
     const auto known = state.servers.find(state.primary.likely_primary(now));
     return known != state.servers.end() && !known->second->is_avoided(now) &&
-           !is_evacuated(*known->second);
+           may_begin_at(*known->second, now);
 }
 
 // No candidate without an error: the request waits for a server that is cold.
@@ -355,7 +364,7 @@
     if (!request.pinned_server.empty()) {
         const auto pinned = state.servers.find(request.pinned_server);
         if (pinned == state.servers.end() || pinned->second->is_avoided(now) ||
-            is_evacuated(*pinned->second)) {
+            !may_begin_at(*pinned->second, now)) {
             error = acquire_error::no_server;
         }
         else if (may_start(state, *pinned->second, share, now)) {
@@ -685,7 +694,7 @@
             co_return outcome;
         }
         const std::shared_ptr<pooled_server> server = queued.assigned->server;
-        if (is_evacuated(*server)) { // since it was assigned
+        if (!may_begin_at(*server, clock::now())) { // since it was assigned
             queued.assigned->connection.reset();
             --server->open;
             continue;
@@ -697,12 +706,12 @@
             queued.assigned->connection.reset(); // closed by the server; a new one replaces it
             outcome.connection = co_await open(server, request, clock::now() + open_timeout);
         }
-        if (outcome.connection && !is_evacuated(*server)) {
+        if (outcome.connection && may_begin_at(*server, clock::now())) {
             outcome.connection->holds_start = queued.assigned->is_cold;
             outcome.connection->share = request.share;
             co_return outcome;
         }
-        if (outcome.connection) { // evacuated while it was being opened
+        if (outcome.connection) { // closed to new operations while it was being opened
             release(std::move(outcome.connection), false);
         }
         dispatch(state);
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -129,6 +129,14 @@
         return evacuations_.must_end_transactions(server.failure_domain, now);
     }
 
+    // Nothing new reaches a server that has been leaving for `period`.
+    void set_leaving_period(clock::duration period) noexcept { leaving_period_ = period; }
+
+    // False if no operation may begin at the server: its failure domain is evacuated, it has
+    // deregistered, or it has been leaving for its whole period. To be asked after every wait before
+    // the operation's first statement goes out.
+    [[nodiscard]] bool may_begin_at(const pooled_server& server, clock::time_point now) const;
+
     // Makes servers that are announced from now on learn their concurrency. Off by default.
     void learn_concurrency(bool is_enabled) { learns_concurrency_ = is_enabled; }
 
@@ -289,6 +297,7 @@
     std::map<std::string, std::string, std::less<>> ignored_; // errors of ignored announcements
     evacuations evacuations_;
     cell::directory_departures departures_;
+    clock::duration leaving_period_{7'000};
     pool_stats stats_;
     bool learns_concurrency_ = false;
 };
