An operation's first statement is checked against the leaving server after every wait

Callers saw: nothing; their transactions began at a server that was about to exit, and were broken off there.

Cause: the server was checked when its connection was acquired. A transaction's connection is acquired at BEGIN, before its caller has made the first statement; a read at the primary is sent after the answer to BEGIN; a first statement waits for a slot and is repeated after BUSY. Each wait may reach beyond the server's period.

Fix: may_begin_at is asked again before the first statement of an operation is sent, and for a connection that was acquired ahead, which is dropped for another one. It replaces the check for evacuated servers there.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -309,6 +309,13 @@
         context_.connections.release(std::move(connection), false);
         co_return outcome;
     }
+    if (!context_.connections.may_begin_at(*server, clock::now())) { // since BEGIN was sent
+        context_.connections.release(std::move(connection), false);
+        co_return attempt_result{next_step::retry,
+                                 make_error_answer(answer_cause::no_primary, context_.dialect.busy,
+                                                   "not run: the primary is leaving"),
+                                 server_contact::none};
+    }
     const std::string queries =
         fmt::format("{0} {1} {2}\r\n{0} - {3}\r\n", context_.dialect.query, statement.id,
                     statement.text, context_.dialect.rollback);
@@ -536,6 +543,7 @@
     transaction_ = op;
     is_open_ = true;
     is_read_only_ = read_only;
+    has_begun_ = false;
     has_written_ = false;
     has_reached_server_ = false;
     excluded_servers_.clear();
@@ -556,6 +564,7 @@
     transaction_ = op;
     is_open_ = true;
     is_read_only_ = read_only;
+    has_begun_ = false;
 }
 
 net::awaitable<void> execution::run_prefetch(std::shared_ptr<connection_prefetch> prefetch)
@@ -583,7 +592,7 @@
     connection_wait_ += clock::now() - asked_at;
     execution& opener = prefetch->opener;
     connection_ = std::move(opener.connection_);
-    if (connection_ && context_.connections.is_evacuated(*connection_->server)) {
+    if (connection_ && !context_.connections.may_begin_at(*connection_->server, clock::now())) {
         context_.connections.release(std::move(connection_), false); // no statement has run
     }
     attempts_ = opener.attempts_;
@@ -717,17 +726,30 @@
     return refusal;
 }
 
+// Checks what may have changed while the transaction's next statement waited. Rolls it back if the
+// statement may not be sent.
+std::optional<line_answer> execution::check_before_sending(const pooled_server& server)
+{
+    std::optional<line_answer> refusal = check_transaction_right();
+    if (!refusal && !has_begun_ && !context_.connections.may_begin_at(server, clock::now())) {
+        roll_back();
+        refusal = make_refusal(is_read_only_ ? acquire_error::no_server : acquire_error::no_primary,
+                               transaction_);
+    }
+    return refusal;
+}
+
 bool execution::must_end(clock::time_point now) const
 {
     return connection_ && context_.connections.must_end_transactions(*connection_->server, now);
 }
 
-void execution::drop_evacuated_prefetch()
+void execution::drop_closed_prefetch(clock::time_point now)
 {
-    const bool is_evacuated =
+    const bool is_closed =
         prefetch_ && prefetch_->is_finished && prefetch_->opener.connection_ &&
-        context_.connections.is_evacuated(*prefetch_->opener.connection_->server);
-    if (is_evacuated) {
+        !context_.connections.may_begin_at(*prefetch_->opener.connection_->server, now);
+    if (is_closed) {
         prefetch_.reset();
     }
 }
@@ -812,7 +834,7 @@
         if (!may_run) {
             co_return abort_unsent(*server);
         }
-        std::optional<line_answer> refusal = check_transaction_right();
+        std::optional<line_answer> refusal = check_before_sending(*server);
         if (refusal) {
             context_.connections.cancel_start(*server);
             co_return std::move(*refusal);
@@ -839,6 +861,7 @@
         }
         co_await sleep_for(context_.executor, busy_retry_delay);
     }
+    has_begun_ = true;
     line_answer answer = std::move(result.answers.back());
     has_written_ = has_written_ || statement.is_write;
     if (answer.is_error) {
@@ -870,7 +893,7 @@
         if (!may_run) {
             co_return abort_unsent(*server);
         }
-        std::optional<line_answer> refusal = check_transaction_right();
+        std::optional<line_answer> refusal = check_before_sending(*server);
         if (refusal) {
             context_.connections.cancel_start(*server);
             refusal->code = dialect.aborted;
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -103,9 +103,9 @@
     // finish there is over.
     [[nodiscard]] bool must_end(clock::time_point now) const;
 
-    // Closes a connection acquired in the background if its server has been evacuated. The
-    // transaction's first statement then acquires another one.
-    void drop_evacuated_prefetch();
+    // Closes a connection acquired in the background if no operation may begin at its server any
+    // more. The transaction's first statement then acquires another one.
+    void drop_closed_prefetch(clock::time_point now);
 
     // Server of the last statement and the number of attempts, for the log.
     [[nodiscard]] const std::string& last_server() const noexcept { return last_server_; }
@@ -216,6 +216,7 @@
                                                   clock::time_point deadline) const;
     [[nodiscard]] line_answer abort_unsent(const pooled_server& server);
     [[nodiscard]] std::optional<line_answer> check_transaction_right();
+    [[nodiscard]] std::optional<line_answer> check_before_sending(const pooled_server& server);
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
     [[nodiscard]] attempt_result classify_read(pooled_server& server, line_answer answer);
     [[nodiscard]] attempt_result classify_write(pooled_server& server, line_answer answer,
@@ -229,6 +230,7 @@
 
     bool is_open_ = false;
     bool is_read_only_ = false;
+    bool has_begun_ = false; // its server has run a statement
     bool has_written_ = false;
     operation transaction_;
     std::unique_ptr<pooled_connection> connection_;
--- a/src/pooler_session.cpp
+++ b/src/pooler_session.cpp
@@ -562,7 +562,7 @@
     if (is_busy_ || !execution_.is_open()) {
         return;
     }
-    execution_.drop_evacuated_prefetch();
+    execution_.drop_closed_prefetch(now);
     if (execution_.must_end(now)) {
         abort_transaction("the server's failure domain is being evacuated");
         is_abort_unreported_ = true;
--- a/tests/pooler_evacuation_test.cpp
+++ b/tests/pooler_evacuation_test.cpp
@@ -136,7 +136,7 @@
     SUBCASE("at its first statement") {}
     SUBCASE("before its first statement")
     {
-        execution.drop_evacuated_prefetch();
+        execution.drop_closed_prefetch(clock::now());
         CHECK(instance.connections.stats().open == 0);
     }
     pooler::server_statement statement;
