--- a/src/cell_action_executor.cpp
+++ b/src/cell_action_executor.cpp
@@ -227,8 +227,7 @@
         .field("received", format_position(action.evidence.received))
         .field("paused", paused)
         .field("demoted", format_position(action.evidence.demoted))
-        .field("leaving_ms",
-               action.evidence.leaving_for.value_or(clock::duration(-1)).count());
+        .field("leaving_ms", action.evidence.leaving_for.value_or(clock::duration(-1)).count());
 }
 
 net::awaitable<void> action_executor::request_promotion(std::string group,
--- a/src/cell_directory_copy.h
+++ b/src/cell_directory_copy.h
@@ -18,14 +18,14 @@
 
 class directory_copy {
   public:
-    // Applies the directory part of a reply to a request that was sent at `asked_at`. A part of an earlier term or revision, or a delta of a
-    // revision that this copy has not reached, is ignored. Returns true if the servers or the
-    // completeness changed.
+    // Applies the directory part of a reply to a request that was sent at `asked_at`. A part of an
+    // earlier term or revision, or a delta of a revision that this copy has not reached, is
+    // ignored. Returns true if the servers or the completeness changed.
     bool apply(const pb::follow_reply& reply, clock::time_point asked_at);
 
     // Returns the changes since the revision that the requester holds, or all servers.
-    // `base_revision` is set to the revision that the changes apply to; 0: all servers. The servers'
-    // `leaving_ms` is as of `now`.
+    // `base_revision` is set to the revision that the changes apply to; 0: all servers. The
+    // servers' `leaving_ms` is as of `now`.
     [[nodiscard]] std::vector<pb::server_announcement>
     changes_for(const pb::follow_request& request, clock::time_point now,
                 std::uint64_t& base_revision) const;
--- a/src/cell_relay.cpp
+++ b/src/cell_relay.cpp
@@ -91,7 +91,8 @@
         return;
     }
     std::uint64_t base_revision = 0;
-    std::vector<pb::server_announcement> changes = directory_.changes_for(request, now, base_revision);
+    std::vector<pb::server_announcement> changes =
+        directory_.changes_for(request, now, base_revision);
     offer_directory(reply_pacer_, request, std::move(changes), base_revision, now, reply);
 }
 
