A pooler instance applies no outdated announcement of a server

Callers would see: requests at a server that has said that it leaves, or that has deregistered.

Cause: pool::update_server applied whatever the leader of the moment listed. A new leader may hold an older announcement than the instance, as only the control instance that receives an announcement and the leader of that time keep it.

Fix: an instance keeps the order that the directory keeps (start, sequence, deregistered).

--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -163,6 +163,19 @@
     }
 }
 
+bool pool::is_outdated(const pb::server_announcement& announcement) const
+{
+    const std::shared_ptr<pooled_server> known =
+        find_server(announcement.group(), announcement.server());
+    if (!known) {
+        return false;
+    }
+    const bool has_same_start = announcement.born_ms() == known->born_ms ||
+                                announcement.born_ms() == 0 || known->born_ms == 0;
+    return has_same_start ? announcement.sequence() < known->sequence
+                          : announcement.born_ms() < known->born_ms;
+}
+
 void pool::update_departure(pooled_server& server, const pb::server_announcement& announcement,
                             clock::time_point now)
 {
@@ -223,6 +236,12 @@
     for (const pb::server_announcement& announcement : servers) {
         if (announcement.gone()) {
             gone.insert(announcement.server());
+            if (!announcement.group().empty()) { // else it was only silent
+                departures_.record_gone(announcement, now);
+            }
+            continue;
+        }
+        if (departures_.is_gone(announcement)) {
             continue;
         }
         if (const status checked = cell::check_announcement(announcement); !ok(checked)) {
@@ -233,7 +252,9 @@
             continue;
         }
         listed.insert_or_assign(announcement.server(), announcement.group());
-        update_server(announcement, now);
+        if (!is_outdated(announcement)) {
+            update_server(announcement, now);
+        }
     }
     log_ignored(std::move(ignored));
     for (auto& [name, state] : groups_) {
@@ -245,6 +266,7 @@
                 !was_listed && (is_complete || is_elsewhere || gone.contains(item.first));
             if (is_removed) {
                 item.second->is_removed = true;
+                item.second->is_gone = gone.contains(item.first);
                 close_idle(*item.second);
             }
             return is_removed;
@@ -343,9 +365,9 @@
 
 bool pool::may_begin_at(const pooled_server& server, clock::time_point now) const
 {
-    const bool has_left = server.leaving_since &&
-                          now - *server.leaving_since >= leaving_period_ - leaving_margin;
-    return !has_left && !is_evacuated(server);
+    const bool has_left =
+        server.leaving_since && now - *server.leaving_since >= leaving_period_ - leaving_margin;
+    return !has_left && !server.is_gone && !is_evacuated(server);
 }
 
 bool pool::can_reach_primary(const group_state& state, clock::time_point now) const
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -133,8 +133,8 @@
     void set_leaving_period(clock::duration period) noexcept { leaving_period_ = period; }
 
     // False if no operation may begin at the server: its failure domain is evacuated, it has
-    // deregistered, or it has been leaving for its whole period. To be asked after every wait before
-    // the operation's first statement goes out.
+    // deregistered, or it has been leaving for its whole period. To be asked after every wait
+    // before the operation's first statement goes out.
     [[nodiscard]] bool may_begin_at(const pooled_server& server, clock::time_point now) const;
 
     // Makes servers that are announced from now on learn their concurrency. Off by default.
@@ -282,6 +282,8 @@
     void close_idle(pooled_server& server);
     void update_primary_candidates(group_state& state);
     void update_server(const pb::server_announcement& announcement, clock::time_point now);
+    // True if more recent knowledge of the server holds. A new leader may not have it.
+    [[nodiscard]] bool is_outdated(const pb::server_announcement& announcement) const;
     void update_departure(pooled_server& server, const pb::server_announcement& announcement,
                           clock::time_point now);
     void log_ignored(std::map<std::string, std::string, std::less<>> ignored);
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -33,6 +33,7 @@
     bool claims_primary = false;
     std::uint64_t born_ms = 0;
     bool is_removed = false;
+    bool is_gone = false;       // it has deregistered
     std::uint64_t sequence = 0; // of the announcement
     clock::time_point known_since{};
     clock::time_point announced_at{};
