A leaving server that was promoted hands over before the cooldown ends

Callers saw: a group without a primary, or one that was about to exit, for longer than needed.

Cause: a server that is leaving is promoted if it alone has all commits.

Fix: within the cooldown a leaving primary is replaced once a server that stays has what the primary had at the check before last. The positions of replicas are asked for meanwhile. Otherwise the cooldown holds as before.

--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -71,6 +71,7 @@
         return;
     }
     primary_lost_at_.reset();
+    earlier_position_ = primary_ == server ? primary_position_ : position;
     if (primary_ != server) {
         primary_ = server;
         steady_since_ = now;
@@ -365,6 +366,16 @@
     });
 }
 
+bool planner::has_complete_successor() const
+{
+    return std::any_of(members_.begin(), members_.end(), [&](const member& each) {
+        const auto found = servers_.find(each.server);
+        return each.server != primary_ && !each.is_leaving && found != servers_.end() &&
+               !found->second.failing_since && found->second.status &&
+               found->second.status->received >= earlier_position_;
+    });
+}
+
 std::string planner::change_reason(clock::time_point now) const
 {
     if (primary_.empty()) {
@@ -378,7 +389,11 @@
     if (is_primary_down(now)) {
         return "the primary does not answer";
     }
-    if (now - steady_since_ < settings_.cooldown) {
+    // A primary that was promoted while it was leaving has little time left to hand over.
+    if (primary->is_leaving && is_cooling_down(now) && has_complete_successor()) {
+        return "the primary is leaving";
+    }
+    if (is_cooling_down(now)) {
         return {};
     }
     if (primary->is_leaving && has_successor(false)) {
@@ -515,6 +530,9 @@
                                            : settings_.replica_check_interval,
                        now);
         }
+        if (each.server != primary_ && primary->is_leaving && is_cooling_down(now)) {
+            request_status(each, settings_.check_interval, now);
+        }
     }
     resume_paused_replicas(record, now);
 }
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -41,7 +41,7 @@
     bool is_leaving = false;
     bool claims_primary = false;
     std::uint64_t born_ms = 0;
-    bool is_outside_regions = false; // of those that all routes of the group allow
+    bool is_outside_regions = false;            // of those that all routes of the group allow
     std::optional<clock::duration> leaving_for; // none: not leaving, or unknown
 };
 
@@ -275,9 +275,15 @@
     void resume_paused_replicas(const decision_record& record, clock::time_point now);
     [[nodiscard]] std::string change_reason(clock::time_point now) const;
     [[nodiscard]] bool is_primary_down(clock::time_point now) const;
+    [[nodiscard]] bool is_cooling_down(clock::time_point now) const
+    {
+        return now - steady_since_ < settings_.cooldown;
+    }
     [[nodiscard]] bool is_failing_for_instances(clock::time_point now) const;
     // `must_be_inside`: only a server inside the allowed regions counts.
     [[nodiscard]] bool has_successor(bool must_be_inside) const;
+    // Returns whether a server that stays has all that the primary had at the check before last.
+    [[nodiscard]] bool has_complete_successor() const;
     void start_decision(const decision_record& record, std::string reason, clock::time_point now);
     [[nodiscard]] bool is_fencing() const noexcept
     {
@@ -330,6 +336,7 @@
     // At first the time of the start: before `phase_started_at_`, so that it counts as unconfirmed.
     clock::time_point primary_confirmed_at_{};
     log_position primary_position_;
+    log_position earlier_position_; // of the primary, at the check before
     std::uint64_t latest_term_ = 0;
     clock::time_point steady_since_;
     clock::time_point resume_from_;
