Every control instance knows of a departure once it is acknowledged

Callers would see: requests at a leaving server after its period, if the control leader fails right after it has acknowledged the departure: the next leader begins the time anew, and instances that start then know no other.

Cause: an announcement was kept by the control instance that received it and by the leader only.

Fix: the leader passes a departure on to all control instances as soon as it learns of it; the others keep what is passed on to them. What a forwarding instance knows of the time goes with the announcement. Log line directory server: leaving_ms, from.

Test: tests/system/leaving_notice; before, one of three control instances knew of the departure.

--- a/src/cell_directory.cpp
+++ b/src/cell_directory.cpp
@@ -187,8 +187,8 @@
     else if (!next.gone()) {
         departures_.forget(announcement.server());
     }
-    const bool changed =
-        has_other_notice || !has_same_routing(next, entry.announcement) || has_new_warm_up(next, entry.announcement);
+    const bool changed = has_other_notice || !has_same_routing(next, entry.announcement) ||
+                         has_new_warm_up(next, entry.announcement);
     entry = directory_entry{std::move(next), announced_at};
     if (changed) {
         changes_.record_change(announcement.server(), ++revision_);
@@ -242,6 +242,13 @@
     return found == entries_.end() ? nullptr : &found->second;
 }
 
+std::optional<pb::server_announcement> directory::announcement_of(std::string_view server,
+                                                                  clock::time_point now) const
+{
+    const directory_entry* const entry = find(server);
+    return entry == nullptr ? std::nullopt : std::optional(with_ages(*entry, now));
+}
+
 void directory::evict_stale(clock::time_point now)
 {
     departures_.expire(now);
--- a/src/cell_directory.h
+++ b/src/cell_directory.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,8 +30,8 @@
 class directory {
   public:
     // Applies an announcement unless it is invalid or a newer one of the same server is known.
-    // Returns true if this changed anything that instances route by. One that is not newer may still
-    // tell that the server has been leaving for longer.
+    // Returns true if this changed anything that instances route by. One that is not newer may
+    // still tell that the server has been leaving for longer.
     bool apply(const pb::server_announcement& announcement, clock::time_point now);
 
     // Increases with every change that instances route by.
@@ -51,6 +52,9 @@
     // The servers of a group that have not deregistered.
     [[nodiscard]] std::vector<const directory_entry*> group(std::string_view name) const;
     [[nodiscard]] const directory_entry* find(std::string_view server) const;
+    // Returns the server's latest announcement with its ages as of `now`, to be passed on.
+    [[nodiscard]] std::optional<pb::server_announcement>
+    announcement_of(std::string_view server, clock::time_point now) const;
 
     // Since when a server is leaving.
     [[nodiscard]] const directory_departures& departures() const noexcept { return departures_; }
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -148,6 +148,9 @@
     void remove_silent_member(clock::time_point now);
     void request_membership(clock::time_point now);
     void forward_announcements();
+    bool apply_announcement(const pb::server_announcement& announcement, std::string_view from,
+                            clock::time_point now);
+    void pass_on_departure(const std::string& server, clock::time_point now);
     void record_deferred_replies();
     void record_rejected_announcements(clock::time_point now);
     void reload_settings();
@@ -546,6 +549,42 @@
     }
 }
 
+// Returns whether this changed anything that instances route by.
+bool instance::implementation::apply_announcement(const pb::server_announcement& announcement,
+                                                  std::string_view from, clock::time_point now)
+{
+    if (!servers.apply(announcement, now)) {
+        return false;
+    }
+    const directory_entry* const known = servers.find(announcement.server());
+    const auto since = servers.departures().leaving_since(known->announcement);
+    events.decision("directory", announcement.gone() ? "server_gone" : "server")
+        .field("server", announcement.server())
+        .field("group", known->announcement.group())
+        .field("address", known->announcement.address())
+        .field("primary", known->announcement.is_primary())
+        .field("leaving", known->announcement.leaving())
+        .field("leaving_ms", since ? (now - *since).count() : -1)
+        .field("sequence", static_cast<std::int64_t>(announcement.sequence()))
+        .field("from", from);
+    return true;
+}
+
+// The next leader has to know since when a server is leaving if this one fails right after it has
+// acknowledged that.
+void instance::implementation::pass_on_departure(const std::string& server, clock::time_point now)
+{
+    const std::optional<pb::server_announcement> known = servers.announcement_of(server, now);
+    if (!known || !known->leaving()) {
+        return;
+    }
+    pb::envelope message = make_envelope();
+    *message.mutable_announce() = *known;
+    for (const std::string& endpoint : control_endpoints()) {
+        bus_connection->messages().send(endpoint, message);
+    }
+}
+
 // Counts and logs the large replies that were deferred since the last call.
 void instance::implementation::record_deferred_replies()
 {
@@ -748,8 +787,9 @@
 {
     const clock::time_point now = clock::now();
     const bool taken = is_leader(now);
-    if (taken) {
-        servers.apply(message.announce(), now);
+    const bool has_changed = apply_announcement(message.announce(), message.from(), now);
+    if (taken && has_changed) {
+        pass_on_departure(message.announce().server(), now);
     }
     if (message.correlation() != 0) {
         pb::envelope response = make_envelope();
@@ -914,21 +954,18 @@
 instance::implementation::announce(const pb::server_announcement& announcement)
 {
     const clock::time_point now = clock::now();
-    const bool changed = servers.apply(announcement, now);
-    if (changed) {
-        events.decision("directory", announcement.gone() ? "server_gone" : "server")
-            .field("server", announcement.server())
-            .field("group", announcement.group())
-            .field("address", announcement.address())
-            .field("primary", announcement.is_primary())
-            .field("leaving", announcement.leaving())
-            .field("sequence", static_cast<std::int64_t>(announcement.sequence()));
-    }
+    const bool has_changed = apply_announcement(announcement, {}, now);
     if (is_leader(now)) {
+        if (has_changed) {
+            pass_on_departure(announcement.server(), now);
+        }
         co_return std::monostate{};
     }
     pb::envelope request = make_envelope();
     *request.mutable_announce() = announcement;
+    if (announcement.leaving()) {
+        servers.departures().write_age(*request.mutable_announce(), now);
+    }
     const std::optional<pb::envelope> reply = co_await request_from_leader(request);
     if (!reply || !reply->announce_answer().taken()) {
         co_return no_leader_error();
