A confirmation of a leaving primary ends once a replica is complete

Cause: a leader that continues an interrupted decision confirms the present primary. If it learns only then that this primary is leaving, or the primary says so then, it went on requesting the same confirmation until the platform answered (10 requests in 9 s), and did not look for a successor.

Fix: the decision is made again, with a higher number that outdates the earlier requests, once a replica that stays has what the primary had at the check before last. Without one the confirmation goes on, so that replicas are resumed and catch up.

Test, failed before: promotion planner: the confirmation of a primary ends if it is leaving.

--- a/src/promotion_planner_decision.cpp
+++ b/src/promotion_planner_decision.cpp
@@ -405,6 +405,9 @@
     if (is_primary_known && primary_ != candidate_ && primary_ != old_primary_) {
         return "another server became the primary";
     }
+    if (is_reconfirmation_ && find_member(candidate_)->is_leaving && has_complete_successor()) {
+        return "the confirmed primary is leaving";
+    }
     if (!leads && is_reconfirmation_ &&
         now - std::max(primary_confirmed_at_, phase_started_at_) >= settings_.primary_timeout) {
         return "the confirmed server is not the primary";
@@ -447,6 +450,12 @@
             check_role(each, settings_.order_retry_interval / 2, now);
         }
     }
+    const member* const candidate = find_member(candidate_);
+    if (is_reconfirmation_ && candidate != nullptr && candidate->is_leaving) {
+        for (const member& each : members_) {
+            request_status(each, settings_.check_interval, now);
+        }
+    }
     const bool leads = primary_ == candidate_ && primary_confirmed_at_ >= phase_started_at_;
     const bool leads_now = leads && is_recently_confirmed(now);
     // A promotion that took effect has ended all pauses.
--- a/tests/promotion_planner_test.cpp
+++ b/tests/promotion_planner_test.cpp
@@ -410,6 +410,36 @@
     CHECK(group_planner.fence()->serial == serial);
 }
 
+TEST_CASE("promotion planner: the confirmation of a primary ends if it is leaving")
+{
+    planner group_planner("kura", {"p", group, {}}, {}, at(0));
+    decision_record open{1, {}}; // an earlier leader was interrupted
+    std::vector<member> members = group;
+    bool is_confirmed = false;
+    std::string requested;
+    for (std::int64_t now = 20; now <= 4'000; now += 20) {
+        members[0].is_leaving = now > 1'500;
+        group_planner.on_primary("p", {1, 10}, at(now), at(now));
+        for (const char* const replica : {"r1", "r2"}) {
+            group_planner.on_status(replica, replica_at(10, now > 1'600 ? 2 : 0), at(now), at(now));
+        }
+        for (const action& each : advance_recorded(group_planner, members, open, at(now))) {
+            if (const auto* const begin = std::get_if<begin_decision>(&each)) {
+                open.number = begin->number;
+            }
+            if (const auto* const pause = std::get_if<pause_replica>(&each)) {
+                group_planner.on_paused(pause->server, open.number, replica_at(10, 2), at(now));
+            }
+            if (const auto* const request = std::get_if<request_promotion>(&each)) {
+                is_confirmed = is_confirmed || request->server == "p";
+                requested = request->server; // the platform does not answer
+            }
+        }
+    }
+    CHECK(is_confirmed);
+    CHECK(requested != "p");
+}
+
 TEST_CASE("promotion planner: an interrupted decision is finished by the next leader")
 {
     decision_record open{4, {}};
