Pool: whether a server leaves or is listed is kept once

pooled_server::is_leaving followed from leaving_since; is_gone repeated is_removed, and was set for servers that were only silent too, unlike its comment. may_begin_at asks is_removed. One edge is stricter: a server that is not listed any more, or has restarted, gets no first statement over a connection that was acquired or opened before; the operation gets another server, as with a deregistered one.

--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -179,13 +179,12 @@
 void pool::update_departure(pooled_server& server, const pb::server_announcement& announcement,
                             clock::time_point now)
 {
-    server.is_leaving = announcement.leaving();
     if (!announcement.leaving()) {
         departures_.forget(server.id);
         server.leaving_since.reset();
         return;
     }
-    const bool is_known = server.leaving_since.has_value();
+    const bool is_known = server.is_leaving();
     departures_.record_leaving(announcement, now - clock::duration(announcement.leaving_ms()), now);
     server.leaving_since = departures_.leaving_since(announcement);
     if (!is_known) {
@@ -200,9 +199,7 @@
 
 void pool::log_use(pooled_server& server, clock::time_point now)
 {
-    const bool is_due = server.leaving_use_logged_at == clock::time_point{} ||
-                        now - server.leaving_use_logged_at >= leaving_use_log_interval;
-    if (!server.leaving_since || !is_due) {
+    if (!server.is_leaving() || now - server.leaving_use_logged_at < leaving_use_log_interval) {
         return;
     }
     server.leaving_use_logged_at = now;
@@ -266,7 +263,6 @@
                 !was_listed && (is_complete || is_elsewhere || gone.contains(item.first));
             if (is_removed) {
                 item.second->is_removed = true;
-                item.second->is_gone = gone.contains(item.first);
                 close_idle(*item.second);
             }
             return is_removed;
@@ -367,7 +363,7 @@
 {
     const bool has_left =
         server.leaving_since && now - *server.leaving_since >= leaving_period_ - leaving_margin;
-    return !has_left && !server.is_gone && !is_evacuated(server);
+    return !has_left && !server.is_removed && !is_evacuated(server);
 }
 
 bool pool::can_reach_primary(const group_state& state, clock::time_point now) const
@@ -420,7 +416,7 @@
             std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
             request.excluded_servers.end();
         if (!was_tried && !server->is_avoided(now) && !server->is_lagging(now) &&
-            !server->is_leaving && !is_evacuated(*server)) {
+            !server->is_leaving() && !is_evacuated(*server)) {
             if (may_start(state, *server, share, now)) {
                 found.push_back(server);
             }
@@ -683,7 +679,7 @@
     return std::all_of(state.servers.begin(), state.servers.end(), [&](const auto& item) {
         const pooled_server& server = *item.second;
         const bool is_candidate =
-            request.role == required_role::any ? !server.is_leaving : server.id == primary_id;
+            request.role == required_role::any ? !server.is_leaving() : server.id == primary_id;
         return !is_candidate || has_stalled(server.served_at, server.expected_latency_ms(now), now);
     });
 }
@@ -752,7 +748,7 @@
 {
     const std::shared_ptr<pooled_server> server = connection->server;
     const bool is_kept =
-        is_clean && !server->is_removed && !server->is_leaving && !is_evacuated(*server);
+        is_clean && !server->is_removed && !server->is_leaving() && !is_evacuated(*server);
     if (is_kept) {
         connection->last_used_at = clock::now();
         server->idle.push_back(std::move(connection));
@@ -920,7 +916,7 @@
                 const clock::duration unused = now - connection->last_used_at;
                 const bool is_excess = excess > 0 && unused > surplus_idle_timeout;
                 excess -= is_excess ? 1 : 0;
-                return is_excess || unused > idle_timeout || each.is_leaving;
+                return is_excess || unused > idle_timeout || each.is_leaving();
             });
             each.open -= static_cast<std::uint32_t>(closed);
         }
--- a/src/pooler_pool.h
+++ b/src/pooler_pool.h
@@ -132,8 +132,8 @@
     // Nothing new reaches a server that has been leaving for `period`.
     void set_leaving_period(clock::duration period) noexcept { leaving_period_ = period; }
 
-    // False if no operation may begin at the server: its failure domain is evacuated, it has
-    // deregistered, or it has been leaving for its whole period. To be asked after every wait
+    // False if no operation may begin at the server: its failure domain is evacuated, it is not
+    // listed any more, or it has been leaving for its whole period. To be asked after every wait
     // before the operation's first statement goes out.
     [[nodiscard]] bool may_begin_at(const pooled_server& server, clock::time_point now) const;
 
--- a/src/pooler_server.h
+++ b/src/pooler_server.h
@@ -27,13 +27,11 @@
     std::string failure_domain;
     std::uint32_t slots = 1;
     bool is_local = false;
-    bool is_leaving = false;
-    std::optional<clock::time_point> leaving_since; // the earliest known
+    std::optional<clock::time_point> leaving_since; // the earliest known; none: not leaving
     clock::time_point leaving_use_logged_at{};
     bool claims_primary = false;
     std::uint64_t born_ms = 0;
-    bool is_removed = false;
-    bool is_gone = false;       // it has deregistered
+    bool is_removed = false;    // no longer listed, or restarted
     std::uint64_t sequence = 0; // of the announcement
     clock::time_point known_since{};
     clock::time_point announced_at{};
@@ -75,6 +73,8 @@
     void record_opened() noexcept;
     void record_lag(clock::time_point now);
 
+    [[nodiscard]] bool is_leaving() const { return leaving_since.has_value(); }
+
     // Returns the average latency, which decays to the default as the last measurement ages.
     [[nodiscard]] double expected_latency_ms(clock::time_point now) const;
     // True when statements spend most of their time in the server's queue.
--- a/tests/pooler_directory_test.cpp
+++ b/tests/pooler_directory_test.cpp
@@ -122,13 +122,13 @@
     instance.connections.set_servers({&outdated, 1}, true, clock::now());
     const auto known = instance.connections.find_server("g", "s");
     REQUIRE(known);
-    CHECK(known->is_leaving);
+    CHECK(known->is_leaving());
     CHECK(known->born_ms == 100);
 
     pb::server_announcement restarted = announcement("s", "g", 1);
     restarted.set_born_ms(200);
     instance.connections.set_servers({&restarted, 1}, true, clock::now());
-    CHECK(!instance.connections.find_server("g", "s")->is_leaving);
+    CHECK(!instance.connections.find_server("g", "s")->is_leaving());
 }
 
 TEST_CASE("pooler directory: an outdated announcement does not bring back a deregistered server")
