Planner: one condition for replicas that stay, one loop that asks for statuses

has_successor, has_complete_successor and staying_replica repeated the condition; two branches gave the same reason for a change; three loops requested the status of every member. No change of behaviour.

--- a/src/promotion_planner.cpp
+++ b/src/promotion_planner.cpp
@@ -213,17 +213,16 @@
     const member* best = nullptr;
     log_position best_received;
     for (const member& each : members_) {
-        const auto found = servers_.find(each.server);
-        if (each.server == primary_ || each.is_leaving || found == servers_.end() ||
-            found->second.failing_since) {
+        const server_state* const state = find_successor(each);
+        if (state == nullptr) {
             continue;
         }
         if (fence_ && fence_->candidates.contains(each.server)) {
             return each.server;
         }
-        if (best == nullptr || found->second.reported > best_received) {
+        if (best == nullptr || state->reported > best_received) {
             best = &each;
-            best_received = found->second.reported;
+            best_received = state->reported;
         }
     }
     return best == nullptr ? std::string() : best->server;
@@ -340,6 +339,13 @@
     }
 }
 
+void planner::request_all_status(clock::duration interval, clock::time_point now)
+{
+    for (const member& each : members_) {
+        request_status(each, interval, now);
+    }
+}
+
 void planner::check_for_primary(clock::time_point now)
 {
     for (const member& each : members_) {
@@ -387,23 +393,27 @@
     return failing > served && is_significant;
 }
 
+// None unless the server is a replica that stays and does not fail to answer.
+const planner::server_state* planner::find_successor(const member& each) const
+{
+    const auto found = servers_.find(each.server);
+    const bool is_usable = each.server != primary_ && !each.is_leaving && found != servers_.end() &&
+                           !found->second.failing_since;
+    return is_usable ? &found->second : nullptr;
+}
+
 bool planner::has_successor(bool must_be_inside) const
 {
     return std::any_of(members_.begin(), members_.end(), [&](const member& each) {
-        const auto found = servers_.find(each.server);
-        const bool answers = found != servers_.end() && !found->second.failing_since;
-        return each.server != primary_ && !each.is_leaving && answers &&
-               !(must_be_inside && each.is_outside_regions);
+        return find_successor(each) != nullptr && !(must_be_inside && each.is_outside_regions);
     });
 }
 
 bool planner::has_complete_successor() const
 {
     return std::any_of(members_.begin(), members_.end(), [&](const member& each) {
-        const auto found = servers_.find(each.server);
-        return each.server != primary_ && !each.is_leaving && found != servers_.end() &&
-               !found->second.failing_since && found->second.status &&
-               found->second.status->received >= earlier_position_;
+        const server_state* const state = find_successor(each);
+        return state != nullptr && state->status && state->status->received >= earlier_position_;
     });
 }
 
@@ -421,15 +431,13 @@
         return "the primary does not answer";
     }
     // A primary that was promoted while it was leaving has little time left to hand over.
-    if (primary->is_leaving && is_cooling_down(now) && has_complete_successor()) {
+    const bool is_cooling = is_cooling_down(now);
+    if (primary->is_leaving && (is_cooling ? has_complete_successor() : has_successor(false))) {
         return "the primary is leaving";
     }
-    if (is_cooling_down(now)) {
+    if (is_cooling) {
         return {};
     }
-    if (primary->is_leaving && has_successor(false)) {
-        return "the primary is leaving";
-    }
     if (primary->is_outside_regions && has_successor(true)) {
         return "the primary is outside the allowed regions";
     }
--- a/src/promotion_planner.h
+++ b/src/promotion_planner.h
@@ -281,6 +281,7 @@
         return now - steady_since_ < settings_.cooldown;
     }
     [[nodiscard]] bool is_failing_for_instances(clock::time_point now) const;
+    [[nodiscard]] const server_state* find_successor(const member& each) const;
     // `must_be_inside`: only a server inside the allowed regions counts.
     [[nodiscard]] bool has_successor(bool must_be_inside) const;
     // Returns whether a server that stays has all that the primary had at the check before last.
@@ -322,6 +323,7 @@
     void advance_calling(const decision_record& record, clock::time_point now);
     void check_role(const member& target, clock::duration interval, clock::time_point now);
     void request_status(const member& target, clock::duration interval, clock::time_point now);
+    void request_all_status(clock::duration interval, clock::time_point now);
 
     std::string group_;
     std::uint32_t fleet_size_ = 1;
--- a/src/promotion_planner_decision.cpp
+++ b/src/promotion_planner_decision.cpp
@@ -218,9 +218,7 @@
 // Pauses the other replicas, again if they restarted or joined meanwhile.
 void planner::maintain_fence(clock::time_point now)
 {
-    for (const member& each : members_) {
-        request_status(each, settings_.order_retry_interval / 2, now);
-    }
+    request_all_status(settings_.order_retry_interval / 2, now);
     pause_other_replicas(now);
     if (are_others_paused()) {
         not_paused_since_.reset();
@@ -325,9 +323,7 @@
         }
         return;
     }
-    for (const member& each : members_) {
-        request_status(each, settings_.order_retry_interval / 2, now);
-    }
+    request_all_status(settings_.order_retry_interval / 2, now);
     const member* const requested = find_requested();
     const bool is_requested_back =
         requested != nullptr && requested->server != candidate_ && !is_candidate_paused_;
@@ -452,9 +448,7 @@
     }
     const member* const candidate = find_member(candidate_);
     if (is_reconfirmation_ && candidate != nullptr && candidate->is_leaving) {
-        for (const member& each : members_) {
-            request_status(each, settings_.check_interval, now);
-        }
+        request_all_status(settings_.check_interval, now);
     }
     const bool leads = primary_ == candidate_ && primary_confirmed_at_ >= phase_started_at_;
     const bool leads_now = leads && is_recently_confirmed(now);
