--- a/src/cell_directory_departures.cpp
+++ b/src/cell_directory_departures.cpp
@@ -61,6 +61,14 @@
                                                                         : std::nullopt;
 }
 
+std::optional<clock::duration>
+directory_departures::leaving_for(const pb::server_announcement& announcement,
+                                  clock::time_point now) const
+{
+    const std::optional<clock::time_point> since = leaving_since(announcement);
+    return since ? std::optional(std::max(clock::duration(0), now - *since)) : std::nullopt;
+}
+
 bool directory_departures::is_gone(const pb::server_announcement& announcement) const
 {
     const departure* const known = find(announcement);
@@ -70,9 +78,8 @@
 void directory_departures::write_age(pb::server_announcement& announcement,
                                      clock::time_point now) const
 {
-    if (const std::optional<clock::time_point> since = leaving_since(announcement)) {
-        const clock::duration age = std::max(clock::duration(0), now - *since);
-        announcement.set_leaving_ms(static_cast<std::uint32_t>(age.count()));
+    if (const std::optional<clock::duration> age = leaving_for(announcement, now)) {
+        announcement.set_leaving_ms(static_cast<std::uint32_t>(age->count()));
     }
 }
 
--- a/src/cell_directory_departures.h
+++ b/src/cell_directory_departures.h
@@ -31,6 +31,9 @@
     // None if this start of the server is not known to be leaving.
     [[nodiscard]] std::optional<clock::time_point>
     leaving_since(const pb::server_announcement& announcement) const;
+    // For how long it has been leaving.
+    [[nodiscard]] std::optional<clock::duration>
+    leaving_for(const pb::server_announcement& announcement, clock::time_point now) const;
     // True if this start of the server, or a later one, has deregistered.
     [[nodiscard]] bool is_gone(const pb::server_announcement& announcement) const;
 
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -557,14 +557,14 @@
         return false;
     }
     const directory_entry* const known = servers.find(announcement.server());
-    const auto since = servers.departures().leaving_since(known->announcement);
+    const auto leaving_for = servers.departures().leaving_for(known->announcement, now);
     events.decision("directory", announcement.gone() ? "server_gone" : "server")
         .field("server", announcement.server())
         .field("group", known->announcement.group())
         .field("address", known->announcement.address())
         .field("primary", known->announcement.is_primary())
         .field("leaving", known->announcement.leaving())
-        .field("leaving_ms", since ? (now - *since).count() : -1)
+        .field("leaving_ms", leaving_for.value_or(clock::duration(-1)).count())
         .field("sequence", static_cast<std::int64_t>(announcement.sequence()))
         .field("from", from);
     return true;
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -100,9 +100,7 @@
                                evacuated.contains(entry->announcement.failure_domain()),
                            entry->announcement.is_primary(), entry->announcement.born_ms()});
         const auto region = settings_.regions.find(entry->announcement.failure_domain());
-        if (const auto since = servers.departures().leaving_since(entry->announcement)) {
-            members.back().leaving_for = now - *since;
-        }
+        members.back().leaving_for = servers.departures().leaving_for(entry->announcement, now);
         members.back().is_outside_regions = !regions.contains(
             region == settings_.regions.end() ? std::string_view() : region->second);
     }
