--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -169,4 +170,10 @@
     }
 }
 
+std::size_t count(const line_server& server, std::string_view query)
+{
+    return static_cast<std::size_t>(
+        std::count(server.received().begin(), server.received().end(), query));
+}
+
 } // namespace primrosehead::testing
--- a/tests/line_server.h
+++ b/tests/line_server.h
@@ -60,4 +60,7 @@
     std::shared_ptr<state> state_;
 };
 
+// Returns how often the server received the query.
+[[nodiscard]] std::size_t count(const line_server& server, std::string_view query);
+
 } // namespace primrosehead::testing
--- a/tests/pooler_fixture.cpp
+++ b/tests/pooler_fixture.cpp
@@ -16,6 +16,8 @@
 
 #include <array>
 #include <chrono>
+#include <exception>
+#include <utility>
 #include <vector>
 
 namespace primrosehead::testing {
@@ -116,6 +118,15 @@
     control.receive(shares, clock::now());
 }
 
+void pooler_fixture::start(std::function<net::awaitable<line_answer>()> statement,
+                           std::optional<line_answer>& answer)
+{
+    net::co_spawn(io, std::move(statement),
+                  [&answer](const std::exception_ptr&, line_answer received) {
+                      answer = std::move(received);
+                  });
+}
+
 void pooler_fixture::evacuate(const std::vector<std::string>& domains, std::uint64_t version)
 {
     pb::follow_reply reply = make_follow_reply(++sequence_);
--- a/tests/pooler_fixture.h
+++ b/tests/pooler_fixture.h
@@ -15,11 +15,13 @@
 
 #include <primrosehead/clock.h>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,6 +52,10 @@
     // `time` after the last lines.
     std::string exchange(std::string_view lines, clock::duration time, std::string_view later = {});
 
+    // Starts to run a statement. Its answer is set once it is there.
+    void start(std::function<boost::asio::awaitable<line_answer>()> statement,
+               std::optional<line_answer>& answer);
+
     // Receives the evacuated failure domains as of a version of the replicated state.
     void evacuate(const std::vector<std::string>& domains, std::uint64_t version);
 
