--- a/review/7/case.py
+++ b/review/7/case.py
@@ -149,6 +149,7 @@
     await asyncio.sleep(1.5)
     primary.crash()  # for good
     lost_at = time.monotonic()
+    asyncio.get_running_loop().call_later(0.5, setattr, other, "receives_nothing", False)
     while time.monotonic() - lost_at < WATCHED_S and group.primary is primary:
         await asyncio.sleep(0.1)
     await asyncio.sleep(1.0)
