--- a/review/9/case.py
+++ b/review/9/case.py
@@ -43,16 +43,19 @@
 
 
 async def run(fleet):
-    group = Group(fleet, "kura")
-    platform = await serve_platform(fleet, [group])
+    # Three services of three servers, as in Dashi Kura: one failing server is a share of 0.11.
+    groups = [Group(fleet, name, first_host=3 * i + 1) for i, name in enumerate(("kura", "kura-2", "kura-3"))]
+    group = groups[0]
+    platform = await serve_platform(fleet, groups)
     tasks, end, answered, sessions = [], asyncio.Event(), [], {}
-    for server in group.servers:
-        await server.start()
-        tasks.append(asyncio.create_task(server.beat()))
-    tasks.append(asyncio.create_task(group.replicate()))
+    for each in groups:
+        for server in each.servers:
+            await server.start()
+            tasks.append(asyncio.create_task(server.beat()))
+        tasks.append(asyncio.create_task(each.replicate()))
     for program in fleet.programs:
         program.start(bootstrap=True)
-    config = make_config(1, [group], [("tenant-1", "key-1")], [("kura.primary", "primary", "kura")])
+    config = make_config(1, groups, [("tenant-1", "key-1")], [("kura.primary", "primary", "kura")])
     if await send_config(fleet, config, STARTUP_S) is None:
         raise CannotRun("the configuration was not acknowledged")
     writers = [asyncio.create_task(write_always(fleet, i, sessions, answered, end)) for i in range(WRITERS)]
