Tests: an oversized address without a false warning of g++ 12 on x86-64

The build of the tests stopped on x86-64 with -Werror=array-bounds: g++ 12 warns falsely of std::string(8'000'000, '1') + ":80" at -O2. The address that the test sends is the same.

--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -88,7 +88,8 @@
     odd[2].set_group("kura\r\nx");
     odd[3].set_group("");
     odd[4].set_address("127.0.0.1:99999");
-    odd[5].set_address(std::string(8'000'000, '1') + ":80");
+    std::string long_address(8'000'000, '1');
+    odd[5].set_address(long_address.append(":80"));
     odd[6].set_slots(4'294'967'295);
     odd[7].set_warm_up_left_ms(4'294'967'295);
     odd[8].set_born_ms(18'446'744'073'709'551'615U);
