A refused setup is not answered as the client's statement

Cause: the session's values and prepared statement go out in one exchange with what follows. When one of them failed, the attempt took the first answer of the exchange (begin_at_primary, read_at_replica) or the last (begin_on) as that of the statement. That query may have succeeded, and the last attempt's answer goes to the client.

--- a/src/line_answer.h
+++ b/src/line_answer.h
@@ -32,8 +32,9 @@
     overloaded,    // the server of the transaction could not run the statement in time
     transaction,   // the transaction had failed before
     region,        // no server is inside the allowed regions
+    setup,         // a server refused the session's values or prepared statement
 };
-inline constexpr std::size_t answer_cause_count = 13;
+inline constexpr std::size_t answer_cause_count = 14;
 
 // The complete answer to one query: `code` and `text` are set if `is_error`, `signature` otherwise.
 struct line_answer {
--- a/src/pooler_cause.cpp
+++ b/src/pooler_cause.cpp
@@ -43,6 +43,8 @@
         return "transaction";
     case answer_cause::region:
         return "region";
+    case answer_cause::setup:
+        return "setup";
     }
     return "server";
 }
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -46,6 +46,11 @@
     return static_cast<double>((now - start).count());
 }
 
+std::span<const line_answer> setup_answers(const line_exchange& result, const setup_queries& setup)
+{
+    return std::span(result.answers).first(setup.count);
+}
+
 net::awaitable<void> sleep_for(net::any_io_executor executor, clock::duration time)
 {
     net::steady_timer timer(executor, time);
@@ -225,6 +230,31 @@
     server.record_success();
 }
 
+// The server refused part of the setup, so that what was sent behind it counts as not run. Another
+// server may accept it, unless the session's own text is at fault.
+execution::attempt_result execution::refuse_unprepared(const pooled_server& server,
+                                                       std::span<const line_answer> setup)
+{
+    const line_dialect& dialect = context_.dialect;
+    const auto refused = std::find_if(setup.begin(), setup.end(),
+                                      [](const line_answer& each) { return each.is_error; });
+    const std::string_view code = refused != setup.end() ? refused->code : std::string_view();
+    const std::string text =
+        fmt::format("not run: server {} did not accept the session's values or prepared statement "
+                    "({})",
+                    server.id, code);
+    excluded_servers_.push_back(server.id);
+    if (code == dialect.malformed) {
+        return {next_step::finish, make_error_answer(answer_cause::setup, code, text),
+                server_contact::refused};
+    }
+    return {next_step::retry,
+            make_error_answer(
+                answer_cause::setup, dialect.busy,
+                fmt::format("{}; retry after {} ms", text, saturated_retry_after.count())),
+            server_contact::refused};
+}
+
 // Decides whether a read is retried. Reads have no side effects, so repeating one is safe.
 execution::attempt_result execution::classify_read(pooled_server& server, line_answer answer)
 {
@@ -275,7 +305,7 @@
         co_return false;
     }
     if (!all_succeeded(result.answers, setup.count)) {
-        outcome = {next_step::retry, std::move(result.answers.front()), server_contact::refused};
+        outcome = refuse_unprepared(server, setup_answers(result, setup));
         co_return false;
     }
     line_answer& answer = result.answers.back();
@@ -374,8 +404,7 @@
                                  server_contact::lost};
     }
     if (!is_prepared) {
-        excluded_servers_.push_back(server->id);
-        co_return attempt_result{next_step::retry, std::move(result.answers.front())};
+        co_return refuse_unprepared(*server, setup_answers(result, setup));
     }
     co_return classify_read(*server, std::move(result.answers.back()));
 }
@@ -649,12 +678,13 @@
                               "not run: the server did not begin a transaction"),
             server_contact::none};
     }
-    const bool is_prepared = all_succeeded(result.answers, setup.count);
-    if (is_prepared) {
-        record_setup(*connection, session_, first.prepared, false);
+    if (!all_succeeded(result.answers, setup.count)) {
+        context_.connections.release(std::move(connection), false);
+        co_return refuse_unprepared(*server, setup_answers(result, setup));
     }
-    if (!is_prepared || result.answers.back().is_error) {
-        context_.connections.release(std::move(connection), is_prepared);
+    record_setup(*connection, session_, first.prepared, false);
+    if (result.answers.back().is_error) {
+        context_.connections.release(std::move(connection), true);
         attempt_result refusal = classify_read(*server, std::move(result.answers.back()));
         refusal.next = next_step::retry; // no statement has run
         refusal.contact = server_contact::refused;
@@ -697,8 +727,11 @@
             co_return std::nullopt;
         }
         contact_ = result.contact;
-        record_retry(transaction_, first, last_server_, result.answer.code);
         last = std::move(result.answer);
+        if (result.next == next_step::finish) {
+            break;
+        }
+        record_retry(transaction_, first, last_server_, last.code);
     }
     co_return last;
 }
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -21,6 +21,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -218,6 +219,8 @@
     [[nodiscard]] std::optional<line_answer> check_transaction_right();
     [[nodiscard]] std::optional<line_answer> check_before_sending(const pooled_server& server);
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
+    [[nodiscard]] attempt_result refuse_unprepared(const pooled_server& server,
+                                                   std::span<const line_answer> setup);
     [[nodiscard]] attempt_result classify_read(pooled_server& server, line_answer answer);
     [[nodiscard]] attempt_result classify_write(pooled_server& server, line_answer answer,
                                                 clock::time_point sent_at);
--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <utility>
 
 namespace primrosehead::testing {
@@ -23,6 +24,24 @@
 
 constexpr auto no_throw = net::as_tuple(net::use_awaitable);
 
+// Returns the query's text without a leading "AFTER POSITION".
+std::string_view operation_of(const line_dialect& dialect, std::string_view text)
+{
+    if (!text.starts_with(dialect.after)) {
+        return text;
+    }
+    const std::size_t end = text.find(' ', dialect.after.size() + 1);
+    return end == std::string_view::npos ? text : text.substr(end + 1);
+}
+
+// Only reads, writes and commits are answered with a signature.
+bool is_signed(const line_dialect& dialect, std::string_view text)
+{
+    const std::string_view operation = operation_of(dialect, text);
+    return operation.starts_with(dialect.read) || operation.starts_with(dialect.write) ||
+           operation.starts_with(dialect.execute) || operation == dialect.commit;
+}
+
 } // namespace
 
 struct line_server::state {
@@ -42,6 +61,18 @@
     std::uint64_t log_index = 1;
     bool is_replica = false;
     std::string row; // empty: reads return none
+    std::optional<std::string> failing_prefix;
+    std::string failure_code;
+    std::optional<std::string> unanswered_prefix;
+
+    [[nodiscard]] bool fails(std::string_view text) const
+    {
+        return failing_prefix && text.starts_with(*failing_prefix);
+    }
+    [[nodiscard]] bool loses_answer(std::string_view text) const
+    {
+        return unanswered_prefix && text.starts_with(*unanswered_prefix);
+    }
 };
 
 line_server::line_server(const net::any_io_executor& executor)
@@ -81,6 +112,17 @@
     state_->drops_commit_answers = true;
 }
 
+void line_server::fail_queries(std::string prefix, std::string_view code)
+{
+    state_->failing_prefix = std::move(prefix);
+    state_->failure_code = code;
+}
+
+void line_server::lose_answers(std::string prefix)
+{
+    state_->unanswered_prefix = std::move(prefix);
+}
+
 void line_server::limit_connections(std::size_t limit)
 {
     state_->open_limit = limit;
@@ -110,6 +152,8 @@
             co_return;
         }
         ++self->connections;
+        boost::system::error_code ignored; // answers are delayed without the option
+        socket.set_option(tcp::no_delay(true), ignored);
         net::co_spawn(self->acceptor.get_executor(), serve(self, std::move(socket)), net::detached);
     }
 }
@@ -150,15 +194,30 @@
                 net::steady_timer timer(self->acceptor.get_executor(), self->answer_delay);
                 co_await timer.async_wait(no_throw);
             }
-            self->log_index += is_write ? 1 : 0;
+            const bool is_failed = self->fails(text);
+            self->log_index += is_write && !is_failed ? 1 : 0;
             const bool is_refused = self->is_replica && text == dialect.begin;
-            in_transaction = (text == dialect.begin && !is_refused) ||
-                             (in_transaction && text != dialect.commit && text != dialect.rollback);
-            const bool is_read = text.starts_with(dialect.read) && !self->row.empty();
+            const bool is_begin = operation_of(dialect, text).starts_with(dialect.begin);
+            const bool has_begun = is_begin && !is_refused && !is_failed;
+            in_transaction =
+                has_begun || (in_transaction && text != dialect.commit && text != dialect.rollback);
+            const bool is_read =
+                operation_of(dialect, text).starts_with(dialect.read) && !self->row.empty();
             answer = is_read ? fmt::format("{} {}\r\n", dialect.row, self->row) : "";
-            answer += is_refused
-                          ? fmt::format("{} {} replica\r\n", dialect.failed, dialect.read_only)
-                          : fmt::format("{} s{}\r\n", dialect.complete, self->received.size());
+            if (is_failed) {
+                answer = fmt::format("{} {} injected\r\n", dialect.failed, self->failure_code);
+            }
+            else if (is_refused) {
+                answer += fmt::format("{} {} replica\r\n", dialect.failed, dialect.read_only);
+            }
+            else {
+                answer += is_signed(dialect, text)
+                              ? fmt::format("{} s{}\r\n", dialect.complete, self->received.size())
+                              : fmt::format("{} -\r\n", dialect.complete);
+            }
+            if (self->loses_answer(text)) {
+                continue;
+            }
         }
         answer += fmt::format("{} {} 1.{}\r\n", dialect.ready, in_transaction ? "T" : "I",
                               self->log_index);
--- a/tests/line_server.h
+++ b/tests/line_server.h
@@ -39,6 +39,12 @@
     // From now on, records each commit and closes its connection without an answer.
     void drop_commit_answers();
 
+    // From now on, fails queries that begin with `prefix`, without running them.
+    void fail_queries(std::string prefix, std::string_view code = line_dialect{}.statement_failed);
+
+    // From now on, runs queries that begin with `prefix` and sends no answers to them.
+    void lose_answers(std::string prefix);
+
     // From now on, rejects connections beyond `limit` open ones.
     void limit_connections(std::size_t limit);
 
