A statement goes out only after its setup has succeeded

Cause: DISCARD, SET and PREPARE were sent in one write with the statement. A server runs each line that it reads, so the statement ran although its setup had failed. Fix: the setup is an exchange of its own. What follows is sent once all of it succeeded; otherwise the connection is closed and the statement counts as not run, also a write whose setup went unanswered. The caller's right and the server's departure are checked again behind the wait. Reads at the primary check the caller's right behind BEGIN too.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -28,7 +28,8 @@
 // this and a multiple of the server's expected latency.
 constexpr clock::duration replica_read_timeout{250};
 constexpr double replica_read_timeout_factor = 6;
-// BEGIN takes no statement slot, so only a server that is down or unreachable exceeds this.
+// Session values, PREPARE and BEGIN take no statement slot, so only a server that is down or
+// unreachable exceeds this.
 constexpr clock::duration begin_timeout{400};
 // Delay between attempts at a server whose queue is full.
 constexpr clock::duration busy_retry_delay{10};
@@ -255,6 +256,56 @@
             server_contact::refused};
 }
 
+// A server runs what follows a refused query all the same, so that no statement of a caller goes
+// out before the answers are there.
+net::awaitable<std::optional<execution::attempt_result>>
+execution::set_up(pooled_connection& connection, const prepared_statement* needed,
+                  bool in_transaction, clock::time_point deadline)
+{
+    const setup_queries setup =
+        make_setup_queries(connection, session_, needed, in_transaction, context_.dialect);
+    if (setup.count == 0) {
+        co_return std::nullopt;
+    }
+    pooled_server& server = *connection.server;
+    const clock::time_point sent_at = clock::now();
+    const line_exchange result = co_await connection.link->exchange(
+        setup.queries, setup.count, std::min(deadline, sent_at + begin_timeout));
+    const clock::time_point now = clock::now();
+    connection_wait_ += now - sent_at;
+    if (!result.is_complete()) {
+        context_.connections.mark_unreachable(server, !result.has_timed_out, now);
+        excluded_servers_.push_back(server.id);
+        co_return attempt_result{
+            next_step::retry,
+            make_error_answer(answer_cause::server_silent, context_.dialect.busy,
+                              "not run: the server did not answer to the session's values"),
+            server_contact::none};
+    }
+    if (!all_succeeded(result.answers, setup.count)) {
+        co_return refuse_unprepared(server, result.answers);
+    }
+    record_setup(connection, session_, needed, in_transaction);
+    co_return std::nullopt;
+}
+
+// Checks what may have changed while a single statement's connection was made ready.
+std::optional<execution::attempt_result>
+execution::check_single(const operation& op, const pooled_server& server, bool needs_primary) const
+{
+    std::optional<line_answer> refusal = check_right(context_, op);
+    if (refusal) {
+        return attempt_result{next_step::finish, std::move(*refusal), server_contact::none};
+    }
+    if (context_.connections.may_begin_at(server, clock::now())) {
+        return std::nullopt;
+    }
+    return attempt_result{
+        next_step::retry,
+        make_refusal(needs_primary ? acquire_error::no_primary : acquire_error::no_server, op),
+        server_contact::none};
+}
+
 // Decides whether a read is retried. Reads have no side effects, so repeating one is safe.
 execution::attempt_result execution::classify_read(pooled_server& server, line_answer answer)
 {
@@ -326,7 +377,7 @@
 }
 
 net::awaitable<execution::attempt_result>
-execution::read_at_primary(std::unique_ptr<pooled_connection> connection,
+execution::read_at_primary(std::unique_ptr<pooled_connection> connection, const operation& op,
                            const server_statement& statement, clock::time_point deadline)
 {
     const std::shared_ptr<pooled_server> server = connection->server;
@@ -339,12 +390,9 @@
         context_.connections.release(std::move(connection), false);
         co_return outcome;
     }
-    if (!context_.connections.may_begin_at(*server, clock::now())) { // since BEGIN was sent
+    if (std::optional<attempt_result> refusal = check_single(op, *server, true)) {
         context_.connections.release(std::move(connection), false);
-        co_return attempt_result{next_step::retry,
-                                 make_error_answer(answer_cause::no_primary, context_.dialect.busy,
-                                                   "not run: the primary is leaving"),
-                                 server_contact::none};
+        co_return std::move(*refusal);
     }
     const std::string queries =
         fmt::format("{0} {1} {2}\r\n{0} - {3}\r\n", context_.dialect.query, statement.id,
@@ -374,10 +422,8 @@
                            clock::time_point deadline)
 {
     const std::shared_ptr<pooled_server> server = connection->server;
-    const setup_queries setup =
-        make_setup_queries(*connection, session_, statement.prepared, false, context_.dialect);
-    const std::string queries =
-        fmt::format("{}{} {} {} {} {}\r\n", setup.queries, context_.dialect.query, statement.id,
+    const std::string query =
+        fmt::format("{} {} {} {} {}\r\n", context_.dialect.query, statement.id,
                     context_.dialect.after, format_position(minimum), statement.text);
     const clock::time_point sent_at = clock::now();
     const auto latency_timeout_ms = static_cast<std::int64_t>(server->expected_latency_ms(sent_at) *
@@ -385,16 +431,11 @@
     const clock::time_point attempt_deadline = std::min(
         deadline, sent_at + std::max(replica_read_timeout, clock::duration(latency_timeout_ms)));
     context_.connections.record_start(*server);
-    line_exchange result =
-        co_await exchange(*connection, queries, setup.count + 1, attempt_deadline);
+    line_exchange result = co_await exchange(*connection, query, 1, attempt_deadline);
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
-    const bool is_prepared = all_succeeded(result.answers, setup.count);
-    if (is_prepared && result.is_complete()) {
-        record_setup(*connection, session_, statement.prepared, false);
-    }
-    context_.connections.release(std::move(connection), is_prepared && result.is_complete());
-    if (!result.is_complete() && result.answers.size() <= setup.count) {
+    context_.connections.release(std::move(connection), result.is_complete());
+    if (!result.is_complete()) {
         context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
         excluded_servers_.push_back(server->id);
         co_return attempt_result{next_step::retry,
@@ -403,9 +444,6 @@
                                                    "the server did not answer in time"),
                                  server_contact::lost};
     }
-    if (!is_prepared) {
-        co_return refuse_unprepared(*server, setup_answers(result, setup));
-    }
     co_return classify_read(*server, std::move(result.answers.back()));
 }
 
@@ -438,23 +476,16 @@
 {
     const line_dialect& dialect = context_.dialect;
     const std::shared_ptr<pooled_server> server = connection->server;
-    const setup_queries setup =
-        make_setup_queries(*connection, session_, statement.prepared, false, dialect);
-    const std::string queries =
-        fmt::format("{}{} {} {}\r\n", setup.queries, dialect.query, statement.id, statement.text);
+    const std::string query =
+        fmt::format("{} {} {}\r\n", dialect.query, statement.id, statement.text);
     const clock::time_point sent_at = clock::now();
     context_.connections.log_use(*server, sent_at);
     context_.connections.record_start(*server);
-    line_exchange result = co_await exchange(*connection, queries, setup.count + 1, deadline);
+    line_exchange result = co_await exchange(*connection, query, 1, deadline);
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
-    const bool is_prepared = all_succeeded(result.answers, setup.count);
-    const bool is_clean = is_prepared && result.is_complete();
-    if (is_clean) {
-        record_setup(*connection, session_, statement.prepared, false);
-    }
-    context_.connections.release(std::move(connection), is_clean);
-    if (result.answers.size() <= setup.count) {
+    context_.connections.release(std::move(connection), result.is_complete());
+    if (!result.is_complete()) {
         context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
         context_.connections.primary_of(server->group).record_write_failure(sent_at);
         co_return attempt_result{
@@ -463,7 +494,32 @@
                               "the primary did not answer; the write may have taken effect"),
             server_contact::lost};
     }
-    co_return classify_write(*server, std::move(result.answers.back()), sent_at);
+    co_return classify_write(*server, std::move(result.answers.front()), sent_at);
+}
+
+net::awaitable<execution::attempt_result>
+execution::run_on(std::unique_ptr<pooled_connection> connection, const operation& op,
+                  const server_statement& statement, std::optional<log_position> minimum,
+                  clock::time_point deadline)
+{
+    const bool needs_primary = !minimum;
+    if (needs_primary && !statement.is_write) {
+        co_return co_await read_at_primary(std::move(connection), op, statement, deadline);
+    }
+    std::optional<attempt_result> refusal =
+        co_await set_up(*connection, statement.prepared, false, deadline);
+    const bool is_prepared = !refusal;
+    if (is_prepared) {
+        refusal = check_single(op, *connection->server, needs_primary);
+    }
+    if (refusal) {
+        context_.connections.release(std::move(connection), is_prepared);
+        co_return std::move(*refusal);
+    }
+    if (statement.is_write) {
+        co_return co_await write_at_primary(std::move(connection), statement, deadline);
+    }
+    co_return co_await read_at_replica(std::move(connection), statement, *minimum, deadline);
 }
 
 net::awaitable<line_answer> execution::run_pinned(const operation& op,
@@ -479,17 +535,8 @@
                                                               : server_contact::none;
         co_return make_refusal(acquired.error, op);
     }
-    attempt_result result;
-    if (statement.is_write) {
-        result = co_await write_at_primary(std::move(acquired.connection), statement, deadline);
-    }
-    else if (minimum) {
-        result =
-            co_await read_at_replica(std::move(acquired.connection), statement, *minimum, deadline);
-    }
-    else {
-        result = co_await read_at_primary(std::move(acquired.connection), statement, deadline);
-    }
+    attempt_result result =
+        co_await run_on(std::move(acquired.connection), op, statement, minimum, deadline);
     contact_ = result.contact;
     co_return std::move(result.answer);
 }
@@ -546,16 +593,7 @@
             context_.connections.release(std::move(acquired.connection), true);
             co_return std::move(*refusal);
         }
-        if (statement.is_write) {
-            last = co_await write_at_primary(std::move(acquired.connection), statement, deadline);
-        }
-        else if (minimum) {
-            last = co_await read_at_replica(std::move(acquired.connection), statement, *minimum,
-                                            deadline);
-        }
-        else {
-            last = co_await read_at_primary(std::move(acquired.connection), statement, deadline);
-        }
+        last = co_await run_on(std::move(acquired.connection), op, statement, minimum, deadline);
         if (last.next == next_step::finish) {
             break;
         }
@@ -749,6 +787,20 @@
                                    "rolled back: the server is overloaded; retry the transaction");
 }
 
+// Closes the transaction's connection, which rolls it back.
+line_answer execution::abort_unprepared(attempt_result refusal)
+{
+    context_.connections.release(std::move(connection_), false);
+    is_open_ = false;
+    contact_ = server_contact::lost;
+    if (refusal.next == next_step::finish) {
+        return std::move(refusal.answer);
+    }
+    return make_error_answer(
+        refusal.answer.cause, context_.dialect.aborted,
+        fmt::format("rolled back and {}; retry the transaction", refusal.answer.text));
+}
+
 // Rolls the transaction back if its caller may not go on with it.
 std::optional<line_answer> execution::check_transaction_right()
 {
@@ -857,12 +909,14 @@
     }
     const std::shared_ptr<pooled_server> server = connection_->server;
     const clock::time_point deadline = clock::now() + transaction_.route->statement_timeout;
+    if (std::optional<attempt_result> refusal =
+            co_await set_up(*connection_, statement.prepared, true, deadline)) {
+        co_return abort_unprepared(std::move(*refusal));
+    }
+    const std::string query =
+        fmt::format("{} {} {}\r\n", dialect.query, statement.id, statement.text);
     line_exchange result;
     while (true) {
-        const setup_queries setup =
-            make_setup_queries(*connection_, session_, statement.prepared, true, dialect);
-        const std::string queries = fmt::format("{}{} {} {}\r\n", setup.queries, dialect.query,
-                                                statement.id, statement.text);
         const bool may_run = co_await start_statement(deadline, false);
         if (!may_run) {
             co_return abort_unsent(*server);
@@ -874,28 +928,25 @@
         }
         const clock::time_point sent_at = clock::now();
         context_.connections.log_use(*server, sent_at);
-        result = co_await exchange(*connection_, queries, setup.count + 1, deadline);
+        result = co_await exchange(*connection_, query, 1, deadline);
         const clock::time_point now = clock::now();
         context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
-        if (!result.is_complete() || !all_succeeded(result.answers, setup.count)) {
+        if (!result.is_complete()) {
             context_.connections.release(std::move(connection_), false);
-            if (!result.is_complete()) {
-                context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
-            }
+            context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
             is_open_ = false;
             contact_ = server_contact::lost;
             co_return make_error_answer(
                 answer_cause::server_silent, dialect.aborted,
                 "rolled back: the connection to the server failed; retry the transaction");
         }
-        record_setup(*connection_, session_, statement.prepared, true);
-        if (!may_run_again(result.answers.back(), now, deadline)) {
+        if (!may_run_again(result.answers.front(), now, deadline)) {
             break;
         }
         co_await sleep_for(context_.executor, busy_retry_delay);
     }
     has_begun_ = true;
-    line_answer answer = std::move(result.answers.back());
+    line_answer answer = std::move(result.answers.front());
     has_written_ = has_written_ || statement.is_write;
     if (answer.is_error) {
         if (answer.code == dialect.read_only && !is_read_only_) {
@@ -918,7 +969,11 @@
     }
     const std::shared_ptr<pooled_server> server = connection_->server;
     const clock::time_point deadline = clock::now() + transaction_.route->statement_timeout;
-    const std::string queries = fmt::format("{} {} {}\r\n", dialect.query, id, dialect.commit);
+    if (std::optional<attempt_result> refusal =
+            co_await set_up(*connection_, nullptr, true, deadline)) {
+        co_return abort_unprepared(std::move(*refusal));
+    }
+    const std::string query = fmt::format("{} {} {}\r\n", dialect.query, id, dialect.commit);
     line_exchange result;
     clock::time_point sent_at;
     while (true) {
@@ -933,7 +988,7 @@
             co_return std::move(*refusal);
         }
         sent_at = clock::now();
-        result = co_await exchange(*connection_, queries, 1, deadline);
+        result = co_await exchange(*connection_, query, 1, deadline);
         const clock::time_point now = clock::now();
         context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
         if (!result.is_complete() || !may_run_again(result.answers.front(), now, deadline)) {
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -140,8 +140,20 @@
         server_contact contact = server_contact::answered;
     };
 
+    // Brings the connection into the session's state, with `needed` prepared. Returns the refusal
+    // if this failed; the connection's state is unknown then.
+    [[nodiscard]] boost::asio::awaitable<std::optional<attempt_result>>
+    set_up(pooled_connection& connection, const prepared_statement* needed, bool in_transaction,
+           clock::time_point deadline);
+    // Runs a single statement: without `minimum` at the primary.
+    [[nodiscard]] boost::asio::awaitable<attempt_result>
+    run_on(std::unique_ptr<pooled_connection> connection, const operation& op,
+           const server_statement& statement, std::optional<log_position> minimum,
+           clock::time_point deadline);
+    [[nodiscard]] std::optional<attempt_result>
+    check_single(const operation& op, const pooled_server& server, bool needs_primary) const;
     [[nodiscard]] boost::asio::awaitable<attempt_result>
-    read_at_primary(std::unique_ptr<pooled_connection> connection,
+    read_at_primary(std::unique_ptr<pooled_connection> connection, const operation& op,
                     const server_statement& statement, clock::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<attempt_result>
     read_at_replica(std::unique_ptr<pooled_connection> connection,
@@ -216,6 +228,7 @@
     [[nodiscard]] connection_request make_request(const operation& op, required_role role,
                                                   clock::time_point deadline) const;
     [[nodiscard]] line_answer abort_unsent(const pooled_server& server);
+    [[nodiscard]] line_answer abort_unprepared(attempt_result refusal);
     [[nodiscard]] std::optional<line_answer> check_transaction_right();
     [[nodiscard]] std::optional<line_answer> check_before_sending(const pooled_server& server);
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -63,11 +63,14 @@
     std::string row; // empty: reads return none
     std::optional<std::string> failing_prefix;
     std::string failure_code;
+    std::size_t failures_left = 0;
     std::optional<std::string> unanswered_prefix;
 
-    [[nodiscard]] bool fails(std::string_view text) const
+    [[nodiscard]] bool takes_failure(std::string_view text)
     {
-        return failing_prefix && text.starts_with(*failing_prefix);
+        const bool fails = failures_left > 0 && failing_prefix && text.starts_with(*failing_prefix);
+        failures_left -= fails ? 1 : 0;
+        return fails;
     }
     [[nodiscard]] bool loses_answer(std::string_view text) const
     {
@@ -112,8 +115,9 @@
     state_->drops_commit_answers = true;
 }
 
-void line_server::fail_queries(std::string prefix, std::string_view code)
+void line_server::fail_queries(std::string prefix, std::string_view code, std::size_t times)
 {
+    state_->failures_left = times;
     state_->failing_prefix = std::move(prefix);
     state_->failure_code = code;
 }
@@ -194,7 +198,7 @@
                 net::steady_timer timer(self->acceptor.get_executor(), self->answer_delay);
                 co_await timer.async_wait(no_throw);
             }
-            const bool is_failed = self->fails(text);
+            const bool is_failed = self->takes_failure(text);
             self->log_index += is_write && !is_failed ? 1 : 0;
             const bool is_refused = self->is_replica && text == dialect.begin;
             const bool is_begin = operation_of(dialect, text).starts_with(dialect.begin);
--- a/tests/line_server.h
+++ b/tests/line_server.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -39,8 +40,9 @@
     // From now on, records each commit and closes its connection without an answer.
     void drop_commit_answers();
 
-    // From now on, fails queries that begin with `prefix`, without running them.
-    void fail_queries(std::string prefix, std::string_view code = line_dialect{}.statement_failed);
+    // From now on, fails up to `times` queries that begin with `prefix`, without running them.
+    void fail_queries(std::string prefix, std::string_view code = line_dialect{}.statement_failed,
+                      std::size_t times = std::numeric_limits<std::size_t>::max());
 
     // From now on, runs queries that begin with `prefix` and sends no answers to them.
     void lose_answers(std::string prefix);
