A late deregistration does not end a later start of the server

Control then promoted a replica without its commits. Four new test cases of 'cell directory' and 'cell service' and two of 'pooler directory' failed before. Fix: a start has deregistered only after it has been leaving for its period, and is regarded as running again after two newer announcements. A departure that is passed on carries start and sequence, and ends nothing newer, at control and at pooler instances. A new leader keeps a member whose recorded start is later than the one that deregistered.

--- a/src/cell_directory.cpp
+++ b/src/cell_directory.cpp
@@ -55,18 +55,20 @@
 // Instances are told since when a server is leaving with this precision.
 constexpr clock::duration leaving_precision{50};
 
-bool is_newer(const pb::server_announcement& incoming, const pb::server_announcement& known)
+// Clocks of the server and of this instance may differ by this much over a leaving period.
+constexpr clock::duration leaving_tolerance{1'000};
+// Announcements that a partition held up arrive together, those of a running server do not.
+constexpr clock::duration sign_of_life_interval{500};
+
+// A deregistration names its server only, unless another control instance passed it on.
+bool names_start(const pb::server_announcement& announcement)
 {
-    if (incoming.born_ms() != known.born_ms() && incoming.born_ms() != 0 && known.born_ms() != 0) {
-        return incoming.born_ms() > known.born_ms();
-    }
-    if (incoming.gone() != known.gone()) {
-        // A deregistration has no sequence number of its own and ends the incarnation. An
-        // announcement supersedes a deregistration only if it has a start time and the entry has
-        // none.
-        return incoming.gone() || incoming.born_ms() > known.born_ms();
-    }
-    return incoming.sequence() > known.sequence();
+    return !announcement.gone() || !announcement.group().empty();
+}
+
+bool has_other_start(const pb::server_announcement& left, const pb::server_announcement& right)
+{
+    return left.born_ms() != right.born_ms() && left.born_ms() != 0 && right.born_ms() != 0;
 }
 
 // True if both announcements agree on everything that instances route by.
@@ -143,6 +145,46 @@
     return !known || *known - since > leaving_precision;
 }
 
+// A deregistration that was held up may arrive after its server has started again. The new start
+// has not deregistered before it has been leaving for its period.
+bool directory::may_deregister(const pb::server_announcement& known, clock::time_point now) const
+{
+    if (leaving_period_ == clock::duration(0) || known.born_ms() == 0) {
+        return true;
+    }
+    const std::optional<clock::duration> leaving_for = departures_.leaving_for(known, now);
+    return leaving_for && *leaving_for >= leaving_period_ - leaving_tolerance;
+}
+
+// True if the announcement is newer than what is known: by the server's start, then by its
+// sequence. A deregistered start counts as running again after two newer announcements, since a
+// single one may have been held up.
+bool directory::supersedes(const pb::server_announcement& incoming, directory_entry& entry,
+                           clock::time_point now) const
+{
+    const pb::server_announcement& known = entry.announcement;
+    if (!names_start(incoming)) {
+        return !known.gone() && may_deregister(known, now);
+    }
+    if (has_other_start(incoming, known)) {
+        return incoming.born_ms() > known.born_ms();
+    }
+    if (incoming.gone()) {
+        return !known.gone() && incoming.sequence() >= known.sequence();
+    }
+    if (incoming.sequence() <= known.sequence() && incoming.born_ms() <= known.born_ms()) {
+        return false;
+    }
+    if (!known.gone() || incoming.born_ms() > known.born_ms()) {
+        return true;
+    }
+    std::optional<sign_of_life>& sign = entry.sign_after_departure;
+    if (!sign) {
+        sign = sign_of_life{incoming.sequence(), now};
+    }
+    return incoming.sequence() > sign->sequence && now - sign->heard_at >= sign_of_life_interval;
+}
+
 bool directory::apply(const pb::server_announcement& announcement, clock::time_point now)
 {
     if (!ok(check_announcement(announcement))) {
@@ -164,7 +206,7 @@
     }
     directory_entry& entry = found->second;
     const bool is_same_start = announcement.born_ms() == entry.announcement.born_ms();
-    if (!is_newer(announcement, entry.announcement)) {
+    if (!supersedes(announcement, entry, now)) {
         const bool is_older_notice = is_same_start && announcement.leaving() &&
                                      announcement.has_leaving_ms() && entry.announcement.leaving();
         if (is_older_notice && record_leaving(announcement, true, now)) {
@@ -174,8 +216,7 @@
         return false;
     }
     pb::server_announcement next = announcement;
-    if (next.gone()) {
-        // A deregistration carries only the server's name.
+    if (!names_start(announcement)) {
         next = entry.announcement;
         next.set_gone(true);
         next.set_leaving(true);
--- a/src/cell_directory.h
+++ b/src/cell_directory.h
@@ -22,13 +22,26 @@
 // and pass on. A deregistration needs a valid name only.
 [[nodiscard]] status check_announcement(const pb::server_announcement& announcement);
 
+// An announcement that a server made after it had deregistered.
+struct sign_of_life {
+    std::uint64_t sequence = 0;
+    clock::time_point heard_at;
+};
+
 struct directory_entry {
     pb::server_announcement announcement;
     clock::time_point announced_at;
+    std::optional<sign_of_life> sign_after_departure{};
 };
 
 class directory {
   public:
+    // A server announces that it is leaving for `leaving_period` before it deregisters; 0: unknown.
+    explicit directory(clock::duration leaving_period = clock::duration(0))
+        : leaving_period_(leaving_period)
+    {
+    }
+
     // Applies an announcement unless it is invalid or a newer one of the same server is known.
     // Returns true if this changed anything that instances route by. One that is not newer may
     // still tell that the server has been leaving for longer.
@@ -67,7 +80,12 @@
                                                     clock::time_point now) const;
     bool record_leaving(const pb::server_announcement& announcement, bool is_known,
                         clock::time_point now);
+    [[nodiscard]] bool may_deregister(const pb::server_announcement& known,
+                                      clock::time_point now) const;
+    [[nodiscard]] bool supersedes(const pb::server_announcement& incoming, directory_entry& entry,
+                                  clock::time_point now) const;
 
+    clock::duration leaving_period_;
     std::map<std::string, directory_entry, std::less<>> entries_;
     directory_changes changes_;
     directory_departures departures_;
--- a/src/cell_directory_departures.cpp
+++ b/src/cell_directory_departures.cpp
@@ -43,7 +43,7 @@
 void directory_departures::record_gone(const pb::server_announcement& announcement,
                                        clock::time_point now)
 {
-    departure_of(announcement, now).is_gone = true;
+    departure_of(announcement, now).gone_sequence = announcement.sequence();
 }
 
 void directory_departures::forget(std::string_view server)
@@ -72,7 +72,12 @@
 bool directory_departures::is_gone(const pb::server_announcement& announcement) const
 {
     const departure* const known = find(announcement);
-    return known != nullptr && known->is_gone && announcement.born_ms() <= known->born_ms;
+    if (known == nullptr || !known->gone_sequence) {
+        return false;
+    }
+    return announcement.born_ms() == known->born_ms
+               ? announcement.sequence() <= *known->gone_sequence
+               : announcement.born_ms() < known->born_ms;
 }
 
 void directory_departures::write_age(pb::server_announcement& announcement,
--- a/src/cell_directory_departures.h
+++ b/src/cell_directory_departures.h
@@ -34,7 +34,7 @@
     // For how long it has been leaving.
     [[nodiscard]] std::optional<clock::duration>
     leaving_for(const pb::server_announcement& announcement, clock::time_point now) const;
-    // True if this start of the server, or a later one, has deregistered.
+    // True if this start of the server had deregistered when it announced this, or a later one has.
     [[nodiscard]] bool is_gone(const pb::server_announcement& announcement) const;
 
     // Sets `leaving_ms` to the time for which the server has been leaving, if that is known.
@@ -46,7 +46,7 @@
     struct departure {
         std::uint64_t born_ms = 0;
         std::optional<clock::time_point> leaving_since;
-        bool is_gone = false;
+        std::optional<std::uint64_t> gone_sequence; // of its last announcement, once deregistered
         clock::time_point recorded_at;
     };
     departure& departure_of(const pb::server_announcement& announcement, clock::time_point now);
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -190,7 +190,7 @@
     std::optional<service> active_service;
     std::unique_ptr<relay_runner> relaying;
     std::map<std::string, bus_origin, std::less<>> follower_origins; // by instance
-    directory servers;
+    directory servers{settings.leaving};
     std::shared_ptr<const document> current_document;
     std::vector<std::string> seeds;
     domain_set failure_domains; // of the settings
@@ -553,12 +553,16 @@
 bool instance::implementation::apply_announcement(const pb::server_announcement& announcement,
                                                   std::string_view from, clock::time_point now)
 {
-    if (!servers.apply(announcement, now)) {
+    const bool has_changed = servers.apply(announcement, now);
+    const directory_entry* const known = servers.find(announcement.server());
+    const bool is_ignored =
+        !has_changed && announcement.gone() && known != nullptr && !known->announcement.gone();
+    if (!has_changed && !is_ignored) {
         return false;
     }
-    const directory_entry* const known = servers.find(announcement.server());
     const auto leaving_for = servers.departures().leaving_for(known->announcement, now);
-    events.decision("directory", announcement.gone() ? "server_gone" : "server")
+    const std::string_view event = is_ignored ? "departure_ignored" : "server";
+    events.decision("directory", known->announcement.gone() ? "server_gone" : event)
         .field("server", announcement.server())
         .field("group", known->announcement.group())
         .field("address", known->announcement.address())
@@ -567,7 +571,7 @@
         .field("leaving_ms", leaving_for.value_or(clock::duration(-1)).count())
         .field("sequence", static_cast<std::int64_t>(announcement.sequence()))
         .field("from", from);
-    return true;
+    return has_changed;
 }
 
 // The next leader has to know since when a server is leaving if this one fails right after it has
--- a/src/cell_service.cpp
+++ b/src/cell_service.cpp
@@ -108,7 +108,11 @@
         return members;
     }
     for (const pb::group_member& recorded : stored->members()) {
-        const bool is_announced = servers.find(recorded.server()) != nullptr;
+        const directory_entry* const entry = servers.find(recorded.server());
+        // A start that is later than the deregistered one may not have reached this leader yet.
+        const bool is_announced =
+            entry != nullptr &&
+            (!entry->announcement.gone() || entry->announcement.born_ms() >= recorded.born_ms());
         const bool is_replaced = std::any_of(members.begin(), members.end(), [&](const auto& each) {
             return each.address == recorded.address();
         });
--- a/src/deployment_settings.cpp
+++ b/src/deployment_settings.cpp
@@ -48,6 +48,7 @@
   "first_start": {"type": "boolean", "description": "true or false"},
   "platform": {"type": "string", "description": "IP:PORT, or nothing"},
   "announcement_interval_ms": {"type": "integer", "minimum": 100, "description": "milliseconds, 100 or more"},
+  "leaving_ms": {"type": "integer", "minimum": 500, "description": "milliseconds, 500 or more"},
   "relays_from_instances": {"type": "integer", "minimum": 2, "description": "a count of 2 or more"}
 )";
 
@@ -134,6 +135,7 @@
     read_field(object, "first_start", settings.is_first_start);
     read_field(object, "platform", settings.platform);
     read_field(object, "announcement_interval_ms", settings.announcement_interval);
+    read_field(object, "leaving_ms", settings.leaving);
     read_field(object, "relays_from_instances", settings.relays_from_instances);
     return settings;
 }
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -231,9 +231,14 @@
     std::set<std::string_view> gone;
     std::map<std::string, std::string, std::less<>> ignored;
     for (const pb::server_announcement& announcement : servers) {
+        const bool is_silent = announcement.gone() && announcement.group().empty();
+        if (announcement.gone() && !is_silent && is_outdated(announcement)) {
+            listed.insert_or_assign(announcement.server(), announcement.group());
+            continue; // an earlier start has deregistered
+        }
         if (announcement.gone()) {
             gone.insert(announcement.server());
-            if (!announcement.group().empty()) { // else it was only silent
+            if (!is_silent) {
                 departures_.record_gone(announcement, now);
             }
             continue;
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -178,6 +178,89 @@
     CHECK(servers.group("kura").size() == 1);
 }
 
+namespace {
+
+pb::server_announcement deregistration(std::string_view server)
+{
+    pb::server_announcement gone;
+    gone.set_server(std::string(server));
+    gone.set_gone(true);
+    return gone;
+}
+
+// A directory in which the start 100 of "s1" has deregistered after its leaving period.
+cell::directory directory_after_departure()
+{
+    cell::directory servers(clock::duration(7'000));
+    pb::server_announcement leaving = announcement("s1", 4);
+    servers.apply(leaving, at(0));
+    leaving.set_sequence(5);
+    leaving.set_leaving(true);
+    servers.apply(leaving, at(1'000));
+    CHECK(servers.apply(deregistration("s1"), at(8'300)));
+    CHECK(servers.group("kura").empty());
+    return servers;
+}
+
+} // namespace
+
+// Guards against a running server that control takes for gone: it holds commits that control then
+// does not look for.
+TEST_CASE("cell directory: a deregistration that was held up does not end a later start")
+{
+    cell::directory servers = directory_after_departure();
+    pb::server_announcement restarted = announcement("s1", 1);
+    restarted.set_born_ms(200);
+    CHECK(servers.apply(restarted, at(9'000)));
+    std::int64_t now = 10'000;
+    pb::server_announcement held_up = deregistration("s1");
+    SUBCASE("which is ready") {}
+    SUBCASE("which is leaving itself")
+    {
+        restarted.set_sequence(2);
+        restarted.set_leaving(true);
+        CHECK(servers.apply(restarted, at(9'500)));
+        now = 14'000;
+    }
+    SUBCASE("passed on by another control instance")
+    {
+        held_up = announcement("s1", 5);
+        held_up.set_leaving(true);
+        held_up.set_gone(true);
+    }
+    const std::uint64_t revision = servers.revision();
+    CHECK(!servers.apply(held_up, at(now)));
+    CHECK(servers.revision() == revision);
+    REQUIRE(servers.group("kura").size() == 1);
+    CHECK(servers.group("kura").front()->announcement.born_ms() == 200);
+}
+
+TEST_CASE("cell directory: an older deregistration that is passed on ends no running server")
+{
+    cell::directory servers(clock::duration(7'000));
+    CHECK(servers.apply(announcement("s1", 6), at(0)));
+    pb::server_announcement gone = announcement("s1", 5);
+    gone.set_gone(true);
+    CHECK(!servers.apply(gone, at(10)));
+    CHECK(servers.group("kura").size() == 1);
+    gone.set_sequence(6);
+    CHECK(servers.apply(gone, at(20)));
+    CHECK(servers.group("kura").empty());
+}
+
+TEST_CASE("cell directory: a start that goes on announcing itself is running")
+{
+    cell::directory servers = directory_after_departure();
+    pb::server_announcement again = announcement("s1", 6);
+    again.set_leaving(true);
+    CHECK(!servers.apply(again, at(8'400))); // may have been held up
+    again.set_sequence(7);
+    CHECK(!servers.apply(again, at(8'401))); // together with that one
+    again.set_sequence(8);
+    CHECK(servers.apply(again, at(9'600)));
+    CHECK(servers.group("kura").size() == 1);
+}
+
 TEST_CASE("cell directory: the time since a server is leaving does not begin anew")
 {
     cell::directory servers;
@@ -513,6 +596,53 @@
     CHECK(recorded->required == log_position{1, 20});
 }
 
+// Guards against a new leader that leaves out a running replica whose earlier start deregistered.
+TEST_CASE("cell service: a recorded start later than the deregistered one is a member")
+{
+    state_machine state(cell_name("main"));
+    pb::command command;
+    command.mutable_note()->set_database("kura");
+    command.mutable_note()->set_seen_primary("p");
+    for (const char* name : {"p", "r1", "r2"}) {
+        pb::group_member& member = *command.mutable_note()->add_members();
+        member.set_server(name);
+        member.set_address(std::string("127.0.0.1:10") + (name[0] == 'p' ? "0" : name + 1));
+        member.set_born_ms(200);
+    }
+    REQUIRE(state.apply(command).ok());
+    const std::shared_ptr<const document> current = document_with_kura();
+    cell::directory servers;
+    pb::server_announcement earlier = announcement("r2", 1);
+    earlier.set_address("127.0.0.1:102");
+    REQUIRE(servers.apply(earlier, at(0)));
+    REQUIRE(servers.apply(deregistration("r2"), at(0)));
+    bool is_left_out = false;
+    SUBCASE("of an earlier start") {}
+    SUBCASE("of the recorded start")
+    {
+        earlier.set_born_ms(200);
+        REQUIRE(servers.apply(earlier, at(0)));
+        REQUIRE(servers.apply(deregistration("r2"), at(0)));
+        is_left_out = true;
+    }
+    cell::service leader({}, 4, at(0));
+    std::optional<promotion::recorded_group> recorded;
+    for (std::int64_t now = 0; now <= 3'000; now += 20) {
+        promotion::planner* const planner = leader.find_planner("kura");
+        if (planner != nullptr && now % 100 == 0) {
+            planner->on_primary("p", {1, 20}, at(now), at(now));
+        }
+        for (const auto& requested : leader.advance(current.get(), state, servers, at(now))) {
+            if (const auto* const record =
+                    std::get_if<promotion::record_members>(&requested.action)) {
+                recorded = record->group;
+            }
+        }
+    }
+    CHECK(recorded.has_value() == is_left_out); // the record changes only with the members
+    CHECK((!recorded || recorded->members.size() == 2));
+}
+
 // Guards against regions of the document that do not reach the planner, and against a change of a
 // primary that has only not announced itself to a new leader yet.
 TEST_CASE("cell service: a primary outside the regions of all routes is replaced")
--- a/tests/pooler_directory_test.cpp
+++ b/tests/pooler_directory_test.cpp
@@ -147,6 +147,43 @@
     CHECK(instance.connections.find_server("g", "s") != nullptr);
 }
 
+TEST_CASE("pooler directory: a deregistration of an earlier start removes no running server")
+{
+    pooler_fixture instance;
+    pb::server_announcement running = announcement("s", "g", 5);
+    running.set_born_ms(200);
+    pb::server_announcement gone = running;
+    gone.set_gone(true);
+    SUBCASE("of an earlier start")
+    {
+        gone.set_born_ms(100);
+    }
+    SUBCASE("of the same start, before its latest announcement")
+    {
+        gone.set_sequence(4);
+    }
+    for (const bool is_complete : {true, false}) {
+        instance.connections.set_servers({&running, 1}, true, clock::now());
+        instance.connections.set_servers({&gone, 1}, is_complete, clock::now());
+        CHECK(instance.connections.find_server("g", "s") != nullptr);
+    }
+}
+
+TEST_CASE("pooler directory: a start that goes on announcing itself is used again")
+{
+    pooler_fixture instance;
+    pb::server_announcement known = announcement("s", "g", 5);
+    known.set_born_ms(100);
+    pb::server_announcement gone = known;
+    gone.set_gone(true);
+    instance.connections.set_servers({&known, 1}, true, clock::now());
+    instance.connections.set_servers({&gone, 1}, true, clock::now());
+    CHECK(instance.connections.find_server("g", "s") == nullptr);
+    known.set_sequence(6);
+    instance.connections.set_servers({&known, 1}, true, clock::now());
+    CHECK(instance.connections.find_server("g", "s") != nullptr);
+}
+
 TEST_CASE("pooler directory: groups of entries that are gone are not kept")
 {
     pooler_fixture instance;
