A new cell forms although an instance is started again before

Cause: only the settings of the first start name a new cell's initial members, and nothing stored them. An instance that was killed and started again before the cell had formed took itself for a stranger, while the others waited for its vote for ever. Fix: the identity in the data folder holds the initial members. An instance without a folder learns them from a vote request of a member whose log is empty, so that the cell can't have formed; a leader enters the new disk of a member while nothing but registrations is in the log.

--- a/include/primrosehead/consensus.h
+++ b/include/primrosehead/consensus.h
@@ -62,12 +62,13 @@
 // Actions for the owner, to be carried out in the order of the fields. Messages may be sent only
 // after all preceding fields are synced.
 //
-// Durability: after writing and syncing `hard_state`, `snapshot`, `truncate_from` and `entries` the
-// owner calls `core::on_synced`; a leader counts its own entries only then. A follower's
-// acknowledgement is one of `messages` and is therefore sent after the sync as well. If a write or
-// sync fails, the owner may neither send messages nor call the core again until it has repeated the
-// write with success.
+// Durability: after writing and syncing `initial_members`, `hard_state`, `snapshot`,
+// `truncate_from` and `entries` the owner calls `core::on_synced`; a leader counts its own entries
+// only then. A follower's acknowledgement is one of `messages` and is therefore sent after the sync
+// as well. If a write or sync fails, the owner may neither send messages nor call the core again
+// until it has repeated the write with success.
 struct output {
+    std::optional<pb::membership> initial_members; // of the new cell that this instance belongs to
     std::optional<pb::hard_state> hard_state;
     std::optional<pb::snapshot_record> snapshot; // replaces the log and the snapshot
     std::optional<std::uint64_t> truncate_from;  // removes this entry and all later ones
--- a/include/primrosehead/journal.h
+++ b/include/primrosehead/journal.h
@@ -73,6 +73,7 @@
 
     [[nodiscard]] contents take_contents(); // may be called once, after `open`
 
+    [[nodiscard]] status write_initial_members(const pb::membership& members);
     [[nodiscard]] status write_hard_state(const pb::hard_state& hard);
 
     // Both are buffered until the next `sync`.
--- a/src/consensus_core.h
+++ b/src/consensus_core.h
@@ -44,6 +44,8 @@
 
     // Elections (consensus_election.cpp).
     void campaign(clock::time_point now);
+    [[nodiscard]] bool can_adopt_members(const pb::consensus_message& message) const;
+    void adopt_members(const pb::membership& members, clock::time_point now);
     void request_votes(bool pre_vote, clock::time_point now);
     void count_votes(clock::time_point now);
     void become_candidate(clock::time_point now);
@@ -96,6 +98,7 @@
     proposal append_membership(pb::membership next, clock::time_point now);
     void on_membership_changed(clock::time_point now);
     void promote_learner(clock::time_point now);
+    void replace_initial_disk(const pb::consensus_message& message, clock::time_point now);
     void register_replacement_disk(const pb::consensus_message& message, clock::time_point now);
     [[nodiscard]] const pb::member* find_member(std::string_view instance) const;
     [[nodiscard]] bool is_from_registered_disk(const pb::consensus_message& message) const;
--- a/src/consensus_election.cpp
+++ b/src/consensus_election.cpp
@@ -1,6 +1,7 @@
 // Leader election: pre-vote, voting and term changes.
 #include "consensus_core.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace primrosehead::consensus {
@@ -66,6 +67,9 @@
         request->set_pre_vote(pre_vote);
         request->set_last_index(log.last_index());
         request->set_last_term(log.last_term());
+        if (log.last_index() == 0 && is_bootstrapping()) {
+            *request->mutable_initial_members() = log.members();
+        }
         out.messages.push_back(std::move(message));
     }
     count_votes(now);
@@ -151,9 +155,33 @@
     return request.last_index() >= log.last_index();
 }
 
+// True if this instance has no members, and the message names it as an initial member of a new
+// cell. The cell has not formed: every initial member stores its first entry, and the sender has
+// none.
+bool core::implementation::can_adopt_members(const pb::consensus_message& message) const
+{
+    const auto& offered = message.vote().initial_members().members();
+    const auto is_offered = [&](std::string_view instance) {
+        return std::any_of(offered.begin(), offered.end(),
+                           [&](const pb::member& member) { return member.instance() == instance; });
+    };
+    return log.last_index() == 0 && log.members().members().empty() && is_offered(self()) &&
+           is_offered(message.from());
+}
+
+void core::implementation::adopt_members(const pb::membership& members, clock::time_point now)
+{
+    log = entry_log(nullptr, members, {});
+    out.initial_members = members;
+    on_membership_changed(now);
+}
+
 void core::implementation::handle_vote_request(const pb::consensus_message& message,
                                                clock::time_point now)
 {
+    if (can_adopt_members(message)) {
+        adopt_members(message.vote().initial_members(), now);
+    }
     if (!is_from_registered_disk(message) || has_live_leader(now)) {
         return;
     }
--- a/src/consensus_members.cpp
+++ b/src/consensus_members.cpp
@@ -232,6 +232,21 @@
     }
 }
 
+// Registers the new disk of an initial member that lost its disk before the cell has formed. It
+// holds nothing that was committed: every initial member stores the first entry before that.
+void core::implementation::replace_initial_disk(const pb::consensus_message& message,
+                                                clock::time_point now)
+{
+    pb::membership next = log.members();
+    for (pb::member& member : *next.mutable_members()) {
+        if (member.instance() == message.from()) {
+            member.set_disk_id(message.disk_id());
+        }
+    }
+    peers.erase(message.from());
+    append_membership(std::move(next), now);
+}
+
 // Registers the new disk of a member whose registered disk has been silent for
 // `disk_replacement_timeout`.
 void core::implementation::register_replacement_disk(const pb::consensus_message& message,
@@ -239,8 +254,14 @@
 {
     const pb::member* registered = find_member(message.from());
     const auto peer_it = peers.find(message.from());
-    if (registered == nullptr || peer_it == peers.end() ||
-        settings.disk_replacement_timeout.count() == 0) {
+    if (registered == nullptr || peer_it == peers.end()) {
+        return;
+    }
+    if (is_bootstrapping()) {
+        replace_initial_disk(message, now);
+        return;
+    }
+    if (settings.disk_replacement_timeout.count() == 0) {
         return;
     }
     const clock::time_point last_contact_at =
--- a/src/deployment_settings.h
+++ b/src/deployment_settings.h
@@ -51,7 +51,7 @@
     bool is_first_start = false; // initial start of the whole system, with empty disks
     std::string platform;        // IP:PORT of the platform API; empty: none
     clock::duration announcement_interval{1'200};
-    clock::duration leaving{7'000}; // servers announce this long before they deregister
+    clock::duration leaving{7'000};           // servers announce this long before they deregister
     std::uint32_t relays_from_instances = 80; // pooler instances from which relays are used
 };
 
--- a/src/journal.cpp
+++ b/src/journal.cpp
@@ -24,6 +24,7 @@
     std::unique_ptr<disk> files;
     journal_switches switches;
     contents recovered_contents;
+    pb::disk_record identity;
     std::vector<segment> segments;
     std::deque<entry_position> positions; // of the entries in the segments and in `pending`
 
@@ -226,6 +227,7 @@
     body->files = std::move(files);
     body->switches = switches;
     body->recovered_contents = std::move(value(folder).contents);
+    body->identity = body->recovered_contents.identity;
     body->segments = std::move(value(folder).segments);
     if (body->recovered_contents.hard_state.term() > 0) {
         body->unconfirmed_hard_state = body->recovered_contents.hard_state;
@@ -249,6 +251,12 @@
     return std::exchange(body_->recovered_contents, contents{});
 }
 
+status journal::write_initial_members(const pb::membership& members)
+{
+    *body_->identity.mutable_initial_members() = members;
+    return body_->replace_message(identity_file, body_->identity);
+}
+
 status journal::write_hard_state(const pb::hard_state& hard)
 {
     return body_->write_hard_state(hard);
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -51,6 +51,7 @@
 // repetition leaves out.
 struct unwritten_output {
     consensus::output content;
+    bool are_initial_members_written = false;
     bool is_hard_state_written = false;
     bool is_snapshot_written = false;
     bool is_log_buffered = false; // in the journal
@@ -128,7 +129,11 @@
 {
     const consensus::output& output = writes.content;
     status outcome = std::monostate{};
-    if (output.hard_state && !writes.is_hard_state_written) {
+    if (output.initial_members && !writes.are_initial_members_written) {
+        outcome = storage.write_initial_members(*output.initial_members);
+        writes.are_initial_members_written = ok(outcome);
+    }
+    if (ok(outcome) && output.hard_state && !writes.is_hard_state_written) {
         outcome = storage.write_hard_state(*output.hard_state);
         writes.is_hard_state_written = ok(outcome);
     }
@@ -334,6 +339,9 @@
     new_identity.set_cell(settings.cell.text());
     new_identity.set_instance(settings.instance.text());
     new_identity.set_disk_id(std::move(disk_id));
+    if (!settings.control.empty()) {
+        *new_identity.mutable_initial_members() = initial_members(settings);
+    }
     result<journal> opened = journal::open(std::move(files), new_identity);
     if (!ok(opened)) {
         return failure(opened);
@@ -344,8 +352,10 @@
         return failure(state);
     }
     const std::uint64_t snapshot_index = contents.snapshot ? contents.snapshot->last_index() : 0;
-    consensus::persisted_state stored{contents.hard_state, std::move(contents.snapshot),
-                                      std::move(contents.entries), initial_members(settings)};
+    consensus::persisted_state stored{
+        contents.hard_state, std::move(contents.snapshot), std::move(contents.entries),
+        contents.identity.has_initial_members() ? contents.identity.initial_members()
+                                                : initial_members(settings)};
     result<consensus::core> core = consensus::core::create(
         make_core_settings(settings, contents.identity, seed), std::move(stored), now);
     if (!ok(core)) {
@@ -362,8 +372,8 @@
                  settings.instance.text(), impl->disk_id, impl->core.last_index(), snapshot_index,
                  impl->is_tail_truncated ? ", torn tail truncated" : "");
     if (impl->core.is_bootstrapping()) {
-        spdlog::info("replica: new cell, waiting for all {} configured control instances",
-                     settings.control.size());
+        spdlog::info("replica: new cell, waiting for all {} initial members",
+                     impl->core.members().members_size());
     }
     return std::unique_ptr<replica>(new replica(std::move(impl)));
 }
--- a/tests/consensus_network.cpp
+++ b/tests/consensus_network.cpp
@@ -42,6 +42,7 @@
     node_settings.core.disk_replacement_timeout = options_.disk_replacement_timeout;
     node_settings.core.unsafe = options_.unsafe;
     node_settings.initial_members = initial_members;
+    node_settings.knows_members_once = options_.knows_members_once;
     node_settings.snapshot_after = options_.snapshot_after;
     node_settings.state_bytes = options_.state_bytes;
     node_settings.journal = options_.journal;
--- a/tests/consensus_network.h
+++ b/tests/consensus_network.h
@@ -23,7 +23,8 @@
 struct network_options {
     std::uint64_t seed = 1;
     int members = 3;
-    bool disks_registered = true; // false: the new cell must register its disks
+    bool disks_registered = true;    // false: the new cell must register its disks
+    bool knows_members_once = false; // the initial members are given at first starts only
     int loss_per_mille = 0;
     int duplicate_per_mille = 0;
     clock::duration delay_min{1};
--- a/tests/consensus_node.cpp
+++ b/tests/consensus_node.cpp
@@ -47,6 +47,9 @@
     new_disk.set_cell("cell");
     new_disk.set_instance(options_.core.instance.text());
     new_disk.set_disk_id(options_.core.disk_id);
+    if (!std::exchange(has_started_, true) || !options_.knows_members_once) {
+        *new_disk.mutable_initial_members() = options_.initial_members;
+    }
     result<journal> opened = journal::open(folder_->open(), new_disk, options_.journal);
     if (!ok(opened)) {
         stop_with_error(failure(opened));
@@ -63,7 +66,7 @@
         restore(contents.snapshot->state(), contents.snapshot->last_index());
     }
     consensus::persisted_state stored{contents.hard_state, contents.snapshot, contents.entries,
-                                      options_.initial_members};
+                                      contents.identity.initial_members()};
     result<consensus::core> created =
         consensus::core::create(options_.core, std::move(stored), now);
     if (!ok(created)) {
@@ -127,7 +130,10 @@
 status node::write(const consensus::output& work)
 {
     status result_so_far = std::monostate{};
-    if (work.hard_state) {
+    if (work.initial_members) {
+        result_so_far = journal_->write_initial_members(*work.initial_members);
+    }
+    if (ok(result_so_far) && work.hard_state) {
         result_so_far = journal_->write_hard_state(*work.hard_state);
     }
     if (ok(result_so_far) && work.snapshot) {
--- a/tests/consensus_node.h
+++ b/tests/consensus_node.h
@@ -17,6 +17,7 @@
 struct node_options {
     consensus::core_settings core;
     pb::membership initial_members;
+    bool knows_members_once = false;   // they are given at the first start only
     std::uint64_t snapshot_after = 40; // applied entries between snapshots
     clock::duration clock_offset{0};   // added to the network time
     std::size_t state_bytes = 100;     // size of the state in a snapshot
@@ -73,6 +74,7 @@
     std::optional<journal> journal_;
     std::unique_ptr<consensus::core> core_;
     bool is_paused_ = false;
+    bool has_started_ = false;
     std::uint64_t applied_index_ = 0;
     std::uint64_t snapshot_index_ = 0;
     std::uint64_t digest_ = 0;
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -212,6 +212,117 @@
     CHECK(network.violations().empty());
 }
 
+// Guards against a new cell that never forms, because an instance that was restarted before no
+// longer knows that it is an initial member.
+TEST_CASE("consensus: a new cell forms although an initial member restarts before")
+{
+    network_options options;
+    options.disks_registered = false;
+    options.knows_members_once = true;
+    consensus_network network(options);
+    SUBCASE("with its disk, before the first election")
+    {
+        network.step();
+        network.crash("c3");
+        network.restart("c3");
+    }
+    SUBCASE("without its disk, before the first election")
+    {
+        network.step();
+        network.lose_disk("c3");
+        network.restart("c3");
+    }
+    SUBCASE("without its disk, after it has voted")
+    {
+        while (network.at("c1").core().last_index() == 0 &&
+               network.at("c2").core().last_index() == 0) {
+            network.step();
+            REQUIRE(network.now() < clock::time_point(clock::duration(1'010'000)));
+        }
+        network.lose_disk("c3");
+        network.restart("c3");
+    }
+    SUBCASE("all of them, with their disks")
+    {
+        network.step();
+        for (const std::string& name : network.names()) {
+            network.crash(name);
+        }
+        for (const std::string& name : network.names()) {
+            network.restart(name);
+        }
+    }
+    REQUIRE(!network.run_until_leader().empty());
+    REQUIRE(network.propose("first"));
+    network.run(clock::duration(6'000)); // a member that lost its disk is replaced after 2 s
+    CHECK(network.command_committed("first"));
+    for (const std::string& name : network.names()) {
+        CHECK(network.at(name).core().members().members_size() == 3);
+    }
+    CHECK(network.violations().empty());
+}
+
+TEST_CASE("consensus: a formed cell gives a lost disk no vote, whatever a late vote request offers")
+{
+    network_options options;
+    options.disks_registered = false;
+    options.knows_members_once = true;
+    consensus_network network(options);
+    pb::consensus_message offer;
+    offer.set_from("c1");
+    offer.set_to("c3");
+    offer.set_disk_id("disk-c1");
+    offer.set_term(1);
+    *offer.mutable_vote()->mutable_initial_members() = network.at("c1").options().initial_members;
+    REQUIRE(!network.run_until_leader().empty());
+    REQUIRE(network.propose("first"));
+    network.run(clock::duration(1'000));
+    network.lose_disk("c3");
+    network.crash("c1");
+    network.restart("c3");
+    network.at("c3").receive(offer, network.now());
+    network.run(clock::duration(5'000));
+    CHECK(network.current_leader().empty()); // c2 alone has the first entry
+    network.restart("c1");
+    CHECK(!network.run_until_leader().empty());
+    network.run(clock::duration(5'000));
+    CHECK(network.command_committed("first"));
+    CHECK(network.violations().empty());
+}
+
+// Restarts and lost disks of one initial member at a time, at random moments of the formation.
+TEST_CASE("consensus: a new cell forms consistently under restarts at any moment")
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        CAPTURE(seed);
+        network_options options;
+        options.seed = seed;
+        options.disks_registered = false;
+        options.knows_members_once = true;
+        options.loss_per_mille = seed % 3 == 0 ? 100 : 0;
+        consensus_network network(options);
+        for (std::uint64_t restarts = network.random_below(4); restarts > 0; --restarts) {
+            network.run(clock::duration(static_cast<clock::rep>(network.random_below(700))));
+            const std::string name = "c" + std::to_string(1 + network.random_below(3));
+            if (network.random_below(2) == 0) {
+                network.lose_disk(name);
+            }
+            else {
+                network.crash(name);
+            }
+            network.run(clock::duration(static_cast<clock::rep>(network.random_below(500))));
+            network.restart(name);
+            // A member that replaces a lost disk has to have caught up before the next loss.
+            network.run(clock::duration(6'000));
+        }
+        CHECK(!network.run_until_leader().empty());
+        CHECK(network.propose("first"));
+        network.run(clock::duration(1'000));
+        CHECK(network.command_committed("first"));
+        CHECK(network.violations().empty());
+    }
+}
+
 TEST_CASE("consensus: a replaced disk joins as a learner, then votes, so another instance may fail")
 {
     network_options options;
--- a/tests/replica_cell.cpp
+++ b/tests/replica_cell.cpp
@@ -53,6 +53,7 @@
         return;
     }
     node.process = value(std::move(opened));
+    node.settings.control.clear(); // only the first start knows the initial members
 }
 
 void replica_cell::stop(std::string_view name)
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -144,6 +144,31 @@
     CHECK(cell.at(first).state().digest() == cell.at(second).state().digest());
 }
 
+// Guards against a deployment that never starts: its settings name the initial members at the first
+// start only, and an instance may be killed before the cell has formed.
+TEST_CASE("replica: a new cell forms although an instance is started again before")
+{
+    replica_cell cell(3);
+    SUBCASE("with its data folder")
+    {
+        cell.stop("c2");
+    }
+    SUBCASE("without a data folder")
+    {
+        cell.lose_disk("c2");
+    }
+    cell.start("c2");
+    const std::string leader = cell.run_until_leader();
+    REQUIRE(!leader.empty());
+    const auto reply = cell.issue_key(leader, "key-1", "request-1");
+    cell.run(clock::duration(200));
+    REQUIRE(reply->has_value());
+    for (const char* name : {"c1", "c2", "c3"}) {
+        CHECK(cell.at(name).members().members_size() == 3);
+    }
+    CHECK(cell.failure_log().empty());
+}
+
 TEST_CASE("replica: an instance whose disk was lost recovers the state and votes")
 {
     replica_cell cell(3, 20);
