A request to join is passed on to the leader

Callers saw: a control process that had lost its disk answered every read and change of the configuration with 503, for good, while the others went on. Cause: a process without a member list knows the seeds only and asks them to join. A seed that doesn't lead answered 'not leader' and passed nothing on, so that a process that had been removed meanwhile came back only if a seed led. Fix: an instance that doesn't lead passes the joining instance's own request on to the leader. Requests to join are logged.

--- a/soak/operator_soak.py
+++ b/soak/operator_soak.py
@@ -30,6 +30,8 @@
 RESTART_S = 0.5  # from the end of a process to its next start
 STARTUP_S = 14   # from the start of the processes to traffic
 FAULTS = ["kill", "kill", "stop", "pause", "kill_two", "kill_all", "kill_starting"]
+DISK_FAULTS = ["lose_disk", "lose_disks_in_series"]  # of one process at a time
+CATCH_UP_S = BOUNDS["catch_up_s"]
 
 
 class Operator:
@@ -121,6 +123,7 @@
                                      options.programs)
         self.operator, self.finished, self.broken = Operator(self), False, []
         self.disturbed_at = time.monotonic()
+        self.disks = asyncio.Lock()  # held while a process recovers from the loss of its disk
         self.ending = set()  # processes that this script ends or has paused
 
     def report(self, rule, text):
@@ -139,13 +142,14 @@
         at = STARTUP_S + 1.0
         while at < self.options.seconds:
             for _ in range(self.random.choice((1, 1, 2, 4, 6))):
-                plan.append((round(at, 2), self.random.choice(FAULTS), self.random.randrange(100),
+                kinds = DISK_FAULTS if self.random.random() < self.options.disk_losses else FAULTS
+                plan.append((round(at, 2), self.random.choice(kinds), self.random.randrange(100),
                              round(self.random.uniform(0.2, 6.0), 2)))
                 at += self.random.choice((0.0, 0.1, 0.4, 1.0))
             at += self.random.choice((0.5, 2.0, 5.0, 16.0))
         return sorted(plan)
 
-    async def restart(self, program, number):
+    async def restart(self, program, number, pause_s=RESTART_S, loses_disk=False):
         if not program.is_running() or program in self.ending:
             return
         self.ending.add(program)
@@ -156,11 +160,19 @@
             await asyncio.sleep(0.02)
             if time.monotonic() > deadline:
                 program.send_signal(signal.SIGKILL)
-        await asyncio.sleep(RESTART_S)
+        if loses_disk:
+            shutil.rmtree(program.folder / "data", ignore_errors=True)
+        await asyncio.sleep(pause_s)
         program.start()
         self.disturbed_at = time.monotonic()
         self.ending.discard(program)
 
+    async def lose_disks(self, program, count):
+        async with self.disks:
+            for _ in range(count):
+                await self.restart(program, signal.SIGKILL, self.random.choice((0.05, 0.5, 1.5, 4.0)), True)
+                await asyncio.sleep(CATCH_UP_S)
+
     async def inject(self, kind, index, seconds):
         controls = self.deployment.controls
         program = controls[index % len(controls)]
@@ -173,6 +185,10 @@
             await asyncio.gather(*(self.restart(each, signal.SIGKILL) for each in (program, other)))
         elif kind == "kill_all":
             await asyncio.gather(*(self.restart(each, signal.SIGKILL) for each in controls))
+        elif kind == "lose_disk":
+            await self.lose_disks(program, 1)
+        elif kind == "lose_disks_in_series":
+            await self.lose_disks(program, 2 + index % 2)
         elif kind == "kill_starting":
             await self.restart(program, signal.SIGKILL)
             await asyncio.sleep(seconds / 10)
@@ -269,6 +285,7 @@
     parser.add_argument("--seconds", type=float, default=40)
     parser.add_argument("--controls", type=int, default=8)
     parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument("--disk-losses", type=float, default=0.0, help="share of faults that empty a data folder")
     parser.add_argument("--programs", default=str(ROOT / "build/bin"), help="the folder of the programs")
     parser.add_argument("--slack", type=float, default=1.0,
                         help="factor of the time in which control has to answer in calm, for a busy machine")
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -61,6 +61,7 @@
 constexpr clock::duration forward_timeout{800};
 constexpr clock::duration join_interval{500};
 constexpr clock::duration join_after_silence{1'500};
+constexpr clock::duration join_log_interval{10'000};
 constexpr clock::duration membership_check_interval{1'000};
 constexpr clock::duration housekeeping_interval{1'000};
 constexpr clock::duration rejected_log_interval{60'000};
@@ -166,6 +167,7 @@
     void reply_to_operator(const bus_origin& origin, std::uint64_t correlation,
                            pb::operator_reply reply);
     void admit_member(const pb::member& joining, clock::time_point now);
+    void forward_join(const pb::envelope& message);
     net::awaitable<std::optional<pb::envelope>> request_from_leader(pb::envelope& request);
     net::awaitable<pb::operator_reply> commit(const pb::command& command);
     [[nodiscard]] status propose_change(const pb::command& command, clock::time_point now,
@@ -200,6 +202,7 @@
     std::string role;
     clock::time_point leader_known_at{};
     clock::time_point join_requested_at{};
+    clock::time_point join_logged_at{};
     clock::time_point membership_checked_at{};
     clock::time_point last_housekeeping_at{};
     clock::time_point last_tick_at{};
@@ -521,6 +524,11 @@
         return;
     }
     join_requested_at = now;
+    if (now - join_logged_at >= join_log_interval) {
+        join_logged_at = now;
+        events.decision("cell", "joins")
+            .field("asked", fmt::format("{}", fmt::join(control_endpoints(), " ")));
+    }
     pb::envelope message = make_envelope();
     pb::member& self = *message.mutable_operate()->mutable_join();
     self.set_instance(member_name(settings.host));
@@ -829,6 +837,19 @@
     }
 }
 
+// An instance without a member list knows the seeds only, none of which may lead.
+void instance::implementation::forward_join(const pb::envelope& message)
+{
+    const std::string& joining = message.operate().join().instance();
+    const std::string leader = leader_endpoint();
+    if (message.from() != joining || leader.empty()) {
+        return;
+    }
+    pb::envelope forwarded = make_envelope();
+    *forwarded.mutable_operate() = message.operate();
+    bus_connection->messages().send(leader, forwarded);
+}
+
 pb::operator_reply instance::implementation::show_published() const
 {
     pb::operator_reply reply;
@@ -846,6 +867,10 @@
     const clock::time_point now = clock::now();
     const pb::operator_request& request = message.operate();
     const std::uint64_t correlation = message.correlation();
+    if (!is_leader(now) && request.has_join()) {
+        forward_join(message);
+        return;
+    }
     if (!is_leader(now)) {
         pb::operator_reply reply;
         reply.set_not_leader(true);
