A learner forgets a leader that no longer replicates to it

Cause: only a voter whose leader is silent campaigns and thereby forgets it. A learner that was removed kept its leader, and an instance asks to join only while it knows none. Evidence: 'consensus: a learner forgets a leader that no longer replicates to it' failed before the fix. Fix: an instance that can't campaign forgets its leader at the election timeout.

--- a/src/consensus_core.cpp
+++ b/src/consensus_core.cpp
@@ -109,9 +109,15 @@
 void core::implementation::tick(clock::time_point now)
 {
     if (role() != role::leader) {
-        if (now >= election_deadline && can_campaign()) {
+        if (now < election_deadline) {
+            return;
+        }
+        if (can_campaign()) {
             campaign(now);
         }
+        else {
+            leader.clear(); // it may have removed this instance, which has to join again then
+        }
         return;
     }
     const clock::time_point contact_at = majority_contact_at(now, elected_at);
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -385,6 +385,26 @@
     CHECK(network.violations().empty());
 }
 
+// Guards against an instance that was removed while it was a learner, and never asks to join again.
+TEST_CASE("consensus: a learner forgets a leader that no longer replicates to it")
+{
+    consensus_network network({});
+    const std::string leader = network.run_until_leader();
+    REQUIRE(!leader.empty());
+    network.start_nonmember("c4");
+    pb::consensus_message heartbeat;
+    heartbeat.set_from(leader);
+    heartbeat.set_to("c4");
+    heartbeat.set_disk_id("disk-" + leader);
+    heartbeat.set_term(network.highest_term());
+    heartbeat.mutable_append();
+    network.at("c4").receive(heartbeat, network.now());
+    CHECK(network.at("c4").core().leader() == leader);
+    network.run(clock::duration(2'000));
+    CHECK(network.at("c4").core().leader().empty());
+    CHECK(network.current_leader() == leader);
+}
+
 TEST_CASE("consensus: a removed leader is replaced and does not lead again")
 {
     consensus_network network({});
