An answer belongs to its statement, not to a position in an exchange

Cause: a read at the primary is sent with the ROLLBACK behind it. If the read's answer was lost, the first answer that came was the ROLLBACK's, and was passed on. Evidence: 'pooler answers: a read at the primary is repeated...', '... without a signature...' and 'promotion probe: a server whose answer to BEGIN is lost...' failed before the fix. Fix: an incomplete exchange yields an answer only if its state shows whose it is, and ends at the first answer that shows the loss. A success without a signature answers no statement of a client. The checks for a primary take only an answer that reports an open transaction as that of BEGIN: a replica could pass for the primary.

--- a/src/line_answer.h
+++ b/src/line_answer.h
@@ -36,6 +36,8 @@
 };
 inline constexpr std::size_t answer_cause_count = 14;
 
+inline constexpr std::string_view no_signature = "-";
+
 // The complete answer to one query: `code` and `text` are set if `is_error`, `signature` otherwise.
 struct line_answer {
     std::vector<std::string> rows;
@@ -46,6 +48,18 @@
     bool is_error = false;
     session_state state = session_state::idle;
     std::optional<log_position> position; // position of the server's log
+
+    // True if a statement that a server runs can have this answer: an error, or a signed success.
+    [[nodiscard]] bool can_answer_statement() const noexcept
+    {
+        return is_error || (!signature.empty() && signature != no_signature);
+    }
+    // True for the answer to a BEGIN that succeeded. One to the ROLLBACK behind it, which comes
+    // first if the former was lost, reports another state.
+    [[nodiscard]] bool has_begun() const noexcept
+    {
+        return !is_error && state == session_state::in_transaction;
+    }
 };
 
 // Assembles answers from the lines that a server sends.
--- a/src/line_connection.cpp
+++ b/src/line_connection.cpp
@@ -119,6 +119,13 @@
         if (!feed_line(line, outcome)) {
             return false;
         }
+        const bool is_early = last_state_ && !outcome.answers.empty() &&
+                              outcome.answers.size() < count &&
+                              outcome.answers.back().state == *last_state_;
+        if (is_early) {
+            outcome.is_broken = true;
+            return false;
+        }
     }
     buffer_.erase(0, consumed_);
     consumed_ = 0;
@@ -146,10 +153,13 @@
     }
 }
 
-net::awaitable<line_exchange>
-line_connection::exchange(const std::string& queries, std::size_t count, clock::time_point deadline)
+net::awaitable<line_exchange> line_connection::exchange(const std::string& queries,
+                                                        std::size_t count,
+                                                        clock::time_point deadline,
+                                                        std::optional<session_state> last_state)
 {
     line_exchange outcome;
+    last_state_ = last_state;
     outcome.answers.reserve(count);
     arm_timer(deadline);
     const auto [ec, written] = co_await net::async_write(socket_, net::buffer(queries), no_throw);
--- a/src/line_connection.h
+++ b/src/line_connection.h
@@ -52,9 +52,11 @@
     open(boost::asio::any_io_executor executor, const line_dialect& dialect,
          const std::string& address, const std::string& startup, clock::time_point deadline);
 
-    // Sends `queries` and reads `count` answers.
+    // Sends `queries` and reads `count` answers. `last_state` is the state that only the last
+    // answer reports: if an earlier one does, an answer was lost, and the exchange is broken.
     [[nodiscard]] boost::asio::awaitable<line_exchange>
-    exchange(const std::string& queries, std::size_t count, clock::time_point deadline);
+    exchange(const std::string& queries, std::size_t count, clock::time_point deadline,
+             std::optional<session_state> last_state = std::nullopt);
 
     // Returns false if the server closed the idle connection or sent unsolicited data.
     [[nodiscard]] bool is_usable();
@@ -83,6 +85,7 @@
     std::string buffer_;
     std::size_t consumed_ = 0;
     std::optional<log_position> position_;
+    std::optional<session_state> last_state_; // of the exchange in progress
 };
 
 } // namespace primrosehead
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -193,10 +193,11 @@
 
 net::awaitable<line_exchange> execution::exchange(pooled_connection& connection,
                                                   const std::string& queries, std::size_t count,
-                                                  clock::time_point deadline)
+                                                  clock::time_point deadline,
+                                                  std::optional<session_state> last_state)
 {
     const clock::time_point sent_at = clock::now();
-    line_exchange result = co_await connection.link->exchange(queries, count, deadline);
+    line_exchange result = co_await connection.link->exchange(queries, count, deadline, last_state);
     const clock::time_point now = clock::now();
     context_.metrics.record_phase(statement_phase::server, now - sent_at);
     connection.server->record_exchange(static_cast<std::uint32_t>(count),
@@ -204,6 +205,18 @@
     co_return result;
 }
 
+net::awaitable<line_exchange> execution::exchange_statement(pooled_connection& connection,
+                                                            const std::string& query,
+                                                            clock::time_point deadline)
+{
+    line_exchange result = co_await exchange(connection, query, 1, deadline);
+    if (result.is_complete() && !result.answers.front().can_answer_statement()) {
+        result.answers.clear();
+        result.is_broken = true;
+    }
+    co_return result;
+}
+
 net::awaitable<acquire_result> execution::acquire(connection_request& request)
 {
     const clock::time_point asked_at = clock::now();
@@ -400,13 +413,19 @@
     const clock::time_point sent_at = clock::now();
     context_.connections.log_use(*server, sent_at);
     context_.connections.record_start(*server);
-    line_exchange result = co_await exchange(*connection, queries, 2, deadline);
+    line_exchange result =
+        co_await exchange(*connection, queries, 2, deadline, session_state::idle);
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
     const bool is_clean = result.is_complete() && !result.answers.back().is_error;
     context_.connections.release(std::move(connection), is_clean);
-    if (result.answers.empty()) {
-        context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
+    const bool is_answered = !result.answers.empty() &&
+                             (result.is_complete() || result.answers.front().has_begun()) &&
+                             result.answers.front().can_answer_statement();
+    if (!is_answered) {
+        if (result.answers.empty()) {
+            context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
+        }
         co_return attempt_result{next_step::retry,
                                  make_error_answer(answer_cause::server_silent,
                                                    context_.dialect.timed_out,
@@ -431,7 +450,7 @@
     const clock::time_point attempt_deadline = std::min(
         deadline, sent_at + std::max(replica_read_timeout, clock::duration(latency_timeout_ms)));
     context_.connections.record_start(*server);
-    line_exchange result = co_await exchange(*connection, query, 1, attempt_deadline);
+    line_exchange result = co_await exchange_statement(*connection, query, attempt_deadline);
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
     context_.connections.release(std::move(connection), result.is_complete());
@@ -481,7 +500,7 @@
     const clock::time_point sent_at = clock::now();
     context_.connections.log_use(*server, sent_at);
     context_.connections.record_start(*server);
-    line_exchange result = co_await exchange(*connection, query, 1, deadline);
+    line_exchange result = co_await exchange_statement(*connection, query, deadline);
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
     context_.connections.release(std::move(connection), result.is_complete());
@@ -928,7 +947,7 @@
         }
         const clock::time_point sent_at = clock::now();
         context_.connections.log_use(*server, sent_at);
-        result = co_await exchange(*connection_, query, 1, deadline);
+        result = co_await exchange_statement(*connection_, query, deadline);
         const clock::time_point now = clock::now();
         context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
         if (!result.is_complete()) {
@@ -988,7 +1007,7 @@
             co_return std::move(*refusal);
         }
         sent_at = clock::now();
-        result = co_await exchange(*connection_, query, 1, deadline);
+        result = co_await exchange_statement(*connection_, query, deadline);
         const clock::time_point now = clock::now();
         context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
         if (!result.is_complete() || !may_run_again(result.answers.front(), now, deadline)) {
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -218,10 +218,13 @@
                                              clock::time_point sent_at);
     void roll_back_at_home();
 
-    [[nodiscard]] boost::asio::awaitable<line_exchange> exchange(pooled_connection& connection,
-                                                                 const std::string& queries,
-                                                                 std::size_t count,
-                                                                 clock::time_point deadline);
+    [[nodiscard]] boost::asio::awaitable<line_exchange>
+    exchange(pooled_connection& connection, const std::string& queries, std::size_t count,
+             clock::time_point deadline, std::optional<session_state> last_state = std::nullopt);
+    // Sends one statement of the client. A success without a signature is not its answer.
+    [[nodiscard]] boost::asio::awaitable<line_exchange>
+    exchange_statement(pooled_connection& connection, const std::string& query,
+                       clock::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<acquire_result> acquire(connection_request& request);
     [[nodiscard]] std::optional<log_position> minimum_position(const operation& op,
                                                                clock::time_point now);
--- a/src/promotion_probe.cpp
+++ b/src/promotion_probe.cpp
@@ -88,6 +88,9 @@
                                 : probe_result::silent;
             answer.position = outcome.answers.front().position.value_or(log_position{});
         }
+        else if (!outcome.answers.front().has_begun()) {
+            answer.result = probe_result::silent;
+        }
         else if (outcome.answers.front().position) {
             answer.position = *outcome.answers.front().position;
         }
--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -65,6 +65,8 @@
     std::string failure_code;
     std::size_t failures_left = 0;
     std::optional<std::string> unanswered_prefix;
+    std::size_t losses_left = 0;
+    bool omits_signatures = false;
 
     [[nodiscard]] bool takes_failure(std::string_view text)
     {
@@ -72,9 +74,12 @@
         failures_left -= fails ? 1 : 0;
         return fails;
     }
-    [[nodiscard]] bool loses_answer(std::string_view text) const
+    [[nodiscard]] bool takes_loss(std::string_view text)
     {
-        return unanswered_prefix && text.starts_with(*unanswered_prefix);
+        const bool is_lost =
+            losses_left > 0 && unanswered_prefix && text.starts_with(*unanswered_prefix);
+        losses_left -= is_lost ? 1 : 0;
+        return is_lost;
     }
 };
 
@@ -122,8 +127,14 @@
     state_->failure_code = code;
 }
 
-void line_server::lose_answers(std::string prefix)
+void line_server::omit_signatures()
 {
+    state_->omits_signatures = true;
+}
+
+void line_server::lose_answers(std::string prefix, std::size_t times)
+{
+    state_->losses_left = times;
     state_->unanswered_prefix = std::move(prefix);
 }
 
@@ -215,11 +226,11 @@
                 answer += fmt::format("{} {} replica\r\n", dialect.failed, dialect.read_only);
             }
             else {
-                answer += is_signed(dialect, text)
+                answer += is_signed(dialect, text) && !self->omits_signatures
                               ? fmt::format("{} s{}\r\n", dialect.complete, self->received.size())
                               : fmt::format("{} -\r\n", dialect.complete);
             }
-            if (self->loses_answer(text)) {
+            if (self->takes_loss(text)) {
                 continue;
             }
         }
--- a/tests/line_server.h
+++ b/tests/line_server.h
@@ -44,8 +44,13 @@
     void fail_queries(std::string prefix, std::string_view code = line_dialect{}.statement_failed,
                       std::size_t times = std::numeric_limits<std::size_t>::max());
 
-    // From now on, runs queries that begin with `prefix` and sends no answers to them.
-    void lose_answers(std::string prefix);
+    // From now on, runs queries that begin with `prefix` and sends no answers to them, `times`
+    // times.
+    void lose_answers(std::string prefix,
+                      std::size_t times = std::numeric_limits<std::size_t>::max());
+
+    // From now on, answers statements without a signature.
+    void omit_signatures();
 
     // From now on, rejects connections beyond `limit` open ones.
     void limit_connections(std::size_t limit);
--- a/tests/pooler_setup_test.cpp
+++ b/tests/pooler_setup_test.cpp
@@ -229,3 +229,49 @@
     CHECK(answer->is_error);
     CHECK(count(instance.server, "PUT x 1") == 0);
 }
+
+// Guards against the answer of the ROLLBACK behind a read that is passed on as that of the read.
+TEST_CASE("pooler answers: a read at the primary is repeated if its answer is lost")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    instance.server.set_row("v1");
+    instance.server.lose_answers("GET", 1);
+    const std::string answers =
+        instance.exchange("OPEN db secret\r\nRUN r1 GET x\r\n", settle_time);
+    CHECK(answers.find("ROW v1\r\nDONE s") != std::string::npos);
+    CHECK(count(instance.server, "GET x") == 2);
+    CHECK(instance.server.connections() == 2);
+}
+
+TEST_CASE("pooler answers: a success without a signature answers no statement")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    instance.server.omit_signatures();
+    std::string lines;
+    std::string code;
+    SUBCASE("a read at the primary")
+    {
+        lines = "RUN r1 GET x\r\n";
+        code = "TIMEOUT";
+    }
+    SUBCASE("a write")
+    {
+        lines = "RUN w1 PUT x 1\r\n";
+        code = "UNKNOWN";
+    }
+    SUBCASE("a statement in a transaction")
+    {
+        lines = "RUN t1 BEGIN\r\nRUN t2 PUT x 1\r\n";
+        code = "ABORTED";
+    }
+    SUBCASE("a commit")
+    {
+        lines = "RUN t1 BEGIN\r\nRUN t2 COMMIT\r\n";
+        code = "UNKNOWN";
+    }
+    const std::string answers =
+        instance.exchange(fmt::format("OPEN db secret\r\n{}", lines), clock::duration(500));
+    CHECK(answers.find(fmt::format("FAIL {} ", code)) != std::string::npos);
+}
--- a/tests/promotion_probe_test.cpp
+++ b/tests/promotion_probe_test.cpp
@@ -45,3 +45,22 @@
     CHECK(resumed->result == promotion::probe_result::not_sent);
     CHECK(std::count(server.received().begin(), server.received().end(), dialect.resume) == 0);
 }
+
+// Guards against a replica that is taken for the primary since the ROLLBACK behind the refused
+// BEGIN succeeded.
+TEST_CASE("promotion probe: a server whose answer to BEGIN is lost is not taken for the primary")
+{
+    net::io_context context;
+    const line_dialect dialect;
+    testing::line_server server(context.get_executor());
+    server.follow(7);
+    server.lose_answers("BEGIN");
+    promotion::probe target(context.get_executor(), dialect, "kura", "i-1", server.address());
+    std::optional<promotion::primary_answer> answer;
+    net::co_spawn(
+        context, [&]() -> net::awaitable<void> { answer = co_await target.check_primary(); },
+        net::detached);
+    context.run_for(std::chrono::milliseconds(600));
+    REQUIRE(answer.has_value());
+    CHECK(answer->result == promotion::probe_result::silent);
+}
