Shapes have collision-resistant names on pooled connections

Cause: the pool's name of a prepared statement was an unkeyed 64-bit hash of the shape, for which a search of about a minute finds collisions.

--- a/src/pooler_state.cpp
+++ b/src/pooler_state.cpp
@@ -3,9 +3,12 @@
 #include <primrosehead/config.h>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <openssl/sha.h>
 
 #include <algorithm>
-#include <xxhash.h>
+#include <array>
+#include <cstddef>
 
 namespace primrosehead::pooler {
 
@@ -35,7 +38,12 @@
 
 std::string pooled_statement_name(bool is_write, std::string_view shape)
 {
-    return fmt::format("{}{:016x}", is_write ? 'w' : 'r', XXH3_64bits(shape.data(), shape.size()));
+    // Collision-resistant, since clients choose the shapes.
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(reinterpret_cast<const unsigned char*>(shape.data()), shape.size(), digest.data());
+    constexpr std::ptrdiff_t name_digest_bytes = 16;
+    return fmt::format("{}{:02x}", is_write ? 'w' : 'r',
+                       fmt::join(digest.begin(), digest.begin() + name_digest_bytes, ""));
 }
 
 setup_queries make_setup_queries(const pooled_connection& connection,
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -487,3 +487,10 @@
     CHECK(pooled_statement_name(true, "q") != pooled_statement_name(true, "r"));
     CHECK(pooled_statement_name(true, "q") == pooled_statement_name(true, "q"));
 }
+
+// Guards against a client that runs another client's statement under a name that both prepared.
+TEST_CASE("pooler state: shapes that collide under a 64-bit hash have names of their own")
+{
+    CHECK(pooled_statement_name(false, "q-qkvmgpyhnlzyd") !=
+          pooled_statement_name(false, "q-6lai3fu6gm2xe"));
+}
