A marker that a power loss left out does not make the log unreadable

Cause: the marker behind a synced record is not synced before the next record. If the power loss kept the record and not the marker, recovery took that for corruption.

--- a/src/journal_frame.cpp
+++ b/src/journal_frame.cpp
@@ -18,7 +18,7 @@
     std::uint64_t payload_size = 0;
     std::uint64_t checksum = 0;
 };
-static_assert(sizeof(frame_header) == 32);
+static_assert(sizeof(frame_header) == empty_frame_bytes);
 static_assert(std::endian::native == std::endian::little, "the file format is little endian");
 
 std::uint64_t compute_checksum(const frame_header& header, std::string_view payload,
--- a/src/journal_frame.h
+++ b/src/journal_frame.h
@@ -20,6 +20,8 @@
     message = 4,     // one protobuf message: identity, hard state or snapshot
 };
 
+inline constexpr std::size_t empty_frame_bytes = 32; // a record without payload, such as a marker
+
 // A decoded record. The checksum covers kind, first index, payload and the offset in the file, so
 // that a record copied from another offset is rejected.
 struct frame {
--- a/src/journal_recovery.cpp
+++ b/src/journal_recovery.cpp
@@ -79,8 +79,14 @@
             return failure(bytes);
         }
         segment current{.number = number};
+        bool follows_entries = false;
         while (current.size < value(bytes).size()) {
             const std::optional<frame> record = decode_frame(value(bytes), current.size);
+            if (!record && follows_entries && is_marker_missing(value(bytes), current.size)) {
+                current.size += empty_frame_bytes;
+                follows_entries = false;
+                continue;
+            }
             if (!record) {
                 status truncated = truncate_tail(file, value(bytes), current.size, is_last);
                 if (!ok(truncated)) {
@@ -93,6 +99,7 @@
                 return applied;
             }
             current.size += record->size;
+            follows_entries = record->kind != frame_kind::sync_marker;
         }
         current.synced_size = current.size;
         segments.push_back(current);
@@ -104,6 +111,14 @@
     bool is_tail_truncated = false;
 
   private:
+    // A marker is not synced before the record behind it, so a power loss may keep that record and
+    // not the marker. Nothing else is missing if the log continues right behind it.
+    static bool is_marker_missing(std::string_view bytes, std::uint64_t offset)
+    {
+        const std::optional<frame> next = decode_frame(bytes, offset + empty_frame_bytes);
+        return next && (next->kind == frame_kind::append || next->kind == frame_kind::overwrite);
+    }
+
     // Only the last write to the last segment may be torn: data that is followed by a valid record
     // had been synced.
     status truncate_tail(std::string_view file, std::string_view bytes, std::uint64_t offset,
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -180,6 +180,38 @@
     CHECK(failure(opened).kind == error_kind::corrupt_storage);
 }
 
+// Guards against a process that takes a power loss for corruption and ends at each start: each
+// write since the last sync may be missing, also the marker ahead of a record that is there.
+TEST_CASE("journal: a marker that a power loss left out does not make the log unreadable")
+{
+    for (const bool is_last_marker_there : {true, false}) {
+        fake_folder folder(1);
+        std::uint64_t marker_end = 0;
+        std::uint64_t end = 0;
+        {
+            journal log = open_journal(folder);
+            REQUIRE(ok(log.write_hard_state(make_hard_state(2))));
+            write(log, entries(1, 5, 1));
+            marker_end = value(folder.open()->read(first_segment)).size();
+            write(log, entries(6, 9, 1));
+            end = value(folder.open()->read(first_segment)).size();
+        }
+        constexpr std::uint64_t marker_bytes = 32;
+        if (!is_last_marker_there) {
+            folder.truncate(first_segment, end - marker_bytes);
+        }
+        for (std::uint64_t byte = marker_end - marker_bytes; byte < marker_end; ++byte) {
+            folder.flip_bit(first_segment, byte * 8);
+        }
+        {
+            journal log = open_journal(folder);
+            CHECK(summarize(log.take_contents().entries) == summarize(entries(1, 9, 1)));
+            write(log, entries(10, 10, 2));
+        }
+        CHECK(open_journal(folder).take_contents().entries.back().index() == 10);
+    }
+}
+
 TEST_CASE("journal: overwritten entries stay overwritten")
 {
     fake_folder folder(1);
