--- a/src/line_answer.h
+++ b/src/line_answer.h
@@ -54,9 +54,9 @@
     {
         return is_error || (!signature.empty() && signature != no_signature);
     }
-    // True for the answer to a BEGIN that succeeded. One to the ROLLBACK behind it, which comes
-    // first if the former was lost, reports another state.
-    [[nodiscard]] bool has_begun() const noexcept
+    // True for a success inside an open transaction, such as that of BEGIN. The answer to a
+    // ROLLBACK behind it, which comes first if the former was lost, reports another state.
+    [[nodiscard]] bool is_in_transaction() const noexcept
     {
         return !is_error && state == session_state::in_transaction;
     }
--- a/src/pooler_commits.cpp
+++ b/src/pooler_commits.cpp
@@ -107,8 +107,8 @@
             const line_answer& answer = result.answers.front();
             const bool is_refusal = answer.is_error && answer.code == dialect_.read_only;
             const bool is_current = mark == gate_.mark(group);
-            if (is_current && (is_refusal || answer.has_begun())) {
-                gate_.record_position(group, server, *answer.position, answer.has_begun());
+            if (is_current && (is_refusal || answer.is_in_transaction())) {
+                gate_.record_position(group, server, *answer.position, answer.is_in_transaction());
             }
         }
         connections_.release(std::move(connection), is_clean);
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -420,7 +420,7 @@
     const bool is_clean = result.is_complete() && !result.answers.back().is_error;
     context_.connections.release(std::move(connection), is_clean);
     const bool is_answered = !result.answers.empty() &&
-                             (result.is_complete() || result.answers.front().has_begun()) &&
+                             (result.is_complete() || result.answers.front().is_in_transaction()) &&
                              result.answers.front().can_answer_statement();
     if (!is_answered) {
         if (result.answers.empty()) {
@@ -463,7 +463,7 @@
                                                    "the server did not answer in time"),
                                  server_contact::lost};
     }
-    co_return classify_read(*server, std::move(result.answers.back()));
+    co_return classify_read(*server, std::move(result.answers.front()));
 }
 
 // Decides whether a write is retried: only if it certainly did not run.
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -316,7 +316,8 @@
     const line_exchange exchange =
         co_await connection->link->exchange(queries, 2, asked_at + observation_timeout);
     const clock::time_point now = clock::now();
-    const bool is_primary = !exchange.answers.empty() && exchange.answers.front().has_begun();
+    const bool is_primary =
+        !exchange.answers.empty() && exchange.answers.front().is_in_transaction();
     if (is_primary && exchange.answers.front().position) {
         connections.primary_of(group).record_primary(server->id, now);
         connections.freshness_of(group).record(server->id, *exchange.answers.front().position,
--- a/src/promotion_probe.cpp
+++ b/src/promotion_probe.cpp
@@ -88,7 +88,7 @@
                                 : probe_result::silent;
             answer.position = outcome.answers.front().position.value_or(log_position{});
         }
-        else if (!outcome.answers.front().has_begun()) {
+        else if (!outcome.answers.front().is_in_transaction()) {
             answer.result = probe_result::silent;
         }
         else if (outcome.answers.front().position) {
