One check for a primary, for its three users

They share make_primary_check and read_primary_check now. Behaviour is the same; the test of the shared function covers the two users that had none.

--- a/src/pooler_commits.cpp
+++ b/src/pooler_commits.cpp
@@ -3,6 +3,7 @@
 #include "event_log.h"
 #include "line_answer.h"
 #include "line_dialect.h"
+#include "line_primary_check.h"
 #include "pooler_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -98,18 +99,15 @@
     std::unique_ptr<pooled_connection> connection = co_await connect(group, server, organisation);
     const commit_mark mark = gate_.mark(group);
     if (connection) {
-        const std::string queries = fmt::format("{0} - {1}\r\n{0} - {2}\r\n", dialect_.query,
-                                                dialect_.begin, dialect_.rollback);
-        const line_exchange result =
-            co_await connection->link->exchange(queries, 2, clock::now() + observation_timeout);
+        const std::string queries = make_primary_check(dialect_);
+        const line_exchange result = co_await connection->link->exchange(
+            queries, primary_check_queries, clock::now() + observation_timeout);
         const bool is_clean = result.is_complete() && !result.answers.back().is_error;
-        if (!result.answers.empty() && result.answers.front().position) {
-            const line_answer& answer = result.answers.front();
-            const bool is_refusal = answer.is_error && answer.code == dialect_.read_only;
-            const bool is_current = mark == gate_.mark(group);
-            if (is_current && (is_refusal || answer.is_in_transaction())) {
-                gate_.record_position(group, server, *answer.position, answer.is_in_transaction());
-            }
+        const primary_check check = read_primary_check(result.answers, dialect_);
+        const bool is_current = mark == gate_.mark(group);
+        if (is_current && check != primary_check::unclear && result.answers.front().position) {
+            gate_.record_position(group, server, *result.answers.front().position,
+                                  check == primary_check::primary);
         }
         connections_.release(std::move(connection), is_clean);
     }
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -5,6 +5,7 @@
 #include "event_log.h"
 #include "http_address.h"
 #include "incarnation.h"
+#include "line_primary_check.h"
 #include "pooler_commits.h"
 #include "pooler_context.h"
 #include "pooler_follower.h"
@@ -28,7 +29,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <fmt/format.h>
 
 #include <exception>
 #include <functional>
@@ -309,22 +309,20 @@
                                           std::unique_ptr<pooled_connection> connection)
 {
     const std::shared_ptr<pooled_server> server = connection->server;
-    const line_dialect& dialect = parts.dialect;
-    const std::string queries =
-        fmt::format("{0} - {1}\r\n{0} - {2}\r\n", dialect.query, dialect.begin, dialect.rollback);
+    const std::string queries = make_primary_check(parts.dialect);
     const clock::time_point asked_at = clock::now();
-    const line_exchange exchange =
-        co_await connection->link->exchange(queries, 2, asked_at + observation_timeout);
+    const line_exchange exchange = co_await connection->link->exchange(
+        queries, primary_check_queries, asked_at + observation_timeout);
     const clock::time_point now = clock::now();
-    const bool is_primary =
-        !exchange.answers.empty() && exchange.answers.front().is_in_transaction();
+    const primary_check check = read_primary_check(exchange.answers, parts.dialect);
+    const bool is_primary = check == primary_check::primary;
     if (is_primary && exchange.answers.front().position) {
         connections.primary_of(group).record_primary(server->id, now);
         connections.freshness_of(group).record(server->id, *exchange.answers.front().position,
                                                asked_at);
         server->record_success();
     }
-    else if (!exchange.answers.empty() && exchange.answers.front().code == dialect.read_only) {
+    else if (check == primary_check::refused) {
         connections.primary_of(group).record_refusal(server->id, now);
     }
     const bool is_clean = exchange.is_complete() && is_primary && !exchange.answers.back().is_error;
--- a/src/promotion_probe.cpp
+++ b/src/promotion_probe.cpp
@@ -1,5 +1,7 @@
 #include "promotion_probe.h"
 
+#include "line_primary_check.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -76,23 +78,21 @@
     primary_answer answer;
     answer.result = co_await connect(deadline);
     if (answer.result == probe_result::answered) {
-        const std::string begin = fmt::format("{} - {}\r\n{} - {}\r\n", dialect_.query,
-                                              dialect_.begin, dialect_.query, dialect_.rollback);
-        const line_exchange outcome = co_await exchange(begin, 2, deadline);
-        if (outcome.answers.empty()) {
-            answer.result = outcome.has_timed_out ? probe_result::silent : probe_result::refused;
-        }
-        else if (outcome.answers.front().is_error) {
-            answer.result = outcome.answers.front().code == dialect_.read_only
-                                ? probe_result::not_primary
-                                : probe_result::silent;
+        const std::string queries = make_primary_check(dialect_);
+        const line_exchange outcome = co_await exchange(queries, primary_check_queries, deadline);
+        switch (read_primary_check(outcome.answers, dialect_)) {
+        case primary_check::primary:
             answer.position = outcome.answers.front().position.value_or(log_position{});
+            break;
+        case primary_check::refused:
+            answer.result = probe_result::not_primary;
+            answer.position = outcome.answers.front().position.value_or(log_position{});
+            break;
+        case primary_check::unclear: {
+            const bool is_closed = outcome.answers.empty() && !outcome.has_timed_out;
+            answer.result = is_closed ? probe_result::refused : probe_result::silent;
+            break;
         }
-        else if (!outcome.answers.front().is_in_transaction()) {
-            answer.result = probe_result::silent;
-        }
-        else if (outcome.answers.front().position) {
-            answer.position = *outcome.answers.front().position;
         }
     }
     is_busy_ = false;
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -1,13 +1,42 @@
 #include "line_answer.h"
+#include "line_primary_check.h"
 #include "line_statement.h"
 
 #include <doctest/doctest.h>
 
 #include <random>
 #include <string>
+#include <vector>
 
 using namespace primrosehead;
 
+// Guards against a replica that passes for the primary, and a primary for a replica, when the first
+// answer that came is not that of BEGIN. All checks for a primary read it in this way.
+TEST_CASE("line primary check: only the answer of BEGIN tells who the primary is")
+{
+    const line_dialect dialect;
+    line_answer begun;
+    begun.signature = "-";
+    begun.state = session_state::in_transaction;
+    line_answer rolled_back = begun;
+    rolled_back.state = session_state::idle;
+    line_answer refused;
+    refused.is_error = true;
+    refused.code = dialect.read_only;
+    line_answer failed = refused;
+    failed.code = dialect.busy;
+    const auto read = [&](const std::vector<line_answer>& answers) {
+        return read_primary_check(answers, dialect);
+    };
+    CHECK(read({begun, rolled_back}) == primary_check::primary);
+    CHECK(read({begun}) == primary_check::primary);
+    CHECK(read({refused, failed}) == primary_check::refused);
+    CHECK(read({rolled_back}) == primary_check::unclear); // the answer of BEGIN was lost
+    CHECK(read({failed}) == primary_check::unclear);
+    CHECK(read({}) == primary_check::unclear);
+    CHECK(make_primary_check(dialect) == "RUN - BEGIN\r\nRUN - ROLLBACK\r\n");
+}
+
 TEST_CASE("line: statements are parsed")
 {
     const line_dialect dialect;
