One order of announcements, for the directory and the pool

The directory and the pool each compared announcements by start and sequence. They share cell::is_later now. The directory tells a newer announcement from a sign of life of a deregistered start in two functions, where one predicate changed the entry as well; the pool treats departures in one branch. Behaviour is the same.

--- a/src/cell_directory.cpp
+++ b/src/cell_directory.cpp
@@ -1,5 +1,6 @@
 #include "cell_directory.h"
 
+#include "cell_announcement_order.h"
 #include "http_address.h"
 
 #include <algorithm>
@@ -66,9 +67,34 @@
     return !announcement.gone() || !announcement.group().empty();
 }
 
-bool has_other_start(const pb::server_announcement& left, const pb::server_announcement& right)
+announcement_stamp stamp_of(const pb::server_announcement& announcement)
 {
-    return left.born_ms() != right.born_ms() && left.born_ms() != 0 && right.born_ms() != 0;
+    return {announcement.born_ms(), announcement.sequence()};
+}
+
+bool is_newer(const pb::server_announcement& incoming, const pb::server_announcement& known)
+{
+    const announcement_stamp next = stamp_of(incoming);
+    const announcement_stamp last = stamp_of(known);
+    if (incoming.gone() && !has_other_start(next, last)) {
+        return !known.gone() && next.sequence >= last.sequence;
+    }
+    return is_later(next, last) || next.born_ms > last.born_ms;
+}
+
+// A deregistered start counts as running again after two newer announcements, since a single one
+// may have been held up. Records the first one.
+bool confirm_running(const pb::server_announcement& incoming, directory_entry& entry,
+                     clock::time_point now)
+{
+    if (!entry.announcement.gone() || incoming.born_ms() > entry.announcement.born_ms()) {
+        return true;
+    }
+    std::optional<sign_of_life>& sign = entry.sign_after_departure;
+    if (!sign) {
+        sign = sign_of_life{incoming.sequence(), now};
+    }
+    return incoming.sequence() > sign->sequence && now - sign->heard_at >= sign_of_life_interval;
 }
 
 // True if both announcements agree on everything that instances route by.
@@ -156,35 +182,6 @@
     return leaving_for && *leaving_for >= leaving_period_ - leaving_tolerance;
 }
 
-// True if the announcement is newer than what is known: by the server's start, then by its
-// sequence. A deregistered start counts as running again after two newer announcements, since a
-// single one may have been held up.
-bool directory::supersedes(const pb::server_announcement& incoming, directory_entry& entry,
-                           clock::time_point now) const
-{
-    const pb::server_announcement& known = entry.announcement;
-    if (!names_start(incoming)) {
-        return !known.gone() && may_deregister(known, now);
-    }
-    if (has_other_start(incoming, known)) {
-        return incoming.born_ms() > known.born_ms();
-    }
-    if (incoming.gone()) {
-        return !known.gone() && incoming.sequence() >= known.sequence();
-    }
-    if (incoming.sequence() <= known.sequence() && incoming.born_ms() <= known.born_ms()) {
-        return false;
-    }
-    if (!known.gone() || incoming.born_ms() > known.born_ms()) {
-        return true;
-    }
-    std::optional<sign_of_life>& sign = entry.sign_after_departure;
-    if (!sign) {
-        sign = sign_of_life{incoming.sequence(), now};
-    }
-    return incoming.sequence() > sign->sequence && now - sign->heard_at >= sign_of_life_interval;
-}
-
 bool directory::apply(const pb::server_announcement& announcement, clock::time_point now)
 {
     if (!ok(check_announcement(announcement))) {
@@ -206,7 +203,12 @@
     }
     directory_entry& entry = found->second;
     const bool is_same_start = announcement.born_ms() == entry.announcement.born_ms();
-    if (!supersedes(announcement, entry, now)) {
+    const bool is_accepted =
+        names_start(announcement)
+            ? is_newer(announcement, entry.announcement) &&
+                  confirm_running(announcement, entry, now)
+            : !entry.announcement.gone() && may_deregister(entry.announcement, now);
+    if (!is_accepted) {
         const bool is_older_notice = is_same_start && announcement.leaving() &&
                                      announcement.has_leaving_ms() && entry.announcement.leaving();
         if (is_older_notice && record_leaving(announcement, true, now)) {
--- a/src/cell_directory.h
+++ b/src/cell_directory.h
@@ -82,8 +82,6 @@
                         clock::time_point now);
     [[nodiscard]] bool may_deregister(const pb::server_announcement& known,
                                       clock::time_point now) const;
-    [[nodiscard]] bool supersedes(const pb::server_announcement& incoming, directory_entry& entry,
-                                  clock::time_point now) const;
 
     clock::duration leaving_period_;
     std::map<std::string, directory_entry, std::less<>> entries_;
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -1,5 +1,6 @@
 #include "pooler_pool.h"
 
+#include "cell_announcement_order.h"
 #include "cell_directory.h"
 #include "clock_timer.h"
 #include "event_log.h"
@@ -170,10 +171,8 @@
     if (!known) {
         return false;
     }
-    const bool has_same_start = announcement.born_ms() == known->born_ms ||
-                                announcement.born_ms() == 0 || known->born_ms == 0;
-    return has_same_start ? announcement.sequence() < known->sequence
-                          : announcement.born_ms() < known->born_ms;
+    return cell::is_later({known->born_ms, known->sequence},
+                          {announcement.born_ms(), announcement.sequence()});
 }
 
 void pool::update_departure(pooled_server& server, const pb::server_announcement& announcement,
@@ -231,14 +230,14 @@
     std::set<std::string_view> gone;
     std::map<std::string, std::string, std::less<>> ignored;
     for (const pb::server_announcement& announcement : servers) {
-        const bool is_silent = announcement.gone() && announcement.group().empty();
-        if (announcement.gone() && !is_silent && is_outdated(announcement)) {
-            listed.insert_or_assign(announcement.server(), announcement.group());
-            continue; // an earlier start has deregistered
-        }
         if (announcement.gone()) {
+            const bool has_deregistered = !announcement.group().empty(); // else it was only silent
+            if (has_deregistered && is_outdated(announcement)) {         // an earlier start has
+                listed.insert_or_assign(announcement.server(), announcement.group());
+                continue;
+            }
             gone.insert(announcement.server());
-            if (!is_silent) {
+            if (has_deregistered) {
                 departures_.record_gone(announcement, now);
             }
             continue;
