A statement without setup is checked once

run_single checks the caller's right behind the wait for a connection, and run_on checked it and the server again at once, although no setup had gone out in between. The second check is for the wait that a setup takes, and is made only behind one. The two users of set_up inside a transaction share the end of one that was refused.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -272,14 +272,9 @@
 // A server runs what follows a refused query all the same, so that no statement of a caller goes
 // out before the answers are there.
 net::awaitable<std::optional<execution::attempt_result>>
-execution::set_up(pooled_connection& connection, const prepared_statement* needed,
-                  bool in_transaction, clock::time_point deadline)
+execution::set_up(pooled_connection& connection, const setup_queries& setup,
+                  const prepared_statement* needed, bool in_transaction, clock::time_point deadline)
 {
-    const setup_queries setup =
-        make_setup_queries(connection, session_, needed, in_transaction, context_.dialect);
-    if (setup.count == 0) {
-        co_return std::nullopt;
-    }
     pooled_server& server = *connection.server;
     const clock::time_point sent_at = clock::now();
     const line_exchange result = co_await connection.link->exchange(
@@ -525,15 +520,19 @@
     if (needs_primary && !statement.is_write) {
         co_return co_await read_at_primary(std::move(connection), op, statement, deadline);
     }
-    std::optional<attempt_result> refusal =
-        co_await set_up(*connection, statement.prepared, false, deadline);
-    const bool is_prepared = !refusal;
-    if (is_prepared) {
-        refusal = check_single(op, *connection->server, needs_primary);
-    }
-    if (refusal) {
-        context_.connections.release(std::move(connection), is_prepared);
-        co_return std::move(*refusal);
+    const setup_queries setup =
+        make_setup_queries(*connection, session_, statement.prepared, false, context_.dialect);
+    if (setup.count > 0) {
+        std::optional<attempt_result> refusal =
+            co_await set_up(*connection, setup, statement.prepared, false, deadline);
+        const bool is_prepared = !refusal;
+        if (is_prepared) {
+            refusal = check_single(op, *connection->server, needs_primary);
+        }
+        if (refusal) {
+            context_.connections.release(std::move(connection), is_prepared);
+            co_return std::move(*refusal);
+        }
     }
     if (statement.is_write) {
         co_return co_await write_at_primary(std::move(connection), statement, deadline);
@@ -806,18 +805,29 @@
                                    "rolled back: the server is overloaded; retry the transaction");
 }
 
-// Closes the transaction's connection, which rolls it back.
-line_answer execution::abort_unprepared(attempt_result refusal)
+// A refused setup closes the transaction's connection, which rolls it back.
+net::awaitable<std::optional<line_answer>>
+execution::set_up_transaction(const prepared_statement* needed, clock::time_point deadline)
 {
+    const setup_queries setup =
+        make_setup_queries(*connection_, session_, needed, true, context_.dialect);
+    if (setup.count == 0) {
+        co_return std::nullopt;
+    }
+    std::optional<attempt_result> refusal =
+        co_await set_up(*connection_, setup, needed, true, deadline);
+    if (!refusal) {
+        co_return std::nullopt;
+    }
     context_.connections.release(std::move(connection_), false);
     is_open_ = false;
     contact_ = server_contact::lost;
-    if (refusal.next == next_step::finish) {
-        return std::move(refusal.answer);
+    if (refusal->next == next_step::finish) {
+        co_return std::move(refusal->answer);
     }
-    return make_error_answer(
-        refusal.answer.cause, context_.dialect.aborted,
-        fmt::format("rolled back and {}; retry the transaction", refusal.answer.text));
+    co_return make_error_answer(
+        refusal->answer.cause, context_.dialect.aborted,
+        fmt::format("rolled back and {}; retry the transaction", refusal->answer.text));
 }
 
 // Rolls the transaction back if its caller may not go on with it.
@@ -928,9 +938,10 @@
     }
     const std::shared_ptr<pooled_server> server = connection_->server;
     const clock::time_point deadline = clock::now() + transaction_.route->statement_timeout;
-    if (std::optional<attempt_result> refusal =
-            co_await set_up(*connection_, statement.prepared, true, deadline)) {
-        co_return abort_unprepared(std::move(*refusal));
+    std::optional<line_answer> unprepared =
+        co_await set_up_transaction(statement.prepared, deadline);
+    if (unprepared) {
+        co_return std::move(*unprepared);
     }
     const std::string query =
         fmt::format("{} {} {}\r\n", dialect.query, statement.id, statement.text);
@@ -988,9 +999,9 @@
     }
     const std::shared_ptr<pooled_server> server = connection_->server;
     const clock::time_point deadline = clock::now() + transaction_.route->statement_timeout;
-    if (std::optional<attempt_result> refusal =
-            co_await set_up(*connection_, nullptr, true, deadline)) {
-        co_return abort_unprepared(std::move(*refusal));
+    std::optional<line_answer> unprepared = co_await set_up_transaction(nullptr, deadline);
+    if (unprepared) {
+        co_return std::move(*unprepared);
     }
     const std::string query = fmt::format("{} {} {}\r\n", dialect.query, id, dialect.commit);
     line_exchange result;
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -143,8 +143,11 @@
     // Brings the connection into the session's state, with `needed` prepared. Returns the refusal
     // if this failed; the connection's state is unknown then.
     [[nodiscard]] boost::asio::awaitable<std::optional<attempt_result>>
-    set_up(pooled_connection& connection, const prepared_statement* needed, bool in_transaction,
-           clock::time_point deadline);
+    set_up(pooled_connection& connection, const setup_queries& setup,
+           const prepared_statement* needed, bool in_transaction, clock::time_point deadline);
+    // Does this for the transaction's next statement. Returns the answer if the transaction ended.
+    [[nodiscard]] boost::asio::awaitable<std::optional<line_answer>>
+    set_up_transaction(const prepared_statement* needed, clock::time_point deadline);
     // Runs a single statement: without `minimum` at the primary.
     [[nodiscard]] boost::asio::awaitable<attempt_result>
     run_on(std::unique_ptr<pooled_connection> connection, const operation& op,
@@ -231,7 +234,6 @@
     [[nodiscard]] connection_request make_request(const operation& op, required_role role,
                                                   clock::time_point deadline) const;
     [[nodiscard]] line_answer abort_unsent(const pooled_server& server);
-    [[nodiscard]] line_answer abort_unprepared(attempt_result refusal);
     [[nodiscard]] std::optional<line_answer> check_transaction_right();
     [[nodiscard]] std::optional<line_answer> check_before_sending(const pooled_server& server);
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
