--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -569,8 +569,8 @@
         return false;
     }
     const auto leaving_for = servers.departures().leaving_for(known->announcement, now);
-    const std::string_view event = is_ignored ? "departure_ignored" : "server";
-    events.decision("directory", known->announcement.gone() ? "server_gone" : event)
+    const std::string_view applied = announcement.gone() ? "server_gone" : "server";
+    events.decision("directory", is_ignored ? "departure_ignored" : applied)
         .field("server", announcement.server())
         .field("group", known->announcement.group())
         .field("address", known->announcement.address())
@@ -867,11 +867,11 @@
     const clock::time_point now = clock::now();
     const pb::operator_request& request = message.operate();
     const std::uint64_t correlation = message.correlation();
-    if (!is_leader(now) && request.has_join()) {
-        forward_join(message);
-        return;
-    }
     if (!is_leader(now)) {
+        if (request.has_join()) {
+            forward_join(message);
+            return;
+        }
         pb::operator_reply reply;
         reply.set_not_leader(true);
         reply_to_operator(origin, correlation, std::move(reply));
