Tests: shared set-up of departures, recorded members and injected faults

No assertion changes. The recorded primary has an address of its own: it shared that of r1, which was therefore left out of the members in two tests.

--- a/soak/operator_soak.py
+++ b/soak/operator_soak.py
@@ -10,14 +10,13 @@
 import argparse
 import asyncio
 import json
+import pathlib
 import random
 import shutil
 import signal
 import sys
 import time
 
-import pathlib
-
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from deployment import BOUNDS, Deployment, ROOT  # noqa: E402
 from servers import http_call  # noqa: E402
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -47,7 +47,7 @@
 }
 
 // Records p, r1 and r2 as the members of the group "kura", with p as the primary.
-void record_kura(state_machine& state)
+void record_kura(state_machine& state, std::uint64_t born_ms = 0)
 {
     pb::command command;
     command.mutable_note()->set_database("kura");
@@ -55,7 +55,8 @@
     for (const char* name : {"p", "r1", "r2"}) {
         pb::group_member& member = *command.mutable_note()->add_members();
         member.set_server(name);
-        member.set_address(std::string("127.0.0.1:") + (name[0] == 'p' ? "1" : name + 1));
+        member.set_address(std::string("127.0.0.1:") + (name[0] == 'p' ? "9" : name + 1));
+        member.set_born_ms(born_ms);
     }
     REQUIRE(state.apply(command).ok());
 }
@@ -566,7 +567,7 @@
         pb::server_announcement announcement;
         announcement.set_server(name);
         announcement.set_group("kura");
-        announcement.set_address(std::string("127.0.0.1:") + (name[0] == 'p' ? "1" : name + 1));
+        announcement.set_address(std::string("127.0.0.1:") + (name[0] == 'p' ? "9" : name + 1));
         announcement.set_sequence(1);
         announcement.set_is_primary(name[0] == 'p');
         REQUIRE(servers.apply(announcement, at(0)));
@@ -600,20 +601,11 @@
 TEST_CASE("cell service: a recorded start later than the deregistered one is a member")
 {
     state_machine state(cell_name("main"));
-    pb::command command;
-    command.mutable_note()->set_database("kura");
-    command.mutable_note()->set_seen_primary("p");
-    for (const char* name : {"p", "r1", "r2"}) {
-        pb::group_member& member = *command.mutable_note()->add_members();
-        member.set_server(name);
-        member.set_address(std::string("127.0.0.1:10") + (name[0] == 'p' ? "0" : name + 1));
-        member.set_born_ms(200);
-    }
-    REQUIRE(state.apply(command).ok());
+    record_kura(state, 200);
     const std::shared_ptr<const document> current = document_with_kura();
     cell::directory servers;
     pb::server_announcement earlier = announcement("r2", 1);
-    earlier.set_address("127.0.0.1:102");
+    earlier.set_address("127.0.0.1:2");
     REQUIRE(servers.apply(earlier, at(0)));
     REQUIRE(servers.apply(deregistration("r2"), at(0)));
     bool is_left_out = false;
--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -12,7 +12,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <optional>
 #include <utility>
 
 namespace primrosehead::testing {
@@ -42,6 +41,20 @@
            operation.starts_with(dialect.execute) || operation == dialect.commit;
 }
 
+// Affects the next `left` queries that begin with `prefix`.
+struct injected_fault {
+    std::string prefix;
+    std::size_t left = 0;
+
+    // True if the query is affected, which uses up one of those left.
+    bool take(std::string_view text)
+    {
+        const bool is_affected = left > 0 && text.starts_with(prefix);
+        left -= is_affected ? 1 : 0;
+        return is_affected;
+    }
+};
+
 } // namespace
 
 struct line_server::state {
@@ -61,26 +74,10 @@
     std::uint64_t log_index = 1;
     bool is_replica = false;
     std::string row; // empty: reads return none
-    std::optional<std::string> failing_prefix;
+    injected_fault failure;
     std::string failure_code;
-    std::size_t failures_left = 0;
-    std::optional<std::string> unanswered_prefix;
-    std::size_t losses_left = 0;
+    injected_fault loss; // of answers
     bool omits_signatures = false;
-
-    [[nodiscard]] bool takes_failure(std::string_view text)
-    {
-        const bool fails = failures_left > 0 && failing_prefix && text.starts_with(*failing_prefix);
-        failures_left -= fails ? 1 : 0;
-        return fails;
-    }
-    [[nodiscard]] bool takes_loss(std::string_view text)
-    {
-        const bool is_lost =
-            losses_left > 0 && unanswered_prefix && text.starts_with(*unanswered_prefix);
-        losses_left -= is_lost ? 1 : 0;
-        return is_lost;
-    }
 };
 
 line_server::line_server(const net::any_io_executor& executor)
@@ -122,8 +119,7 @@
 
 void line_server::fail_queries(std::string prefix, std::string_view code, std::size_t times)
 {
-    state_->failures_left = times;
-    state_->failing_prefix = std::move(prefix);
+    state_->failure = {std::move(prefix), times};
     state_->failure_code = code;
 }
 
@@ -134,8 +130,7 @@
 
 void line_server::lose_answers(std::string prefix, std::size_t times)
 {
-    state_->losses_left = times;
-    state_->unanswered_prefix = std::move(prefix);
+    state_->loss = {std::move(prefix), times};
 }
 
 void line_server::limit_connections(std::size_t limit)
@@ -209,7 +204,7 @@
                 net::steady_timer timer(self->acceptor.get_executor(), self->answer_delay);
                 co_await timer.async_wait(no_throw);
             }
-            const bool is_failed = self->takes_failure(text);
+            const bool is_failed = self->failure.take(text);
             self->log_index += is_write && !is_failed ? 1 : 0;
             const bool is_refused = self->is_replica && text == dialect.begin;
             const bool is_begin = operation_of(dialect, text).starts_with(dialect.begin);
@@ -230,7 +225,7 @@
                               ? fmt::format("{} s{}\r\n", dialect.complete, self->received.size())
                               : fmt::format("{} -\r\n", dialect.complete);
             }
-            if (self->takes_loss(text)) {
+            if (self->loss.take(text)) {
                 continue;
             }
         }
--- a/tests/pooler_directory_test.cpp
+++ b/tests/pooler_directory_test.cpp
@@ -38,6 +38,18 @@
     return count;
 }
 
+// Lists a start of server "s", then its deregistration. Returns the announcement of the start.
+pb::server_announcement list_and_deregister(pooler_fixture& instance)
+{
+    pb::server_announcement known = announcement("s", "g", 5);
+    known.set_born_ms(100);
+    pb::server_announcement gone = known;
+    gone.set_gone(true);
+    instance.connections.set_servers({&known, 1}, true, clock::now());
+    instance.connections.set_servers({&gone, 1}, true, clock::now());
+    return known;
+}
+
 } // namespace
 
 TEST_CASE("pooler directory: an entry of another writer is skipped, the others hold")
@@ -134,12 +146,7 @@
 TEST_CASE("pooler directory: an outdated announcement does not bring back a deregistered server")
 {
     pooler_fixture instance;
-    pb::server_announcement known = announcement("s", "g", 5);
-    known.set_born_ms(100);
-    pb::server_announcement gone = known;
-    gone.set_gone(true);
-    instance.connections.set_servers({&known, 1}, true, clock::now());
-    instance.connections.set_servers({&gone, 1}, true, clock::now());
+    pb::server_announcement known = list_and_deregister(instance);
     instance.connections.set_servers({&known, 1}, true, clock::now());
     CHECK(instance.connections.find_server("g", "s") == nullptr);
     known.set_born_ms(200);
@@ -172,12 +179,7 @@
 TEST_CASE("pooler directory: a start that goes on announcing itself is used again")
 {
     pooler_fixture instance;
-    pb::server_announcement known = announcement("s", "g", 5);
-    known.set_born_ms(100);
-    pb::server_announcement gone = known;
-    gone.set_gone(true);
-    instance.connections.set_servers({&known, 1}, true, clock::now());
-    instance.connections.set_servers({&gone, 1}, true, clock::now());
+    pb::server_announcement known = list_and_deregister(instance);
     CHECK(instance.connections.find_server("g", "s") == nullptr);
     known.set_sequence(6);
     instance.connections.set_servers({&known, 1}, true, clock::now());
