An answer that was cut off is not joined with the next one

An answer that a server cut off could be put together with the answer behind it: a signature with the words of the next message in it, the rows of one and the success of the other, an error code without its ready line. Cause: the reader took the lines in any order, and fields of any form, until a ready line came. Fix: an answer is rows, one success or error, and a ready line with state and position; anything else is malformed and breaks the exchange. A ready line alone, and an error line without one, are taken only as a greeting.

--- a/src/line_answer.cpp
+++ b/src/line_answer.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::string_view no_position = "-";
+
 template <class Number>
 bool parse_number(std::string_view text, Number& number) noexcept
 {
@@ -34,15 +36,50 @@
 
 } // namespace
 
+line_answer_reader::progress line_answer_reader::add_row(std::string_view line)
+{
+    const std::size_t end_of_word = dialect_->row.size();
+    if (has_outcome_ || line.size() == end_of_word) {
+        return progress::malformed;
+    }
+    draft_.rows.emplace_back(line.substr(end_of_word + 1));
+    return progress::incomplete;
+}
+
+line_answer_reader::progress line_answer_reader::add_success(std::string_view signature)
+{
+    if (has_outcome_ || signature.empty() || signature.find(' ') != std::string_view::npos) {
+        return progress::malformed;
+    }
+    has_outcome_ = true;
+    draft_.signature = signature;
+    return progress::incomplete;
+}
+
+line_answer_reader::progress line_answer_reader::add_error(std::string_view fields)
+{
+    const split_text code = split_first_word(fields);
+    if (has_outcome_ || code.first.empty()) {
+        return progress::malformed;
+    }
+    has_outcome_ = true;
+    draft_.is_error = true;
+    draft_.code = code.first;
+    draft_.text = code.remainder;
+    return progress::incomplete;
+}
+
 line_answer_reader::progress line_answer_reader::finish(std::string_view fields)
 {
     const split_text state = split_first_word(fields);
     const std::optional<session_state> parsed = parse_state(state.first);
-    if (!parsed) {
+    const std::optional<log_position> position = parse_position(state.remainder);
+    const bool has_position = position || state.remainder == no_position;
+    if (!parsed || !has_position || !(has_outcome_ || is_greeting_)) {
         return progress::malformed;
     }
     draft_.state = *parsed;
-    draft_.position = parse_position(state.remainder);
+    draft_.position = position;
     return progress::complete;
 }
 
@@ -50,25 +87,21 @@
 {
     const split_text message = split_first_word(line);
     if (message.first == dialect_->row) {
-        draft_.rows.emplace_back(message.remainder);
-        return progress::incomplete;
+        return add_row(line);
     }
     if (message.first == dialect_->complete) {
-        draft_.signature = message.remainder;
-        return progress::incomplete;
+        return add_success(message.remainder);
     }
     if (message.first == dialect_->failed) {
-        const split_text code = split_first_word(message.remainder);
-        draft_.is_error = true;
-        draft_.code = code.first;
-        draft_.text = code.remainder;
-        return progress::incomplete;
+        return add_error(message.remainder);
     }
     return message.first == dialect_->ready ? finish(message.remainder) : progress::malformed;
 }
 
 line_answer line_answer_reader::take()
 {
+    has_outcome_ = false;
+    is_greeting_ = false;
     return std::exchange(draft_, line_answer{});
 }
 
@@ -85,7 +118,8 @@
 
 std::string format_position(const std::optional<log_position>& position)
 {
-    return position ? fmt::format("{}.{}", position->term, position->index) : "-";
+    return position ? fmt::format("{}.{}", position->term, position->index)
+                    : std::string(no_position);
 }
 
 std::optional<server_status> parse_status(std::string_view row, std::string_view primary_role)
--- a/src/line_answer.h
+++ b/src/line_answer.h
@@ -69,15 +69,25 @@
 
     enum class progress { incomplete, complete, malformed };
 
+    // The next answer is a server's first message: a ready line alone, or an error line.
+    void expect_greeting() noexcept { is_greeting_ = true; }
+    [[nodiscard]] bool is_greeting_expected() const noexcept { return is_greeting_; }
+
     // Parses one line, given without its line ending. On `complete`, `take` returns the answer.
+    // Lines of an answer that was cut off and of the next one are malformed together.
     [[nodiscard]] progress feed(std::string_view line);
     [[nodiscard]] line_answer take();
 
   private:
+    [[nodiscard]] progress add_row(std::string_view line);
+    [[nodiscard]] progress add_success(std::string_view signature);
+    [[nodiscard]] progress add_error(std::string_view fields);
     [[nodiscard]] progress finish(std::string_view fields);
 
     const line_dialect* dialect_;
     line_answer draft_;
+    bool has_outcome_ = false; // the draft has its success or error line
+    bool is_greeting_ = false;
 };
 
 // Parses "TERM.NUMBER". Returns nothing for "-" and malformed text.
--- a/src/line_connection.cpp
+++ b/src/line_connection.cpp
@@ -74,6 +74,7 @@
     }
     boost::system::error_code ignored; // without the option small messages are only delayed
     connection->socket_.set_option(tcp::no_delay(true), ignored);
+    connection->reader_.expect_greeting();
     line_exchange greeting = co_await connection->exchange(startup, 1, deadline);
     if (!greeting.is_complete()) {
         co_return open_failure{
@@ -143,8 +144,9 @@
         if (ec) {
             // A server that rejects the startup closes the connection after the error line and
             // sends no ready line.
+            const bool is_greeting = reader_.is_greeting_expected();
             line_answer unfinished = reader_.take();
-            if (unfinished.is_error) {
+            if (is_greeting && unfinished.is_error) {
                 outcome.answers.push_back(std::move(unfinished));
             }
             outcome.is_broken = outcome.answers.size() < count;
--- /dev/null
+++ b/tests/line_connection_test.cpp
@@ -0,0 +1,204 @@
+// Tests of exchanges whose answers are lost, late or cut off.
+#include "line_connection.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+using namespace primrosehead;
+
+namespace {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+constexpr auto no_throw = net::as_tuple(net::use_awaitable);
+constexpr clock::duration open_timeout{500};
+constexpr clock::duration exchange_timeout{60};
+
+// What a server sends once it has received the queries.
+struct script {
+    std::string greeting = "IDLE I 1.1\r\n";
+    std::string unsolicited; // ahead of the queries
+    std::string answers;
+    bool closes = false;  // after the answers
+    bool rejects = false; // closes after the greeting
+};
+
+net::awaitable<void> serve(tcp::acceptor& acceptor, script plan)
+{
+    auto [failed, socket] = co_await acceptor.async_accept(no_throw);
+    std::string input;
+    const auto read_line = [&] {
+        return net::async_read_until(socket, net::dynamic_buffer(input), "\r\n", no_throw);
+    };
+    co_await read_line();
+    input.clear();
+    co_await net::async_write(socket, net::buffer(plan.greeting + plan.unsolicited), no_throw);
+    if (plan.rejects) {
+        co_return;
+    }
+    co_await read_line();
+    co_await net::async_write(socket, net::buffer(plan.answers), no_throw);
+    if (!plan.closes) {
+        co_await net::async_read_until(socket, net::dynamic_buffer(input), "never", no_throw);
+    }
+}
+
+// Opens a connection to such a server and sends it `count` queries.
+class scripted_exchange {
+  public:
+    explicit scripted_exchange(script plan) : acceptor_(io_, {net::ip::address_v4::loopback(), 0})
+    {
+        net::co_spawn(io_, serve(acceptor_, std::move(plan)), net::detached);
+    }
+
+    // Returns nothing if the connection could not be opened.
+    std::optional<line_exchange> run(std::size_t count,
+                                     std::optional<session_state> last_state = std::nullopt)
+    {
+        net::co_spawn(io_, work(count, last_state), net::detached);
+        while (!is_finished_ && io_.run_one_for(std::chrono::seconds(2)) > 0) {
+        }
+        return std::move(outcome_);
+    }
+    [[nodiscard]] const std::string& rejection() const { return rejection_; }
+
+  private:
+    net::awaitable<void> work(std::size_t count, std::optional<session_state> last_state)
+    {
+        const std::string address =
+            fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port());
+        const std::string startup = "OPEN g org i-1\r\n";
+        line_connection::open_result opened = co_await line_connection::open(
+            io_.get_executor(), dialect_, address, startup, clock::now() + open_timeout);
+        if (const auto* const failed = std::get_if<open_failure>(&opened)) {
+            rejection_ = failed->code;
+        }
+        else {
+            const auto connection = std::move(std::get<0>(opened));
+            net::steady_timer settle(io_, std::chrono::milliseconds(2));
+            co_await settle.async_wait(no_throw);
+            std::string queries;
+            for (std::size_t i = 0; i < count; ++i) {
+                queries += fmt::format("RUN - query-{}\r\n", i);
+            }
+            outcome_ = co_await connection->exchange(queries, count,
+                                                     clock::now() + exchange_timeout, last_state);
+        }
+        is_finished_ = true;
+    }
+
+    net::io_context io_{1};
+    line_dialect dialect_;
+    tcp::acceptor acceptor_;
+    std::optional<line_exchange> outcome_;
+    std::string rejection_;
+    bool is_finished_ = false;
+};
+
+constexpr std::string_view rolled_back = "DONE -\r\nIDLE I 1.12\r\n";
+
+// The answer that a read at the primary takes from an exchange of it and its ROLLBACK.
+const line_answer* answer_of_read(const line_exchange& exchange)
+{
+    if (exchange.answers.empty()) {
+        return nullptr;
+    }
+    const line_answer& first = exchange.answers.front();
+    const bool is_answer = exchange.is_complete() || first.is_in_transaction();
+    return is_answer && first.can_answer_statement() ? &first : nullptr;
+}
+
+} // namespace
+
+// Guards against rows, signatures, codes and positions that are put together from an answer that
+// was cut off and the one behind it.
+TEST_CASE("line connection: an answer that is cut off anywhere is not taken with what follows it")
+{
+    const std::string read_answer = "ROW a 1\r\nDONE s1.f0\r\nIDLE T 1.12\r\n";
+    const std::string error_answer = "FAIL BUSY i-1\r\nIDLE T 1.12\r\n";
+    for (const std::string& whole : {read_answer, error_answer}) {
+        for (std::size_t length = 0; length < whole.size(); ++length) {
+            for (const bool closes : {true, false}) {
+                CAPTURE(whole.substr(0, length));
+                CAPTURE(closes);
+                script plan;
+                plan.answers = whole.substr(0, length) + std::string(rolled_back);
+                plan.closes = closes;
+                scripted_exchange target(plan);
+                const std::optional<line_exchange> outcome = target.run(2, session_state::idle);
+                REQUIRE(outcome.has_value());
+                CHECK(!outcome->is_complete());
+                CHECK(answer_of_read(*outcome) == nullptr);
+            }
+        }
+    }
+}
+
+TEST_CASE("line connection: answers that are cut off with their connection are none")
+{
+    const std::string whole = "ROW a 1\r\nDONE s1.f0\r\nIDLE I 1.12\r\n";
+    const std::string refused = "FAIL READONLY i-1\r\nIDLE I 1.12\r\n";
+    for (const std::string& answer : {whole, refused}) {
+        for (std::size_t length = 0; length < answer.size(); ++length) {
+            CAPTURE(answer.substr(0, length));
+            script plan;
+            plan.answers = answer.substr(0, length);
+            plan.closes = true;
+            scripted_exchange target(plan);
+            const std::optional<line_exchange> outcome = target.run(1);
+            REQUIRE(outcome.has_value());
+            CHECK(outcome->is_broken);
+            CHECK(outcome->answers.empty());
+        }
+    }
+}
+
+TEST_CASE("line connection: an answer without one of its fields is malformed")
+{
+    for (const std::string_view answer :
+         {"ROW\r\nDONE s1\r\nIDLE I 1.2\r\n", "DONE\r\nIDLE I 1.2\r\n", "DONE s1 x\r\nIDLE I 1.2\r\n",
+          "FAIL\r\nIDLE I 1.2\r\n", "DONE s1\r\nIDLE\r\n", "DONE s1\r\nIDLE I\r\n",
+          "DONE s1\r\nIDLE I 1.\r\n", "DONE s1\r\nIDLE I .2\r\n", "ROW a\r\nIDLE I 1.2\r\n",
+          "IDLE I 1.2\r\n", "DONE s1\r\nDONE s2\r\nIDLE I 1.2\r\n",
+          "FAIL BUSY x\r\nDONE s2\r\nIDLE I 1.2\r\n", "DONE s1\r\nROW a\r\nIDLE I 1.2\r\n"}) {
+        CAPTURE(answer);
+        script plan;
+        plan.answers = answer;
+        scripted_exchange target(plan);
+        const std::optional<line_exchange> outcome = target.run(1);
+        REQUIRE(outcome.has_value());
+        CHECK(outcome->is_broken);
+        CHECK(outcome->answers.empty());
+    }
+}
+
+TEST_CASE("line connection: a rejection of the startup needs no ready line")
+{
+    script plan;
+    plan.greeting = "FAIL TOOMANY limit\r\n";
+    plan.rejects = true;
+    scripted_exchange target(plan);
+    CHECK(!target.run(1).has_value());
+    CHECK(target.rejection() == "TOOMANY");
+}
--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -78,6 +78,8 @@
     std::string failure_code;
     injected_fault loss; // of answers
     bool omits_signatures = false;
+    injected_fault changed;
+    answer_change change;
 };
 
 line_server::line_server(const net::any_io_executor& executor)
@@ -128,6 +130,12 @@
     state_->omits_signatures = true;
 }
 
+void line_server::change_answers(std::string prefix, answer_change change, std::size_t times)
+{
+    state_->changed = {std::move(prefix), times};
+    state_->change = std::move(change);
+}
+
 void line_server::lose_answers(std::string prefix, std::size_t times)
 {
     state_->loss = {std::move(prefix), times};
@@ -190,6 +198,7 @@
         const std::string line = input.substr(0, size - 2);
         input.erase(0, size);
         std::string answer;
+        bool is_changed = false;
         if (line.starts_with(dialect.query)) {
             const std::string query = line.substr(dialect.query.size() + 1); // ID TEXT
             const std::string text = query.substr(query.find(' ') + 1);
@@ -228,12 +237,17 @@
             if (self->loss.take(text)) {
                 continue;
             }
+            is_changed = self->changed.take(text);
         }
         answer += fmt::format("{} {} 1.{}\r\n", dialect.ready, in_transaction ? "T" : "I",
                               self->log_index);
+        changed_answer sent_answer{std::move(answer)};
+        if (is_changed) {
+            sent_answer = self->change(std::move(sent_answer.bytes));
+        }
         const auto [write_ec, sent] =
-            co_await net::async_write(socket, net::buffer(answer), no_throw);
-        if (write_ec) {
+            co_await net::async_write(socket, net::buffer(sent_answer.bytes), no_throw);
+        if (write_ec || sent_answer.is_last) {
             co_return;
         }
     }
--- a/tests/line_server.h
+++ b/tests/line_server.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <memory>
 #include <string>
@@ -52,6 +53,17 @@
     // From now on, answers statements without a signature.
     void omit_signatures();
 
+    // What is sent in place of an answer.
+    struct changed_answer {
+        std::string bytes;
+        bool is_last = false; // the connection is closed behind it
+    };
+    using answer_change = std::function<changed_answer(std::string answer)>;
+
+    // From now on, runs queries that begin with `prefix` and changes what is sent, `times` times.
+    void change_answers(std::string prefix, answer_change change,
+                        std::size_t times = std::numeric_limits<std::size_t>::max());
+
     // From now on, rejects connections beyond `limit` open ones.
     void limit_connections(std::size_t limit);
 
