An answer that came before its query is not taken as its answer

The pool checks that a connection is in step when it hands it out. Between the statements of a transaction nothing did: what had come meanwhile, such as an answer that was late, was taken as the answer of the next statement. Evidence: both cases of 'line connection: an answer that came before its query is none' failed before the fix. Fix: an exchange sends nothing on a connection that has unread data or was closed. Measured: the test passes.

--- a/src/line_connection.cpp
+++ b/src/line_connection.cpp
@@ -161,6 +161,10 @@
                                                         std::optional<session_state> last_state)
 {
     line_exchange outcome;
+    if (!reader_.is_greeting_expected() && !is_usable()) {
+        outcome.is_broken = true; // what has come is no answer to queries that were not sent
+        co_return outcome;
+    }
     last_state_ = last_state;
     outcome.answers.reserve(count);
     arm_timer(deadline);
--- a/src/line_connection.h
+++ b/src/line_connection.h
@@ -52,8 +52,9 @@
     open(boost::asio::any_io_executor executor, const line_dialect& dialect,
          const std::string& address, const std::string& startup, clock::time_point deadline);
 
-    // Sends `queries` and reads `count` answers. `last_state` is the state that only the last
-    // answer reports: if an earlier one does, an answer was lost, and the exchange is broken.
+    // Sends `queries` and reads `count` answers, unless the connection is not usable any more.
+    // `last_state` is the state that only the last answer reports: if an earlier one does, an
+    // answer was lost, and the exchange is broken.
     [[nodiscard]] boost::asio::awaitable<line_exchange>
     exchange(const std::string& queries, std::size_t count, clock::time_point deadline,
              std::optional<session_state> last_state = std::nullopt);
--- a/tests/line_connection_test.cpp
+++ b/tests/line_connection_test.cpp
@@ -202,3 +202,21 @@
     CHECK(!target.run(1).has_value());
     CHECK(target.rejection() == "TOOMANY");
 }
+
+// Guards against a late answer that is taken for that of the next query.
+TEST_CASE("line connection: an answer that came before its query is none")
+{
+    script plan;
+    plan.unsolicited = "DONE s0\r\nIDLE T 1.2\r\n";
+    plan.answers = "DONE s1\r\nIDLE T 1.3\r\n";
+    SUBCASE("alone") {}
+    SUBCASE("behind the greeting in one read")
+    {
+        plan.greeting += std::exchange(plan.unsolicited, {});
+    }
+    scripted_exchange target(plan);
+    const std::optional<line_exchange> outcome = target.run(1);
+    REQUIRE(outcome.has_value());
+    CHECK(outcome->is_broken);
+    CHECK(outcome->answers.empty());
+}
