A success answers a query only in the state that the query leaves behind

A BEGIN, a value, a prepared statement, a statement and a commit took any success that came, also one whose state showed that it was not theirs: a statement could run outside its transaction, and a write inside one that nobody commits. Cause: the answers of these queries were matched by their order alone. Fix: each path names the state that its success reports; another state means that the answer is missing. A connection that is not idle behind an error is closed.

--- a/src/line_answer.h
+++ b/src/line_answer.h
@@ -49,10 +49,12 @@
     session_state state = session_state::idle;
     std::optional<log_position> position; // position of the server's log
 
-    // True if a statement that a server runs can have this answer: an error, or a signed success.
-    [[nodiscard]] bool can_answer_statement() const noexcept
+    // True if a statement that a server runs can have this answer: an error, or a signed success
+    // that reports the state in which the statement leaves the connection.
+    [[nodiscard]] bool can_answer_statement(session_state state_after_success) const noexcept
     {
-        return is_error || (!signature.empty() && signature != no_signature);
+        return is_error || (!signature.empty() && signature != no_signature &&
+                            state == state_after_success);
     }
     // True for a success inside an open transaction, such as that of BEGIN. The answer to a
     // ROLLBACK behind it, which comes first if the former was lost, reports another state.
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -52,6 +52,13 @@
     return std::span(result.answers).first(setup.count);
 }
 
+// True if the connection may be used again. One that reports a transaction behind the only answer
+// is in doubt.
+bool is_idle(const line_exchange& result)
+{
+    return result.is_complete() && result.answers.back().state == session_state::idle;
+}
+
 net::awaitable<void> sleep_for(net::any_io_executor executor, clock::duration time)
 {
     net::steady_timer timer(executor, time);
@@ -207,10 +214,12 @@
 
 net::awaitable<line_exchange> execution::exchange_statement(pooled_connection& connection,
                                                             const std::string& query,
+                                                            session_state state_after_success,
                                                             clock::time_point deadline)
 {
     line_exchange result = co_await exchange(connection, query, 1, deadline);
-    if (result.is_complete() && !result.answers.front().can_answer_statement()) {
+    if (result.is_complete() &&
+        !result.answers.front().can_answer_statement(state_after_success)) {
         result.answers.clear();
         result.is_broken = true;
     }
@@ -252,7 +261,8 @@
     const line_dialect& dialect = context_.dialect;
     const auto refused = std::find_if(setup.begin(), setup.end(),
                                       [](const line_answer& each) { return each.is_error; });
-    const std::string_view code = refused != setup.end() ? refused->code : std::string_view();
+    const std::string_view code =
+        refused != setup.end() ? refused->code : std::string_view("unexpected session state");
     const std::string text =
         fmt::format("not run: server {} did not accept the session's values or prepared statement "
                     "({})",
@@ -269,6 +279,18 @@
             server_contact::refused};
 }
 
+// The server answered a BEGIN with a success outside a transaction, so that the connection's answers
+// are not those of its queries.
+execution::attempt_result execution::refuse_unbegun(const pooled_server& server)
+{
+    excluded_servers_.push_back(server.id);
+    return {next_step::retry,
+            make_error_answer(answer_cause::server_silent, context_.dialect.busy,
+                              fmt::format("not run: server {} reported no transaction behind BEGIN",
+                                          server.id)),
+            server_contact::refused};
+}
+
 // A server runs what follows a refused query all the same, so that no statement of a caller goes
 // out before the answers are there.
 net::awaitable<std::optional<execution::attempt_result>>
@@ -290,7 +312,9 @@
                               "not run: the server did not answer to the session's values"),
             server_contact::none};
     }
-    if (!all_succeeded(result.answers, setup.count)) {
+    const session_state state =
+        in_transaction ? session_state::in_transaction : session_state::idle;
+    if (!all_succeeded(result.answers, setup.count, state)) {
         co_return refuse_unprepared(server, result.answers);
     }
     record_setup(connection, session_, needed, in_transaction);
@@ -363,7 +387,7 @@
                    server_contact::none};
         co_return false;
     }
-    if (!all_succeeded(result.answers, setup.count)) {
+    if (!all_succeeded(result.answers, setup.count, session_state::idle)) {
         outcome = refuse_unprepared(server, setup_answers(result, setup));
         co_return false;
     }
@@ -375,6 +399,10 @@
         outcome = {next_step::retry, std::move(answer), server_contact::refused};
         co_return false;
     }
+    if (!answer.is_in_transaction()) {
+        outcome = refuse_unbegun(server);
+        co_return false;
+    }
     record_setup(connection, session_, statement.prepared, false);
     if (answer.position) {
         context_.connections.primary_of(server.group).record_primary(server.id, now);
@@ -414,9 +442,11 @@
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
     const bool is_clean = result.is_complete() && !result.answers.back().is_error;
     context_.connections.release(std::move(connection), is_clean);
-    const bool is_answered = !result.answers.empty() &&
-                             (result.is_complete() || result.answers.front().is_in_transaction()) &&
-                             result.answers.front().can_answer_statement();
+    // An error of an incomplete exchange may be the ROLLBACK's.
+    const bool is_answered =
+        !result.answers.empty() &&
+        result.answers.front().can_answer_statement(session_state::in_transaction) &&
+        (result.is_complete() || !result.answers.front().is_error);
     if (!is_answered) {
         if (result.answers.empty()) {
             context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
@@ -445,10 +475,11 @@
     const clock::time_point attempt_deadline = std::min(
         deadline, sent_at + std::max(replica_read_timeout, clock::duration(latency_timeout_ms)));
     context_.connections.record_start(*server);
-    line_exchange result = co_await exchange_statement(*connection, query, attempt_deadline);
+    line_exchange result =
+        co_await exchange_statement(*connection, query, session_state::idle, attempt_deadline);
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
-    context_.connections.release(std::move(connection), result.is_complete());
+    context_.connections.release(std::move(connection), is_idle(result));
     if (!result.is_complete()) {
         context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
         excluded_servers_.push_back(server->id);
@@ -495,10 +526,11 @@
     const clock::time_point sent_at = clock::now();
     context_.connections.log_use(*server, sent_at);
     context_.connections.record_start(*server);
-    line_exchange result = co_await exchange_statement(*connection, query, deadline);
+    line_exchange result =
+        co_await exchange_statement(*connection, query, session_state::idle, deadline);
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
-    context_.connections.release(std::move(connection), result.is_complete());
+    context_.connections.release(std::move(connection), is_idle(result));
     if (!result.is_complete()) {
         context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
         context_.connections.primary_of(server->group).record_write_failure(sent_at);
@@ -734,18 +766,22 @@
                               "not run: the server did not begin a transaction"),
             server_contact::none};
     }
-    if (!all_succeeded(result.answers, setup.count)) {
+    if (!all_succeeded(result.answers, setup.count, session_state::idle)) {
         context_.connections.release(std::move(connection), false);
         co_return refuse_unprepared(*server, setup_answers(result, setup));
     }
     record_setup(*connection, session_, first.prepared, false);
     if (result.answers.back().is_error) {
-        context_.connections.release(std::move(connection), true);
+        context_.connections.release(std::move(connection), is_idle(result));
         attempt_result refusal = classify_read(*server, std::move(result.answers.back()));
         refusal.next = next_step::retry; // no statement has run
         refusal.contact = server_contact::refused;
         co_return refusal;
     }
+    if (!result.answers.back().is_in_transaction()) {
+        context_.connections.release(std::move(connection), false);
+        co_return refuse_unbegun(*server);
+    }
     server->lag_count = 0;
     connection_ = std::move(connection);
     co_return outcome;
@@ -958,7 +994,8 @@
         }
         const clock::time_point sent_at = clock::now();
         context_.connections.log_use(*server, sent_at);
-        result = co_await exchange_statement(*connection_, query, deadline);
+        result = co_await exchange_statement(*connection_, query, session_state::in_transaction,
+                                             deadline);
         const clock::time_point now = clock::now();
         context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
         if (!result.is_complete()) {
@@ -1018,7 +1055,8 @@
             co_return std::move(*refusal);
         }
         sent_at = clock::now();
-        result = co_await exchange_statement(*connection_, query, deadline);
+        result =
+            co_await exchange_statement(*connection_, query, session_state::idle, deadline);
         const clock::time_point now = clock::now();
         context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
         if (!result.is_complete() || !may_run_again(result.answers.front(), now, deadline)) {
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -224,10 +224,11 @@
     [[nodiscard]] boost::asio::awaitable<line_exchange>
     exchange(pooled_connection& connection, const std::string& queries, std::size_t count,
              clock::time_point deadline, std::optional<session_state> last_state = std::nullopt);
-    // Sends one statement of the client. A success without a signature is not its answer.
+    // Sends one statement of the client. A success without a signature, or in another state than
+    // `state_after_success`, is not its answer.
     [[nodiscard]] boost::asio::awaitable<line_exchange>
     exchange_statement(pooled_connection& connection, const std::string& query,
-                       clock::time_point deadline);
+                       session_state state_after_success, clock::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<acquire_result> acquire(connection_request& request);
     [[nodiscard]] std::optional<log_position> minimum_position(const operation& op,
                                                                clock::time_point now);
@@ -237,6 +238,7 @@
     [[nodiscard]] std::optional<line_answer> check_transaction_right();
     [[nodiscard]] std::optional<line_answer> check_before_sending(const pooled_server& server);
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
+    [[nodiscard]] attempt_result refuse_unbegun(const pooled_server& server);
     [[nodiscard]] attempt_result refuse_unprepared(const pooled_server& server,
                                                    std::span<const line_answer> setup);
     [[nodiscard]] attempt_result classify_read(pooled_server& server, line_answer answer);
--- a/src/pooler_state.cpp
+++ b/src/pooler_state.cpp
@@ -81,11 +81,12 @@
     }
 }
 
-bool all_succeeded(std::span<const line_answer> answers, std::size_t count)
+bool all_succeeded(std::span<const line_answer> answers, std::size_t count, session_state state)
 {
     return answers.size() >= count &&
-           std::none_of(answers.begin(), answers.begin() + static_cast<std::ptrdiff_t>(count),
-                        [](const line_answer& each) { return each.is_error; });
+           std::all_of(
+               answers.begin(), answers.begin() + static_cast<std::ptrdiff_t>(count),
+               [state](const line_answer& each) { return !each.is_error && each.state == state; });
 }
 
 } // namespace primrosehead::pooler
--- a/src/pooler_state.h
+++ b/src/pooler_state.h
@@ -50,7 +50,9 @@
 void record_setup(pooled_connection& connection, const session_context& session,
                   const prepared_statement* needed, bool in_transaction);
 
-// True when the first `count` answers are there and none is an error.
-[[nodiscard]] bool all_succeeded(std::span<const line_answer> answers, std::size_t count);
+// True when the first `count` answers are there and are successes in `state`, in which the queries
+// were sent.
+[[nodiscard]] bool all_succeeded(std::span<const line_answer> answers, std::size_t count,
+                                 session_state state);
 
 } // namespace primrosehead::pooler
--- a/tests/line_connection_test.cpp
+++ b/tests/line_connection_test.cpp
@@ -126,7 +126,7 @@
     }
     const line_answer& first = exchange.answers.front();
     const bool is_answer = exchange.is_complete() || first.is_in_transaction();
-    return is_answer && first.can_answer_statement() ? &first : nullptr;
+    return is_answer && first.can_answer_statement(session_state::in_transaction) ? &first : nullptr;
 }
 
 } // namespace
