One lost answer to a write does not make the primary fail

An instance reported to control that it could not write, for as long as the write had waited, since the answer to a single write was lost. If most instances happened to do so, a sound primary was replaced. Cause: a write that got no answer counted from when it was sent, although others that were sent later had been acknowledged. Evidence: 'pooler primary: one lost answer to a write...' failed before the fix. Fix: a failed write counts only if none was acknowledged after it was sent. Measured: the test passes.

--- a/src/pooler_primary.cpp
+++ b/src/pooler_primary.cpp
@@ -18,6 +18,7 @@
     known_ = std::move(known);
     if (!is_known(current_)) {
         current_.clear();
+        written_at_.reset();
         failing_since_.reset();
         write_failing_since_.reset();
     }
@@ -62,6 +63,7 @@
 {
     current_ = server;
     reached_at_.reset();
+    written_at_.reset();
     failing_since_.reset();
     write_failing_since_.reset();
 }
@@ -71,19 +73,22 @@
     refused_at_.insert_or_assign(std::string(server), now);
     if (current_ == server) {
         current_.clear();
+        written_at_.reset();
         failing_since_.reset();
         write_failing_since_.reset();
     }
 }
 
-void primary_tracker::record_write_success(clock::time_point /*now*/)
+void primary_tracker::record_write_success(clock::time_point now)
 {
+    written_at_ = now;
     write_failing_since_.reset();
 }
 
 void primary_tracker::record_write_failure(clock::time_point sent_at)
 {
-    if (!write_failing_since_) {
+    const bool has_written_since = written_at_ && *written_at_ >= sent_at;
+    if (!write_failing_since_ && !has_written_since) {
         write_failing_since_ = sent_at;
     }
 }
--- a/src/pooler_primary.h
+++ b/src/pooler_primary.h
@@ -41,7 +41,8 @@
     // The server refused an operation because it is not the primary.
     void record_refusal(std::string_view server, clock::time_point now);
 
-    // A write was acknowledged, or it failed without a refusal.
+    // A write was acknowledged, or it failed without a refusal. One that fails although another one
+    // was acknowledged after it was sent tells nothing about the primary.
     void record_write_success(clock::time_point now);
     void record_write_failure(clock::time_point sent_at);
 
@@ -63,6 +64,7 @@
     std::uint64_t generation_ = 0;
     std::map<std::string, clock::time_point, std::less<>> refused_at_;
     std::optional<clock::time_point> reached_at_;
+    std::optional<clock::time_point> written_at_;    // the latest acknowledged write
     std::optional<clock::time_point> failing_since_; // attempts to reach it
     std::optional<clock::time_point> write_failing_since_;
 };
--- a/tests/pooler_test.cpp
+++ b/tests/pooler_test.cpp
@@ -123,6 +123,24 @@
     CHECK(guess.likely_primary(at(1'010)) == "new");
 }
 
+// Guards against a sound primary that is replaced since the answers to single writes were lost.
+TEST_CASE("pooler primary: one lost answer to a write does not make the primary fail")
+{
+    primary_tracker guess;
+    guess.set_servers({{"a", true}, {"b", false}});
+    guess.record_primary("a", at(0));
+    guess.record_write_success(at(500));
+    guess.record_write_failure(at(400)); // its timeout has passed
+    CHECK(guess.sighting(at(2'400)).failing_for == clock::duration(0));
+    guess.record_write_failure(at(600)); // no write was acknowledged since
+    CHECK(guess.sighting(at(2'600)).failing_for == clock::duration(2'000));
+    guess.record_write_success(at(2'700));
+    CHECK(guess.sighting(at(2'700)).failing_for == clock::duration(0));
+    guess.record_control_report("b", 2, at(3'000)); // what the old primary did tells nothing
+    guess.record_write_failure(at(2'650));
+    CHECK(guess.sighting(at(4'650)).failing_for == clock::duration(2'000));
+}
+
 TEST_CASE("pooler primary: an unreachable server stays the guess, so that it is retried")
 {
     primary_tracker guess;
