The error of a BEGIN is not answered as that of the statement behind it

Callers saw: a read or the first statement of a transaction was answered with FAILED or TIMEOUT, which say that it may have run, though only the BEGIN ahead of it had failed. Cause: the error of the BEGIN was passed on with its code. Evidence: the three cases of 'pooler answers: the error of a BEGIN...' failed before the fix. Fix: only codes that say that nothing has run are passed on; any other becomes BUSY, with the server's code in the text.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -279,6 +279,21 @@
             server_contact::refused};
 }
 
+// Makes the error of a BEGIN the answer to the statement behind it, which has not run: an error that
+// says less would be taken for the statement's own.
+line_answer execution::refuse_to_begin(line_answer answer) const
+{
+    const line_dialect& dialect = context_.dialect;
+    if (answer.code == dialect.busy || answer.code == dialect.behind ||
+        answer.code == dialect.read_only || answer.code == dialect.wrong_server) {
+        return answer;
+    }
+    return make_error_answer(
+        answer_cause::setup, dialect.busy,
+        fmt::format("not run: the server did not begin a transaction ({}); retry after {} ms",
+                    answer.code, saturated_retry_after.count()));
+}
+
 // The server answered a BEGIN with a success outside a transaction, so that the connection's answers
 // are not those of its queries.
 execution::attempt_result execution::refuse_unbegun(const pooled_server& server)
@@ -396,7 +411,7 @@
         if (answer.code == context_.dialect.read_only) {
             context_.connections.primary_of(server.group).record_refusal(server.id, now);
         }
-        outcome = {next_step::retry, std::move(answer), server_contact::refused};
+        outcome = {next_step::retry, refuse_to_begin(std::move(answer)), server_contact::refused};
         co_return false;
     }
     if (!answer.is_in_transaction()) {
@@ -773,7 +788,8 @@
     record_setup(*connection, session_, first.prepared, false);
     if (result.answers.back().is_error) {
         context_.connections.release(std::move(connection), is_idle(result));
-        attempt_result refusal = classify_read(*server, std::move(result.answers.back()));
+        attempt_result refusal =
+            classify_read(*server, refuse_to_begin(std::move(result.answers.back())));
         refusal.next = next_step::retry; // no statement has run
         refusal.contact = server_contact::refused;
         co_return refusal;
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -238,6 +238,7 @@
     [[nodiscard]] std::optional<line_answer> check_transaction_right();
     [[nodiscard]] std::optional<line_answer> check_before_sending(const pooled_server& server);
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
+    [[nodiscard]] line_answer refuse_to_begin(line_answer answer) const;
     [[nodiscard]] attempt_result refuse_unbegun(const pooled_server& server);
     [[nodiscard]] attempt_result refuse_unprepared(const pooled_server& server,
                                                    std::span<const line_answer> setup);
--- a/tests/pooler_answers_test.cpp
+++ b/tests/pooler_answers_test.cpp
@@ -302,3 +302,30 @@
     const std::string answers = instance.exchange(open_session + lines, settle_time);
     CHECK(contains(answers, "FAIL UNKNOWN "));
 }
+
+// Guards against the error of a BEGIN that is passed on as that of the statement behind it.
+TEST_CASE("pooler answers: the error of a BEGIN says that the statement has not run")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    SUBCASE("of a read at the primary")
+    {
+        instance.server.fail_queries("BEGIN");
+        const std::string answers =
+            instance.exchange(open_session + "RUN r1 GET x\r\n", settle_time);
+        CHECK(contains(answers, "FAIL BUSY not run"));
+    }
+    SUBCASE("of a transaction")
+    {
+        instance.server.fail_queries("BEGIN", "TIMEOUT");
+        const std::string answers = instance.exchange(
+            open_session + "RUN t1 BEGIN\r\nRUN t2 PUT x 1\r\n", settle_time);
+        CHECK(contains(answers, "FAIL BUSY not run"));
+    }
+    SUBCASE("at a replica")
+    {
+        instance.server.fail_queries("AFTER");
+        CHECK(replica_caller(instance).read_in_transaction().code == "BUSY");
+    }
+    CHECK(count(instance.server, "GET x") + count(instance.server, "PUT x 1") == 0);
+}
