A prepared statement that a server lost is not unknown to its caller

Callers saw: a statement that they had prepared, and whose preparation was acknowledged, could be answered with NOSTMT: the server's answer about the pool's own name was passed on as one about the caller's. The connection was used again as if the statement were prepared on it. Fix: the connection is closed. A single statement, which has not run, is prepared and sent again on another one; a transaction is rolled back with ABORTED.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -53,10 +53,13 @@
 }
 
 // True if the connection may be used again. One that reports a transaction behind the only answer
-// is in doubt.
-bool is_idle(const line_exchange& result)
+// is in doubt, as is one without a statement that was prepared on it.
+bool is_reusable(const line_exchange& result, const line_dialect& dialect)
 {
-    return result.is_complete() && result.answers.back().state == session_state::idle;
+    return result.is_complete() && result.answers.back().state == session_state::idle &&
+           std::none_of(result.answers.begin(), result.answers.end(), [&](const auto& each) {
+               return each.is_error && each.code == dialect.unknown_statement;
+           });
 }
 
 net::awaitable<void> sleep_for(net::any_io_executor executor, clock::duration time)
@@ -353,6 +356,15 @@
         server_contact::none};
 }
 
+// The name that the server does not know is the pool's. The caller's own is prepared.
+line_answer execution::refuse_unknown_statement(const pooled_server& server) const
+{
+    return make_error_answer(
+        answer_cause::setup, context_.dialect.busy,
+        fmt::format("not run: server {} has lost the prepared statement; retry after {} ms",
+                    server.id, saturated_retry_after.count()));
+}
+
 // Decides whether a read is retried. Reads have no side effects, so repeating one is safe.
 execution::attempt_result execution::classify_read(pooled_server& server, line_answer answer)
 {
@@ -372,9 +384,11 @@
         excluded_servers_.push_back(server.id);
         return {next_step::retry, std::move(answer)};
     }
-    const bool is_transient = answer.code == dialect.unknown_statement ||
-                              answer.code == dialect.wrong_server ||
-                              answer.code == dialect.read_only;
+    if (answer.code == dialect.unknown_statement) {
+        return {next_step::retry, refuse_unknown_statement(server)};
+    }
+    const bool is_transient =
+        answer.code == dialect.wrong_server || answer.code == dialect.read_only;
     return {is_transient ? next_step::retry : next_step::finish, std::move(answer)};
 }
 
@@ -455,7 +469,8 @@
         co_await exchange(*connection, queries, 2, deadline, session_state::idle);
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
-    const bool is_clean = result.is_complete() && !result.answers.back().is_error;
+    const bool is_clean =
+        is_reusable(result, context_.dialect) && !result.answers.back().is_error;
     context_.connections.release(std::move(connection), is_clean);
     // An error of an incomplete exchange may be the ROLLBACK's.
     const bool is_answered =
@@ -494,7 +509,7 @@
         co_await exchange_statement(*connection, query, session_state::idle, attempt_deadline);
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
-    context_.connections.release(std::move(connection), is_idle(result));
+    context_.connections.release(std::move(connection), is_reusable(result, context_.dialect));
     if (!result.is_complete()) {
         context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
         excluded_servers_.push_back(server->id);
@@ -521,12 +536,13 @@
         primary.record_refusal(server.id, clock::now());
         return {next_step::retry, std::move(answer)};
     }
+    if (answer.code == dialect.unknown_statement) {
+        return {next_step::retry, refuse_unknown_statement(server)};
+    }
     if (answer.code == dialect.timed_out) {
         primary.record_write_failure(sent_at);
     }
-    const bool has_not_run = answer.code == dialect.busy ||
-                             answer.code == dialect.unknown_statement ||
-                             answer.code == dialect.wrong_server;
+    const bool has_not_run = answer.code == dialect.busy || answer.code == dialect.wrong_server;
     return {has_not_run ? next_step::retry : next_step::finish, std::move(answer)};
 }
 
@@ -545,7 +561,7 @@
         co_await exchange_statement(*connection, query, session_state::idle, deadline);
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
-    context_.connections.release(std::move(connection), is_idle(result));
+    context_.connections.release(std::move(connection), is_reusable(result, context_.dialect));
     if (!result.is_complete()) {
         context_.connections.mark_unreachable(*server, !result.has_timed_out, now);
         context_.connections.primary_of(server->group).record_write_failure(sent_at);
@@ -787,7 +803,7 @@
     }
     record_setup(*connection, session_, first.prepared, false);
     if (result.answers.back().is_error) {
-        context_.connections.release(std::move(connection), is_idle(result));
+        context_.connections.release(std::move(connection), is_reusable(result, context_.dialect));
         attempt_result refusal =
             classify_read(*server, refuse_to_begin(std::move(result.answers.back())));
         refusal.next = next_step::retry; // no statement has run
@@ -1031,12 +1047,18 @@
     has_begun_ = true;
     line_answer answer = std::move(result.answers.front());
     has_written_ = has_written_ || statement.is_write;
-    if (answer.is_error) {
-        if (answer.code == dialect.read_only && !is_read_only_) {
-            context_.connections.primary_of(server->group).record_refusal(server->id, clock::now());
-        }
-        roll_back();
+    if (!answer.is_error) {
+        co_return answer;
+    }
+    if (answer.code == dialect.read_only && !is_read_only_) {
+        context_.connections.primary_of(server->group).record_refusal(server->id, clock::now());
     }
+    if (answer.code == dialect.unknown_statement) {
+        answer = refuse_unknown_statement(*server);
+        answer.code = dialect.aborted;
+        context_.connections.release(std::move(connection_), false);
+    }
+    roll_back();
     co_return answer;
 }
 
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -240,6 +240,7 @@
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
     [[nodiscard]] line_answer refuse_to_begin(line_answer answer) const;
     [[nodiscard]] attempt_result refuse_unbegun(const pooled_server& server);
+    [[nodiscard]] line_answer refuse_unknown_statement(const pooled_server& server) const;
     [[nodiscard]] attempt_result refuse_unprepared(const pooled_server& server,
                                                    std::span<const line_answer> setup);
     [[nodiscard]] attempt_result classify_read(pooled_server& server, line_answer answer);
--- a/tests/pooler_answers_test.cpp
+++ b/tests/pooler_answers_test.cpp
@@ -329,3 +329,42 @@
     }
     CHECK(count(instance.server, "GET x") + count(instance.server, "PUT x 1") == 0);
 }
+
+// Guards against a statement that a caller prepared and that is then said to be unknown.
+TEST_CASE("pooler answers: a prepared statement that a server lost is prepared again")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    instance.server.set_row("v1");
+    const std::string unknown(line_dialect{}.unknown_statement);
+    const std::string prepare = "RUN p1 PREPARE p PUT q\r\nRUN p2 PREPARE g GET q\r\n";
+    std::string lines;
+    SUBCASE("of a read")
+    {
+        instance.server.fail_queries("EXECUTE", unknown, 1);
+        lines = "RUN r1 EXECUTE g x\r\n";
+    }
+    SUBCASE("of a write")
+    {
+        instance.server.fail_queries("EXECUTE", unknown, 1);
+        lines = "RUN w1 EXECUTE p x 1\r\n";
+    }
+    const std::string answers = instance.exchange(open_session + prepare + lines, settle_time);
+    CHECK(contains(answers, "DONE s"));
+    CHECK(!contains(answers, "FAIL"));
+    CHECK(instance.server.connections() == 2);
+}
+
+TEST_CASE("pooler answers: a transaction whose prepared statement a server lost is rolled back")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    instance.server.fail_queries("EXECUTE", line_dialect{}.unknown_statement, 1);
+    const std::string answers = instance.exchange(
+        open_session + "RUN p1 PREPARE p PUT q\r\nRUN t1 BEGIN\r\nRUN t2 EXECUTE p x 1\r\n"
+                       "RUN t3 ROLLBACK\r\nRUN w1 EXECUTE p x 1\r\n",
+        settle_time);
+    CHECK(contains(answers, "FAIL ABORTED "));
+    CHECK(!contains(answers, line_dialect{}.unknown_statement));
+    CHECK(contains(answers, "DONE s"));
+}
