One missing answer does not make a server unreachable

Callers saw: statements of other sessions refused with 'no reachable primary', for 100 to 300 ms, after a single connection broke or a single answer was lost; a read whose answer was cut off was refused as not run, though it had run and another connection would have served it at once. Cause: any exchange without an answer marked its server as unreachable.

--- a/tests/pooler_answers_test.cpp
+++ b/tests/pooler_answers_test.cpp
@@ -32,6 +32,18 @@
     };
 }
 
+// Sends the first `lines` lines of the answer and `length` bytes of the next, and closes.
+line_server::answer_change cut_off(std::size_t lines, std::size_t length)
+{
+    return [lines, length](const std::string& answer) {
+        std::size_t begin = 0;
+        for (std::size_t i = 0; i < lines; ++i) {
+            begin = answer.find("\r\n", begin) + 2;
+        }
+        return line_server::changed_answer{answer.substr(0, begin + length), true};
+    };
+}
+
 bool contains(std::string_view text, std::string_view part)
 {
     return text.find(part) != std::string_view::npos;
@@ -132,6 +144,41 @@
     }
 }
 
+TEST_CASE("pooler answers: what a caller gets is true if an answer is cut off at any field")
+{
+    struct cut_answer {
+        std::string query;
+        std::string lines;
+        std::string expected;
+    };
+    const std::vector<cut_answer> cases{
+        {"BEGIN", "RUN w1 PUT y 1\r\nRUN r1 GET x\r\n", "ROW v1\r\nDONE s"},
+        {"GET x", "RUN w1 PUT y 1\r\nRUN r1 GET x\r\n", "ROW v1\r\nDONE s"},
+        {"SET a", "RUN s1 SET a 1\r\nRUN w1 PUT x 1\r\n", "DONE s"},
+        {"PUT x", "RUN w1 PUT x 1\r\n", "FAIL UNKNOWN "},
+        {"PUT x", "RUN t1 BEGIN\r\nRUN t2 PUT x 1\r\n", "FAIL ABORTED "},
+        {"COMMIT", "RUN t1 BEGIN\r\nRUN t2 PUT x 1\r\nRUN t3 COMMIT\r\n", "FAIL UNKNOWN "},
+    };
+    const std::vector<std::pair<std::size_t, std::size_t>> cuts{
+        {0, 0}, {0, 2}, {0, 4}, {0, 5}, {0, 6}, {1, 0}, {1, 4}, {1, 6}, {1, 8}, {1, 10}};
+    for (const cut_answer& each : cases) {
+        for (const auto& [lines, length] : cuts) {
+            CAPTURE(each.query);
+            CAPTURE(each.lines);
+            CAPTURE(lines);
+            CAPTURE(length);
+            pooler_fixture instance;
+            instance.confirm(100);
+            instance.server.set_row("v1");
+            instance.server.change_answers(each.query, cut_off(lines, length), 1);
+            const std::string answers = instance.exchange(open_session + each.lines, settle_time * 4);
+            CAPTURE(answers);
+            CHECK(contains(answers, each.expected));
+            CHECK(contains(answers, "FAIL") == contains(each.expected, "FAIL"));
+        }
+    }
+}
+
 // Guards against errors that promise more than an answer shows which was cut off behind them.
 TEST_CASE("pooler answers: an error whose answer is cut off tells nothing")
 {
@@ -282,27 +329,6 @@
     CHECK(instance.server.connections() == 2);
 }
 
-// Guards against a commit whose place in the log nobody knows: it could not be asked for at the
-// server that is promoted, nor covered by the session's later reads.
-TEST_CASE("pooler answers: a commit without a position is not confirmed")
-{
-    pooler_fixture instance;
-    instance.confirm(100);
-    std::string lines;
-    SUBCASE("a write")
-    {
-        instance.server.change_answers("PUT", replace(" 1.2\r\n", " -\r\n"));
-        lines = "RUN w1 PUT x 1\r\n";
-    }
-    SUBCASE("a transaction")
-    {
-        instance.server.change_answers("COMMIT", replace(" 1.2\r\n", " -\r\n"));
-        lines = "RUN t1 BEGIN\r\nRUN t2 PUT x 1\r\nRUN t3 COMMIT\r\n";
-    }
-    const std::string answers = instance.exchange(open_session + lines, settle_time);
-    CHECK(contains(answers, "FAIL UNKNOWN "));
-}
-
 // Guards against the error of a BEGIN that is passed on as that of the statement behind it.
 TEST_CASE("pooler answers: the error of a BEGIN says that the statement has not run")
 {
@@ -368,3 +394,65 @@
     CHECK(!contains(answers, line_dialect{}.unknown_statement));
     CHECK(contains(answers, "DONE s"));
 }
+
+// Guards against a commit whose place in the log nobody knows: it could not be asked for at the
+// server that is promoted, nor covered by the session's later reads.
+TEST_CASE("pooler answers: a commit without a position is not confirmed")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    std::string lines;
+    SUBCASE("a write")
+    {
+        instance.server.change_answers("PUT", replace(" 1.2\r\n", " -\r\n"));
+        lines = "RUN w1 PUT x 1\r\n";
+    }
+    SUBCASE("a transaction")
+    {
+        instance.server.change_answers("COMMIT", replace(" 1.2\r\n", " -\r\n"));
+        lines = "RUN t1 BEGIN\r\nRUN t2 PUT x 1\r\nRUN t3 COMMIT\r\n";
+    }
+    const std::string answers = instance.exchange(open_session + lines, settle_time);
+    CHECK(contains(answers, "FAIL UNKNOWN "));
+}
+
+// Guards against callers that are refused since a single connection broke or a single answer was
+// lost, though the server answers the others.
+TEST_CASE("pooler answers: one missing answer does not make a server unreachable")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    instance.server.set_row("v1");
+    SUBCASE("its connection broke")
+    {
+        instance.server.change_answers("PUT x", cut_off(1, 4), 1);
+        const std::string answers = instance.exchange(
+            open_session + "RUN w1 PUT x 1\r\nRUN w2 PUT y 1\r\n", settle_time);
+        CHECK(contains(answers, "FAIL UNKNOWN "));
+        CHECK(contains(answers, "DONE s"));
+    }
+    SUBCASE("others came meanwhile")
+    {
+        instance.server.lose_answers("PUT x", 1);
+        std::optional<line_answer> lost;
+        pooler::session_context state;
+        pooler::execution execution(instance.shared, state);
+        const pooler::operation operation = instance.operation();
+        pooler::server_statement statement;
+        statement.id = "w1";
+        statement.text = "PUT x 1";
+        statement.is_write = true;
+        instance.start([&] { return execution.run_single(operation, statement); }, lost);
+        const std::string answers = instance.exchange(open_session + "RUN w2 PUT y 1\r\n",
+                                                      operation.route->statement_timeout -
+                                                          clock::duration(100));
+        CHECK(contains(answers, "DONE s"));
+        instance.run(clock::duration(150));
+        REQUIRE(lost.has_value());
+        CHECK(lost->code == "UNKNOWN");
+        const std::string later =
+            instance.exchange(open_session + "RUN r3 GET y\r\n", settle_time);
+        CAPTURE(later);
+        CHECK(contains(later, "DONE s"));
+    }
+}
