An order counts as accepted only by an answer of its server and term

A reply with status 200 counted as obedience whatever it held: a fence without a position was one with an empty log, so that a server with acknowledged writes could be passed over; the reply of another server that had taken over the address, or to an order of another term, counted too; and any error's term was taken for the server's own. Fix: a reply is read by the kind of its order (docs/BACKEND.md); what does not name its server and term, or lacks a field, accepts nothing.

--- a/src/control_instance.cpp
+++ b/src/control_instance.cpp
@@ -1,3 +1,4 @@
+#include "control_order_answer.h"
 #include "control_orders.h"
 #include "disk_id.h"
 #include "primrosehead.pb.h"
--- a/src/control_orders.cpp
+++ b/src/control_orders.cpp
@@ -1,5 +1,7 @@
 #include "control_orders.h"
 
+#include "control_order_answer.h"
+
 #include <primrosehead/http.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -38,31 +40,6 @@
     return starts;
 }
 
-std::uint64_t read_number(const json::object& object, std::string_view key)
-{
-    const json::value* const found = object.if_contains(key);
-    boost::system::error_code ec;
-    return found == nullptr ? 0 : found->to_number<std::uint64_t>(ec);
-}
-
-void parse_answer(const http::response& response, order_answer& answer)
-{
-    boost::system::error_code ec;
-    const json::value parsed = json::parse(response.body, ec);
-    if (ec || !parsed.is_object()) {
-        return;
-    }
-    const json::object& body = parsed.get_object();
-    answer.accepted = response.status == 200;
-    answer.seen_term = read_number(body, "term");
-    answer.start_index = read_number(body, "index");
-    if (const json::value* const received = body.if_contains("received");
-        received != nullptr && received->is_object()) {
-        answer.received = {read_number(received->get_object(), "term"),
-                           read_number(received->get_object(), "index")};
-    }
-}
-
 http_order make_http_order(const fleet::order_server& order, const pb::group_record& group)
 {
     http_order request;
@@ -152,7 +129,7 @@
         request.body = order->body;
         const result<http::response> response = co_await value(client)->call(request, deadline);
         if (ok(response)) {
-            parse_answer(value(response), order->answer);
+            read_order_answer(value(response).status, value(response).body, order->answer);
         }
     }
     spdlog::info("placement: order {} for term {} to server {} of database {}: {}.", order->target,
--- a/src/control_orders.h
+++ b/src/control_orders.h
@@ -3,28 +3,14 @@
 #pragma once
 
 #include <primrosehead/fleet.h>
-#include <primrosehead/position.h>
 
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace primrosehead {
 
-enum class order_kind { fence, promote, follow };
-
-// Outcome of one order.
-struct order_answer {
-    order_kind kind = order_kind::fence;
-    std::string database;
-    std::string server;
-    std::uint64_t term = 0;
-    bool accepted = false;
-    log_position received;         // last position received by a fenced server
-    std::uint64_t start_index = 0; // first index of a promoted server's term
-    std::uint64_t seen_term = 0;   // term of the server in its answer; 0 without one
-};
+struct order_answer;
 
 class control_orders {
   public:
