Only the first reply on a connection can refuse it

A server at its limit refuses a connection with a reply without an id, which means that the request has not run. Such a reply was believed on any connection, also one on which the server had read and answered requests. Evidence: with the old reading put back, 'gateway wire: only the first reply...' fails. Fix: behind another reply it is invalid, and whether the request ran is unknown. Measured: the test passes.

--- a/src/gateway_connection.cpp
+++ b/src/gateway_connection.cpp
@@ -40,8 +40,8 @@
         co_return failure(received);
     }
     const http::response& response = value(received);
-    gateway_wire::decoded_reply reply =
-        gateway_wire::decode(request, response.status, response.body, check_);
+    gateway_wire::decoded_reply reply = gateway_wire::decode(
+        request, response.status, response.body, check_, std::exchange(is_new_, false));
     usable_ = reply.is_connection_reusable;
     co_return std::move(reply.outcome);
 }
--- a/src/gateway_connection.h
+++ b/src/gateway_connection.h
@@ -32,6 +32,7 @@
     std::unique_ptr<http::client> client_;
     gateway_wire::id_check check_;
     bool usable_ = true;
+    bool is_new_ = true; // no reply has come yet
 };
 
 static_assert(backend_connection<gateway_connection>);
--- a/src/gateway_wire.cpp
+++ b/src/gateway_wire.cpp
@@ -230,7 +230,7 @@
 }
 
 decoded_reply decode(const pb::backend_request& request, unsigned status, std::string_view body,
-                     id_check check)
+                     id_check check, bool is_first_reply)
 {
     json::error_code ec;
     const json::value parsed = json::parse(body, ec);
@@ -238,7 +238,7 @@
         return unusable_reply("The backend server's reply is not a JSON object.");
     }
     const field_reader fields(parsed.get_object());
-    if (is_connection_refusal(status, fields)) {
+    if (is_first_reply && is_connection_refusal(status, fields)) {
         return decoded_reply{no_capacity("The backend server has reached its connection limit.",
                                          clock::duration(100)),
                              false};
--- a/src/gateway_wire.h
+++ b/src/gateway_wire.h
@@ -30,8 +30,9 @@
                                              clock::duration time_left);
 
 // Decodes a reply. One that is truncated, lacks a field or has another id is invalid: whether the
-// request ran is then unknown.
+// request ran is then unknown. Only the first reply on a connection can refuse the connection, and
+// the request with it.
 [[nodiscard]] decoded_reply decode(const pb::backend_request& request, unsigned status,
-                                   std::string_view body, id_check check);
+                                   std::string_view body, id_check check, bool is_first_reply);
 
 } // namespace primrosehead::gateway_wire
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -722,3 +722,19 @@
     CHECK(value(end).target == "/v1/rollback");
     CHECK(value(end).body == R"({"id":"r2","transaction":"t1"})");
 }
+
+// Guards against a write that is sent again though it may have run: a server that refuses a
+// connection has read nothing, but one that has answered on it before may have.
+TEST_CASE("gateway wire: only the first reply on a connection can refuse it")
+{
+    const pb::backend_request write = statement_request("r1", R"({"put":"bay","value":1})", true);
+    const auto decode = [&](bool is_first_reply) {
+        return gateway_wire::decode(write, 503, R"({"kind":"overloaded"})",
+                                    gateway_wire::id_check::by_id, is_first_reply);
+    };
+    CHECK(failure(decode(true).outcome).ran == ran::no);
+    const gateway_wire::decoded_reply later = decode(false);
+    REQUIRE(!ok(later.outcome));
+    CHECK(failure(later.outcome).ran == ran::unknown);
+    CHECK(!later.is_connection_reusable);
+}
