The HTTP client takes no response that came ahead of its request

What had arrived behind a response, in the same read, was kept and taken as the response to the next request. The check of an idle connection looked at the socket only. Evidence: 'http: the client takes no response...' fails with the fix taken out. Fix: a connection with such bytes is not open, and sends nothing.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -95,8 +95,9 @@
 
 net::awaitable<result<response>> client::call(const request& sent, clock::time_point deadline)
 {
-    if (!impl_->open) {
-        co_return error{error_kind::connection_lost, "The connection is closed.",
+    if (!impl_->open || impl_->buffer.size() > 0) {
+        co_return error{error_kind::connection_lost,
+                        "The connection is closed, or has a response that no request asked for.",
                         "Open a new connection."};
     }
     impl_->open = false; // until the complete response has been received
@@ -125,7 +126,7 @@
 // the connection or is out of sync.
 bool client::is_open() const noexcept
 {
-    if (!impl_->open) {
+    if (!impl_->open || impl_->buffer.size() > 0) {
         return false;
     }
     char byte = 0;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -199,3 +199,51 @@
     CHECK(open_after_answer);
     CHECK(!open_after_close);
 }
+
+// Guards against a late response that is taken for that of the next request.
+TEST_CASE("http: the client takes no response that came ahead of its request")
+{
+    net::io_context context;
+    net::ip::tcp::acceptor acceptor(context, {net::ip::make_address("127.0.0.1"), 0});
+    const std::string url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const std::string answers = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+                                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            auto socket = co_await acceptor.async_accept(net::use_awaitable);
+            std::array<char, 4'096> buffer{};
+            boost::system::error_code ec;
+            co_await socket.async_read_some(net::buffer(buffer),
+                                            net::redirect_error(net::use_awaitable, ec));
+            co_await net::async_write(socket, net::buffer(answers), net::use_awaitable);
+            while (!ec) {
+                co_await socket.async_read_some(net::buffer(buffer),
+                                                net::redirect_error(net::use_awaitable, ec));
+            }
+        },
+        net::detached);
+    std::string first;
+    bool is_open = true;
+    bool is_answered_again = true;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            auto connected = co_await http::client::connect(url, clock::now() + call_timeout);
+            REQUIRE(ok(connected));
+            const http::request sent{"GET", "/first"};
+            auto answer = co_await value(connected)->call(sent, clock::now() + call_timeout);
+            REQUIRE(ok(answer));
+            first = value(answer).body;
+            is_open = value(connected)->is_open();
+            auto again =
+                co_await value(connected)->call(sent, clock::now() + clock::duration(200));
+            is_answered_again = ok(again);
+            context.stop();
+        },
+        net::detached);
+    context.run_for(std::chrono::seconds(10));
+    CHECK(first == "own");
+    CHECK(!is_open);
+    CHECK(!is_answered_again);
+}
