The checks of the primary have tests of their own

An answer to BEGIN without a position told the start of the log to those who need one; it tells nothing any more. A check that got one of its two answers does not make its server unreachable. 'home path: a success in another state...' shows the answers to statements through homes. The primary check's test gave its answer of BEGIN no position, which every server's answer has; it does now, and the answer without one is a check of its own.

--- a/src/line_primary_check.cpp
+++ b/src/line_primary_check.cpp
@@ -21,7 +21,8 @@
     if (first.is_error && first.code == dialect.read_only) {
         return primary_check::refused;
     }
-    return first.is_in_transaction() ? primary_check::primary : primary_check::unclear;
+    const bool has_begun = first.is_in_transaction() && first.position;
+    return has_begun ? primary_check::primary : primary_check::unclear;
 }
 
 } // namespace primrosehead
--- a/src/line_primary_check.h
+++ b/src/line_primary_check.h
@@ -17,7 +17,7 @@
 [[nodiscard]] std::string make_primary_check(const line_dialect& dialect);
 
 enum class primary_check {
-    primary, // the first answer is that of BEGIN
+    primary, // the first answer is that of BEGIN, and has a position
     refused, // the first answer is the refusal of a server that is not the primary
     unclear, // no answer, another error, or the first answer is not that of BEGIN
 };
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -229,16 +229,6 @@
     co_return result;
 }
 
-// One missing answer shows that the server is unreachable only if it gave no other one meanwhile. A
-// broken connection shows nothing of the kind: the next one is refused if the server is down.
-void execution::record_unanswered(pooled_server& server, const line_exchange& result,
-                                  clock::time_point sent_at, clock::time_point now)
-{
-    if (result.has_timed_out && server.served_at < sent_at) {
-        context_.connections.mark_unreachable(server, false, now);
-    }
-}
-
 net::awaitable<acquire_result> execution::acquire(connection_request& request)
 {
     const clock::time_point asked_at = clock::now();
@@ -332,7 +322,7 @@
     const clock::time_point now = clock::now();
     connection_wait_ += now - sent_at;
     if (!result.is_complete()) {
-        record_unanswered(server, result, sent_at, now);
+        context_.connections.record_unanswered(server, result.has_timed_out, sent_at, now);
         excluded_servers_.push_back(server.id);
         co_return attempt_result{
             next_step::retry,
@@ -419,7 +409,7 @@
         co_await exchange(connection, queries, setup.count + 1, attempt_deadline);
     const clock::time_point now = clock::now();
     if (!result.is_complete()) {
-        record_unanswered(server, result, asked_at, now);
+        context_.connections.record_unanswered(server, result.has_timed_out, asked_at, now);
         outcome = {next_step::retry,
                    make_error_answer(answer_cause::server_silent, context_.dialect.busy,
                                      "not run: the primary did not begin a transaction"),
@@ -489,7 +479,7 @@
         (result.is_complete() || !result.answers.front().is_error);
     if (!is_answered) {
         if (result.answers.empty()) {
-            record_unanswered(*server, result, sent_at, now);
+            context_.connections.record_unanswered(*server, result.has_timed_out, sent_at, now);
         }
         co_return attempt_result{next_step::retry,
                                  make_error_answer(answer_cause::server_silent,
@@ -521,7 +511,7 @@
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
     context_.connections.release(std::move(connection), is_reusable(result, context_.dialect));
     if (!result.is_complete()) {
-        record_unanswered(*server, result, sent_at, now);
+        context_.connections.record_unanswered(*server, result.has_timed_out, sent_at, now);
         excluded_servers_.push_back(server->id);
         co_return attempt_result{next_step::retry,
                                  make_error_answer(answer_cause::server_silent,
@@ -573,7 +563,7 @@
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
     context_.connections.release(std::move(connection), is_reusable(result, context_.dialect));
     if (!result.is_complete()) {
-        record_unanswered(*server, result, sent_at, now);
+        context_.connections.record_unanswered(*server, result.has_timed_out, sent_at, now);
         context_.connections.primary_of(server->group).record_write_failure(sent_at);
         co_return attempt_result{
             next_step::finish,
@@ -799,7 +789,7 @@
     const clock::time_point now = clock::now();
     if (!result.is_complete()) {
         context_.connections.release(std::move(connection), false);
-        record_unanswered(*server, result, sent_at, now);
+        context_.connections.record_unanswered(*server, result.has_timed_out, sent_at, now);
         excluded_servers_.push_back(server->id);
         co_return attempt_result{
             next_step::retry,
@@ -1042,7 +1032,7 @@
         context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
         if (!result.is_complete()) {
             context_.connections.release(std::move(connection_), false);
-            record_unanswered(*server, result, sent_at, now);
+            context_.connections.record_unanswered(*server, result.has_timed_out, sent_at, now);
             is_open_ = false;
             contact_ = server_contact::lost;
             co_return make_error_answer(
@@ -1116,7 +1106,7 @@
     if (result.answers.empty()) {
         contact_ = server_contact::lost;
         context_.connections.release(std::move(connection_), false);
-        record_unanswered(*server, result, sent_at, clock::now());
+        context_.connections.record_unanswered(*server, result.has_timed_out, sent_at, clock::now());
         context_.connections.primary_of(server->group).record_write_failure(sent_at);
         co_return make_error_answer(
             answer_cause::server_silent, dialect.unknown_outcome,
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -229,8 +229,6 @@
     [[nodiscard]] boost::asio::awaitable<line_exchange>
     exchange_statement(pooled_connection& connection, const std::string& query,
                        session_state state_after_success, clock::time_point deadline);
-    void record_unanswered(pooled_server& server, const line_exchange& result,
-                           clock::time_point sent_at, clock::time_point now);
     [[nodiscard]] boost::asio::awaitable<acquire_result> acquire(connection_request& request);
     [[nodiscard]] std::optional<log_position> minimum_position(const operation& op,
                                                                clock::time_point now);
--- a/src/pooler_instance.cpp
+++ b/src/pooler_instance.cpp
@@ -5,13 +5,13 @@
 #include "event_log.h"
 #include "http_address.h"
 #include "incarnation.h"
-#include "line_primary_check.h"
 #include "pooler_commits.h"
 #include "pooler_context.h"
 #include "pooler_follower.h"
 #include "pooler_home_client.h"
 #include "pooler_home_server.h"
 #include "pooler_metrics.h"
+#include "pooler_observation.h"
 #include "pooler_pool.h"
 #include "pooler_session.h"
 #include "primrosehead.pb.h"
@@ -50,7 +50,6 @@
 // Interval of the observations that reads with a staleness bound need: short enough for the
 // smallest bounds, long enough to keep the load on the primary low.
 constexpr clock::duration observation_interval{350};
-constexpr clock::duration observation_timeout{400};
 constexpr int listen_backlog = 512;
 // The load balancer removes an instance after two failed probes, which are one second apart, and
 // sends new sessions until then.
@@ -110,8 +109,6 @@
     net::awaitable<void> accept_loop();
     net::awaitable<void> run_session(std::shared_ptr<session> served, std::uint64_t number);
     net::awaitable<void> tick_loop();
-    net::awaitable<void> observe_primary(std::string group,
-                                         std::unique_ptr<pooled_connection> connection);
     net::awaitable<void> drain();
     void run_housekeeping(clock::time_point now);
     void close_idle_sessions(std::size_t max_count);
@@ -303,35 +300,6 @@
     }
 }
 
-// Requests the primary's log position over an idle connection.
-net::awaitable<void>
-instance::implementation::observe_primary(std::string group,
-                                          std::unique_ptr<pooled_connection> connection)
-{
-    const std::shared_ptr<pooled_server> server = connection->server;
-    const std::string queries = make_primary_check(parts.dialect);
-    const clock::time_point asked_at = clock::now();
-    const line_exchange exchange = co_await connection->link->exchange(
-        queries, primary_check_queries, asked_at + observation_timeout);
-    const clock::time_point now = clock::now();
-    const primary_check check = read_primary_check(exchange.answers, parts.dialect);
-    const bool is_primary = check == primary_check::primary;
-    if (is_primary && exchange.answers.front().position) {
-        connections.primary_of(group).record_primary(server->id, now);
-        connections.freshness_of(group).record(server->id, *exchange.answers.front().position,
-                                               asked_at);
-        server->record_success();
-    }
-    else if (check == primary_check::refused) {
-        connections.primary_of(group).record_refusal(server->id, now);
-    }
-    const bool is_clean = exchange.is_complete() && is_primary && !exchange.answers.back().is_error;
-    connections.release(std::move(connection), is_clean);
-    if (!exchange.is_complete()) {
-        connections.mark_unreachable(*server, !exchange.has_timed_out, now);
-    }
-}
-
 void instance::implementation::close_idle_sessions(std::size_t max_count)
 {
     for (const auto& [number, each] : sessions) {
@@ -387,7 +355,8 @@
         std::unique_ptr<pooled_connection> idle = connections.take_idle_at_primary(group, now);
         if (idle) {
             last_observation_at[group] = now;
-            net::co_spawn(context, observe_primary(group, std::move(idle)), net::detached);
+            net::co_spawn(context, observe_primary(connections, parts.dialect, std::move(idle)),
+                          net::detached);
         }
     }
 }
--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -855,6 +855,14 @@
     dispatch(state_of(server.group));
 }
 
+void pool::record_unanswered(pooled_server& server, bool has_timed_out, clock::time_point sent_at,
+                             clock::time_point now)
+{
+    if (has_timed_out && server.served_at < sent_at) {
+        mark_unreachable(server, false, now);
+    }
+}
+
 void pool::mark_unreachable(pooled_server& server, bool was_refused, clock::time_point now)
 {
     server.record_failure(now, was_refused);
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -18,6 +18,7 @@
     line_answer begun;
     begun.signature = "-";
     begun.state = session_state::in_transaction;
+    begun.position = log_position{1, 7};
     line_answer rolled_back = begun;
     rolled_back.state = session_state::idle;
     line_answer refused;
@@ -34,6 +35,8 @@
     CHECK(read({rolled_back}) == primary_check::unclear); // the answer of BEGIN was lost
     CHECK(read({failed}) == primary_check::unclear);
     CHECK(read({}) == primary_check::unclear);
+    begun.position.reset(); // every answer has one
+    CHECK(read({begun, rolled_back}) == primary_check::unclear);
     CHECK(make_primary_check(dialect) == "RUN - BEGIN\r\nRUN - ROLLBACK\r\n");
 }
 
--- a/tests/pooler_commit_test.cpp
+++ b/tests/pooler_commit_test.cpp
@@ -44,6 +44,41 @@
 
 } // namespace
 
+// Guards against a candidate that passes for the primary, whose log ends ahead of the commit, since
+// the answer to the ROLLBACK behind the refused BEGIN was taken for that of the BEGIN.
+TEST_CASE("pooler commits: a lost answer of the candidate does not decide about a commit")
+{
+    fenced_instance instance;
+    instance.announce_fence();
+    SUBCASE("lost")
+    {
+        instance.replica.lose_answers("BEGIN", 1);
+    }
+    SUBCASE("cut off ahead of the next one")
+    {
+        instance.replica.change_answers(
+            "BEGIN",
+            [](const std::string&) {
+                return line_server::changed_answer{"FAIL READONLY replica\r\n"};
+            },
+            1);
+    }
+    SUBCASE("taken over from a primary's log without its position")
+    {
+        instance.replica.change_answers(
+            "BEGIN",
+            [](const std::string&) {
+                return line_server::changed_answer{"DONE -\r\nIDLE T -\r\n"};
+            },
+            1);
+    }
+    instance.before_later = [&] { instance.replica.follow(2); };
+    const std::string answers = instance.exchange(open_session + "RUN id1 PUT a 1\r\n",
+                                                  clock::duration(450), "RUN id2 GET a\r\n");
+    CHECK(answers.find("DONE s1\r\n") != std::string::npos);
+    CHECK(answers.find("UNKNOWN") == std::string::npos);
+}
+
 // Guards against an acknowledged commit that is not in the log of the server that is promoted.
 TEST_CASE("pooler commits: a write under a fence is confirmed once the candidate has it")
 {
--- a/tests/pooler_home_path_test.cpp
+++ b/tests/pooler_home_path_test.cpp
@@ -197,6 +197,44 @@
     }
 }
 
+// Guards against answers of other queries that a home passes on.
+TEST_CASE("home path: a success in another state than the statement's is not its answer")
+{
+    home_fleet fleet;
+    caller session(fleet);
+    const auto replace = [](std::string_view from, std::string_view to) {
+        return [from, to](std::string answer) {
+            return testing::line_server::changed_answer{
+                answer.replace(answer.find(from), from.size(), to)};
+        };
+    };
+    SUBCASE("a write")
+    {
+        fleet.server.change_answers("PUT", replace("IDLE I", "IDLE T"));
+        CHECK(session.single("PUT a 1").code == "UNKNOWN");
+    }
+    SUBCASE("a statement of a transaction")
+    {
+        fleet.server.change_answers("PUT", replace("IDLE T", "IDLE I"));
+        session.begin();
+        CHECK(session.statement("PUT a 1").code == "ABORTED");
+    }
+    SUBCASE("a commit")
+    {
+        fleet.server.change_answers("COMMIT", replace("IDLE I", "IDLE T"));
+        session.begin();
+        CHECK(!session.statement("PUT a 1").is_error);
+        CHECK(session.commit().code == "UNKNOWN");
+    }
+    SUBCASE("a commit without a signature")
+    {
+        session.begin();
+        CHECK(!session.statement("PUT a 1").is_error);
+        fleet.server.omit_signatures();
+        CHECK(session.commit().code == "UNKNOWN");
+    }
+}
+
 TEST_CASE("home path: reads are repeated at the next home when the first one is silent")
 {
     home_fleet fleet;
