A commit that a home did not send is not unknown

Callers saw: a commit through a home answered with UNKNOWN although it was never sent: a value of the session that was set ahead of it had been refused, or its answer was lost. Without a home the same commit is answered with ABORTED. Cause: the home counted the missing setup as a missing answer to the commit. Evidence: both cases of 'home path: a commit whose setup fails...' failed before the fix. Fix: what was not sent has not run; the home answers with ABORTED.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -873,7 +873,8 @@
                                    "rolled back: the server is overloaded; retry the transaction");
 }
 
-// A refused setup closes the transaction's connection, which rolls it back.
+// A setup that failed closes the transaction's connection, which rolls it back. The statement has not
+// been sent, so that its outcome is known.
 net::awaitable<std::optional<line_answer>>
 execution::set_up_transaction(const prepared_statement* needed, clock::time_point deadline)
 {
@@ -889,7 +890,6 @@
     }
     context_.connections.release(std::move(connection_), false);
     is_open_ = false;
-    contact_ = server_contact::lost;
     if (refusal->next == next_step::finish) {
         co_return std::move(refusal->answer);
     }
--- a/tests/pooler_home_path_test.cpp
+++ b/tests/pooler_home_path_test.cpp
@@ -197,6 +197,26 @@
     }
 }
 
+// Guards against a commit that is said to be unknown though it was never sent.
+TEST_CASE("home path: a commit whose setup fails at the home is rolled back")
+{
+    home_fleet fleet;
+    caller session(fleet);
+    SUBCASE("a value is refused")
+    {
+        fleet.server.fail_queries("SET a");
+    }
+    SUBCASE("the answer to a value is lost")
+    {
+        fleet.server.lose_answers("SET a");
+    }
+    session.begin();
+    CHECK(!session.statement("PUT a 1").is_error);
+    session.state.values["a"] = "1";
+    CHECK(session.commit().code == "ABORTED");
+    CHECK(count(fleet.server.received(), "COMMIT") == 0);
+}
+
 // Guards against answers of other queries that a home passes on.
 TEST_CASE("home path: a success in another state than the statement's is not its answer")
 {
