A probe takes only a status as the answer to its orders

The leader read a status from the first row of any answer, also of a failed one, of a read, or of one inside a transaction, and took any word but that of a primary for the role of a replica: a server could count as paused or demoted that was not. A check whose connection broke, or whose answer was garbled, counted as a refused connection, after which a primary is replaced sooner; a primary without a position as one at the start of its log. An order that was not sent had the code of an earlier failure in its log line. Fix: a status is one row of an unsigned success outside a transaction, with a known role. Only a refused connection is one.

--- a/src/line_answer.cpp
+++ b/src/line_answer.cpp
@@ -122,7 +122,7 @@
                     : std::string(no_position);
 }
 
-std::optional<server_status> parse_status(std::string_view row, std::string_view primary_role)
+std::optional<server_status> parse_status(std::string_view row, const line_dialect& dialect)
 {
     constexpr std::size_t field_count = 7;
     std::vector<std::string_view> fields;
@@ -135,15 +135,23 @@
     if (fields.size() < field_count) {
         return std::nullopt;
     }
+    const bool is_primary = fields[0] == dialect.primary_role;
     const std::optional<log_position> received = parse_position(fields[2]);
-    if (!received || !parse_number(fields[1], status.term) ||
+    if ((!is_primary && fields[0] != dialect.replica_role) || !received || !parse_number(fields[1], status.term) ||
         !parse_number(fields[3], status.term_held) || !parse_number(fields[4], status.lag_ms) ||
         !parse_number(fields[5], status.busy) || !parse_number(fields[6], status.connections)) {
         return std::nullopt;
     }
-    status.is_primary = fields[0] == primary_role;
+    status.is_primary = is_primary;
     status.received = *received;
     return status;
 }
 
+std::optional<server_status> read_status(const line_answer& answer, const line_dialect& dialect)
+{
+    const bool is_status = !answer.is_error && answer.signature == no_signature &&
+                           answer.state == session_state::idle && answer.rows.size() == 1;
+    return is_status ? parse_status(answer.rows.front(), dialect) : std::nullopt;
+}
+
 } // namespace primrosehead
--- a/src/line_answer.h
+++ b/src/line_answer.h
@@ -107,6 +107,11 @@
     std::uint32_t connections = 0;
 };
 [[nodiscard]] std::optional<server_status> parse_status(std::string_view row,
-                                                        std::string_view primary_role);
+                                                        const line_dialect& dialect);
+
+// Returns nothing unless this can be the answer of a status request or an order: an unsigned success
+// with one row, outside a transaction.
+[[nodiscard]] std::optional<server_status> read_status(const line_answer& answer,
+                                                       const line_dialect& dialect);
 
 } // namespace primrosehead
--- a/src/line_dialect.h
+++ b/src/line_dialect.h
@@ -33,7 +33,8 @@
     std::string_view resume = "RESUME";
     std::string_view step_down = "STEPDOWN";
     std::string_view after = "AFTER";              // Roles in a status answer.
-    std::string_view primary_role = "primary";     // Error codes.
+    std::string_view primary_role = "primary";
+    std::string_view replica_role = "replica";     // Error codes.
     std::string_view busy = "BUSY";                // not run: no slot, or refused by this instance
     std::string_view behind = "BEHIND";            // not run: log has not reached the position
     std::string_view read_only = "READONLY";       // not run: not the primary
--- a/src/promotion_probe.cpp
+++ b/src/promotion_probe.cpp
@@ -43,6 +43,7 @@
 
 net::awaitable<probe_result> probe::connect(clock::time_point deadline)
 {
+    connect_error_code_.clear();
     if (connection_ && connection_->is_usable()) {
         co_return probe_result::answered;
     }
@@ -82,18 +83,16 @@
         const line_exchange outcome = co_await exchange(queries, primary_check_queries, deadline);
         switch (read_primary_check(outcome.answers, dialect_)) {
         case primary_check::primary:
-            answer.position = outcome.answers.front().position.value_or(log_position{});
+            answer.position = *outcome.answers.front().position;
             break;
         case primary_check::refused:
             answer.result = probe_result::not_primary;
             answer.position = outcome.answers.front().position.value_or(log_position{});
             break;
-        case primary_check::unclear: {
-            const bool is_closed = outcome.answers.empty() && !outcome.has_timed_out;
-            answer.result = is_closed ? probe_result::refused : probe_result::silent;
+        case primary_check::unclear: // a server that is down refuses the next connection
+            answer.result = probe_result::silent;
             break;
         }
-        }
     }
     is_busy_ = false;
     co_return answer;
@@ -104,28 +103,26 @@
     const clock::time_point deadline = clock::now() + probe_timeout;
     co_await acquire();
     status_answer answer;
-    answer.result = clock::now() < deadline ? co_await connect(deadline) : probe_result::not_sent;
+    answer.result = probe_result::not_sent;
+    if (clock::now() < deadline) {
+        answer.result = co_await connect(deadline);
+        answer.code = connect_error_code_;
+    }
     if (answer.result == probe_result::answered && clock::now() >= deadline) {
         answer.result = probe_result::not_sent;
     }
-    if (answer.result != probe_result::answered) {
-        answer.code = connect_error_code_;
-    }
-    else {
+    if (answer.result == probe_result::answered) {
         const std::string query = fmt::format("{} - {}\r\n", dialect_.query, statement);
         const line_exchange outcome = co_await exchange(query, 1, deadline);
         answer.result = probe_result::silent;
-        if (!outcome.answers.empty() && !outcome.answers.front().rows.empty()) {
-            const std::optional<server_status> parsed =
-                parse_status(outcome.answers.front().rows.front(), dialect_.primary_role);
-            if (parsed) {
+        if (outcome.is_complete()) {
+            const line_answer& received = outcome.answers.front();
+            answer.code = received.code;
+            if (const std::optional<server_status> status = read_status(received, dialect_)) {
                 answer.result = probe_result::answered;
-                answer.status = *parsed;
+                answer.status = *status;
             }
         }
-        else if (!outcome.answers.empty()) {
-            answer.code = outcome.answers.front().code;
-        }
     }
     is_busy_ = false;
     co_return answer;
--- a/src/promotion_probe.h
+++ b/src/promotion_probe.h
@@ -16,8 +16,8 @@
 enum class probe_result {
     answered,
     not_primary,
-    refused,
-    silent,
+    refused, // nothing accepts connections
+    silent,  // no answer, or none that belongs to the request
     not_sent, // the order was outdated before the server could be asked
 };
 
@@ -62,7 +62,7 @@
     std::string server_;
     std::string address_;
     std::unique_ptr<line_connection> connection_;
-    std::string connect_error_code_; // error code of the last failed connection attempt
+    std::string connect_error_code_; // of the latest attempt to connect, empty if it succeeded
     [[nodiscard]] boost::asio::awaitable<void> acquire();
 
     bool is_busy_ = false;
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -108,13 +108,48 @@
     for (const char* text : {"-", "", "3", "3.", ".7", "3.7x", "-1.2", "99999999999999999999.1"}) {
         CHECK(!parse_position(text));
     }
-    const auto status = parse_status("replica 3 3.1209 4 12 2 17", "primary");
+    const line_dialect dialect;
+    const auto status = parse_status("replica 3 3.1209 4 12 2 17", dialect);
     REQUIRE(status);
     CHECK(!status->is_primary);
     CHECK(status->received == log_position{3, 1209});
     CHECK(status->term_held == 4);
     CHECK(status->connections == 17);
-    CHECK(!parse_status("replica 3 3.1209 4 12 2", "primary"));
+    CHECK(!parse_status("replica 3 3.1209 4 12 2", dialect));
+    CHECK(!parse_status("standby 3 3.1209 4 12 2 17", dialect)); // says nothing of its role
+}
+
+// Guards against a status that is read from the answer of another query.
+TEST_CASE("line: a status is one row of an unsigned success outside a transaction")
+{
+    const line_dialect dialect;
+    line_answer status;
+    status.rows = {"primary 3 3.1209 0 12 2 17"};
+    status.signature = "-";
+    REQUIRE(read_status(status, dialect));
+    CHECK(read_status(status, dialect)->is_primary);
+    SUBCASE("a failed one")
+    {
+        status.is_error = true;
+        status.code = "BUSY";
+    }
+    SUBCASE("of a read")
+    {
+        status.signature = "s1";
+    }
+    SUBCASE("inside a transaction")
+    {
+        status.state = session_state::in_transaction;
+    }
+    SUBCASE("with rows of a second one")
+    {
+        status.rows.push_back(status.rows.front());
+    }
+    SUBCASE("without a row")
+    {
+        status.rows.clear();
+    }
+    CHECK(!read_status(status, dialect));
 }
 
 TEST_CASE("line: the parsers survive arbitrary bytes")
@@ -127,7 +162,7 @@
             letter = static_cast<char>(random() % 256);
         }
         static_cast<void>(parse_statement(text, dialect));
-        static_cast<void>(parse_status(text, "primary"));
+        static_cast<void>(parse_status(text, dialect));
         line_answer_reader reader(dialect);
         static_cast<void>(reader.feed(text));
     }
