A refusal behind a lost answer does not say that nothing has run

Callers saw: a read refused with 'not run: ...' though a server had run it: its answer was lost, and the next attempt found no connection. Evidence: 'pooler answers: a refusal behind a lost answer...' failed before the fix. Fix: behind a lost answer the refusal says that the operation had no effect, which is true of reads; writes are not tried again. Measured: the test passes.

--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -114,26 +114,26 @@
     case acquire_error::no_primary:
         return make_error_answer(
             answer_cause::no_primary, context_.dialect.busy,
-            fmt::format("not run: group {} has no reachable primary; retry after {} ms",
+            fmt::format("{}: group {} has no reachable primary; retry after {} ms", claim(),
                         op.route->group, primary_retry_after.count()));
     case acquire_error::no_server:
         return make_error_answer(
             answer_cause::no_server, context_.dialect.busy,
-            fmt::format("not run: no server of group {} is available; retry after {} ms",
+            fmt::format("{}: no server of group {} is available; retry after {} ms", claim(),
                         op.route->group, primary_retry_after.count()));
     case acquire_error::outside_regions:
         return make_error_answer(
             answer_cause::region, context_.dialect.busy,
-            fmt::format("not run: no server of group {} that could run it is inside the allowed "
+            fmt::format("{}: no server of group {} that could run it is inside the allowed "
                         "regions; retry after {} ms",
-                        op.route->group, primary_retry_after.count()));
+                        claim(), op.route->group, primary_retry_after.count()));
     case acquire_error::saturated:
     case acquire_error::none:
         break;
     }
     return make_error_answer(
         answer_cause::crowded, context_.dialect.busy,
-        fmt::format("not run: the servers of group {} are saturated; retry after {} ms",
+        fmt::format("{}: the servers of group {} are saturated; retry after {} ms", claim(),
                     op.route->group, saturated_retry_after.count()));
 }
 
@@ -630,6 +630,7 @@
     attempt_result last{next_step::retry, make_refusal(acquire_error::saturated, op)};
     connection_wait_ = clock::duration(0);
     has_reached_server_ = false;
+    has_lost_answer_ = false;
     budget_ = wait_budget(op.began_at, clock::now(), op.route->latency_objective,
                           op.route->statement_timeout);
     for (attempts_ = 1; attempts_ <= max_attempts && clock::now() < deadline; ++attempts_) {
@@ -673,6 +674,7 @@
             co_return std::move(*refusal);
         }
         last = co_await run_on(std::move(acquired.connection), op, statement, minimum, deadline);
+        has_lost_answer_ = has_lost_answer_ || last.contact == server_contact::lost;
         if (last.next == next_step::finish) {
             break;
         }
@@ -692,6 +694,7 @@
     has_begun_ = false;
     has_written_ = false;
     has_reached_server_ = false;
+    has_lost_answer_ = false;
     excluded_servers_.clear();
     prefers_primary_ = false;
     last_home_.clear();
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -246,6 +246,11 @@
     [[nodiscard]] attempt_result classify_read(pooled_server& server, line_answer answer);
     [[nodiscard]] attempt_result classify_write(pooled_server& server, line_answer answer,
                                                 clock::time_point sent_at);
+    // What a refusal may say of the operation. An earlier attempt of a read may have run.
+    [[nodiscard]] std::string_view claim() const noexcept
+    {
+        return has_lost_answer_ ? "no effect" : "not run";
+    }
     void record_retry(const operation& op, const server_statement& statement,
                       std::string_view server, std::string_view reason);
     void record_commit(const line_answer& answer, pooled_server& server, clock::time_point sent_at);
@@ -271,6 +276,7 @@
     std::uint32_t attempts_ = 0;
     clock::duration connection_wait_{0};
     bool has_reached_server_ = false;
+    bool has_lost_answer_ = false; // of an attempt of the present operation
     wait_budget budget_;
 };
 
--- a/src/pooler_execution_home.cpp
+++ b/src/pooler_execution_home.cpp
@@ -31,11 +31,12 @@
 }
 
 line_answer make_home_refusal(const line_dialect& dialect, const operation& op,
-                              clock::duration retry_after, std::string_view reason)
+                              std::string_view claim, clock::duration retry_after,
+                              std::string_view reason)
 {
     return make_error_answer(
         answer_cause::crowded, dialect.busy,
-        fmt::format("not run: the servers of group {} are saturated ({}); retry after {} ms",
+        fmt::format("{}: the servers of group {} are saturated ({}); retry after {} ms", claim,
                     op.route->group, reason, std::max<std::int64_t>(1, retry_after.count())));
 }
 
@@ -89,9 +90,9 @@
     context_.connections.record_finish(
         server, is_answered ? static_cast<double>(took.count()) : server.expected_latency_ms(now),
         now);
-    has_reached_server_ = has_reached_server_ || is_answered ||
-                          result.ending == home_ending::lost ||
-                          result.ending == home_ending::silent;
+    const bool is_lost = result.ending == home_ending::lost || result.ending == home_ending::silent;
+    has_lost_answer_ = has_lost_answer_ || is_lost;
+    has_reached_server_ = has_reached_server_ || is_answered || is_lost;
     connection_wait_ += result.waited;
     context_.metrics.record_phase(statement_phase::connection, result.waited);
     context_.metrics.record_phase(statement_phase::server, took - std::min(took, result.waited));
@@ -136,7 +137,7 @@
         break;
     case home_decision::refuse:
         return {next_step::finish,
-                make_home_refusal(dialect, op, result.retry_after, result.reason)};
+                make_home_refusal(dialect, op, claim(), result.retry_after, result.reason)};
     case home_decision::answer_unknown:
         primary.record_write_failure(sent_at);
         return {next_step::finish,
--- a/tests/pooler_answers_test.cpp
+++ b/tests/pooler_answers_test.cpp
@@ -454,3 +454,18 @@
         CHECK(contains(later, "DONE s"));
     }
 }
+
+// Guards against a read that is said not to have run though the server ran it.
+TEST_CASE("pooler answers: a refusal behind a lost answer does not say that nothing has run")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    instance.server.change_answers("GET", [&](const std::string&) {
+        instance.server.limit_connections(0);
+        return line_server::changed_answer{"", true};
+    });
+    const std::string answers = instance.exchange(open_session + "RUN r1 GET x\r\n", timeout_time);
+    CHECK(contains(answers, "FAIL BUSY no effect"));
+    CHECK(!contains(answers, "not run"));
+    CHECK(count(instance.server, "GET x") == 1);
+}
