--- a/soak/servers.py
+++ b/soak/servers.py
@@ -2,12 +2,15 @@
 endpoint that promotes one. The servers check each statement that they run against a shared oracle."""
 import asyncio
 import json
+import random
 import time
 
 SLOTS_PER_SERVER = 3
 SERVICE_SECONDS = 0.004
 REPLICATION_INTERVAL_SECONDS = 0.02
 PROMOTION_SECONDS = 0.3
+ANSWER_FAULT_SHARE = 0.15    # of a server's answers, while they are faulty
+LATE_ANSWER_SECONDS = (0.2, 1.7)
 
 
 class Oracle:
@@ -17,12 +20,13 @@
         self.violations = []
         self.sent = {}          # statement id -> expected tenant, group, session values and operation
         self.committed = {}     # attempt -> number of times its writes took effect
-        self.signatures = {}    # statement id -> signature returned by a server
+        self.answers = {}       # statement id -> rows by the signature of each run
         self.tenants = set()    # names of all tenants
         self.config = {}        # latest acknowledged document
         self.revoked = {}       # key -> time at which its revocation was acknowledged
         self.arrivals = {}      # tenant -> times of operations that ran
         self.revocation_s = 5.0
+        self.spoiled = 0        # answers that were lost, cut off or late
         self.evacuated = {}     # failure domain -> time from which no operation may reach its servers
 
     def report_violation(self, rule, message):
@@ -40,6 +44,9 @@
         self.alive = True
         self.unresponsive_until = 0.0            # until then no connection gets a reply
         self.replication_blocked_until = 0.0     # until then no log entry is received
+        self.answers_faulty_until = 0.0          # until then some answers fail as `answer_fault` says
+        self.answer_fault = "lost"
+        self.leaving = False
         self.slots = asyncio.Semaphore(SLOTS_PER_SERVER)
         self.connections = set()
         self.listener = None
@@ -123,8 +130,25 @@
             await self.wait_while_unresponsive()
             if not self.server.alive:
                 return
-            self.write_reply(rows, signature, code)
+            reply = self.make_reply(rows, signature, code)
+            is_last = False
+            if time.monotonic() < self.server.answers_faulty_until and random.random() < ANSWER_FAULT_SHARE:
+                reply, is_last = await self.spoil(reply)
+            self.writer.write(reply)
             await self.writer.drain()
+            if is_last:
+                return
+
+    async def spoil(self, reply):
+        """Returns what is sent of the reply, and whether the connection is closed behind it."""
+        fault = self.server.answer_fault
+        self.server.group.oracle.spoiled += 1
+        if fault == "late":
+            await asyncio.sleep(random.uniform(*LATE_ANSWER_SECONDS))
+            return reply, False
+        if fault == "lost":
+            return b"", False
+        return reply[:random.randrange(len(reply))], fault == "cut"  # "gap": the next one follows
 
     def check_evacuation(self, line):
         """Control's own checks, which a promotion needs, are under another tenant's name."""
@@ -139,13 +163,13 @@
         while time.monotonic() < self.server.unresponsive_until and self.server.alive:
             await asyncio.sleep(0.02)
 
-    def write_reply(self, rows, signature, code):
+    def make_reply(self, rows, signature, code):
         out = "".join(f"DATAROW {row}\r\n" for row in rows)
         out += f"ERR {code} {self.server.name}\r\n" if code else f"COMPLETE {signature}\r\n"
         if code and self.transaction:
             self.transaction["failed"] = True
         state = "I" if not self.transaction else "E" if self.transaction.get("failed") else "T"
-        self.writer.write((out + f"READY {state} {self.server.position()}\r\n").encode())
+        return (out + f"READY {state} {self.server.position()}\r\n").encode()
 
     async def execute(self, statement_id, text):
         """Returns the rows, the signature, and an error code or None."""
@@ -259,7 +283,8 @@
         if expected and not writes and not commit:
             self.check_staleness(expected, self.began_at)
         signature = f"{server.name}.{statement_id}"
-        group.oracle.signatures[statement_id] = signature
+        rows = [] if writes or commit else [f"row of {statement_id}"]
+        group.oracle.answers.setdefault(statement_id, {})[signature] = rows
         if writes and self.transaction:
             self.transaction["writes"].append(expected["attempt"])
             return [], signature, None
@@ -269,7 +294,7 @@
             self.transaction = None
         if attempts and not await group.commit(server, attempts[0]):
             raise ConnectionError
-        return ([] if writes or commit else ["row"]), signature, None
+        return rows, signature, None
 
 
 class Group:
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Randomized soak test: runs the real programs on loopback, injects faults and checks the promises.
 
-    soak/soak.py --seed N [--seconds S] [--cells N] [--entries N] [--clients N] [--evacuations] [--plan]
+    soak/soak.py --seed N [--seconds S] [--cells N] [--entries N] [--clients N] [--evacuations] [--answers]
+                 [--plan]
 
 The seed determines the fault schedule, which is printed; `--plan` prints it and exits. The exit code is 1
 when a promise was broken; no verdict depends on timing. Only processes started by this script are ended.
@@ -32,6 +33,11 @@
 SLOW_TRANSACTIONS = 0.2
 FAULTS = ["kill_cell", "kill_entry", "stop_entry", "pause_cell", "pause_entry", "crash_server",
           "silence_server", "deaf_replica", "reset_server", "revoke", "publish", "hup", "kill_cells"]
+# With --answers: answers of a server, or of all servers of its group, are lost, cut off or late, while
+# servers crash, fall behind and leave.
+ANSWER_FAULTS = ["lost", "lost", "cut", "gap", "late"]
+OTHER_FAULTS = ["crash_server", "deaf_replica", "leave_server", "silence_server", "kill_cell", "reset_server"]
+LEAVING_S = 8.0
 
 
 class Process:
@@ -139,7 +145,8 @@
                 server.sequence += 1
                 body = {"service": server.group.name, "address": f"{server.host}:{server.port}",
                         "zone": server.failure_domain,
-                        "version": "v1", "capacity": 3, "state": "ready", "warmup_left_ms": 0,
+                        "version": "v1", "capacity": 3,
+                        "state": "draining" if server.leaving else "ready", "warmup_left_ms": 0,
                         "db_role": "primary" if server.is_primary else "replica",
                         "sequence": server.sequence, "born": server.started_at_ms}
                 host = f"127.0.1.{self.random.randrange(self.cells) + 1}"
@@ -151,6 +158,8 @@
         plan, at = [], 3.0
         # A stopped process is not in touch with control, so the evacuation bound does not hold for it.
         faults = [each for each in FAULTS if not self.options.evacuations or not each.startswith("pause")]
+        if self.options.answers:
+            faults = ANSWER_FAULTS + OTHER_FAULTS
         while at < self.options.seconds - 2:
             kind = self.random.choice(faults)
             for _ in range(self.random.choice((1, 1, 1, 2, 3))):
@@ -184,8 +193,13 @@
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(seconds)
             process.send_signal(signal.SIGCONT)
+        elif kind in ANSWER_FAULTS:
+            for each in server.group.servers if index % 3 == 0 else [server]:
+                each.answer_fault, each.answers_faulty_until = kind, time.monotonic() + seconds
+        elif kind == "leave_server":
+            await self.replace_server(server.group.primary if index % 2 else server)
         elif kind == "crash_server":
-            if all(each.alive for each in server.group.servers):
+            if all(each.alive and not each.leaving for each in server.group.servers):
                 await server.crash()
                 await asyncio.sleep(seconds)
                 await server.start(server.port)
@@ -207,6 +221,20 @@
             for each in self.processes:
                 each.send_signal(signal.SIGHUP)
 
+    async def replace_server(self, server):
+        """The server leaves as it should, and one with its log starts at its address."""
+        if not all(each.alive and not each.leaving for each in server.group.servers):
+            return
+        server.leaving = True
+        await asyncio.sleep(LEAVING_S)
+        host = f"127.0.1.{self.random.randrange(self.cells) + 1}"
+        body = {"service": server.group.name, "sequence": server.sequence + 1, "born": server.started_at_ms}
+        server.leaving = False
+        await server.crash()
+        await http_call(host, self.port + 1, "DELETE", f"/instances/{server.name}", body)
+        await asyncio.sleep(0.5)
+        await server.start(server.port)
+
     async def order(self, method, zone, may_be_rejected=False):
         """Sends an order to random control instances until one acknowledges it; returns whether one did."""
         began_at = time.monotonic()
@@ -323,7 +351,8 @@
         self.values, self.prepared, self.attempt = {}, {}, 0
 
     async def send(self, text, operation=None, began_at=None, attempt="-"):
-        """Sends one statement. Returns the error code or None, and the signature."""
+        """Sends one statement. Returns the error code or None, and the signature. A success is that of a run
+        at a server, with its rows."""
         cluster = self.cluster
         cluster.next_id += 1
         statement_id = f"{cluster.options.seed:x}-{cluster.next_id:x}"
@@ -337,19 +366,22 @@
                                                     "read_your_writes": 2.5}[self.route_type],
                 "read_your_writes": self.route_type == "read_your_writes"}
         self.writer.write(f"QUERY {statement_id} {text}\r\n".encode())
-        code, signature = None, None
+        code, signature, rows = None, None, []
         while True:
             line = (await self.reader.readuntil(b"\r\n")).decode().strip()
             word, _, arguments = line.partition(" ")
-            if word == "ERR":
+            if word == "DATAROW":
+                rows.append(arguments)
+            elif word == "ERR":
                 code = arguments.split(" ")[0]
             elif word == "COMPLETE":
                 signature = arguments
             elif word == "READY":
                 self.state = arguments[0]
                 break
-        if operation and code is None and signature != cluster.oracle.signatures.get(statement_id):
-            cluster.oracle.report_violation("MIXED", f"{statement_id} received signature {signature}")
+        runs = cluster.oracle.answers.get(statement_id, {})
+        if operation and code is None and runs.get(signature) != rows:
+            cluster.oracle.report_violation("MIXED", f"{statement_id} received signature {signature} and {rows}")
         return code, signature
 
     def check_refusal(self, attempt, code):
@@ -454,9 +486,12 @@
     parser.add_argument("--clients", type=int, default=24)
     parser.add_argument("--evacuations", action="store_true",
                         help="evacuate zones meanwhile; no process is paused")
+    parser.add_argument("--answers", action="store_true",
+                        help="servers lose, cut off and delay answers, and leave")
     parser.add_argument("--plan", action="store_true", help="print the fault schedule and exit")
     parser.add_argument("--keep", action="store_true", help="keep the folder with the logs after a pass")
     options = parser.parse_args()
+    random.seed(options.seed)
     cluster = Cluster(options)
     try:
         asyncio.run(cluster.run())
@@ -470,6 +505,7 @@
         return 0
     print(json.dumps({"seed": options.seed, "served": cluster.served, "refused": cluster.refused,
                       **({"evacuations": cluster.evacuations} if options.evacuations else {}),
+                      **({"spoiled": cluster.oracle.spoiled} if options.answers else {}),
                       "unclear": cluster.unknown_outcomes, "broken": cluster.oracle.violations[:20],
                       "promotions": sum(group.term - 1 for group in cluster.groups.values()),
                       "starts": sum(process.start_count for process in cluster.processes)}), flush=True)
--- a/src/line_answer.h
+++ b/src/line_answer.h
@@ -32,7 +32,7 @@
     overloaded,    // the server of the transaction could not run the statement in time
     transaction,   // the transaction had failed before
     region,        // no server is inside the allowed regions
-    setup,         // a server refused the session's values or prepared statement
+    setup,         // a server refused the session's values, prepared statement or BEGIN
 };
 inline constexpr std::size_t answer_cause_count = 14;
 
