--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -738,3 +738,26 @@
     CHECK(failure(later.outcome).ran == ran::unknown);
     CHECK(!later.is_connection_reusable);
 }
+
+TEST_CASE("gateway wire: a reply that is cut off anywhere is invalid, and the request may have run")
+{
+    const pb::backend_request write = statement_request("r1", R"({"put":"bay","value":1})", true);
+    const std::string reply =
+        R"({"id":"r1","result":{"ok":true},"term":12,"index":34,"role":"primary","data_age_ms":0})";
+    const std::string refusal = R"({"id":"r1","kind":"wrong_term","message":"x","ran":"no"})";
+    const auto decode = [&](unsigned http_status, const std::string& body) {
+        return gateway_wire::decode(write, http_status, body, gateway_wire::id_check::by_id, false);
+    };
+    CHECK(ok(decode(200, reply).outcome));
+    for (std::size_t length = 0; length < reply.size(); ++length) {
+        CAPTURE(length);
+        const gateway_wire::decoded_reply cut = decode(200, reply.substr(0, length));
+        REQUIRE(!ok(cut.outcome));
+        CHECK(failure(cut.outcome).ran == ran::unknown);
+        CHECK(!cut.is_connection_reusable);
+    }
+    for (std::size_t length = 0; length < refusal.size(); ++length) {
+        CAPTURE(length);
+        CHECK(failure(decode(409, refusal.substr(0, length)).outcome).ran == ran::unknown);
+    }
+}
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <array>
+#include <optional>
 #include <string>
 
 namespace net = boost::asio;
@@ -246,3 +248,42 @@
     CHECK(!is_open);
     CHECK(!is_answered_again);
 }
+
+TEST_CASE("http: a response that is cut off anywhere is none")
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"a\":1}";
+    for (std::size_t length = 0; length < response.size(); ++length) {
+        CAPTURE(length);
+        net::io_context context;
+        net::ip::tcp::acceptor acceptor(context, {net::ip::make_address("127.0.0.1"), 0});
+        const std::string url =
+            "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                auto socket = co_await acceptor.async_accept(net::use_awaitable);
+                std::array<char, 4'096> buffer{};
+                co_await socket.async_read_some(net::buffer(buffer), net::use_awaitable);
+                const std::string cut = response.substr(0, length);
+                co_await net::async_write(socket, net::buffer(cut), net::use_awaitable);
+            },
+            net::detached);
+        std::optional<enum ran> may_have_run;
+        net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                auto connected = co_await http::client::connect(url, clock::now() + call_timeout);
+                REQUIRE(ok(connected));
+                const http::request sent{"POST", "/order"};
+                auto answer = co_await value(connected)->call(sent, clock::now() + call_timeout);
+                CHECK(!value(connected)->is_open());
+                if (!ok(answer)) {
+                    may_have_run = failure(answer).ran;
+                }
+            },
+            net::detached);
+        context.run_for(std::chrono::seconds(10));
+        REQUIRE(may_have_run.has_value());
+        CHECK(*may_have_run == ran::unknown);
+    }
+}
--- a/tests/line_connection_test.cpp
+++ b/tests/line_connection_test.cpp
@@ -74,9 +74,10 @@
 
     // Returns nothing if the connection could not be opened.
     std::optional<line_exchange> run(std::size_t count,
-                                     std::optional<session_state> last_state = std::nullopt)
+                                     std::optional<session_state> last_state = std::nullopt,
+                                     clock::duration timeout = exchange_timeout)
     {
-        net::co_spawn(io_, work(count, last_state), net::detached);
+        net::co_spawn(io_, work(count, last_state, timeout), net::detached);
         while (!is_finished_ && io_.run_one_for(std::chrono::seconds(2)) > 0) {
         }
         return std::move(outcome_);
@@ -84,7 +85,8 @@
     [[nodiscard]] const std::string& rejection() const { return rejection_; }
 
   private:
-    net::awaitable<void> work(std::size_t count, std::optional<session_state> last_state)
+    net::awaitable<void> work(std::size_t count, std::optional<session_state> last_state,
+                              clock::duration timeout)
     {
         const std::string address = fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port());
         const std::string startup = "OPEN g org i-1\r\n";
@@ -101,8 +103,8 @@
             for (std::size_t i = 0; i < count; ++i) {
                 queries += fmt::format("RUN - query-{}\r\n", i);
             }
-            outcome_ = co_await connection->exchange(queries, count,
-                                                     clock::now() + exchange_timeout, last_state);
+            outcome_ =
+                co_await connection->exchange(queries, count, clock::now() + timeout, last_state);
         }
         is_finished_ = true;
     }
@@ -220,3 +222,25 @@
     CHECK(outcome->is_broken);
     CHECK(outcome->answers.empty());
 }
+
+TEST_CASE("line connection: a large answer that is cut off is none")
+{
+    const std::size_t row_bytes = 900 * 1'024;
+    const std::string whole =
+        "ROW " + std::string(row_bytes, 'a') + "\r\nDONE s1.f0\r\nIDLE T 1.12\r\n";
+    const std::size_t end_of_row = 4 + row_bytes;
+    for (const std::size_t length :
+         {std::size_t{4}, end_of_row / 2, end_of_row, end_of_row + 1, end_of_row + 2,
+          end_of_row + 9, whole.size() - 2, whole.size() - 1}) {
+        CAPTURE(length);
+        script plan;
+        plan.answers = whole.substr(0, length) + std::string(rolled_back);
+        plan.closes = true;
+        scripted_exchange target(plan);
+        const std::optional<line_exchange> outcome =
+            target.run(2, session_state::idle, clock::duration(2'000));
+        REQUIRE(outcome.has_value());
+        CHECK(!outcome->is_complete());
+        CHECK(answer_of_read(*outcome) == nullptr);
+    }
+}
