A leader's reply is as old as its contact with a majority

Cause, in part: a control leader that is cut off answers until its lease of 0.45 s ends. An instance took such a reply for as new as its own request, so that it did not ask for a known replica, and held its right to confirm commits for 1.5 s from it: long enough for a new server, listed by this leader alone, to count as known. Evidence: 'relay: a confirmation has the age of the leader's contact...' fails with the old relay; 'consensus: a leader that is cut off...' tests what the core did not tell before. Fix: the reply tells the age of the leader's contact with a majority, which relays add to theirs.

--- a/include/primrosehead/consensus.h
+++ b/include/primrosehead/consensus.h
@@ -143,6 +143,10 @@
     // the leader's term is committed. Only then may the instance serve requests as the leader.
     [[nodiscard]] bool is_current(clock::time_point now) const noexcept;
 
+    // Time since a majority answered a message that was sent then: what this leader tells is as
+    // old. At most `election_min`.
+    [[nodiscard]] clock::duration contact_age(clock::time_point now) const;
+
   private:
     struct implementation;
     explicit core(std::unique_ptr<implementation> body);
--- a/include/primrosehead/replica.h
+++ b/include/primrosehead/replica.h
@@ -69,6 +69,8 @@
 
     // True if this instance may serve reads as the leader: see `consensus::core::is_current`.
     [[nodiscard]] bool is_current(clock::time_point now) const noexcept;
+    // See `consensus::core::contact_age`.
+    [[nodiscard]] clock::duration contact_age(clock::time_point now) const;
     [[nodiscard]] std::uint64_t term() const noexcept;
     // The time at which this instance last became leader.
     [[nodiscard]] clock::time_point elected_at() const noexcept;
--- a/src/cell_instance.cpp
+++ b/src/cell_instance.cpp
@@ -779,6 +779,7 @@
     pb::follow_reply& reply = *response.mutable_follow_answer();
     if (is_leader(now)) {
         reply = active_service->follow(message.follow(), consensus_replica->state(), servers, now);
+        reply.set_confirmed_age_ms(consensus_replica->contact_age(now).count());
         follower_origins.insert_or_assign(message.follow().instance(), origin);
         for (const pb::member& member : consensus_replica->members().members()) {
             reply.add_control_endpoints(member.endpoint());
--- a/src/cell_relay.cpp
+++ b/src/cell_relay.cpp
@@ -450,7 +450,9 @@
     }
     confirm_report(reply, asked_at);
     apply_fences(reply);
-    confirmed_at_ = std::max(confirmed_at_, asked_at);
+    confirmed_at_ =
+        std::max(confirmed_at_,
+                 asked_at - clock::duration(std::max<std::int64_t>(0, reply.confirmed_age_ms())));
     is_enabled_ = reply.relays_size() > 0;
     if (reply.has_document()) {
         document_ = reply.document();
--- a/src/consensus_core.cpp
+++ b/src/consensus_core.cpp
@@ -321,4 +321,9 @@
     return body_->is_current(now);
 }
 
+clock::duration core::contact_age(clock::time_point now) const
+{
+    return body_->contact_age(now);
+}
+
 } // namespace primrosehead::consensus
--- a/src/consensus_core.h
+++ b/src/consensus_core.h
@@ -113,6 +113,7 @@
     [[nodiscard]] clock::time_point majority_contact_at(clock::time_point now,
                                                         clock::time_point default_contact_at) const;
     [[nodiscard]] bool is_current(clock::time_point now) const;
+    [[nodiscard]] clock::duration contact_age(clock::time_point now) const;
 
     [[nodiscard]] consensus::role role() const noexcept { return roles.current(); }
     [[nodiscard]] const std::string& self() const noexcept { return settings.instance.text(); }
--- a/src/consensus_replication.cpp
+++ b/src/consensus_replication.cpp
@@ -297,9 +297,13 @@
     if (settings.unsafe.no_leader_lease) {
         return true;
     }
-    const clock::duration lease = settings.election_min * 9 / 10;
+    return contact_age(now) < settings.election_min * 9 / 10;
+}
+
+clock::duration core::implementation::contact_age(clock::time_point now) const
+{
     const clock::time_point expired_at = now - settings.election_min;
-    return now - majority_contact_at(now, expired_at) < lease;
+    return now - majority_contact_at(now, expired_at);
 }
 
 void core::implementation::advance_commit(clock::time_point now)
--- a/src/replica.cpp
+++ b/src/replica.cpp
@@ -466,6 +466,11 @@
     return !impl_->outage && impl_->core.is_current(now);
 }
 
+clock::duration replica::contact_age(clock::time_point now) const
+{
+    return impl_->core.contact_age(now);
+}
+
 std::uint64_t replica::term() const noexcept
 {
     return impl_->core.term();
--- a/tests/cell_relay_test.cpp
+++ b/tests/cell_relay_test.cpp
@@ -182,6 +182,20 @@
     CHECK(reply.asked_at_ms() == to_ms(at(150)));
 }
 
+// Guards against commits that are confirmed on the word of a leader which is cut off.
+TEST_CASE("relay: a confirmation has the age of the leader's contact with a majority")
+{
+    cell::relay relay = make_relay("cell-1");
+    const pb::follow_request asked = *relay.next_follow_request(at(1'000));
+    pb::follow_reply answer = leader_reply(asked, 7);
+    answer.set_confirmed_age_ms(300);
+    relay.receive(answer, at(1'020));
+    CHECK(relay.confirmed_at() == at(700));
+    const pb::follow_reply reply =
+        relay.follow(follower_request("e1", 1, at(1'100)), nullptr, at(1'100));
+    CHECK(reply.confirmed_age_ms() == 400);
+}
+
 TEST_CASE("relay: late and repeated messages renew nothing")
 {
     cell::relay relay = make_relay("cell-1");
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -162,6 +162,26 @@
     CHECK(network.violations().empty());
 }
 
+// Guards against what a leader tells after it was cut off, which is taken for as new as its reply.
+TEST_CASE("consensus: a leader that is cut off knows how long ago a majority answered it")
+{
+    consensus_network network({});
+    const std::string leader = network.run_until_leader();
+    const auto contact_age = [&] {
+        const auto& node = network.at(leader);
+        return node.core().contact_age(network.now() + node.options().clock_offset);
+    };
+    const consensus::core_settings default_settings;
+    network.run(clock::duration(500));
+    const clock::duration in_contact = contact_age();
+    CHECK(in_contact <= default_settings.heartbeat * 2);
+    network.isolate(leader);
+    const clock::duration cut_off{200};
+    network.run(cut_off);
+    CHECK(contact_age() >= cut_off);
+    CHECK(contact_age() <= cut_off + default_settings.heartbeat * 2);
+}
+
 TEST_CASE("consensus: an instance isolated for a long time does not disrupt the cell on return")
 {
     consensus_network network({});
