--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -52,8 +52,8 @@
     return std::span(result.answers).first(setup.count);
 }
 
-// True if the connection may be used again. One that reports a transaction behind the only answer
-// is in doubt, as is one without a statement that was prepared on it.
+// True if the connection may be used again: it reports no open or failed transaction, and the
+// server has what was prepared on it.
 bool is_reusable(const line_exchange& result, const line_dialect& dialect)
 {
     return result.is_complete() && result.answers.back().state == session_state::idle &&
@@ -281,8 +281,8 @@
             server_contact::refused};
 }
 
-// Makes the error of a BEGIN the answer to the statement behind it, which has not run: an error
-// that says less would be taken for the statement's own.
+// Returns the answer to a statement whose BEGIN failed. Only codes that say that nothing has run
+// are passed on: others would be taken for the outcome of the statement.
 line_answer execution::refuse_to_begin(line_answer answer) const
 {
     const line_dialect& dialect = context_.dialect;
@@ -355,7 +355,7 @@
         server_contact::none};
 }
 
-// The name that the server does not know is the pool's. The caller's own is prepared.
+// The unknown name is the pool's, so that the server's answer tells the caller nothing.
 line_answer execution::refuse_unknown_statement(const pooled_server& server) const
 {
     return make_error_answer(
