A commit on a connection that broke before it is not unknown

Callers saw: a commit, or a write, answered with UNKNOWN although it was never sent: the server had closed the connection, or sent something unasked, since the statement before. Evidence: 'pooler answers: a commit on a connection that broke...' failed before the fix. Fix: an exchange tells that it sent nothing. The commit is answered with ABORTED, since the closed connection rolls back; a single write is tried on another connection. Measured: the test passes.

--- a/src/line_connection.cpp
+++ b/src/line_connection.cpp
@@ -162,7 +162,8 @@
 {
     line_exchange outcome;
     if (!reader_.is_greeting_expected() && !is_usable()) {
-        outcome.is_broken = true; // what has come is no answer to queries that were not sent
+        outcome.is_unsent = true; // what has come is no answer to queries that were not sent
+        outcome.is_broken = true;
         co_return outcome;
     }
     last_state_ = last_state;
--- a/src/line_connection.h
+++ b/src/line_connection.h
@@ -36,6 +36,7 @@
 // `is_broken` or `has_timed_out`.
 struct line_exchange {
     std::vector<line_answer> answers;
+    bool is_unsent = false; // the connection was not usable any more; broken as well
     bool is_broken = false;
     bool has_timed_out = false;
 
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -560,6 +560,12 @@
     const clock::time_point now = clock::now();
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
     context_.connections.release(std::move(connection), is_reusable(result, context_.dialect));
+    if (result.is_unsent) {
+        co_return attempt_result{next_step::retry,
+                                 make_error_answer(answer_cause::server_silent, dialect.busy,
+                                                   "not run: the connection to the server failed"),
+                                 server_contact::none};
+    }
     if (!result.is_complete()) {
         context_.connections.record_unanswered(*server, result.has_timed_out, sent_at, now);
         context_.connections.primary_of(server->group).record_write_failure(sent_at);
@@ -1103,6 +1109,12 @@
         co_await sleep_for(context_.executor, busy_retry_delay);
     }
     is_open_ = false;
+    if (result.is_unsent) {
+        context_.connections.release(std::move(connection_), false);
+        co_return make_error_answer(
+            answer_cause::server_silent, dialect.aborted,
+            "rolled back: the connection to the server failed; retry the transaction");
+    }
     if (result.answers.empty()) {
         contact_ = server_contact::lost;
         context_.connections.release(std::move(connection_), false);
--- a/tests/pooler_answers_test.cpp
+++ b/tests/pooler_answers_test.cpp
@@ -469,3 +469,19 @@
     CHECK(!contains(answers, "not run"));
     CHECK(count(instance.server, "GET x") == 1);
 }
+
+// Guards against a commit that is said to be unknown though it was never sent.
+TEST_CASE("pooler answers: a commit on a connection that broke before it is rolled back")
+{
+    pooler_fixture instance;
+    instance.confirm(100);
+    instance.server.change_answers("PUT", [](std::string answer) {
+        return line_server::changed_answer{std::move(answer), true};
+    });
+    const std::string answers = instance.exchange(
+        open_session + "RUN t1 BEGIN\r\nRUN t2 PUT x 1\r\n", settle_time, "RUN t3 COMMIT\r\n");
+    CHECK(contains(answers, "DONE s"));
+    CHECK(contains(answers, "FAIL ABORTED "));
+    CHECK(!contains(answers, "UNKNOWN"));
+    CHECK(count(instance.server, "COMMIT") == 0);
+}
