--- a/tests/line_connection_test.cpp
+++ b/tests/line_connection_test.cpp
@@ -46,7 +46,8 @@
 
 net::awaitable<void> serve(tcp::acceptor& acceptor, script plan)
 {
-    auto [failed, socket] = co_await acceptor.async_accept(no_throw);
+    auto [failed, accepted] = co_await acceptor.async_accept(no_throw);
+    tcp::socket socket = std::move(accepted);
     std::string input;
     const auto read_line = [&] {
         return net::async_read_until(socket, net::dynamic_buffer(input), "\r\n", no_throw);
@@ -225,7 +226,7 @@
 
 TEST_CASE("line connection: a large answer that is cut off is none")
 {
-    const std::size_t row_bytes = 900 * 1'024;
+    constexpr std::size_t row_bytes = 900'000;
     const std::string whole =
         "ROW " + std::string(row_bytes, 'a') + "\r\nDONE s1.f0\r\nIDLE T 1.12\r\n";
     const std::size_t end_of_row = 4 + row_bytes;
--- a/tests/pooler_answers_test.cpp
+++ b/tests/pooler_answers_test.cpp
@@ -158,18 +158,22 @@
         {"PUT x", "RUN t1 BEGIN\r\nRUN t2 PUT x 1\r\n", "FAIL ABORTED "},
         {"COMMIT", "RUN t1 BEGIN\r\nRUN t2 PUT x 1\r\nRUN t3 COMMIT\r\n", "FAIL UNKNOWN "},
     };
-    const std::vector<std::pair<std::size_t, std::size_t>> cuts{
-        {0, 0}, {0, 2}, {0, 4}, {0, 5}, {0, 6}, {1, 0}, {1, 4}, {1, 6}, {1, 8}, {1, 10}};
+    struct cut {
+        std::size_t lines;
+        std::size_t length; // of the next line
+    };
+    const std::vector<cut> cuts{{0, 0}, {0, 2}, {0, 4}, {0, 5}, {0, 6},
+                                {1, 0}, {1, 4}, {1, 6}, {1, 8}, {1, 10}};
     for (const cut_answer& each : cases) {
-        for (const auto& [lines, length] : cuts) {
+        for (const cut& at : cuts) {
             CAPTURE(each.query);
             CAPTURE(each.lines);
-            CAPTURE(lines);
-            CAPTURE(length);
+            CAPTURE(at.lines);
+            CAPTURE(at.length);
             pooler_fixture instance;
             instance.confirm(100);
             instance.server.set_row("v1");
-            instance.server.change_answers(each.query, cut_off(lines, length), 1);
+            instance.server.change_answers(each.query, cut_off(at.lines, at.length), 1);
             const std::string answers =
                 instance.exchange(open_session + each.lines, settle_time * 4);
             CAPTURE(answers);
--- a/tests/promotion_probe_test.cpp
+++ b/tests/promotion_probe_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <chrono>
@@ -163,10 +164,12 @@
     const promotion::status_answer told = answer_to(send(row + "DONE -\r\n" + idle));
     CHECK(told.result == probe_result::answered);
     CHECK(told.status.term_held == 4);
+    const std::string standby = "ROW standby 3 3.9 4 0 0 1\r\n";
     for (const std::string& bytes :
-         {row + "FAIL BUSY full\r\n" + idle, row + "DONE s1\r\n" + idle,
-          row + "DONE -\r\nIDLE T 3.9\r\n", row + row + "DONE -\r\n" + idle, "DONE -\r\n" + idle,
-          "ROW standby 3 3.9 4 0 0 1\r\nDONE -\r\n" + idle, row + "DONE -\r\n"}) {
+         {fmt::format("{}FAIL BUSY full\r\n{}", row, idle),
+          fmt::format("{}DONE s1\r\n{}", row, idle), fmt::format("{}DONE -\r\nIDLE T 3.9\r\n", row),
+          fmt::format("{0}{0}DONE -\r\n{1}", row, idle), fmt::format("DONE -\r\n{}", idle),
+          fmt::format("{}DONE -\r\n{}", standby, idle), fmt::format("{}DONE -\r\n", row)}) {
         CAPTURE(bytes);
         CHECK(answer_to(send(bytes, true)).result == probe_result::silent);
     }
