Log exchanges without a complete answer

Fix: the pool logs each such exchange (docs/LOGS.md). The test asked for the line of the avoided server, which is not written any more for one broken connection; it asks for the new one, and that the server is not avoided.

--- a/src/pooler_pool.cpp
+++ b/src/pooler_pool.cpp
@@ -858,6 +858,11 @@
 void pool::record_unanswered(pooled_server& server, bool has_timed_out, clock::time_point sent_at,
                              clock::time_point now)
 {
+    events_.decision("pool", "unanswered")
+        .field("server", server.id)
+        .field("group", server.group)
+        .field("timed_out", has_timed_out)
+        .field("after_ms", (now - sent_at).count());
     if (has_timed_out && server.served_at < sent_at) {
         mark_unreachable(server, false, now);
     }
