--- a/src/control_order_answer.cpp
+++ b/src/control_order_answer.cpp
@@ -1,5 +1,7 @@
 #include "control_order_answer.h"
 
+#include "json_field_reader.h"
+
 #include <primrosehead/error.h>
 
 #include <boost/json.hpp>
@@ -14,31 +16,15 @@
 
 constexpr unsigned status_ok = 200;
 
-std::optional<std::uint64_t> read_number(const json::object& object, std::string_view key)
-{
-    const json::value* const found = object.if_contains(key);
-    if (found == nullptr || !found->is_number()) {
-        return std::nullopt;
-    }
-    boost::system::error_code ec;
-    const auto number = found->to_number<std::uint64_t>(ec);
-    return ec ? std::nullopt : std::optional(number);
-}
-
-bool has_text(const json::object& object, std::string_view key, std::string_view expected)
-{
-    const json::value* const found = object.if_contains(key);
-    return found != nullptr && found->is_string() && found->get_string() == expected;
-}
-
-std::optional<log_position> read_received(const json::object& body)
+std::optional<log_position> read_received(const json_field_reader& body)
 {
-    const json::value* const found = body.if_contains("received");
+    const json::value* const found = body.any("received");
     if (found == nullptr || !found->is_object()) {
         return std::nullopt;
     }
-    const auto term = read_number(found->get_object(), "term");
-    const auto index = read_number(found->get_object(), "index");
+    const json_field_reader received(found->get_object());
+    const auto term = received.number("term");
+    const auto index = received.number("index");
     return term && index ? std::optional(log_position{*term, *index}) : std::nullopt;
 }
 
@@ -51,17 +37,17 @@
     if (ec || !parsed.is_object()) {
         return;
     }
-    const json::object& fields = parsed.get_object();
-    const std::optional<std::uint64_t> term = read_number(fields, "term");
+    const json_field_reader fields(parsed.get_object());
+    const std::optional<std::uint64_t> term = fields.number("term");
     if (http_status != status_ok) {
-        const bool refuses_term = has_text(fields, "kind", to_string(error_kind::wrong_term));
+        const bool refuses_term = fields.text("kind") == to_string(error_kind::wrong_term);
         answer.seen_term = refuses_term ? term.value_or(0) : 0;
         return;
     }
-    if (term != answer.term || !has_text(fields, "server", answer.server)) {
+    if (term != answer.term || fields.text("server") != answer.server) {
         return;
     }
-    const std::optional<std::uint64_t> index = read_number(fields, "index");
+    const std::optional<std::uint64_t> index = fields.number("index");
     const std::optional<log_position> received = read_received(fields);
     switch (answer.kind) {
     case order_kind::fence:
--- a/src/gateway_wire.cpp
+++ b/src/gateway_wire.cpp
@@ -1,6 +1,7 @@
 #include "gateway_wire.h"
 
 #include "gateway_errors.h"
+#include "json_field_reader.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -62,47 +63,12 @@
     return std::monostate();
 }
 
-// Reads the fields of a reply. `text` and `number` return nothing when a field is absent or has
-// another type.
-class field_reader {
-  public:
-    explicit field_reader(const json::object& body) : body_(body) {}
-
-    [[nodiscard]] std::optional<std::string_view> text(std::string_view name) const
-    {
-        const json::value* found = body_.if_contains(name);
-        if (found == nullptr || !found->is_string()) {
-            return std::nullopt;
-        }
-        return std::string_view(found->get_string());
-    }
-
-    [[nodiscard]] std::optional<std::uint64_t> number(std::string_view name) const
-    {
-        const json::value* found = body_.if_contains(name);
-        if (found == nullptr || !found->is_number()) {
-            return std::nullopt;
-        }
-        json::error_code ec;
-        const auto read = found->to_number<std::uint64_t>(ec);
-        return ec ? std::nullopt : std::optional(read);
-    }
-
-    [[nodiscard]] const json::value* any(std::string_view name) const
-    {
-        return body_.if_contains(name);
-    }
-
-  private:
-    const json::object& body_;
-};
-
 decoded_reply unusable_reply(std::string_view what)
 {
     return decoded_reply{invalid_reply(what, ran::unknown), false};
 }
 
-bool read_position(const field_reader& fields, pb::backend_reply& reply)
+bool read_position(const json_field_reader& fields, pb::backend_reply& reply)
 {
     const auto term = fields.number("term");
     const auto index = fields.number("index");
@@ -114,14 +80,14 @@
     return true;
 }
 
-bool read_role(const field_reader& fields, pb::backend_reply& reply)
+bool read_role(const json_field_reader& fields, pb::backend_reply& reply)
 {
     const auto role = fields.text("role");
     reply.set_role(std::string(role.value_or("")));
     return role.has_value();
 }
 
-bool read_result(const field_reader& fields, pb::backend_reply& reply)
+bool read_result(const json_field_reader& fields, pb::backend_reply& reply)
 {
     const json::value* found = fields.any("result");
     if (found == nullptr) {
@@ -132,7 +98,7 @@
     return true;
 }
 
-bool read_transaction(const field_reader& fields, pb::backend_reply& reply)
+bool read_transaction(const json_field_reader& fields, pb::backend_reply& reply)
 {
     const auto transaction = fields.text("transaction");
     reply.set_transaction(std::string(transaction.value_or("")));
@@ -140,7 +106,7 @@
 }
 
 // Returns false when a field that docs/BACKEND.md requires for the operation is missing.
-bool read_fields(const field_reader& fields, pb::backend_operation operation,
+bool read_fields(const json_field_reader& fields, pb::backend_operation operation,
                  pb::backend_reply& reply)
 {
     switch (operation) {
@@ -157,7 +123,7 @@
     }
 }
 
-decoded_reply decode_success(const pb::backend_request& request, const field_reader& fields)
+decoded_reply decode_success(const pb::backend_request& request, const json_field_reader& fields)
 {
     pb::backend_reply reply;
     reply.set_request_id(request.request_id());
@@ -172,7 +138,7 @@
     return to_string(parse_error_kind(name)) == name;
 }
 
-decoded_reply decode_failure(const field_reader& fields)
+decoded_reply decode_failure(const json_field_reader& fields)
 {
     const auto kind = fields.text("kind");
     const auto outcome = fields.text("ran");
@@ -190,7 +156,7 @@
 
 // A server at its connection limit rejects the connection without reading the request, so the reply
 // has no id.
-bool is_connection_refusal(unsigned status, const field_reader& fields)
+bool is_connection_refusal(unsigned status, const json_field_reader& fields)
 {
     return status == status_unavailable && !fields.any("id") &&
            fields.text("kind") == std::string_view("overloaded");
@@ -237,7 +203,7 @@
     if (ec || !parsed.is_object()) {
         return unusable_reply("The backend server's reply is not a JSON object.");
     }
-    const field_reader fields(parsed.get_object());
+    const json_field_reader fields(parsed.get_object());
     if (is_first_reply && is_connection_refusal(status, fields)) {
         return decoded_reply{no_capacity("The backend server has reached its connection limit.",
                                          clock::duration(100)),
