--- a/src/pooler_primary.cpp
+++ b/src/pooler_primary.cpp
@@ -18,9 +18,7 @@
     known_ = std::move(known);
     if (!is_known(current_)) {
         current_.clear();
-        written_at_.reset();
-        failing_since_.reset();
-        write_failing_since_.reset();
+        reset_health();
     }
     std::erase_if(refused_at_, [this](const auto& item) { return !is_known(item.first); });
 }
@@ -63,6 +61,11 @@
 {
     current_ = server;
     reached_at_.reset();
+    reset_health();
+}
+
+void primary_tracker::reset_health() noexcept
+{
     written_at_.reset();
     failing_since_.reset();
     write_failing_since_.reset();
@@ -73,9 +76,7 @@
     refused_at_.insert_or_assign(std::string(server), now);
     if (current_ == server) {
         current_.clear();
-        written_at_.reset();
-        failing_since_.reset();
-        write_failing_since_.reset();
+        reset_health();
     }
 }
 
--- a/src/pooler_primary.h
+++ b/src/pooler_primary.h
@@ -56,6 +56,7 @@
 
   private:
     void set_current(std::string_view server);
+    void reset_health() noexcept; // of the present primary
     [[nodiscard]] bool is_known(std::string_view server) const;
     [[nodiscard]] bool may_be_primary(std::string_view server, clock::time_point now) const;
 
