--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -69,6 +69,9 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool open = true;
+
+    // False also if a response has come that no request asked for.
+    [[nodiscard]] bool is_in_step() const noexcept { return open && buffer.size() == 0; }
 };
 
 client::client(std::unique_ptr<implementation> impl) : impl_(std::move(impl)) {}
@@ -95,7 +98,7 @@
 
 net::awaitable<result<response>> client::call(const request& sent, clock::time_point deadline)
 {
-    if (!impl_->open || impl_->buffer.size() > 0) {
+    if (!impl_->is_in_step()) {
         co_return error{error_kind::connection_lost,
                         "The connection is closed, or has a response that no request asked for.",
                         "Open a new connection."};
@@ -126,7 +129,7 @@
 // the connection or is out of sync.
 bool client::is_open() const noexcept
 {
-    if (!impl_->open || impl_->buffer.size() > 0) {
+    if (!impl_->is_in_step()) {
         return false;
     }
     char byte = 0;
