--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -137,6 +137,13 @@
                     op.route->group, saturated_retry_after.count()));
 }
 
+line_answer execution::make_connection_failure() const
+{
+    return make_error_answer(
+        answer_cause::server_silent, context_.dialect.aborted,
+        "rolled back: the connection to the server failed; retry the transaction");
+}
+
 void execution::record_retry(const operation& op, const server_statement& statement,
                              std::string_view server, std::string_view reason)
 {
@@ -1042,9 +1049,7 @@
             context_.connections.record_unanswered(*server, result.has_timed_out, sent_at, now);
             is_open_ = false;
             contact_ = server_contact::lost;
-            co_return make_error_answer(
-                answer_cause::server_silent, dialect.aborted,
-                "rolled back: the connection to the server failed; retry the transaction");
+            co_return make_connection_failure();
         }
         if (!may_run_again(result.answers.front(), now, deadline)) {
             break;
@@ -1111,9 +1116,7 @@
     is_open_ = false;
     if (result.is_unsent) {
         context_.connections.release(std::move(connection_), false);
-        co_return make_error_answer(
-            answer_cause::server_silent, dialect.aborted,
-            "rolled back: the connection to the server failed; retry the transaction");
+        co_return make_connection_failure();
     }
     if (result.answers.empty()) {
         contact_ = server_contact::lost;
--- a/src/pooler_execution.h
+++ b/src/pooler_execution.h
@@ -238,6 +238,8 @@
     [[nodiscard]] std::optional<line_answer> check_transaction_right();
     [[nodiscard]] std::optional<line_answer> check_before_sending(const pooled_server& server);
     [[nodiscard]] line_answer make_refusal(acquire_error reason, const operation& op) const;
+    // The answer of a transaction that ended with its connection, before its commit was sent.
+    [[nodiscard]] line_answer make_connection_failure() const;
     [[nodiscard]] line_answer refuse_to_begin(line_answer answer) const;
     [[nodiscard]] attempt_result refuse_unbegun(const pooled_server& server);
     [[nodiscard]] line_answer refuse_unknown_statement(const pooled_server& server) const;
--- a/src/pooler_execution_home.cpp
+++ b/src/pooler_execution_home.cpp
@@ -144,10 +144,7 @@
                 make_error_answer(answer_cause::server_silent, dialect.unknown_outcome,
                                   "the primary did not answer; the write may have taken effect")};
     case home_decision::answer_aborted:
-        return {next_step::finish,
-                make_error_answer(
-                    answer_cause::server_silent, dialect.aborted,
-                    "rolled back: the connection to the server failed; retry the transaction")};
+        return {next_step::finish, make_connection_failure()};
     case home_decision::next_home:
     case home_decision::next_server:
         excluded_servers_.push_back(server.id);
