The exchange tells the answer ahead of a ROLLBACK

The rule by which a read at the primary takes its answer stood in the execution, and once more in the test of exchanges, which tested its own copy. It is a function of the exchange now, for both; a test shows that the read's answer is taken if only the ROLLBACK's is missing. Behaviour is the same.

--- a/src/line_connection.cpp
+++ b/src/line_connection.cpp
@@ -24,6 +24,15 @@
 
 } // namespace
 
+const line_answer* line_exchange::answer_before_rollback() const noexcept
+{
+    if (answers.empty() || (answers.front().is_error && !is_complete()) ||
+        !answers.front().can_answer_statement(session_state::in_transaction)) {
+        return nullptr;
+    }
+    return &answers.front();
+}
+
 line_connection::line_connection(const net::any_io_executor& executor, const line_dialect& dialect)
     : socket_(executor), timer_(executor), reader_(dialect)
 {
--- a/src/line_connection.h
+++ b/src/line_connection.h
@@ -41,6 +41,10 @@
     bool has_timed_out = false;
 
     [[nodiscard]] bool is_complete() const noexcept { return !is_broken && !has_timed_out; }
+
+    // The answer to a statement inside a transaction that was sent with the ROLLBACK behind it.
+    // Null if it is missing; an error of an incomplete exchange may be the ROLLBACK's.
+    [[nodiscard]] const line_answer* answer_before_rollback() const noexcept;
 };
 
 class line_connection {
--- a/src/pooler_execution.cpp
+++ b/src/pooler_execution.cpp
@@ -477,12 +477,7 @@
     context_.connections.record_finish(*server, elapsed_ms(sent_at, now), now);
     const bool is_clean = is_reusable(result, context_.dialect) && !result.answers.back().is_error;
     context_.connections.release(std::move(connection), is_clean);
-    // An error of an incomplete exchange may be the ROLLBACK's.
-    const bool is_answered =
-        !result.answers.empty() &&
-        result.answers.front().can_answer_statement(session_state::in_transaction) &&
-        (result.is_complete() || !result.answers.front().is_error);
-    if (!is_answered) {
+    if (result.answer_before_rollback() == nullptr) {
         if (result.answers.empty()) {
             context_.connections.record_unanswered(*server, result.has_timed_out, sent_at, now);
         }
--- a/tests/line_connection_test.cpp
+++ b/tests/line_connection_test.cpp
@@ -118,18 +118,23 @@
     bool is_finished_ = false;
 };
 
-constexpr std::string_view rolled_back = "DONE -\r\nIDLE I 1.12\r\n";
+line_exchange exchange_with(script plan, std::size_t count = 1,
+                            std::optional<session_state> last_state = std::nullopt,
+                            clock::duration timeout = exchange_timeout)
+{
+    scripted_exchange target(std::move(plan));
+    std::optional<line_exchange> outcome = target.run(count, last_state, timeout);
+    REQUIRE(outcome.has_value());
+    return std::move(*outcome);
+}
 
-// The answer that a read at the primary takes from an exchange of it and its ROLLBACK.
-const line_answer* answer_of_read(const line_exchange& exchange)
+// A server whose answer to the first of two queries is cut off, and that answers the second.
+script cut_ahead_of_rollback(std::string_view answer, std::size_t length, bool closes)
 {
-    if (exchange.answers.empty()) {
-        return nullptr;
-    }
-    const line_answer& first = exchange.answers.front();
-    const bool is_answer = exchange.is_complete() || first.is_in_transaction();
-    return is_answer && first.can_answer_statement(session_state::in_transaction) ? &first
-                                                                                  : nullptr;
+    script plan;
+    plan.answers = fmt::format("{}DONE -\r\nIDLE I 1.12\r\n", answer.substr(0, length));
+    plan.closes = closes;
+    return plan;
 }
 
 } // namespace
@@ -145,19 +150,28 @@
             for (const bool closes : {true, false}) {
                 CAPTURE(whole.substr(0, length));
                 CAPTURE(closes);
-                script plan;
-                plan.answers = whole.substr(0, length) + std::string(rolled_back);
-                plan.closes = closes;
-                scripted_exchange target(plan);
-                const std::optional<line_exchange> outcome = target.run(2, session_state::idle);
-                REQUIRE(outcome.has_value());
-                CHECK(!outcome->is_complete());
-                CHECK(answer_of_read(*outcome) == nullptr);
+                const line_exchange outcome = exchange_with(
+                    cut_ahead_of_rollback(whole, length, closes), 2, session_state::idle);
+                CHECK(!outcome.is_complete());
+                CHECK(outcome.answer_before_rollback() == nullptr);
             }
         }
     }
 }
 
+TEST_CASE(
+    "line connection: the answer ahead of a ROLLBACK is taken if that of the latter is missing")
+{
+    const std::string whole = "ROW a 1\r\nDONE s1.f0\r\nIDLE T 1.12\r\n";
+    script plan;
+    plan.answers = whole;
+    plan.closes = true;
+    const line_exchange outcome = exchange_with(plan, 2, session_state::idle);
+    CHECK(!outcome.is_complete());
+    REQUIRE(outcome.answer_before_rollback() != nullptr);
+    CHECK(outcome.answer_before_rollback()->rows == std::vector<std::string>{"a 1"});
+}
+
 TEST_CASE("line connection: answers that are cut off with their connection are none")
 {
     const std::string whole = "ROW a 1\r\nDONE s1.f0\r\nIDLE I 1.12\r\n";
@@ -168,11 +182,9 @@
             script plan;
             plan.answers = answer.substr(0, length);
             plan.closes = true;
-            scripted_exchange target(plan);
-            const std::optional<line_exchange> outcome = target.run(1);
-            REQUIRE(outcome.has_value());
-            CHECK(outcome->is_broken);
-            CHECK(outcome->answers.empty());
+            const line_exchange outcome = exchange_with(plan);
+            CHECK(outcome.is_broken);
+            CHECK(outcome.answers.empty());
         }
     }
 }
@@ -188,11 +200,9 @@
         CAPTURE(answer);
         script plan;
         plan.answers = answer;
-        scripted_exchange target(plan);
-        const std::optional<line_exchange> outcome = target.run(1);
-        REQUIRE(outcome.has_value());
-        CHECK(outcome->is_broken);
-        CHECK(outcome->answers.empty());
+        const line_exchange outcome = exchange_with(plan);
+        CHECK(outcome.is_broken);
+        CHECK(outcome.answers.empty());
     }
 }
 
@@ -217,11 +227,9 @@
     {
         plan.greeting += std::exchange(plan.unsolicited, {});
     }
-    scripted_exchange target(plan);
-    const std::optional<line_exchange> outcome = target.run(1);
-    REQUIRE(outcome.has_value());
-    CHECK(outcome->is_broken);
-    CHECK(outcome->answers.empty());
+    const line_exchange outcome = exchange_with(plan);
+    CHECK(outcome.is_broken);
+    CHECK(outcome.answers.empty());
 }
 
 TEST_CASE("line connection: a large answer that is cut off is none")
@@ -234,14 +242,9 @@
          {std::size_t{4}, end_of_row / 2, end_of_row, end_of_row + 1, end_of_row + 2,
           end_of_row + 9, whole.size() - 2, whole.size() - 1}) {
         CAPTURE(length);
-        script plan;
-        plan.answers = whole.substr(0, length) + std::string(rolled_back);
-        plan.closes = true;
-        scripted_exchange target(plan);
-        const std::optional<line_exchange> outcome =
-            target.run(2, session_state::idle, clock::duration(2'000));
-        REQUIRE(outcome.has_value());
-        CHECK(!outcome->is_complete());
-        CHECK(answer_of_read(*outcome) == nullptr);
+        const line_exchange outcome = exchange_with(cut_ahead_of_rollback(whole, length, true), 2,
+                                                    session_state::idle, clock::duration(2'000));
+        CHECK(!outcome.is_complete());
+        CHECK(outcome.answer_before_rollback() == nullptr);
     }
 }
