--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -34,6 +34,27 @@
     return "http://127.0.0.1:" + std::to_string(server.port());
 }
 
+std::string url_of(const net::ip::tcp::acceptor& server)
+{
+    return "http://127.0.0.1:" + std::to_string(server.local_endpoint().port());
+}
+
+// Answers the first read of one connection with raw bytes. Then keeps the connection open until the
+// peer closes it, or closes it.
+net::awaitable<void> answer_once(net::ip::tcp::acceptor& acceptor, std::string bytes, bool stays)
+{
+    auto socket = co_await acceptor.async_accept(net::use_awaitable);
+    std::array<char, 4'096> buffer{};
+    boost::system::error_code ec;
+    co_await socket.async_read_some(net::buffer(buffer),
+                                    net::redirect_error(net::use_awaitable, ec));
+    co_await net::async_write(socket, net::buffer(bytes), net::use_awaitable);
+    while (stays && !ec) {
+        co_await socket.async_read_some(net::buffer(buffer),
+                                        net::redirect_error(net::use_awaitable, ec));
+    }
+}
+
 // Sends raw bytes and returns everything received until a read fails, usually because the peer
 // closed the connection, or for at most 10 s.
 std::string exchange(net::io_context& context, std::uint16_t port, const std::string& bytes)
@@ -207,24 +228,10 @@
 {
     net::io_context context;
     net::ip::tcp::acceptor acceptor(context, {net::ip::make_address("127.0.0.1"), 0});
-    const std::string url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const std::string url = url_of(acceptor);
     const std::string answers = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
                                 "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
-    net::co_spawn(
-        context,
-        [&]() -> net::awaitable<void> {
-            auto socket = co_await acceptor.async_accept(net::use_awaitable);
-            std::array<char, 4'096> buffer{};
-            boost::system::error_code ec;
-            co_await socket.async_read_some(net::buffer(buffer),
-                                            net::redirect_error(net::use_awaitable, ec));
-            co_await net::async_write(socket, net::buffer(answers), net::use_awaitable);
-            while (!ec) {
-                co_await socket.async_read_some(net::buffer(buffer),
-                                                net::redirect_error(net::use_awaitable, ec));
-            }
-        },
-        net::detached);
+    net::co_spawn(context, answer_once(acceptor, answers, true), net::detached);
     std::string first;
     bool is_open = true;
     bool is_answered_again = true;
@@ -256,18 +263,9 @@
         CAPTURE(length);
         net::io_context context;
         net::ip::tcp::acceptor acceptor(context, {net::ip::make_address("127.0.0.1"), 0});
-        const std::string url =
-            "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-        net::co_spawn(
-            context,
-            [&]() -> net::awaitable<void> {
-                auto socket = co_await acceptor.async_accept(net::use_awaitable);
-                std::array<char, 4'096> buffer{};
-                co_await socket.async_read_some(net::buffer(buffer), net::use_awaitable);
-                const std::string cut = response.substr(0, length);
-                co_await net::async_write(socket, net::buffer(cut), net::use_awaitable);
-            },
-            net::detached);
+        const std::string url = url_of(acceptor);
+        net::co_spawn(context, answer_once(acceptor, response.substr(0, length), false),
+                      net::detached);
         std::optional<enum ran> may_have_run;
         net::co_spawn(
             context,
--- a/tests/line_server.cpp
+++ b/tests/line_server.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -253,6 +254,22 @@
     }
 }
 
+line_server::answer_change replace(std::string from, std::string to)
+{
+    return [from = std::move(from), to = std::move(to)](std::string answer) {
+        const std::size_t at = answer.find(from);
+        REQUIRE(at != std::string::npos);
+        return line_server::changed_answer{answer.replace(at, from.size(), to)};
+    };
+}
+
+line_server::answer_change send(std::string bytes, bool is_last)
+{
+    return [bytes = std::move(bytes), is_last](const std::string&) {
+        return line_server::changed_answer{bytes, is_last};
+    };
+}
+
 std::size_t count(const line_server& server, std::string_view query)
 {
     return static_cast<std::size_t>(
--- a/tests/line_server.h
+++ b/tests/line_server.h
@@ -85,6 +85,10 @@
     std::shared_ptr<state> state_;
 };
 
+// Changes of answers. `replace` requires that the answer contains `from`.
+[[nodiscard]] line_server::answer_change replace(std::string from, std::string to);
+[[nodiscard]] line_server::answer_change send(std::string bytes, bool is_last = false);
+
 // Returns how often the server received the query.
 [[nodiscard]] std::size_t count(const line_server& server, std::string_view query);
 
--- a/tests/pooler_answers_test.cpp
+++ b/tests/pooler_answers_test.cpp
@@ -1,5 +1,6 @@
 // Tests of answers that may be taken for those of other queries: lost ones, cut off ones, and ones
 // that report another state than the query leaves behind.
+#include "background_write.h"
 #include "pooler_execution.h"
 #include "pooler_fixture.h"
 
@@ -23,15 +24,6 @@
 constexpr clock::duration timeout_time{1'300}; // above the route's statement timeout
 const std::string open_session = "OPEN db secret\r\n";
 
-line_server::answer_change replace(std::string from, std::string to)
-{
-    return [from = std::move(from), to = std::move(to)](std::string answer) {
-        const std::size_t at = answer.find(from);
-        REQUIRE(at != std::string::npos);
-        return line_server::changed_answer{answer.replace(at, from.size(), to)};
-    };
-}
-
 // Sends the first `lines` lines of the answer and `length` bytes of the next, and closes.
 line_server::answer_change cut_off(std::size_t lines, std::size_t length)
 {
@@ -188,9 +180,7 @@
 {
     pooler_fixture instance;
     instance.confirm(100);
-    instance.server.change_answers("PUT", [](const std::string&) {
-        return line_server::changed_answer{"FAIL BUSY full\r\n", true};
-    });
+    instance.server.change_answers("PUT", send("FAIL BUSY full\r\n", true));
     const std::string answers = instance.exchange(open_session + "RUN w1 PUT x 1\r\n", settle_time);
     CHECK(contains(answers, "FAIL UNKNOWN "));
     CHECK(count(instance.server, "PUT x 1") == 1);
@@ -437,22 +427,14 @@
     SUBCASE("others came meanwhile")
     {
         instance.server.lose_answers("PUT x", 1);
-        std::optional<line_answer> lost;
-        pooler::session_context state;
-        pooler::execution execution(instance.shared, state);
-        const pooler::operation operation = instance.operation();
-        pooler::server_statement statement;
-        statement.id = "w1";
-        statement.text = "PUT x 1";
-        statement.is_write = true;
-        instance.start([&] { return execution.run_single(operation, statement); }, lost);
+        const background_write lost(instance, "PUT x 1");
         const std::string answers =
             instance.exchange(open_session + "RUN w2 PUT y 1\r\n",
-                              operation.route->statement_timeout - clock::duration(100));
+                              instance.operation().route->statement_timeout - clock::duration(100));
         CHECK(contains(answers, "DONE s"));
         instance.run(clock::duration(150));
-        REQUIRE(lost.has_value());
-        CHECK(lost->code == "UNKNOWN");
+        REQUIRE(lost.answer().has_value());
+        CHECK(lost.answer()->code == "UNKNOWN");
         const std::string later = instance.exchange(open_session + "RUN r3 GET y\r\n", settle_time);
         CAPTURE(later);
         CHECK(contains(later, "DONE s"));
--- a/tests/pooler_commit_test.cpp
+++ b/tests/pooler_commit_test.cpp
@@ -56,21 +56,11 @@
     }
     SUBCASE("cut off ahead of the next one")
     {
-        instance.replica.change_answers(
-            "BEGIN",
-            [](const std::string&) {
-                return line_server::changed_answer{"FAIL READONLY replica\r\n"};
-            },
-            1);
+        instance.replica.change_answers("BEGIN", send("FAIL READONLY replica\r\n"), 1);
     }
     SUBCASE("taken over from a primary's log without its position")
     {
-        instance.replica.change_answers(
-            "BEGIN",
-            [](const std::string&) {
-                return line_server::changed_answer{"DONE -\r\nIDLE T -\r\n"};
-            },
-            1);
+        instance.replica.change_answers("BEGIN", send("DONE -\r\nIDLE T -\r\n"), 1);
     }
     instance.before_later = [&] { instance.replica.follow(2); };
     const std::string answers = instance.exchange(open_session + "RUN id1 PUT a 1\r\n",
--- a/tests/pooler_evacuation_test.cpp
+++ b/tests/pooler_evacuation_test.cpp
@@ -1,4 +1,5 @@
 // Tests of a pooler instance whose server's failure domain is evacuated.
+#include "background_write.h"
 #include "pooler_execution.h"
 #include "pooler_fixture.h"
 #include "primrosehead.pb.h"
@@ -146,19 +147,11 @@
 {
     pooler_fixture instance;
     instance.confirm(100);
-    std::optional<line_answer> answer;
-    pooler::session_context state;
-    pooler::execution execution(instance.shared, state);
-    const pooler::operation operation = instance.operation();
-    pooler::server_statement statement;
-    statement.id = "id1";
-    statement.text = "PUT a 1";
-    statement.is_write = true;
-    instance.start([&] { return execution.run_single(operation, statement); }, answer);
+    const background_write write(instance, "PUT a 1");
     boost::asio::post(instance.io, [&] { instance.evacuate({"zone"}, 1); });
     instance.run(settle_time);
-    REQUIRE(answer);
-    CHECK(answer->code == "BUSY");
+    REQUIRE(write.answer());
+    CHECK(write.answer()->code == "BUSY");
     CHECK(count(instance.server, "PUT a 1") == 0);
     CHECK(instance.connections.stats().open == 0);
 }
--- a/tests/pooler_home_path_test.cpp
+++ b/tests/pooler_home_path_test.cpp
@@ -222,12 +222,6 @@
 {
     home_fleet fleet;
     caller session(fleet);
-    const auto replace = [](std::string_view from, std::string_view to) {
-        return [from, to](std::string answer) {
-            return testing::line_server::changed_answer{
-                answer.replace(answer.find(from), from.size(), to)};
-        };
-    };
     SUBCASE("a write")
     {
         fleet.server.change_answers("PUT", replace("IDLE I", "IDLE T"));
--- a/tests/pooler_leaving_test.cpp
+++ b/tests/pooler_leaving_test.cpp
@@ -1,4 +1,5 @@
 // Tests of a pooler instance whose primary is leaving.
+#include "background_write.h"
 #include "pooler_execution.h"
 #include "pooler_fixture.h"
 #include "primrosehead.pb.h"
@@ -101,21 +102,13 @@
     instance.confirm(100);
     instance.server.limit_connections(0);
     instance.announce_leaving(nearly_over);
-    std::optional<line_answer> answer;
-    pooler::session_context state;
-    pooler::execution execution(instance.shared, state);
-    const pooler::operation operation = instance.operation();
-    pooler::server_statement statement;
-    statement.id = "id1";
-    statement.text = "PUT a 1";
-    statement.is_write = true;
-    instance.start([&] { return execution.run_single(operation, statement); }, answer);
+    const background_write write(instance, "PUT a 1");
     instance.run(settle_time);
     instance.announce_leaving(over);
     instance.server.limit_connections(10);
     instance.connections.retry_waiting();
     instance.run(settle_time);
-    REQUIRE(answer);
-    CHECK(answer->code == "BUSY");
+    REQUIRE(write.answer());
+    CHECK(write.answer()->code == "BUSY");
     CHECK(count(instance.server, "PUT a 1") == 0);
 }
--- a/tests/pooler_observation_test.cpp
+++ b/tests/pooler_observation_test.cpp
@@ -48,13 +48,6 @@
     std::optional<clock::time_point> known_at;
 };
 
-line_server::answer_change send(std::string bytes, bool is_last)
-{
-    return [bytes = std::move(bytes), is_last](const std::string&) {
-        return line_server::changed_answer{bytes, is_last};
-    };
-}
-
 } // namespace
 
 TEST_CASE("pooler observation: the primary's position is recorded and the connection kept")
@@ -82,11 +75,11 @@
     }
     SUBCASE("the answer has no position")
     {
-        instance.server.change_answers("BEGIN", send("DONE -\r\nIDLE T -\r\n", false), 1);
+        instance.server.change_answers("BEGIN", send("DONE -\r\nIDLE T -\r\n"), 1);
     }
     SUBCASE("the answer is cut off ahead of the next one")
     {
-        instance.server.change_answers("BEGIN", send("DONE -\r\nIDLE T 1.9", false), 1);
+        instance.server.change_answers("BEGIN", send("DONE -\r\nIDLE T 1.9"), 1);
     }
     SUBCASE("the answer is cut off with its connection")
     {
--- a/tests/promotion_probe_test.cpp
+++ b/tests/promotion_probe_test.cpp
@@ -85,13 +85,6 @@
     return *answer;
 }
 
-testing::line_server::answer_change send(std::string bytes, bool is_last = false)
-{
-    return [bytes = std::move(bytes), is_last](const std::string&) {
-        return testing::line_server::changed_answer{bytes, is_last};
-    };
-}
-
 } // namespace
 
 // Guards against a server that is taken for one that is down, or for a primary at the start of its
@@ -103,23 +96,23 @@
     testing::line_server server(context.get_executor());
     SUBCASE("cut off with its connection")
     {
-        server.change_answers("BEGIN", send("DONE -\r\nIDLE T", true));
+        server.change_answers("BEGIN", testing::send("DONE -\r\nIDLE T", true));
     }
     SUBCASE("closed without an answer")
     {
-        server.change_answers("BEGIN", send("", true));
+        server.change_answers("BEGIN", testing::send("", true));
     }
     SUBCASE("garbled")
     {
-        server.change_answers("BEGIN", send("DO"));
+        server.change_answers("BEGIN", testing::send("DO"));
     }
     SUBCASE("without a position")
     {
-        server.change_answers("BEGIN", send("DONE -\r\nIDLE T -\r\n"));
+        server.change_answers("BEGIN", testing::send("DONE -\r\nIDLE T -\r\n"));
     }
     SUBCASE("a refusal that is cut off")
     {
-        server.change_answers("BEGIN", send("FAIL READONLY i-1\r\n", true));
+        server.change_answers("BEGIN", testing::send("FAIL READONLY i-1\r\n", true));
     }
     CHECK(check_primary(context, dialect, server).result == promotion::probe_result::silent);
 }
@@ -161,7 +154,7 @@
         return *answer;
     };
     using promotion::probe_result;
-    const promotion::status_answer told = answer_to(send(row + "DONE -\r\n" + idle));
+    const promotion::status_answer told = answer_to(testing::send(row + "DONE -\r\n" + idle));
     CHECK(told.result == probe_result::answered);
     CHECK(told.status.term_held == 4);
     const std::string standby = "ROW standby 3 3.9 4 0 0 1\r\n";
@@ -171,7 +164,7 @@
           fmt::format("{0}{0}DONE -\r\n{1}", row, idle), fmt::format("DONE -\r\n{}", idle),
           fmt::format("{}DONE -\r\n{}", standby, idle), fmt::format("{}DONE -\r\n", row)}) {
         CAPTURE(bytes);
-        CHECK(answer_to(send(bytes, true)).result == probe_result::silent);
+        CHECK(answer_to(testing::send(bytes, true)).result == probe_result::silent);
     }
 }
 
