--- a/tests/background_write.h
+++ b/tests/background_write.h
@@ -14,6 +14,7 @@
 class background_write {
   public:
     background_write(pooler_fixture& instance, std::string text);
+    ~background_write() = default;
     background_write(const background_write&) = delete;
     background_write& operator=(const background_write&) = delete;
 
