--- a/review/common-3/db.py
+++ b/review/common-3/db.py
@@ -172,6 +172,7 @@
         if needs_lead and not server.is_primary:
             return [], "-", "READONLY"
         async with server.slots:
+            server.service.on_begin(statement_id)
             server.busy += 1
             await asyncio.sleep(WORK_S)
             server.busy -= 1
@@ -193,7 +194,8 @@
         self.name, self.note, self.max_connections = name, note, max_connections
         self.servers, self.term, self.token = [], 1, 0
         self.promotions = []     # (time, server, log of it, what clients had been acknowledged)
-        self.on_run = lambda *_: None
+        self.on_run = lambda *_: None      # a statement has run
+        self.on_begin = lambda _: None     # a server has begun to work on it
         # Rows, or the lines of the whole result as bytes.
         self.rows = lambda statement_id, item: [f"row-of-{statement_id}"]
         self.acknowledged = {}   # id of a write -> time at which its client was acknowledged
